Set up the workspace, the design page and the first core types

Cause: the repository was empty. Change: npm workspace with formatter, linter, strict TypeScript and mocha; docs/design.md; core types for time, log positions, groups, contracts and statement classification.

--- /dev/null
+++ b/packages/core/src/errors.ts
@@ -0,0 +1,10 @@
+import ModernError from 'modern-errors';
+
+/** Root of the errors of the decision core. */
+export const CoreError = ModernError.subclass('CoreError');
+
+/** A release note, contract or setting breaks a rule. */
+export const InvalidNoteError = CoreError.subclass('InvalidNoteError');
+
+/** Work was refused before any instance saw it. */
+export const NotRunError = CoreError.subclass('NotRunError');
--- /dev/null
+++ b/packages/core/src/group.ts
@@ -0,0 +1,62 @@
+import type { Millis } from './clock.js';
+import type { LogPosition } from './position.js';
+
+/** One database server of a group, as release notes describe it. */
+export interface DatabaseInstance {
+  readonly id: string;
+  readonly zone: string;
+  readonly host: string;
+  readonly port: number;
+  /** Statements that the instance runs well at the same time, over all proxies. */
+  readonly slots: number;
+  /** Connections that the instance accepts, over all proxies. */
+  readonly connectionLimit: number;
+  /** True once an operator or the platform has announced that the instance is going away. */
+  readonly leaving?: boolean;
+}
+
+/** A primary and its replicas. Callers address it by name, as the database of the connection. */
+export interface DatabaseGroup {
+  readonly name: string;
+  readonly instances: readonly DatabaseInstance[];
+}
+
+export type InstanceRole = 'primary' | 'replica';
+
+/** What an instance answered to one status request. */
+export interface InstanceStatus {
+  readonly instance: string;
+  readonly role: InstanceRole;
+  /** Highest term below which the instance refuses streams, promotion and following. */
+  readonly fenceTerm: number;
+  /** Last entry on stable storage; counts for acknowledgement and election. */
+  readonly durable: LogPosition;
+  /** Last entry visible to reads. */
+  readonly applied: LogPosition;
+  /** The primary that the instance follows, or itself when it is the primary. */
+  readonly following: string;
+  readonly connections: number;
+  readonly running: number;
+  /** When the request was sent, on the requester's clock. */
+  readonly requestedAt: Millis;
+}
+
+/**
+ * The group's object in the platform. `fencing`: term is claimed, no primary yet.
+ * `named`: `primary` may be promoted in `term`.
+ */
+export interface GroupRecord {
+  readonly group: string;
+  readonly term: number;
+  readonly phase: 'fencing' | 'named';
+  readonly primary: string | null;
+  /** Identifies the write, so that a lost answer is settled by reading back. */
+  readonly attempt: string;
+  /** The VM that wrote the record. */
+  readonly writer: string;
+}
+
+/** Instances that make a majority of a group of `size`. */
+export function countMajority(size: number): number {
+  return Math.floor(size / 2) + 1;
+}
