--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -42,6 +42,8 @@
       // Node's module resolution needs the extension of the emitted file.
       'import-x/extensions': 'off',
       'import-x/prefer-default-export': 'off',
+      // The type check resolves modules under the workspace's own export condition.
+      'import-x/no-unresolved': 'off',
       // Spec files and the benches use development dependencies of the workspace root.
       'import-x/no-extraneous-dependencies': 'off',
       // An abstract class stands beside its small implementations.
@@ -65,6 +67,10 @@
           ignoreUrls: true,
         },
       ],
+      // The types of modern-errors hide that its instances extend Error.
+      '@typescript-eslint/only-throw-error': 'off',
+      // Node 20 ships fetch; the rule waits for the label 'stable'.
+      'n/no-unsupported-features/node-builtins': ['error', { ignores: ['fetch', 'Response'] }],
       'no-underscore-dangle': 'off',
       '@typescript-eslint/no-explicit-any': 'error',
     },
--- /dev/null
+++ b/packages/bench/src/cluster.ts
@@ -0,0 +1,73 @@
+import { formatGroupKey, formatNoteKey } from '@shallotpick/core';
+import { createDaemon, type Daemon, loadSettings } from '@shallotpick/daemon';
+import { StandinGroup, StandinPlatform } from '@shallotpick/standin';
+import { createFirstNote, createGroupOptions, type Profile } from './profile.js';
+
+const READY_POLL_MS = 5;
+
+export interface ClusterOptions {
+  readonly profile: Profile;
+  /** Number of daemons; the profile's own by default. */
+  readonly proxies?: number;
+  readonly statementCostMs: number;
+  /** More settings of each daemon, as environment variables. */
+  readonly environment?: Readonly<Record<string, string>>;
+}
+
+/** Stand-ins and daemons of one deployment in this process, over loopback. */
+export interface Cluster {
+  readonly platform: StandinPlatform;
+  readonly groups: readonly StandinGroup[];
+  readonly daemons: readonly Daemon[];
+  stop(): Promise<void>;
+}
+
+async function waitUntilReady(daemon: Daemon): Promise<void> {
+  while (!daemon.isReady()) {
+    await new Promise((resolve) => {
+      setTimeout(resolve, READY_POLL_MS);
+    });
+  }
+}
+
+function createProxy(options: ClusterOptions, platformUrl: string, index: number): Daemon {
+  const { zones } = options.profile;
+  return createDaemon(
+    loadSettings([], {
+      SHALLOTPICK_VM: `vm-${index + 1}`,
+      SHALLOTPICK_ZONE: zones[index % zones.length],
+      SHALLOTPICK_PLATFORM_URL: platformUrl,
+      SHALLOTPICK_CALLER_PORT: '0',
+      SHALLOTPICK_METRICS_PORT: '0',
+      SHALLOTPICK_LOG_LEVEL: 'error',
+      ...options.environment,
+    }),
+  );
+}
+
+/** Starts the stand-ins, the platform with a first release note, and the daemons. */
+export async function createCluster(options: ClusterOptions): Promise<Cluster> {
+  const { profile, statementCostMs } = options;
+  const platform = new StandinPlatform();
+  const platformUrl = await platform.start();
+  const groups = profile.groups.map(
+    (name) => new StandinGroup(createGroupOptions(profile, name, statementCostMs)),
+  );
+  await Promise.all(groups.map((group) => group.start()));
+  groups.forEach((group) => {
+    platform.set(formatGroupKey(group.options.name), JSON.stringify(group.toGroupRecord()));
+  });
+  const note = createFirstNote(groups.map((group) => group.toDatabaseGroup()));
+  platform.set(formatNoteKey(1), JSON.stringify(note));
+  const daemons = Array.from({ length: options.proxies ?? profile.proxies }, (_, index) =>
+    createProxy(options, platformUrl, index),
+  );
+  await Promise.all(daemons.map((daemon) => daemon.start()));
+  await Promise.all(daemons.map(waitUntilReady));
+  const stop = async (): Promise<void> => {
+    daemons.forEach((daemon) => daemon.stop());
+    await Promise.all(groups.map((group) => group.stop()));
+    await platform.stop();
+  };
+  return { platform, groups, daemons, stop };
+}
--- /dev/null
+++ b/packages/bench/src/index.ts
@@ -0,0 +1,4 @@
+export { createCluster } from './cluster.js';
+export type { Cluster, ClusterOptions } from './cluster.js';
+export { createFirstNote, createGroupOptions, PROFILES } from './profile.js';
+export type { Profile, ProfileName } from './profile.js';
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -22,3 +22,34 @@
 export type { LogPosition } from './position.js';
 export { classifyStatement } from './statement.js';
 export type { Statement, StatementKind } from './statement.js';
+export { AdmissionQueue } from './admission.js';
+export type { AdmissionDecision, AdmissionOptions, Capacity, Work } from './admission.js';
+export { FailoverCoordinator, SUSPECT_AFTER_MS } from './failover.js';
+export type {
+  FailoverAction,
+  FailoverOptions,
+  FenceAnswer,
+  PrimaryObservation,
+  WriteOutcome,
+} from './failover.js';
+export { MajorityTracker } from './majority.js';
+export type {
+  MajorityDecision,
+  MajorityReading,
+  PendingArrival,
+  PendingCommit,
+} from './majority.js';
+export {
+  applyNote,
+  EMPTY_CONFIGURATION,
+  formatGroupKey,
+  formatNoteKey,
+  noteSchema,
+} from './note.js';
+export type { Configuration, ReleaseNote } from './note.js';
+export { computeHash, rankVms } from './placement.js';
+export { Platform } from './platform.js';
+export type { PlatformListing, PlatformObject, PlatformWrite, VmListing } from './platform.js';
+export { findPrimary, Router } from './router.js';
+export type { GroupView, Route, RouteRequest } from './router.js';
+export { InstanceLink } from './link.js';
--- /dev/null
+++ b/packages/core/src/link.ts
@@ -0,0 +1,16 @@
+import type { FenceAnswer } from './failover.js';
+import type { InstanceStatus } from './group.js';
+
+/** The control functions of one database instance. Calls reject when no answer comes in time. */
+export abstract class InstanceLink {
+  abstract readStatus(): Promise<InstanceStatus>;
+
+  abstract fence(term: number): Promise<FenceAnswer>;
+
+  /** Resolves with false when the instance refuses, for instance after a later fence. */
+  abstract promote(term: number): Promise<boolean>;
+
+  abstract follow(term: number, primary: string): Promise<boolean>;
+
+  abstract close(): void;
+}
--- /dev/null
+++ b/packages/core/src/platform.ts
@@ -0,0 +1,42 @@
+/** A value of the platform's object API with its version. */
+export interface PlatformObject {
+  readonly key: string;
+  readonly value: string;
+  readonly version: number;
+}
+
+/** A VM in the platform's list, which lags. */
+export interface VmListing {
+  readonly id: string;
+  readonly zone: string;
+  readonly state: 'live' | 'leaving';
+}
+
+/** The objects under a prefix at one revision of the store. */
+export interface PlatformListing {
+  readonly revision: number;
+  readonly objects: readonly PlatformObject[];
+}
+
+export type PlatformWrite =
+  | { readonly kind: 'written'; readonly version: number }
+  | { readonly kind: 'conflict' }
+  | { readonly kind: 'lost' };
+
+/** The platform's object API and VM list. Reads reject when the platform cannot be reached. */
+export abstract class Platform {
+  abstract read(key: string): Promise<PlatformObject | undefined>;
+
+  /**
+   * Writes when the object has `expectedVersion`; 0 means that it must be absent.
+   * `lost`: no answer came, the write may have taken effect.
+   */
+  abstract write(key: string, value: string, expectedVersion: number): Promise<PlatformWrite>;
+
+  abstract list(prefix: string): Promise<PlatformListing>;
+
+  /** Waits for changes after `revision`; resolves with none when nothing changed in time. */
+  abstract watch(prefix: string, revision: number): Promise<PlatformListing>;
+
+  abstract listVms(): Promise<readonly VmListing[]>;
+}
--- /dev/null
+++ b/packages/core/test/majority.spec.ts
@@ -0,0 +1,73 @@
+import { expect } from 'earl';
+import { type InstanceStatus, MajorityTracker } from '../src/index.js';
+
+const createStatus = (
+  instance: string,
+  term: number,
+  offset: number,
+  requestedAt: number,
+): InstanceStatus => ({
+  instance,
+  role: instance === 'a' ? 'primary' : 'replica',
+  fenceTerm: term,
+  durable: { term, offset },
+  applied: { term, offset },
+  following: 'a',
+  connections: 0,
+  running: 0,
+  requestedAt,
+});
+
+describe('MajorityTracker', () => {
+  // Guards against the loss of a commit that only the primary holds.
+  it('acknowledges only what a majority holds in the term of the primary', () => {
+    const tracker = new MajorityTracker(['a', 'b', 'c']);
+    tracker.addCommit({ id: 1, primary: 'a', term: 1, completedAt: 10, deadline: 100 });
+    expect(tracker.handleStatus(createStatus('a', 1, 7, 11))).toEqual([]);
+    expect(tracker.handleStatus(createStatus('b', 1, 6, 11))).toEqual([]);
+    expect(tracker.handleStatus(createStatus('c', 1, 7, 12))).toEqual([
+      { kind: 'acknowledge', id: 1, position: { term: 1, offset: 7 } },
+    ]);
+  });
+
+  // An equal offset of a later term may lie on another branch.
+  it('never counts a report of a later term', () => {
+    const tracker = new MajorityTracker(['a', 'b', 'c']);
+    tracker.addCommit({ id: 1, primary: 'a', term: 1, completedAt: 10, deadline: 100 });
+    tracker.handleStatus(createStatus('a', 1, 7, 11));
+    expect(tracker.handleStatus(createStatus('b', 2, 9, 11))).toEqual([
+      { kind: 'unknown', id: 1, reason: 'the group moved on to term 2' },
+    ]);
+  });
+
+  // A position that was read before the commit completed does not cover it.
+  it('ignores a status of the primary that was requested before the commit', () => {
+    const tracker = new MajorityTracker(['a', 'b', 'c']);
+    tracker.addCommit({ id: 1, primary: 'a', term: 1, completedAt: 10, deadline: 100 });
+    tracker.handleStatus(createStatus('b', 1, 7, 11));
+    expect(tracker.handleStatus(createStatus('a', 1, 7, 9))).toEqual([]);
+    expect(tracker.handleTick(100)).toEqual([
+      { kind: 'unknown', id: 1, reason: 'no majority before the deadline' },
+    ]);
+  });
+
+  // A reading that began before a session arrived may miss what was acknowledged in between.
+  it('gives an arriving session a bound that was requested after its arrival', () => {
+    const tracker = new MajorityTracker(['a', 'b', 'c']);
+    tracker.addArrival({ id: 4, arrivedAt: 20, deadline: 100 });
+    tracker.handleStatus(createStatus('a', 1, 7, 19));
+    expect(tracker.handleStatus(createStatus('b', 1, 6, 21))).toEqual([]);
+    expect(tracker.handleStatus(createStatus('c', 1, 7, 22))).toEqual([
+      { kind: 'floor', id: 4, position: { term: 1, offset: 7 } },
+    ]);
+  });
+
+  it('knows the age of an instance only from majority readings', () => {
+    const tracker = new MajorityTracker(['a', 'b', 'c']);
+    tracker.handleStatus(createStatus('b', 1, 5, 10));
+    expect(tracker.findAge('b', 15)).toEqual(undefined);
+    tracker.handleStatus(createStatus('a', 1, 5, 12));
+    tracker.handleStatus(createStatus('a', 1, 9, 20));
+    expect(tracker.findAge('b', 25)).toEqual(15);
+  });
+});
--- /dev/null
+++ b/packages/core/test/statement.spec.ts
@@ -0,0 +1,26 @@
+import { expect } from 'earl';
+import { classifyStatement } from '../src/index.js';
+
+describe('classifyStatement', () => {
+  // A write that is routed as a read would skip the wait for a majority.
+  it('tells reads from writes and reads the hints of the leading comment', function () {
+    const sources = [
+      'SELECT value FROM items',
+      '/* shallotpick contract=availability */ select 1;',
+      '/* shallotpick once=pay-17 */ INSERT INTO items VALUES (1)',
+      'SELECT * FROM items FOR UPDATE',
+      'SELECT * INTO copy_of_items FROM items',
+      '-- remark\nBEGIN',
+      'START TRANSACTION READ ONLY',
+      'ROLLBACK TO SAVEPOINT one',
+      'ROLLBACK',
+      'LISTEN changes',
+      'SELECT pg_advisory_lock(1)',
+      'COPY items FROM STDIN',
+      'WITH gone AS (DELETE FROM items RETURNING 1) SELECT * FROM gone',
+      '  ',
+      'SELECT 1; DELETE FROM items',
+    ];
+    expect(sources.map(classifyStatement)).toMatchSnapshot(this);
+  });
+});
--- /dev/null
+++ b/packages/daemon/src/connection.ts
@@ -0,0 +1,152 @@
+import { connect, type Socket } from 'node:net';
+import type { DatabaseInstance } from '@shallotpick/core';
+import {
+  BACKEND,
+  type Frame,
+  FrameReader,
+  parseFields,
+  parseReady,
+  serialize,
+  type TransactionState,
+} from '@shallotpick/wire';
+import { InstanceError } from './errors.js';
+
+/** Receives the answer to a request, message by message. */
+export interface AnswerSink {
+  handleFrame(frame: Frame): void;
+  /** Called after each chunk; true asks the connection to stop reading until `resume`. */
+  flush(): boolean;
+}
+
+interface Exchange {
+  readonly sink: AnswerSink;
+  readonly resolve: (state: TransactionState) => void;
+  readonly reject: (error: Error) => void;
+}
+
+export interface ConnectionOptions {
+  readonly instance: DatabaseInstance;
+  readonly database: string;
+  readonly user: string;
+  /** `shallotpick/<vm>/<zone>`, for the instance's activity views. */
+  readonly applicationName: string;
+  readonly timeoutMs: number;
+}
+
+/** One connection to a database instance. It carries one request at a time. */
+export class InstanceConnection {
+  /** Prepared statements that this connection has, by name. */
+  readonly statements = new Map<string, string>();
+
+  /** Transaction state after the last answer. */
+  state: TransactionState = 'I';
+
+  private readonly reader = new FrameReader(true);
+
+  private exchange: Exchange | undefined;
+
+  private failure: Error | undefined;
+
+  private constructor(
+    private readonly socket: Socket,
+    readonly instance: string,
+  ) {
+    socket.setNoDelay(true);
+    socket.on('data', (chunk) => this.handleData(chunk));
+    socket.on('error', (cause) => this.fail(new InstanceError('connection failed', { cause })));
+    socket.on('close', () => this.fail(new InstanceError('connection closed')));
+  }
+
+  /**
+   * Opens and authenticates a connection.
+   *
+   * @throws InstanceError when the instance refuses or does not answer in time.
+   */
+  static async open(options: ConnectionOptions): Promise<InstanceConnection> {
+    const { host, port, id } = options.instance;
+    const socket = connect({ host, port });
+    const connection = new InstanceConnection(socket, id);
+    const timer = setTimeout(() => {
+      connection.fail(new InstanceError('no answer while connecting'));
+    }, options.timeoutMs);
+    try {
+      await connection.run(
+        serialize.startup({
+          user: options.user,
+          database: options.database,
+          application_name: options.applicationName,
+        }),
+        { handleFrame: (frame) => connection.handleStartup(frame), flush: () => false },
+      );
+      return connection;
+    } finally {
+      clearTimeout(timer);
+    }
+  }
+
+  isUsable(): boolean {
+    return this.failure === undefined;
+  }
+
+  /** Sends bytes that end in one Query or Sync and waits for its ReadyForQuery. */
+  async run(bytes: Buffer, sink: AnswerSink): Promise<TransactionState> {
+    if (this.failure) throw this.failure;
+    if (this.exchange) throw new InstanceError('the connection is busy');
+    return new Promise((resolve, reject) => {
+      this.exchange = { sink, resolve, reject };
+      this.socket.write(bytes);
+    });
+  }
+
+  resume(): void {
+    this.socket.resume();
+  }
+
+  /** Closes at once; the instance rolls back what is open. */
+  close(): void {
+    this.fail(new InstanceError('connection closed by the proxy'));
+  }
+
+  private handleStartup({ type, body }: Frame): void {
+    if (type !== BACKEND.error) return;
+    const fields = parseFields(body);
+    const error = new InstanceError(fields.get('M') ?? 'refused', {
+      props: { code: fields.get('C') },
+    });
+    this.fail(error);
+  }
+
+  private handleData(chunk: Buffer): void {
+    this.reader.add(chunk);
+    try {
+      for (let frame = this.reader.read(); frame; frame = this.reader.read()) {
+        this.handleFrame(frame);
+      }
+    } catch (cause) {
+      this.fail(new InstanceError('the instance broke the protocol', { cause }));
+      return;
+    }
+    if (this.exchange?.sink.flush()) this.socket.pause();
+  }
+
+  private handleFrame(frame: Frame): void {
+    const { exchange } = this;
+    // Notices and parameter changes outside a request belong to no caller.
+    if (!exchange) return;
+    exchange.sink.handleFrame(frame);
+    if (frame.type !== BACKEND.readyForQuery) return;
+    this.state = parseReady(frame.body);
+    this.exchange = undefined;
+    exchange.sink.flush();
+    exchange.resolve(this.state);
+  }
+
+  private fail(error: Error): void {
+    if (this.failure) return;
+    this.failure = error;
+    this.socket.destroy();
+    const { exchange } = this;
+    this.exchange = undefined;
+    exchange?.reject(error);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/control.ts
@@ -0,0 +1,143 @@
+import {
+  type Clock,
+  type DatabaseInstance,
+  type FenceAnswer,
+  InstanceLink,
+  type InstanceStatus,
+  type Millis,
+} from '@shallotpick/core';
+import {
+  BACKEND,
+  CONTROL_USER,
+  parseColumns,
+  parseFields,
+  parseRow,
+  serialize,
+} from '@shallotpick/wire';
+import { type AnswerSink, InstanceConnection } from './connection.js';
+import { InstanceError } from './errors.js';
+
+type Row = Readonly<Record<string, string>>;
+
+const REQUEST_TIMEOUT_MS: Millis = 1_000;
+
+/** Collects the single row of a control function. */
+class RowSink implements AnswerSink {
+  row: Row | undefined;
+
+  error: string | undefined;
+
+  private columns: readonly string[] = [];
+
+  handleFrame({ type, body }: { readonly type: number; readonly body: Buffer }): void {
+    if (type === BACKEND.rowDescription) this.columns = parseColumns(body);
+    if (type === BACKEND.error) this.error = parseFields(body).get('M') ?? 'unknown error';
+    if (type !== BACKEND.dataRow) return;
+    const values = parseRow(body);
+    this.row = Object.fromEntries(this.columns.map((name, index) => [name, values[index] ?? '']));
+  }
+
+  flush(): boolean {
+    return false;
+  }
+}
+
+export interface ControlOptions {
+  readonly instance: DatabaseInstance;
+  readonly database: string;
+  readonly applicationName: string;
+  readonly clock: Clock;
+}
+
+/** Calls the control functions of an instance over one connection, which it opens again. */
+export class ControlLink extends InstanceLink {
+  private connection: InstanceConnection | undefined;
+
+  private opening: Promise<InstanceConnection> | undefined;
+
+  private tail: Promise<unknown> = Promise.resolve();
+
+  private closed = false;
+
+  constructor(private readonly options: ControlOptions) {
+    super();
+  }
+
+  async readStatus(): Promise<InstanceStatus> {
+    let requestedAt: Millis = 0;
+    const row = await this.request('SELECT * FROM shallotpick_status()', () => {
+      requestedAt = this.options.clock.readNow();
+    });
+    return {
+      instance: this.options.instance.id,
+      role: row.role === 'primary' ? 'primary' : 'replica',
+      fenceTerm: Number(row.fence_term),
+      durable: { term: Number(row.durable_term), offset: Number(row.durable_offset) },
+      applied: { term: Number(row.applied_term), offset: Number(row.applied_offset) },
+      following: row.following ?? '',
+      connections: Number(row.connections),
+      running: Number(row.running),
+      requestedAt,
+    };
+  }
+
+  async fence(term: number): Promise<FenceAnswer> {
+    const row = await this.request(`SELECT * FROM shallotpick_fence(${term})`);
+    return {
+      instance: this.options.instance.id,
+      term,
+      granted: row.granted === 't',
+      durable: { term: Number(row.durable_term), offset: Number(row.durable_offset) },
+    };
+  }
+
+  async promote(term: number): Promise<boolean> {
+    const row = await this.request(`SELECT * FROM shallotpick_promote(${term})`);
+    return row.done === 't';
+  }
+
+  async follow(term: number, primary: string): Promise<boolean> {
+    const row = await this.request(`SELECT * FROM shallotpick_follow(${term}, '${primary}')`);
+    return row.done === 't';
+  }
+
+  close(): void {
+    this.closed = true;
+    this.connection?.close();
+  }
+
+  /** Requests run one after the other; `onSend` is called when the request goes out. */
+  private request(text: string, onSend = (): void => {}): Promise<Row> {
+    const result = this.tail.then(() => this.runRequest(text, onSend));
+    this.tail = result.catch(() => undefined);
+    return result;
+  }
+
+  private async runRequest(text: string, onSend: () => void): Promise<Row> {
+    const connection = await this.connect();
+    const sink = new RowSink();
+    const timer = setTimeout(() => connection.close(), REQUEST_TIMEOUT_MS);
+    try {
+      onSend();
+      await connection.run(serialize.query(text), sink);
+    } finally {
+      clearTimeout(timer);
+    }
+    if (!sink.row) throw new InstanceError(sink.error ?? 'the instance sent no row');
+    return sink.row;
+  }
+
+  private async connect(): Promise<InstanceConnection> {
+    if (this.closed) throw new InstanceError('the link is closed');
+    if (this.connection?.isUsable()) return this.connection;
+    this.opening ??= InstanceConnection.open({
+      ...this.options,
+      user: CONTROL_USER,
+      timeoutMs: REQUEST_TIMEOUT_MS,
+    }).finally(() => {
+      this.opening = undefined;
+    });
+    this.connection = await this.opening;
+    return this.connection;
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/errors.ts
@@ -0,0 +1,16 @@
+import ModernError from 'modern-errors';
+
+/** Root of the errors of the daemon. */
+export const DaemonError = ModernError.subclass('DaemonError');
+
+/** A setting is missing or not allowed. */
+export const SettingError = DaemonError.subclass('SettingError');
+
+/** The platform gave no usable answer. */
+export const PlatformError = DaemonError.subclass('PlatformError');
+
+/** A connection to an instance could not be opened or broke. */
+export const InstanceError = DaemonError.subclass('InstanceError');
+
+/** Work was refused; it did not run. */
+export const RefusedError = DaemonError.subclass('RefusedError');
--- /dev/null
+++ b/packages/daemon/src/metrics.ts
@@ -0,0 +1,50 @@
+import { collectDefaultMetrics, Counter, Gauge, Histogram, Registry } from 'prom-client';
+
+const SECONDS_BUCKETS = [0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5];
+
+/** The metrics of one daemon, each with its own registry so that several fit in a process. */
+export class Metrics {
+  readonly registry = new Registry();
+
+  readonly statements = this.createCounter('statements_total', 'Statements by target', [
+    'group',
+    'target',
+  ]);
+
+  readonly refusals = this.createCounter('refusals_total', 'Requests refused, not run', ['reason']);
+
+  readonly retries = this.createCounter('retries_total', 'Requests sent again', ['reason']);
+
+  readonly platformCalls = this.createCounter('platform_calls_total', 'Platform calls', [
+    'call',
+    'outcome',
+  ]);
+
+  readonly failovers = this.createCounter('failover_steps_total', 'Failover actions', ['action']);
+
+  readonly callers = new Gauge({
+    name: 'shallotpick_callers',
+    help: 'Open caller connections',
+    registers: [this.registry],
+  });
+
+  readonly acknowledgement = new Histogram({
+    name: 'shallotpick_acknowledgement_seconds',
+    help: 'Wait for a majority to hold a commit',
+    buckets: SECONDS_BUCKETS,
+    registers: [this.registry],
+  });
+
+  constructor() {
+    collectDefaultMetrics({ register: this.registry });
+  }
+
+  private createCounter<T extends string>(name: string, help: string, labels: T[]): Counter<T> {
+    return new Counter({
+      name: `shallotpick_${name}`,
+      help,
+      labelNames: labels,
+      registers: [this.registry],
+    });
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/pool.ts
@@ -0,0 +1,53 @@
+import type { DatabaseInstance, Millis } from '@shallotpick/core';
+import { InstanceConnection } from './connection.js';
+
+const CONNECT_TIMEOUT_MS: Millis = 2_000;
+
+export interface PoolOptions {
+  readonly instance: DatabaseInstance;
+  readonly database: string;
+  readonly user: string;
+  readonly applicationName: string;
+}
+
+/**
+ * The connections of this proxy to one instance. The admission queue limits how many requests
+ * run at once, so the pool opens at most that many connections and keeps them.
+ */
+export class ConnectionPool {
+  private readonly idle: InstanceConnection[] = [];
+
+  private readonly open = new Set<InstanceConnection>();
+
+  constructor(private readonly options: PoolOptions) {}
+
+  /** Takes an idle connection or opens one. */
+  async connect(): Promise<InstanceConnection> {
+    for (let next = this.idle.pop(); next; next = this.idle.pop()) {
+      if (next.isUsable()) return next;
+      this.open.delete(next);
+    }
+    const connection = await InstanceConnection.open({
+      ...this.options,
+      timeoutMs: CONNECT_TIMEOUT_MS,
+    });
+    this.open.add(connection);
+    return connection;
+  }
+
+  /** Takes a connection back; one that is in doubt is closed. */
+  release(connection: InstanceConnection): void {
+    if (connection.isUsable() && connection.state === 'I') {
+      this.idle.push(connection);
+      return;
+    }
+    connection.close();
+    this.open.delete(connection);
+  }
+
+  close(): void {
+    this.open.forEach((connection) => connection.close());
+    this.open.clear();
+    this.idle.length = 0;
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/settings.ts
@@ -0,0 +1,71 @@
+import { parseArgs } from 'node:util';
+import { z } from 'zod';
+import { SettingError } from './errors.js';
+
+const port = z.coerce.number().int().min(0).max(65_535);
+const id = z.string().regex(/^[a-z][a-z0-9-]{0,62}$/, 'lower-case letters, digits and hyphens');
+
+const settingsSchema = z.object({
+  vm: id,
+  zone: id,
+  host: z.string().min(1).default('127.0.0.1'),
+  callerPort: port.default(6432),
+  metricsPort: port.default(9432),
+  platformUrl: z.url(),
+  instanceUser: z.string().min(1).default('shallotpick'),
+  maxCallers: z.coerce.number().int().min(1).max(1_000_000).default(20_000),
+  queueDeadlineMs: z.coerce.number().int().min(1).max(600_000).default(10_000),
+  drainLimitMs: z.coerce.number().int().min(0).max(3_600_000).default(30_000),
+  logLevel: z.enum(['error', 'warn', 'info', 'debug']).default('info'),
+});
+
+/** Settings of one daemon; see docs/operators.md. */
+export type Settings = Readonly<z.infer<typeof settingsSchema>>;
+
+type SettingName = keyof Settings;
+
+const SETTING_NAMES = Object.keys(settingsSchema.shape) as readonly SettingName[];
+
+/** `callerPort` as the flag `caller-port`. */
+function toFlag(name: string): string {
+  return name.replace(/[A-Z]/g, (letter) => `-${letter.toLowerCase()}`);
+}
+
+/** `callerPort` as the variable `SHALLOTPICK_CALLER_PORT`. */
+function toVariable(name: string): string {
+  return `SHALLOTPICK_${toFlag(name).replaceAll('-', '_').toUpperCase()}`;
+}
+
+function parseFlags(args: readonly string[]): Readonly<Record<string, string | undefined>> {
+  const options = Object.fromEntries(
+    SETTING_NAMES.map((name) => [toFlag(name), { type: 'string' } as const]),
+  );
+  try {
+    return parseArgs({ args: [...args], options, strict: true }).values;
+  } catch (cause) {
+    throw new SettingError('a flag is not known', { cause });
+  }
+}
+
+/**
+ * Reads the settings from flags, then environment variables, then defaults.
+ *
+ * @throws SettingError that names the setting, its value and what is allowed.
+ */
+export function loadSettings(
+  args: readonly string[],
+  environment: Readonly<Record<string, string | undefined>>,
+): Settings {
+  const flags = parseFlags(args);
+  const given = Object.fromEntries(
+    SETTING_NAMES.map((name) => [name, flags[toFlag(name)] ?? environment[toVariable(name)]]),
+  );
+  const parsed = settingsSchema.safeParse(given);
+  if (parsed.success) return parsed.data;
+  const problems = parsed.error.issues.map(({ path, message }) => {
+    const name = String(path[0]);
+    const value = given[name] === undefined ? 'not set' : `"${given[name]}"`;
+    return `--${toFlag(name)} (${toVariable(name)}) is ${value}: ${message}`;
+  });
+  throw new SettingError(problems.join('; '));
+}
--- /dev/null
+++ b/packages/daemon/src/sqlstate.ts
@@ -0,0 +1,25 @@
+/** The SQLSTATEs that the proxy itself raises. Each has one meaning; see docs/errors.md. */
+export const SQLSTATE = {
+  /** The work did not run. */
+  notRun: 'SP001',
+  /** The work was sent and its outcome is unknown (transaction_resolution_unknown). */
+  outcomeUnknown: '08007',
+  /** The answer broke off after rows had been passed on; the work was a read. */
+  answerCut: 'SP003',
+  /** Work with this once-key has run before. */
+  alreadyRan: 'SP004',
+  /** The transaction failed earlier; statements are refused until it is rolled back. */
+  failedTransaction: '25P02',
+  /** The daemon does not support the request; it did not run. */
+  notSupported: '0A000',
+  /** The caller broke the protocol. */
+  protocolViolation: '08P01',
+  invalidPassword: '28P01',
+  unknownDatabase: '3D000',
+  shuttingDown: '57P01',
+  tooManyCallers: '53300',
+  /** From an instance: a write reached a read-only instance and did not run. */
+  readOnly: '25006',
+  /** From an instance: a unique constraint refused a row. */
+  uniqueViolation: '23505',
+} as const;
--- /dev/null
+++ b/packages/daemon/src/wiring.ts
@@ -0,0 +1,69 @@
+import { randomUUID } from 'node:crypto';
+import { createServer } from 'node:net';
+import type { DatabaseGroup, DatabaseInstance } from '@shallotpick/core';
+import { SystemClock } from './clock.js';
+import { ControlLink } from './control.js';
+import { Daemon } from './daemon.js';
+import { GroupServer } from './group.js';
+import { createHealthServer } from './health.js';
+import { createLog } from './log.js';
+import { Metrics } from './metrics.js';
+import { HttpPlatform } from './platform.js';
+import { ConnectionPool } from './pool.js';
+import type { Settings } from './settings.js';
+import { PlatformWatcher } from './watcher.js';
+
+/** Constructs a daemon with its real adapters. */
+export function createDaemon(settings: Settings): Daemon {
+  const { vm, zone, instanceUser } = settings;
+  const clock = new SystemClock();
+  const log = createLog(settings.logLevel, vm);
+  const metrics = new Metrics();
+  const platform = new HttpPlatform(settings.platformUrl, metrics);
+  const applicationName = `shallotpick/${vm}/${zone}`;
+
+  const createLinks = (group: DatabaseGroup): ReadonlyMap<string, ControlLink> =>
+    new Map(
+      group.instances.map((instance) => [
+        instance.id,
+        new ControlLink({ instance, database: group.name, applicationName, clock }),
+      ]),
+    );
+  const createPool = (instance: DatabaseInstance, database: string): ConnectionPool =>
+    new ConnectionPool({ instance, database, user: instanceUser, applicationName });
+  const createGroup = (group: DatabaseGroup): GroupServer =>
+    new GroupServer({
+      group,
+      vm,
+      zone,
+      clock,
+      log,
+      metrics,
+      platform,
+      links: createLinks(group),
+      pools: new Map(group.instances.map((one) => [one.id, createPool(one, group.name)])),
+      createAttempt: randomUUID,
+    });
+  const startSources = (daemon: Daemon): (() => void) => {
+    const watcher = new PlatformWatcher({
+      platform,
+      log,
+      onConfiguration: (configuration) => daemon.handleConfiguration(configuration),
+      onRecord: (record, version) => daemon.handleRecord(record, version),
+    });
+    watcher.start();
+    return () => watcher.stop();
+  };
+
+  const daemon: Daemon = new Daemon({
+    settings,
+    clock,
+    log,
+    metrics,
+    callerServer: createServer(),
+    metricsServer: createHealthServer(metrics, () => daemon.isReady()),
+    createGroup,
+    startSources,
+  });
+  return daemon;
+}
--- /dev/null
+++ b/packages/standin/src/group.ts
@@ -0,0 +1,108 @@
+import type { DatabaseGroup, GroupRecord } from '@shallotpick/core';
+import { type InstanceOptions, StandinInstance } from './instance.js';
+
+export interface GroupOptions {
+  readonly name: string;
+  readonly instances: readonly InstanceOptions[];
+  /** One-way delay of the replication stream. */
+  readonly replicationDelayMs: number;
+}
+
+const FIRST_TERM = 1;
+
+/** The instances of one group and the links between them. */
+export class StandinGroup {
+  readonly instances: readonly StandinInstance[];
+
+  private readonly cuts = new Set<string>();
+
+  private readonly scheduled = new Set<string>();
+
+  constructor(readonly options: GroupOptions) {
+    this.instances = options.instances.map((instance) => new StandinInstance(instance, this));
+  }
+
+  /** Starts all instances with the first one as primary of term 1. */
+  async start(): Promise<void> {
+    await Promise.all(this.instances.map((instance) => instance.start()));
+    const [first, ...rest] = this.instances;
+    this.instances.forEach((instance) => instance.fence(FIRST_TERM));
+    first?.promote(FIRST_TERM);
+    rest.forEach((instance) => instance.follow(FIRST_TERM, first?.options.id ?? ''));
+  }
+
+  async stop(): Promise<void> {
+    await Promise.all(this.instances.map((instance) => instance.stop()));
+  }
+
+  findInstance(id: string): StandinInstance | undefined {
+    return this.instances.find((instance) => instance.options.id === id);
+  }
+
+  /** The primary of the highest term. */
+  findPrimary(): StandinInstance | undefined {
+    return this.instances
+      .filter(({ role }) => role === 'primary')
+      .reduce<StandinInstance | undefined>(
+        (best, next) => (best && best.fenceTerm >= next.fenceTerm ? best : next),
+        undefined,
+      );
+  }
+
+  /** Cuts replication between two instances, in both directions. */
+  cut(a: string, b: string): void {
+    this.cuts.add(`${a}|${b}`).add(`${b}|${a}`);
+  }
+
+  heal(): void {
+    this.cuts.clear();
+    this.shipAll();
+  }
+
+  isLinked(a: StandinInstance, b: StandinInstance): boolean {
+    return a.isUp() && b.isUp() && !this.cuts.has(`${a.options.id}|${b.options.id}`);
+  }
+
+  /** Ships new entries of a primary after the replication delay. */
+  schedule(leader: StandinInstance): void {
+    const { id } = leader.options;
+    if (this.scheduled.has(id)) return;
+    this.scheduled.add(id);
+    setTimeout(() => {
+      this.scheduled.delete(id);
+      this.instances.forEach((replica) => this.ship(leader, replica));
+    }, this.options.replicationDelayMs);
+  }
+
+  ship(leader: StandinInstance, replica: StandinInstance): void {
+    if (leader === replica || !this.isLinked(leader, replica)) return;
+    if (replica.following !== leader.options.id || leader.role !== 'primary') return;
+    const { offset, term } = replica.store.readDurable();
+    if (leader.store.findTerm(offset) !== term) return;
+    const entries = leader.store.listAfter(offset);
+    if (entries.length > 0) replica.receive(leader, entries);
+  }
+
+  shipAll(): void {
+    this.instances
+      .filter(({ role }) => role === 'primary')
+      .forEach((leader) => this.instances.forEach((replica) => this.ship(leader, replica)));
+  }
+
+  toDatabaseGroup(): DatabaseGroup {
+    const instances = this.instances.map((instance) => instance.toDatabaseInstance());
+    return { name: this.options.name, instances };
+  }
+
+  /** The record with which the platform describes a new group. */
+  toGroupRecord(): GroupRecord {
+    return {
+      group: this.options.name,
+      term: FIRST_TERM,
+      phase: 'named',
+      primary: this.instances[0]?.options.id ?? null,
+      attempt: 'created',
+      writer: 'platform',
+    };
+  }
+}
--- /dev/null
+++ b/packages/standin/src/instance.ts
@@ -0,0 +1,195 @@
+import { createServer, type Server, type Socket } from 'node:net';
+import type { DatabaseInstance } from '@shallotpick/core';
+import { Backend } from './backend.js';
+import type { StandinGroup } from './group.js';
+import { Slots } from './slots.js';
+import { type LogEntry, type RowChange, Store } from './store.js';
+
+/** Behaviour of one stand-in instance. */
+export interface InstanceOptions {
+  readonly id: string;
+  readonly zone: string;
+  readonly slots: number;
+  readonly connectionLimit: number;
+  /** Time to open a connection. */
+  readonly connectCostMs: number;
+  /** Time for which a statement without a cost of its own holds a slot. */
+  readonly statementCostMs: number;
+  /** One-way delay of answers, for the distance between zones. */
+  readonly answerDelayMs: number;
+}
+
+/** A database server with a replicated log, served over the PostgreSQL protocol. */
+export class StandinInstance {
+  readonly store = new Store();
+
+  readonly slots: Slots;
+
+  role: 'primary' | 'replica' = 'replica';
+
+  fenceTerm = 0;
+
+  following = '';
+
+  paused = false;
+
+  /** Zones whose proxies get no answers, and instances that are out of reach. */
+  readonly cutZones = new Set<string>();
+
+  /** Time between durable and visible on a replica. */
+  applyLagMs = 0;
+
+  /** Sum of statements that ran to completion, by kind. */
+  readonly served = { reads: 0, writes: 0 };
+
+  /** Most data connections open at once. */
+  peakConnections = 0;
+
+  private server: Server | undefined;
+
+  private port = 0;
+
+  private readonly backends = new Set<Backend>();
+
+  private readonly onceOwners = new Map<string, Promise<void>>();
+
+  constructor(
+    readonly options: InstanceOptions,
+    readonly group: StandinGroup,
+  ) {
+    this.slots = new Slots(options.slots);
+  }
+
+  async start(): Promise<void> {
+    const server = createServer((socket) => this.handleSocket(socket));
+    this.server = server;
+    await new Promise<void>((resolve) => {
+      server.listen(this.port, '127.0.0.1', resolve);
+    });
+    const address = server.address();
+    if (address && typeof address === 'object') this.port = address.port;
+  }
+
+  /** Drops every connection and stops listening; the log stays, as on a disk. */
+  async stop(): Promise<void> {
+    const { server } = this;
+    this.server = undefined;
+    this.backends.forEach((backend) => backend.close());
+    if (!server) return;
+    await new Promise<void>((resolve) => {
+      server.close(() => resolve());
+    });
+  }
+
+  isUp(): boolean {
+    return this.server !== undefined && !this.paused;
+  }
+
+  /** Holds all work, as a stopped process would, until `resume`. */
+  pause(): void {
+    this.paused = true;
+  }
+
+  resume(): void {
+    this.paused = false;
+    this.backends.forEach((backend) => backend.wake());
+    this.group.shipAll();
+  }
+
+  cutZone(zone: string): void {
+    this.cutZones.add(zone);
+  }
+
+  healZones(): void {
+    this.cutZones.clear();
+    this.backends.forEach((backend) => backend.wake());
+  }
+
+  toDatabaseInstance(): DatabaseInstance {
+    const { id, zone, slots, connectionLimit } = this.options;
+    return { id, zone, slots, connectionLimit, host: '127.0.0.1', port: this.port };
+  }
+
+  countConnections(): number {
+    return [...this.backends].filter(({ isControl, started }) => started && !isControl).length;
+  }
+
+  /** True when the instance may take writes in the term of its last entry. */
+  isWritable(): boolean {
+    return this.role === 'primary' && this.store.readDurable().term >= this.fenceTerm;
+  }
+
+  /** Appends a transaction and ships it; false when the instance may not commit. */
+  commit(changes: readonly RowChange[]): boolean {
+    if (!this.isWritable()) return false;
+    this.append({ term: this.store.readDurable().term, changes });
+    return true;
+  }
+
+  /** Grants a term at most once, durably; lower and equal terms are refused. */
+  fence(term: number): boolean {
+    if (term <= this.fenceTerm) return false;
+    this.fenceTerm = term;
+    if (this.role === 'primary') this.role = 'replica';
+    this.following = '';
+    return true;
+  }
+
+  promote(term: number): boolean {
+    if (this.fenceTerm !== term) return false;
+    if (this.role === 'primary') return true;
+    this.role = 'primary';
+    this.following = this.options.id;
+    this.store.applyTo(Number.MAX_SAFE_INTEGER);
+    this.append({ term, changes: [] });
+    return true;
+  }
+
+  follow(term: number, primary: string): boolean {
+    if (term < this.fenceTerm || primary === this.options.id) return false;
+    const leader = this.group.findInstance(primary);
+    if (!leader || !this.group.isLinked(this, leader)) return false;
+    this.fenceTerm = term;
+    this.role = 'replica';
+    this.following = primary;
+    this.store.removeDeadBranch(leader.store);
+    this.group.ship(leader, this);
+    return true;
+  }
+
+  /** Takes entries of the stream of the primary that the instance follows. */
+  receive(leader: StandinInstance, entries: readonly LogEntry[]): void {
+    if (this.following !== leader.options.id || this.server === undefined) return;
+    this.store.add(entries);
+    const target = this.store.readDurable().offset;
+    if (this.applyLagMs <= 0) this.store.applyTo(target);
+    else setTimeout(() => this.store.applyTo(target), this.applyLagMs).unref();
+  }
+
+  /** Waits until no other open transaction holds the key, then holds it until `release`. */
+  async lockOnceKey(key: string): Promise<() => void> {
+    for (let owner = this.onceOwners.get(key); owner; owner = this.onceOwners.get(key)) {
+      await owner;
+    }
+    let release = (): void => {};
+    const held = new Promise<void>((resolve) => {
+      release = () => {
+        this.onceOwners.delete(key);
+        resolve();
+      };
+    });
+    this.onceOwners.set(key, held);
+    return release;
+  }
+
+  private append(entry: LogEntry): void {
+    this.store.add([entry]);
+    this.store.applyTo(Number.MAX_SAFE_INTEGER);
+    this.group.schedule(this);
+  }
+
+  private handleSocket(socket: Socket): void {
+    const backend = new Backend(this, socket, () => this.backends.delete(backend));
+    this.backends.add(backend);
+  }
+}
--- /dev/null
+++ b/packages/standin/src/platform.ts
@@ -0,0 +1,175 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { PlatformObject, VmListing } from '@shallotpick/core';
+
+const WATCH_TIMEOUT_MS = 5_000;
+const MAX_VALUE_BYTES = 1_048_576;
+const KEPT_REVISIONS = 10_000;
+
+/** Faults that the stand-in can be told to show. */
+export interface PlatformFaults {
+  /** Answers 503 to everything. */
+  down: boolean;
+  /** Time before each answer. */
+  delayMs: number;
+  /** The next writes that take effect without an answer. */
+  loseAnswers: number;
+}
+
+interface Stored {
+  readonly value: string;
+  readonly version: number;
+}
+
+async function readBody(request: IncomingMessage): Promise<string> {
+  const chunks: Buffer[] = [];
+  for await (const chunk of request) chunks.push(chunk as Buffer);
+  return Buffer.concat(chunks).toString('utf8');
+}
+
+/** The platform's object API over HTTP, in memory. */
+export class StandinPlatform {
+  readonly faults: PlatformFaults = { down: false, delayMs: 0, loseAnswers: 0 };
+
+  /** Calls by method, waiting watches included. */
+  readonly calls = { reads: 0, writes: 0, watches: 0 };
+
+  vms: readonly VmListing[] = [];
+
+  private readonly objects = new Map<string, Stored>();
+
+  private revision = 0;
+
+  private readonly watchers = new Set<() => void>();
+
+  private readonly server: Server = createServer((request, response) => {
+    this.handle(request, response).catch(() => response.destroy());
+  });
+
+  async start(): Promise<string> {
+    await new Promise<void>((resolve) => {
+      this.server.listen(0, '127.0.0.1', resolve);
+    });
+    const address = this.server.address();
+    const port = address && typeof address === 'object' ? address.port : 0;
+    return `http://127.0.0.1:${port}`;
+  }
+
+  async stop(): Promise<void> {
+    this.server.closeAllConnections();
+    await new Promise<void>((resolve) => {
+      this.server.close(() => resolve());
+    });
+  }
+
+  /** Writes an object without a condition, as the platform's own processes do. */
+  set(key: string, value: string): void {
+    this.revision += 1;
+    this.objects.set(key, { value, version: this.revision });
+    this.watchers.forEach((wake) => wake());
+  }
+
+  find(key: string): string | undefined {
+    return this.objects.get(key)?.value;
+  }
+
+  private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const url = new URL(request.url ?? '/', 'http://platform');
+    const body = request.method === 'PUT' ? await readBody(request) : '';
+    if (this.faults.delayMs > 0) {
+      await new Promise((resolve) => {
+        setTimeout(resolve, this.faults.delayMs);
+      });
+    }
+    if (this.faults.down) {
+      response.writeHead(503).end();
+      return;
+    }
+    const key = decodeURIComponent(url.pathname.slice('/objects/'.length));
+    if (url.pathname === '/vms') this.answer(response, 200, this.vms);
+    else if (url.pathname === '/watch') await this.answerWatch(url, response);
+    else if (request.method === 'PUT') this.answerWrite(key, body, request, response);
+    else if (url.pathname === '/objects') this.answerList(url, response);
+    else this.answerRead(key, response);
+  }
+
+  private answer(response: ServerResponse, status: number, value: unknown): void {
+    response.writeHead(status, { 'content-type': 'application/json' });
+    response.end(JSON.stringify(value));
+  }
+
+  private answerRead(key: string, response: ServerResponse): void {
+    this.calls.reads += 1;
+    const object = this.objects.get(key);
+    this.answer(response, object ? 200 : 404, { key, ...object });
+  }
+
+  private answerList(url: URL, response: ServerResponse): void {
+    this.calls.reads += 1;
+    const prefix = url.searchParams.get('prefix') ?? '';
+    this.answer(response, 200, { revision: this.revision, objects: this.listAfter(prefix, 0) });
+  }
+
+  private answerWrite(
+    key: string,
+    value: string,
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): void {
+    this.calls.writes += 1;
+    if (Buffer.byteLength(value) > MAX_VALUE_BYTES) {
+      this.answer(response, 413, {});
+      return;
+    }
+    const expected = request.headers['if-none-match'] === '*' ? 0 : request.headers['if-match'];
+    const version = this.objects.get(key)?.version ?? 0;
+    if (expected !== undefined && Number(expected) !== version) {
+      this.answer(response, 412, { version });
+      return;
+    }
+    this.set(key, value);
+    if (this.faults.loseAnswers > 0) {
+      this.faults.loseAnswers -= 1;
+      response.destroy();
+      return;
+    }
+    this.answer(response, 200, { version: this.revision });
+  }
+
+  private async answerWatch(url: URL, response: ServerResponse): Promise<void> {
+    this.calls.watches += 1;
+    const prefix = url.searchParams.get('prefix') ?? '';
+    const from = Number(url.searchParams.get('from') ?? 0);
+    if (from > this.revision || from < this.revision - KEPT_REVISIONS) {
+      this.answer(response, 410, { revision: this.revision });
+      return;
+    }
+    const deadline = Date.now() + WATCH_TIMEOUT_MS;
+    let objects = this.listAfter(prefix, from);
+    while (objects.length === 0 && Date.now() < deadline && !response.destroyed) {
+      await this.waitForChange(deadline - Date.now(), response);
+      objects = this.listAfter(prefix, from);
+    }
+    if (this.faults.down) response.destroy();
+    else this.answer(response, 200, { revision: this.revision, objects });
+  }
+
+  private async waitForChange(timeoutMs: number, response: ServerResponse): Promise<void> {
+    await new Promise<void>((resolve) => {
+      const wake = (): void => {
+        this.watchers.delete(wake);
+        response.off('close', wake);
+        resolve();
+      };
+      this.watchers.add(wake);
+      response.once('close', wake);
+      setTimeout(wake, timeoutMs).unref();
+    });
+  }
+
+  private listAfter(prefix: string, revision: number): readonly PlatformObject[] {
+    return [...this.objects]
+      .filter(([key, { version }]) => key.startsWith(prefix) && version > revision)
+      .map(([key, stored]) => ({ key, ...stored }))
+      .sort((a, b) => a.version - b.version);
+  }
+}
--- /dev/null
+++ b/packages/wire/src/message.ts
@@ -0,0 +1,249 @@
+import { BufferReader } from 'pg-protocol/dist/buffer-reader.js';
+import { Writer } from 'pg-protocol/dist/buffer-writer.js';
+import { ProtocolError } from './errors.js';
+
+const toCode = (letter: string): number => letter.charCodeAt(0);
+
+/** User of control connections, which do not count against an instance's connection limit. */
+export const CONTROL_USER = 'shallotpick_control';
+
+/** Type bytes of messages from callers. */
+export const FRONTEND = {
+  bind: toCode('B'),
+  close: toCode('C'),
+  copyData: toCode('d'),
+  copyDone: toCode('c'),
+  copyFail: toCode('f'),
+  describe: toCode('D'),
+  execute: toCode('E'),
+  flush: toCode('H'),
+  functionCall: toCode('F'),
+  parse: toCode('P'),
+  password: toCode('p'),
+  query: toCode('Q'),
+  sync: toCode('S'),
+  terminate: toCode('X'),
+} as const;
+
+/** Type bytes of messages from instances. */
+export const BACKEND = {
+  authentication: toCode('R'),
+  backendKeyData: toCode('K'),
+  bindComplete: toCode('2'),
+  closeComplete: toCode('3'),
+  commandComplete: toCode('C'),
+  copyBoth: toCode('W'),
+  copyIn: toCode('G'),
+  copyOut: toCode('H'),
+  dataRow: toCode('D'),
+  emptyQuery: toCode('I'),
+  error: toCode('E'),
+  noData: toCode('n'),
+  notice: toCode('N'),
+  parameterDescription: toCode('t'),
+  parameterStatus: toCode('S'),
+  parseComplete: toCode('1'),
+  portalSuspended: toCode('s'),
+  readyForQuery: toCode('Z'),
+  rowDescription: toCode('T'),
+} as const;
+
+/** Transaction state that ReadyForQuery carries. */
+export type TransactionState = 'I' | 'T' | 'E';
+
+const PROTOCOL_3 = 196_608;
+const SSL_REQUEST = 80_877_103;
+const GSS_REQUEST = 80_877_104;
+const CANCEL_REQUEST = 80_877_102;
+const TEXT_OID = 25;
+const ROWS_WRITER_BYTES = 1024;
+
+export type Startup =
+  | { readonly kind: 'ssl' }
+  | { readonly kind: 'gss' }
+  | { readonly kind: 'cancel'; readonly processId: number; readonly secret: number }
+  | { readonly kind: 'start'; readonly parameters: ReadonlyMap<string, string> };
+
+function createReader(body: Buffer): BufferReader {
+  const reader = new BufferReader();
+  reader.setBuffer(0, body);
+  return reader;
+}
+
+function readCString(body: Buffer, from: number): { readonly text: string; readonly end: number } {
+  const end = body.indexOf(0, from);
+  if (end < 0) throw new ProtocolError('a string in the message has no end');
+  return { text: body.toString('utf8', from, end), end: end + 1 };
+}
+
+function readParameters(body: Buffer): ReadonlyMap<string, string> {
+  const parameters = new Map<string, string>();
+  let at = 4;
+  while (at < body.length && body[at] !== 0) {
+    const name = readCString(body, at);
+    const value = readCString(body, name.end);
+    parameters.set(name.text, value.text);
+    at = value.end;
+  }
+  return parameters;
+}
+
+/** Decodes the first message of a connection. */
+export function parseStartup(body: Buffer): Startup {
+  if (body.length < 4) throw new ProtocolError('the startup message is too short');
+  const reader = createReader(body);
+  const code = reader.int32();
+  if (code === SSL_REQUEST) return { kind: 'ssl' };
+  if (code === GSS_REQUEST) return { kind: 'gss' };
+  if (code === CANCEL_REQUEST) {
+    if (body.length < 12) throw new ProtocolError('the cancel request is too short');
+    return { kind: 'cancel', processId: reader.int32(), secret: reader.int32() };
+  }
+  if (code >>> 16 !== PROTOCOL_3 >>> 16) {
+    throw new ProtocolError(`protocol version ${code >>> 16} is not supported`);
+  }
+  return { kind: 'start', parameters: readParameters(body) };
+}
+
+/** Decodes the text of a Query message. */
+export function parseQuery(body: Buffer): string {
+  return readCString(body, 0).text;
+}
+
+/** Decodes name and text of a Parse message. */
+export function parseParse(body: Buffer): { readonly name: string; readonly text: string } {
+  const name = readCString(body, 0);
+  return { name: name.text, text: readCString(body, name.end).text };
+}
+
+/** Decodes portal and statement name of a Bind message. */
+export function parseBind(body: Buffer): { readonly portal: string; readonly statement: string } {
+  const portal = readCString(body, 0);
+  return { portal: portal.text, statement: readCString(body, portal.end).text };
+}
+
+/** Decodes the target of a Describe or Close message. */
+export function parseTarget(body: Buffer): {
+  readonly kind: 'portal' | 'statement';
+  readonly name: string;
+} {
+  const kind = body[0] === toCode('S') ? 'statement' : 'portal';
+  return { kind, name: readCString(body, 1).text };
+}
+
+/** Decodes the state of ReadyForQuery. */
+export function parseReady(body: Buffer): TransactionState {
+  return String.fromCharCode(body[0] ?? 0) as TransactionState;
+}
+
+/** Decodes the fields of an ErrorResponse, by their one-letter codes. */
+export function parseFields(body: Buffer): ReadonlyMap<string, string> {
+  const fields = new Map<string, string>();
+  let at = 0;
+  while (at < body.length && body[at] !== 0) {
+    const value = readCString(body, at + 1);
+    fields.set(String.fromCharCode(body[at] ?? 0), value.text);
+    at = value.end;
+  }
+  return fields;
+}
+
+/** Decodes a DataRow in text format. */
+export function parseRow(body: Buffer): readonly (string | null)[] {
+  const reader = createReader(body);
+  return Array.from({ length: reader.int16() }, () => {
+    const length = reader.int32();
+    return length < 0 ? null : reader.string(length);
+  });
+}
+
+/** Decodes the column names of a RowDescription. */
+export function parseColumns(body: Buffer): readonly string[] {
+  const reader = createReader(body);
+  return Array.from({ length: reader.int16() }, () => {
+    const name = reader.cstring();
+    reader.bytes(18);
+    return name;
+  });
+}
+
+/** Decodes a ParameterStatus or any other pair of strings. */
+export function parsePair(body: Buffer): readonly [string, string] {
+  const name = readCString(body, 0);
+  return [name.text, readCString(body, name.end).text];
+}
+
+const writer = new Writer(ROWS_WRITER_BYTES);
+
+export function encodeAuthenticationOk(): Buffer {
+  return writer.addInt32(0).flush(BACKEND.authentication);
+}
+
+export function encodeAuthenticationCleartext(): Buffer {
+  return writer.addInt32(3).flush(BACKEND.authentication);
+}
+
+export function encodeParameterStatus(name: string, value: string): Buffer {
+  return writer.addCString(name).addCString(value).flush(BACKEND.parameterStatus);
+}
+
+export function encodeBackendKeyData(processId: number, secret: number): Buffer {
+  return writer.addInt32(processId).addInt32(secret).flush(BACKEND.backendKeyData);
+}
+
+export function encodeReady(state: TransactionState): Buffer {
+  return writer.addString(state).flush(BACKEND.readyForQuery);
+}
+
+export function encodeCommandComplete(tag: string): Buffer {
+  return writer.addCString(tag).flush(BACKEND.commandComplete);
+}
+
+/** Fields of an ErrorResponse that the proxy itself raises. */
+export interface ErrorFields {
+  readonly severity: 'ERROR' | 'FATAL';
+  readonly code: string;
+  readonly message: string;
+  readonly detail?: string;
+  readonly hint?: string;
+}
+
+export function encodeError(fields: ErrorFields): Buffer {
+  writer.addString('S').addCString(fields.severity).addString('V').addCString(fields.severity);
+  writer.addString('C').addCString(fields.code).addString('M').addCString(fields.message);
+  if (fields.detail) writer.addString('D').addCString(fields.detail);
+  if (fields.hint) writer.addString('H').addCString(fields.hint);
+  return writer.addString('\0').flush(BACKEND.error);
+}
+
+/** Encodes a RowDescription whose columns are all text. */
+export function encodeColumns(names: readonly string[]): Buffer {
+  writer.addInt16(names.length);
+  names.forEach((name) => {
+    writer.addCString(name).addInt32(0).addInt16(0).addInt32(TEXT_OID);
+    writer.addInt16(-1).addInt32(-1).addInt16(0);
+  });
+  return writer.flush(BACKEND.rowDescription);
+}
+
+/** Encodes a DataRow in text format. */
+export function encodeRow(values: readonly (string | null)[]): Buffer {
+  writer.addInt16(values.length);
+  values.forEach((value) => {
+    if (value === null) writer.addInt32(-1);
+    else writer.addInt32PrefixedString(value);
+  });
+  return writer.flush(BACKEND.dataRow);
+}
+
+/** Encodes a message that has no body. */
+export function encodeBare(type: number): Buffer {
+  return Buffer.from([type, 0, 0, 0, 4]);
+}
+
+/** Encodes a ParameterDescription for parameters of type text. */
+export function encodeParameters(count: number): Buffer {
+  writer.addInt16(count);
+  for (let index = 0; index < count; index++) writer.addInt32(TEXT_OID);
+  return writer.flush(BACKEND.parameterDescription);
+}
