Split the group server and type the seams between daemons

Cause: the group server mixed status rounds, failover and admission, and the exchange between daemons had no types. Change: StatusBoard and FailoverDriver stand on their own; PeerLink, ExchangeFeature and MembershipView type what daemons tell each other.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -53,3 +53,14 @@
 export { findPrimary, Router } from './router.js';
 export type { GroupView, Route, RouteRequest } from './router.js';
 export { InstanceLink } from './link.js';
+export { ExchangeFeature, PeerLink } from './peer.js';
+export type {
+  BorrowGrant,
+  BorrowRequest,
+  MemberUpdate,
+  NoteUpdate,
+  PeerExchange,
+  RecordUpdate,
+} from './peer.js';
+export { FixedMembership, MembershipView } from './vm.js';
+export type { Vm } from './vm.js';
--- /dev/null
+++ b/packages/core/src/peer.ts
@@ -0,0 +1,80 @@
+import type { Millis } from './clock.js';
+import type { PrimaryObservation } from './failover.js';
+import type { GroupRecord } from './group.js';
+import type { Vm } from './vm.js';
+
+/** What one VM believes of another. A higher incarnation replaces every lower one. */
+export interface MemberUpdate {
+  readonly vm: Vm;
+  readonly incarnation: number;
+  readonly state: 'live' | 'suspect' | 'leaving' | 'dead';
+}
+
+/** A group's record with the version that the platform gave it. */
+export interface RecordUpdate {
+  readonly record: GroupRecord;
+  readonly version: number;
+}
+
+/** A release note as the platform holds it. */
+export interface NoteUpdate {
+  readonly number: number;
+  /** JSON text of the note. */
+  readonly text: string;
+}
+
+/** One message of the regular exchange between two daemons; the answer has the same form. */
+export interface PeerExchange {
+  readonly from: string;
+  /** Number of the newest note in force at the sender. */
+  readonly noteNumber: number;
+  readonly members: readonly MemberUpdate[];
+  readonly observations: readonly PrimaryObservation[];
+  readonly records: readonly RecordUpdate[];
+  readonly notes: readonly NoteUpdate[];
+}
+
+/** What a daemon uses of an instance and asks its lender for. */
+export interface BorrowRequest {
+  readonly vm: string;
+  readonly group: string;
+  readonly instance: string;
+  readonly heldConnections: number;
+  readonly wantedConnections: number;
+  readonly heldConcurrency: number;
+  readonly wantedConcurrency: number;
+  readonly heldLongPermits: number;
+  readonly wantedLongPermits: number;
+}
+
+/** The lender's answer; it replaces the grant before it. */
+export interface BorrowGrant {
+  readonly group: string;
+  readonly instance: string;
+  readonly connections: number;
+  readonly concurrency: number;
+  readonly longPermits: number;
+  /** The holder asks again within this time; the lender takes the share back much later. */
+  readonly renewWithinMs: Millis;
+}
+
+/** The calls between two daemons. They reject when no answer comes in time. */
+export abstract class PeerLink {
+  abstract exchange(message: PeerExchange): Promise<PeerExchange>;
+
+  abstract borrow(request: BorrowRequest): Promise<BorrowGrant>;
+
+  abstract close(): void;
+}
+
+/** One subject of the regular exchange, for instance release notes or observations. */
+export abstract class ExchangeFeature {
+  /** What this subject has to tell `peer`, given what the peer said last, if anything. */
+  abstract collect(
+    peer: string,
+    heard: PeerExchange | undefined,
+    now: Millis,
+  ): Partial<PeerExchange>;
+
+  abstract handle(message: PeerExchange, now: Millis): void;
+}
--- a/packages/daemon/src/session.ts
+++ b/packages/daemon/src/session.ts
@@ -233,7 +233,7 @@
     const deadline = clock.readNow() + queueDeadlineMs;
     this.floor ??= await group.findArrivalFloor(deadline);
     const session = String(caller.processId);
-    return group.admit(group.createRequest(kind, contract, this.floor, session, deadline));
+    return group.admit({ kind, contract, floor: this.floor, caller: session, deadline });
   }
 
   private async runOnce(
--- a/packages/daemon/src/wiring.ts
+++ b/packages/daemon/src/wiring.ts
@@ -1,9 +1,10 @@
 import { randomUUID } from 'node:crypto';
 import { createServer } from 'node:net';
-import type { DatabaseGroup, DatabaseInstance } from '@shallotpick/core';
+import { type DatabaseGroup, type DatabaseInstance, FixedMembership } from '@shallotpick/core';
 import { SystemClock } from './clock.js';
 import { ControlLink } from './control.js';
 import { Daemon } from './daemon.js';
+import { FailoverDriver } from './failover.js';
 import { GroupServer } from './group.js';
 import { createHealthServer } from './health.js';
 import { createLog } from './log.js';
@@ -11,6 +12,7 @@
 import { HttpPlatform } from './platform.js';
 import { ConnectionPool } from './pool.js';
 import type { Settings } from './settings.js';
+import { StatusBoard } from './status.js';
 import { PlatformWatcher } from './watcher.js';
 
 /** Constructs a daemon with its real adapters. */
@@ -31,19 +33,24 @@
     );
   const createPool = (instance: DatabaseInstance, database: string): ConnectionPool =>
     new ConnectionPool({ instance, database, user: instanceUser, applicationName });
-  const createGroup = (group: DatabaseGroup): GroupServer =>
-    new GroupServer({
-      group,
-      vm,
+  const membership = new FixedMembership({ id: vm, zone, host: settings.host, peerPort: 0 });
+  const createGroup = (group: DatabaseGroup): GroupServer => {
+    const links = createLinks(group);
+    const shared = { group, clock, log, metrics };
+    return new GroupServer({
+      ...shared,
       zone,
-      clock,
-      log,
-      metrics,
-      platform,
-      links: createLinks(group),
       pools: new Map(group.instances.map((one) => [one.id, createPool(one, group.name)])),
-      createAttempt: randomUUID,
+      createBoard: (onStatus) => new StatusBoard({ ...shared, links, onStatus }),
+      failover: new FailoverDriver({
+        ...shared,
+        links,
+        platform,
+        membership,
+        createAttempt: randomUUID,
+      }),
     });
+  };
   const startSources = (daemon: Daemon): (() => void) => {
     const watcher = new PlatformWatcher({
       platform,
