--- a/packages/bench/src/cluster.ts
+++ b/packages/bench/src/cluster.ts
@@ -14,14 +14,30 @@
   readonly environment?: Readonly<Record<string, string>>;
 }
 
-/** Stand-ins and daemons of one deployment in this process, over loopback. */
-export interface Cluster {
-  readonly platform: StandinPlatform;
+/** What a measurement needs of a proxy, whichever version it is. */
+export interface Proxy {
+  readCallerPort(): number;
+  /** Lets requests finish and stops. */
+  drain(): Promise<void>;
+  stop(): void;
+}
+
+/** Stand-ins and proxies of one deployment in this process, over loopback. */
+export interface Deployment {
   readonly groups: readonly StandinGroup[];
-  readonly daemons: readonly Daemon[];
+  readonly daemons: readonly Proxy[];
   stop(): Promise<void>;
 }
 
+/** A deployment of shallotpick. */
+export interface Cluster extends Deployment {
+  readonly platform: StandinPlatform;
+  readonly daemons: readonly Daemon[];
+}
+
+/** Starts one version of the proxy over fresh stand-ins. */
+export type CreateDeployment = (options: ClusterOptions) => Promise<Deployment>;
+
 async function waitUntilReady(daemon: Daemon): Promise<void> {
   while (!daemon.isReady()) {
     await new Promise((resolve) => {
@@ -45,15 +61,24 @@
   );
 }
 
+/** Starts the stand-in groups of a profile. */
+export async function startGroups(
+  profile: Profile,
+  statementCostMs: number,
+): Promise<readonly StandinGroup[]> {
+  const groups = profile.groups.map(
+    (name) => new StandinGroup(createGroupOptions(profile, name, statementCostMs)),
+  );
+  await Promise.all(groups.map((group) => group.start()));
+  return groups;
+}
+
 /** Starts the stand-ins, the platform with a first release note, and the daemons. */
 export async function createCluster(options: ClusterOptions): Promise<Cluster> {
   const { profile, statementCostMs } = options;
   const platform = new StandinPlatform();
   const platformUrl = await platform.start();
-  const groups = profile.groups.map(
-    (name) => new StandinGroup(createGroupOptions(profile, name, statementCostMs)),
-  );
-  await Promise.all(groups.map((group) => group.start()));
+  const groups = await startGroups(profile, statementCostMs);
   groups.forEach((group) => {
     platform.set(formatGroupKey(group.options.name), JSON.stringify(group.toGroupRecord()));
   });
--- /dev/null
+++ b/packages/bench/src/guest.ts
@@ -0,0 +1,72 @@
+import pg from 'pg';
+import type { Deployment } from './cluster.js';
+
+/** Outcome of one statement as its caller sees it. */
+export type Outcome =
+  | { readonly kind: 'done'; readonly rows: readonly Readonly<Record<string, string>>[] }
+  /** The database or the proxy answered with an error. */
+  | { readonly kind: 'error'; readonly code: string }
+  /** The connection ended without an answer. */
+  | { readonly kind: 'cut' };
+
+/** A caller with one session that may move between proxies. */
+export class Guest {
+  private client: pg.Client | undefined;
+
+  private proxy = -1;
+
+  constructor(
+    private readonly deployment: Deployment,
+    readonly name: string,
+    private readonly database: string,
+  ) {}
+
+  /** Index of the proxy that serves the session now. */
+  readProxy(): number {
+    return this.proxy;
+  }
+
+  /** Opens the session on a proxy, leaving the one before. */
+  async connect(proxy: number): Promise<void> {
+    await this.close();
+    const client = new pg.Client({
+      host: '127.0.0.1',
+      port: this.deployment.daemons[proxy]?.readCallerPort(),
+      user: this.name,
+      database: this.database,
+    });
+    client.on('error', () => undefined);
+    await client.connect();
+    this.client = client;
+    this.proxy = proxy;
+  }
+
+  async run(text: string, values: readonly string[] = []): Promise<Outcome> {
+    const { client } = this;
+    if (!client) return { kind: 'cut' };
+    try {
+      const { rows } = await client.query(text, [...values]);
+      return { kind: 'done', rows };
+    } catch (error) {
+      const { code } = error as { readonly code?: string };
+      // Errors of the socket have codes such as ECONNRESET; SQLSTATEs have five characters.
+      return code !== undefined && /^[0-9A-Z]{5}$/.test(code)
+        ? { kind: 'error', code }
+        : { kind: 'cut' };
+    }
+  }
+
+  /** Breaks the connection without a farewell, as a crashed caller does. */
+  breakConnection(): void {
+    const stream = (this.client as unknown as { connection?: { stream: { destroy(): void } } })
+      ?.connection?.stream;
+    stream?.destroy();
+    this.client = undefined;
+  }
+
+  async close(): Promise<void> {
+    const { client } = this;
+    this.client = undefined;
+    await client?.end().catch(() => undefined);
+  }
+}
--- /dev/null
+++ b/packages/bench/src/naive.ts
@@ -0,0 +1,216 @@
+import { type AddressInfo, createServer, type Server, type Socket } from 'node:net';
+import type { DatabaseInstance, Millis } from '@shallotpick/core';
+import {
+  type AnswerSink,
+  CallerConnection,
+  type CallerHandler,
+  type CallerRequest,
+  ConnectionPool,
+  type InstanceConnection,
+} from '@shallotpick/daemon';
+import { encodeError, encodeReady, type ErrorFields, type Frame } from '@shallotpick/wire';
+import { type ClusterOptions, type Deployment, type Proxy, startGroups } from './cluster.js';
+import { NAIVE_APPLICATION, NaiveGroup } from './naivegroup.js';
+
+const DRAIN_POLL_MS: Millis = 10;
+
+/** First come, first served: at most `limit` tasks hold a connection. */
+class FifoGate {
+  private free: number;
+
+  private readonly waiting: (() => void)[] = [];
+
+  constructor(limit: number) {
+    this.free = limit;
+  }
+
+  async enter(): Promise<void> {
+    if (this.free > 0) {
+      this.free -= 1;
+      return;
+    }
+    await new Promise<void>((resolve) => {
+      this.waiting.push(resolve);
+    });
+  }
+
+  leave(): void {
+    const next = this.waiting.shift();
+    if (next) next();
+    else this.free += 1;
+  }
+}
+
+/** Passes every message on as it comes. */
+class PlainRelay implements AnswerSink {
+  private output: Buffer[] = [];
+
+  constructor(
+    private readonly caller: CallerConnection,
+    private readonly connection: InstanceConnection,
+  ) {}
+
+  handleFrame({ raw }: Frame): void {
+    this.output.push(raw);
+  }
+
+  flush(): boolean {
+    if (this.output.length === 0) return false;
+    const bytes = Buffer.concat(this.output);
+    this.output = [];
+    return this.caller.send(bytes, () => this.connection.resume());
+  }
+}
+
+/** What the sessions of one naive proxy share for a group. */
+interface NaiveTarget {
+  readonly group: NaiveGroup;
+  readonly gate: FifoGate;
+  findPool(instance: DatabaseInstance): ConnectionPool;
+}
+
+class NaiveSession implements CallerHandler {
+  private target: NaiveTarget | undefined;
+
+  private connection: InstanceConnection | undefined;
+
+  private pool: ConnectionPool | undefined;
+
+  constructor(
+    private readonly caller: CallerConnection,
+    private readonly findTarget: (database: string) => NaiveTarget | undefined,
+  ) {}
+
+  async handleStart(parameters: ReadonlyMap<string, string>): Promise<ErrorFields | undefined> {
+    this.target = this.findTarget(parameters.get('database') ?? '');
+    return undefined;
+  }
+
+  async handleRequest({ frames }: CallerRequest): Promise<void> {
+    const { target } = this;
+    if (!target) return;
+    try {
+      if (!this.connection) await this.open(target);
+      const { connection } = this;
+      if (!connection) return;
+      const bytes = Buffer.concat(frames.map(({ raw }) => raw));
+      const state = await connection.run(bytes, new PlainRelay(this.caller, connection));
+      if (state === 'I') this.release(target);
+    } catch {
+      this.release(target);
+      const message = 'the connection to the database broke';
+      const error = encodeError({ severity: 'ERROR', code: '08006', message });
+      this.caller.send(Buffer.concat([error, encodeReady('I')]));
+    }
+  }
+
+  handleClose(): void {
+    this.connection?.close();
+    if (this.target) this.release(this.target);
+  }
+
+  isInTransaction(): boolean {
+    return this.connection !== undefined;
+  }
+
+  private async open(target: NaiveTarget): Promise<void> {
+    await target.gate.enter();
+    const pool = target.findPool(target.group.primary);
+    try {
+      this.connection = await pool.connect();
+      this.pool = pool;
+    } catch (error) {
+      target.gate.leave();
+      throw error;
+    }
+  }
+
+  private release(target: NaiveTarget): void {
+    if (!this.connection) return;
+    this.pool?.release(this.connection);
+    this.connection = undefined;
+    target.gate.leave();
+  }
+}
+
+/** The plainest honest proxy: all work to the primary, first come first served. */
+class NaiveProxy implements Proxy {
+  private readonly server: Server = createServer((socket) => this.handleSocket(socket));
+
+  private readonly callers = new Set<CallerConnection>();
+
+  private readonly targets = new Map<string, NaiveTarget>();
+
+  private readonly pools = new Map<string, ConnectionPool>();
+
+  constructor(groups: readonly NaiveGroup[], share: number) {
+    groups.forEach((group) => {
+      const { name } = group.group.options;
+      const findPool = (instance: DatabaseInstance): ConnectionPool =>
+        this.findPool(instance, name);
+      this.targets.set(name, { group, gate: new FifoGate(share), findPool });
+    });
+  }
+
+  async start(): Promise<void> {
+    await new Promise<void>((resolve) => {
+      this.server.listen(0, '127.0.0.1', resolve);
+    });
+  }
+
+  readCallerPort(): number {
+    return (this.server.address() as AddressInfo).port;
+  }
+
+  /** Stops as most plain proxies do: no new callers, and the open ones are closed. */
+  async drain(): Promise<void> {
+    this.server.close();
+    await new Promise((resolve) => {
+      setTimeout(resolve, DRAIN_POLL_MS);
+    });
+    this.stop();
+  }
+
+  stop(): void {
+    this.server.close();
+    this.callers.forEach((caller) => caller.close());
+    this.pools.forEach((pool) => pool.close());
+  }
+
+  private findPool(instance: DatabaseInstance, database: string): ConnectionPool {
+    const known = this.pools.get(instance.id);
+    if (known) return known;
+    const pool = new ConnectionPool({
+      instance,
+      database,
+      user: 'shallotpick',
+      applicationName: NAIVE_APPLICATION,
+    });
+    this.pools.set(instance.id, pool);
+    return pool;
+  }
+
+  private handleSocket(socket: Socket): void {
+    const caller = new CallerConnection(socket);
+    caller.handler = new NaiveSession(caller, (database) => this.targets.get(database));
+    this.callers.add(caller);
+    socket.once('close', () => this.callers.delete(caller));
+  }
+}
+
+/** Starts stand-ins and naive proxies that share each primary's connections evenly. */
+export async function createNaive(options: ClusterOptions): Promise<Deployment> {
+  const { profile, statementCostMs } = options;
+  const groups = await startGroups(profile, statementCostMs);
+  const watched = groups.map((group) => new NaiveGroup(group));
+  const count = options.proxies ?? profile.proxies;
+  const share = Math.max(1, Math.floor(profile.connectionLimit / count));
+  const daemons = Array.from({ length: count }, () => new NaiveProxy(watched, share));
+  await Promise.all(daemons.map((daemon) => daemon.start()));
+  const stop = async (): Promise<void> => {
+    daemons.forEach((daemon) => daemon.stop());
+    watched.forEach((group) => group.stop());
+    await Promise.all(groups.map((group) => group.stop()));
+  };
+  return { groups, daemons, stop };
+}
--- /dev/null
+++ b/packages/bench/src/naivegroup.ts
@@ -0,0 +1,79 @@
+import type { DatabaseInstance, InstanceStatus, Millis } from '@shallotpick/core';
+import { ControlLink, SystemClock } from '@shallotpick/daemon';
+import type { StandinGroup } from '@shallotpick/standin';
+
+/** Silence of the primary after which the naive version promotes a replica. */
+const FAILOVER_TIMEOUT_MS: Millis = 5_000;
+const PROBE_INTERVAL_MS: Millis = 500;
+
+/** Application name of the naive version's connections. */
+export const NAIVE_APPLICATION = 'naive/naive/naive';
+
+/** Watches one group's primary and promotes a replica after a fixed time-out, without a fence. */
+export class NaiveGroup {
+  primary: DatabaseInstance;
+
+  private term = 1;
+
+  private heardAt = performance.now();
+
+  private readonly links: ReadonlyMap<string, ControlLink>;
+
+  private readonly timer: NodeJS.Timeout;
+
+  constructor(readonly group: StandinGroup) {
+    const { instances, name } = group.toDatabaseGroup();
+    const [first] = instances;
+    if (!first) throw new Error('a group needs an instance');
+    this.primary = first;
+    const clock = new SystemClock();
+    this.links = new Map(
+      instances.map((instance) => [
+        instance.id,
+        new ControlLink({ instance, database: name, applicationName: NAIVE_APPLICATION, clock }),
+      ]),
+    );
+    this.timer = setInterval(() => {
+      this.probe().catch(() => undefined);
+    }, PROBE_INTERVAL_MS);
+  }
+
+  stop(): void {
+    clearInterval(this.timer);
+    this.links.forEach((link) => link.close());
+  }
+
+  private async probe(): Promise<void> {
+    try {
+      await this.links.get(this.primary.id)?.readStatus();
+      this.heardAt = performance.now();
+    } catch {
+      if (performance.now() - this.heardAt >= FAILOVER_TIMEOUT_MS) await this.promoteReplica();
+    }
+  }
+
+  private async promoteReplica(): Promise<void> {
+    this.heardAt = performance.now();
+    const answers = await Promise.allSettled(
+      [...this.links.values()].map((link) => link.readStatus()),
+    );
+    const best = answers
+      .flatMap((answer) => (answer.status === 'fulfilled' ? [answer.value] : []))
+      .filter(({ instance }) => instance !== this.primary.id)
+      .reduce<InstanceStatus | undefined>(
+        (a, b) => (a && a.durable.offset >= b.durable.offset ? a : b),
+        undefined,
+      );
+    if (!best) return;
+    this.term += 1;
+    await this.links.get(best.instance)?.fence(this.term);
+    await this.links.get(best.instance)?.promote(this.term);
+    const { instances } = this.group.toDatabaseGroup();
+    this.primary = instances.find(({ id }) => id === best.instance) ?? this.primary;
+    await Promise.allSettled(
+      [...this.links]
+        .filter(([id]) => id !== best.instance)
+        .map(([, link]) => link.follow(this.term, best.instance)),
+    );
+  }
+}
--- /dev/null
+++ b/packages/bench/src/reads.ts
@@ -0,0 +1,131 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import type { CreateDeployment, Deployment } from './cluster.js';
+import { Guest } from './guest.js';
+import type { Profile } from './profile.js';
+import { createRandom, type Random } from './random.js';
+import { formatNumber } from './stats.js';
+
+const RUN_MS = 10_000;
+const READERS_PER_GROUP = 6;
+const THINK_MS = 20;
+const WRITE_EVERY_MS = 50;
+const APPLY_LAG_MS = 20;
+const STATEMENT_COST_MS = 2;
+/** Age that the contract `availability` states; see createFirstNote. */
+const STATED_AGE_MS = 2_000;
+
+export interface ReadsResult {
+  readonly reads: number;
+  readonly replicaReadShare: number;
+  readonly staleReads: number;
+  readonly readYourWritesViolations: number;
+}
+
+interface Tally {
+  reads: number;
+  stale: number;
+  missed: number;
+}
+
+/** Versions that a writer had acknowledged, with the time of each. */
+class History {
+  private readonly acknowledged: { readonly version: number; readonly at: number }[] = [];
+
+  add(version: number): void {
+    this.acknowledged.push({ version, at: performance.now() });
+  }
+
+  /** The newest version acknowledged before `at`. */
+  findVersion(at: number): number {
+    return this.acknowledged.findLast((one) => one.at <= at)?.version ?? 0;
+  }
+}
+
+const readVersion = (rows: readonly Readonly<Record<string, string>>[]): number =>
+  Number(rows[0]?.value ?? 0);
+
+async function runWriter(guest: Guest, key: string, history: History, end: number): Promise<void> {
+  for (let version = 1; performance.now() < end; version++) {
+    const text = 'INSERT INTO items (key, value) VALUES ($1, $2)';
+    const outcome = await guest.run(text, [key, String(version)]);
+    if (outcome.kind === 'done') history.add(version);
+    await sleep(WRITE_EVERY_MS);
+  }
+}
+
+interface ReaderOptions {
+  readonly guest: Guest;
+  readonly shared: string;
+  readonly history: History;
+  readonly end: number;
+  readonly tally: Tally;
+  readonly random: Random;
+}
+
+/** Reads the shared key within the stated age, and now and then an own write. */
+async function runReader(options: ReaderOptions): Promise<void> {
+  const { guest, shared, history, end, tally, random } = options;
+  const own = `own-${guest.name}`;
+  const read = '/* shallotpick contract=availability */ SELECT value FROM items WHERE key = $1';
+  for (let version = 1; performance.now() < end; version++) {
+    const isOwn = random.next() < 0.1;
+    const startedAt = performance.now();
+    if (isOwn) {
+      const text = 'INSERT INTO items (key, value) VALUES ($1, $2)';
+      const written = await guest.run(text, [own, String(version)]);
+      const back = await guest.run(read, [own]);
+      const isMissed = back.kind === 'done' && readVersion(back.rows) < version;
+      if (written.kind === 'done' && isMissed) tally.missed += 1;
+      tally.reads += 1;
+    } else {
+      const outcome = await guest.run(read, [shared]);
+      const expected = history.findVersion(startedAt - STATED_AGE_MS);
+      if (outcome.kind === 'done' && readVersion(outcome.rows) < expected) tally.stale += 1;
+      tally.reads += 1;
+    }
+    await sleep(random.next() * 2 * THINK_MS);
+  }
+}
+
+function countReplicaReads(deployment: Deployment): number {
+  return deployment.groups
+    .flatMap(({ instances }) => instances)
+    .filter(({ role }) => role === 'replica')
+    .reduce((sum, { served }) => sum + served.reads, 0);
+}
+
+/** Measures how many reads of a stated age replicas serve, and whether any was too old. */
+export async function measureReads(
+  create: CreateDeployment,
+  profile: Profile,
+  seed: number,
+): Promise<ReadsResult> {
+  const deployment = await create({ profile, statementCostMs: STATEMENT_COST_MS });
+  const random = createRandom(seed);
+  const tally: Tally = { reads: 0, stale: 0, missed: 0 };
+  const end = performance.now() + RUN_MS;
+  const runs = deployment.groups.flatMap((group, groupIndex) => {
+    const { name } = group.options;
+    group.instances.forEach((instance) => instance.setApplyLag(APPLY_LAG_MS));
+    const history = new History();
+    const guests = Array.from(
+      { length: READERS_PER_GROUP + 1 },
+      (_, index) => new Guest(deployment, `guest-${groupIndex}-${index}`, name),
+    );
+    return guests.map(async (guest, index) => {
+      await guest.connect((groupIndex + index) % deployment.daemons.length);
+      if (index === 0) await runWriter(guest, 'shared', history, end);
+      else await runReader({ guest, shared: 'shared', history, end, tally, random });
+      await guest.close();
+    });
+  });
+  await Promise.all(runs);
+  const replicaReads = countReplicaReads(deployment);
+  await deployment.stop();
+  return {
+    reads: tally.reads,
+    replicaReadShare: formatNumber(replicaReads / Math.max(1, tally.reads)),
+    staleReads: tally.stale,
+    readYourWritesViolations: tally.missed,
+  };
+}
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,6 +1,13 @@
+export { CallerConnection } from './caller.js';
+export type { CallerHandler, CallerRequest } from './caller.js';
+export { SystemClock } from './clock.js';
+export { InstanceConnection } from './connection.js';
+export type { AnswerSink } from './connection.js';
+export { ControlLink } from './control.js';
 export { Daemon } from './daemon.js';
 export type { DaemonParts } from './daemon.js';
 export { DaemonError, InstanceError, PlatformError, RefusedError, SettingError } from './errors.js';
+export { ConnectionPool } from './pool.js';
 export { loadSettings } from './settings.js';
 export type { Settings } from './settings.js';
 export { SQLSTATE } from './sqlstate.js';
--- a/packages/standin/src/backend.ts
+++ b/packages/standin/src/backend.ts
@@ -294,7 +294,7 @@
         const rows = this.listRows(read);
         if (isSimple) this.output.push(encodeColumns(listColumns(read) ?? []));
         rows.forEach((row) => this.output.push(encodeRow(row)));
-        this.instance.served.reads += 1;
+        if (!this.isControl) this.instance.served.reads += 1;
         return this.complete(`SELECT ${rows.length}`);
       });
   }
--- a/packages/standin/src/instance.ts
+++ b/packages/standin/src/instance.ts
@@ -85,6 +85,10 @@
     return this.server !== undefined && !this.paused;
   }
 
+  setApplyLag(lagMs: number): void {
+    this.applyLagMs = lagMs;
+  }
+
   /** Holds all work, as a stopped process would, until `resume`. */
   pause(): void {
     this.paused = true;
