--- /dev/null
+++ b/packages/bench/src/overhead.ts
@@ -0,0 +1,138 @@
+import { type ChildProcess, fork } from 'node:child_process';
+import { fileURLToPath } from 'node:url';
+import { formatGroupKey, formatNoteKey } from '@shallotpick/core';
+import { createDaemon, loadSettings } from '@shallotpick/daemon';
+import { StandinGroup, StandinPlatform } from '@shallotpick/standin';
+import { type LoadResult, runLoad } from './load.js';
+import { createFirstNote, createGroupOptions, type Profile, PROFILES } from './profile.js';
+import { formatNumber } from './stats.js';
+
+/** Slots and connections beyond what the load uses, so that the proxy is what is measured. */
+const WIDE: Profile = {
+  ...PROFILES.walks,
+  groups: ['wide'],
+  zoneDelayMs: 0,
+  slots: 64,
+  connectionLimit: 400,
+  connectCostMs: 0,
+  proxies: 1,
+};
+const QUIET_MS = 3_000;
+const BUSY_MS = 6_000;
+const BUSY_CONNECTIONS = 48;
+const LOADERS = 2;
+const TEXT = '/* shallotpick contract=availability */ SELECT 1';
+
+interface Ports {
+  readonly instancePort: number;
+  readonly platformUrl: string;
+}
+
+/** One role of the benchmark in a process of its own. */
+function startRole(role: string, ...values: readonly string[]): ChildProcess {
+  return fork(fileURLToPath(import.meta.url), [role, ...values], {
+    execArgv: ['--conditions=development', '--import', 'tsx'],
+    stdio: ['ignore', 'inherit', 'ignore', 'ipc'],
+  });
+}
+
+async function waitForMessage<T>(child: ChildProcess): Promise<T> {
+  return new Promise((resolve, reject) => {
+    child.once('message', (message) => resolve(message as T));
+    child.once('exit', (code) => reject(new Error(`a role ended with code ${code}`)));
+  });
+}
+
+async function runInstances(): Promise<void> {
+  const platform = new StandinPlatform();
+  const platformUrl = await platform.start();
+  const group = new StandinGroup(createGroupOptions(WIDE, 'wide', 0));
+  await group.start();
+  const definition = group.toDatabaseGroup();
+  platform.set(formatGroupKey('wide'), JSON.stringify(group.toGroupRecord()));
+  platform.set(formatNoteKey(1), JSON.stringify(createFirstNote([definition])));
+  process.send?.({ instancePort: definition.instances[1]?.port ?? 0, platformUrl });
+}
+
+async function runDaemon(platformUrl: string, logLevel: string): Promise<void> {
+  const daemon = createDaemon(
+    loadSettings([], {
+      SHALLOTPICK_VM: 'vm-1',
+      SHALLOTPICK_ZONE: WIDE.zones[0],
+      SHALLOTPICK_PLATFORM_URL: platformUrl,
+      SHALLOTPICK_CALLER_PORT: '0',
+      SHALLOTPICK_METRICS_PORT: '0',
+      SHALLOTPICK_LOG_LEVEL: logLevel,
+    }),
+  );
+  await daemon.start();
+  while (!daemon.isReady()) {
+    await new Promise((resolve) => {
+      setTimeout(resolve, 10);
+    });
+  }
+  process.send?.(daemon.readCallerPort());
+}
+
+async function runLoader(port: number): Promise<void> {
+  const result = await runLoad({
+    port,
+    database: 'wide',
+    connections: BUSY_CONNECTIONS / LOADERS,
+    durationMs: BUSY_MS,
+    text: TEXT,
+  });
+  process.send?.(result);
+}
+
+/** Median latency of one caller, straight to an instance or through the daemon. */
+async function measureQuiet(port: number): Promise<LoadResult> {
+  return runLoad({ port, database: 'wide', connections: 1, durationMs: QUIET_MS, text: TEXT });
+}
+
+async function measureBusy(port: number): Promise<readonly LoadResult[]> {
+  const loaders = Array.from({ length: LOADERS }, () => startRole('loader', String(port)));
+  const results = await Promise.all(loaders.map((child) => waitForMessage<LoadResult>(child)));
+  loaders.forEach((child) => child.kill());
+  return results;
+}
+
+async function runAll(): Promise<void> {
+  const instances = startRole('instances');
+  const { instancePort, platformUrl } = await waitForMessage<Ports>(instances);
+  const daemon = startRole('daemon', platformUrl, 'warn');
+  const port = await waitForMessage<number>(daemon);
+  const logging = startRole('daemon', platformUrl, 'info');
+  const loggingPort = await waitForMessage<number>(logging);
+  await measureQuiet(port);
+  const direct = await measureQuiet(instancePort);
+  const proxied = await measureQuiet(port);
+  const busyDirect = await measureBusy(instancePort);
+  const busy = await measureBusy(port);
+  const busyLogged = await measureBusy(loggingPort);
+  const sum = (results: readonly LoadResult[]): number =>
+    results.reduce((total, { statementsPerSecond }) => total + statementsPerSecond, 0);
+  const report = {
+    directMedianMs: formatNumber(direct.medianMs),
+    proxiedMedianMs: formatNumber(proxied.medianMs),
+    overheadMedianMs: formatNumber(proxied.medianMs - direct.medianMs),
+    directStatementsPerSecond: sum(busyDirect),
+    statementsPerSecond: sum(busy),
+    loggedStatementsPerSecond: sum(busyLogged),
+    busyMedianMs: formatNumber(busy[0]?.medianMs ?? 0),
+    busyP99Ms: formatNumber(busy[0]?.p99Ms ?? 0),
+    errors: busy.reduce((total, { errors }) => total + errors, 0),
+  };
+  process.stdout.write(`${JSON.stringify(report)}\n`);
+  [instances, daemon, logging].forEach((child) => child.kill());
+}
+
+const [role = 'all', value = '', level = ''] = process.argv.slice(2);
+const ROLES: Readonly<Record<string, () => Promise<void>>> = {
+  all: runAll,
+  instances: runInstances,
+  daemon: () => runDaemon(value, level),
+  loader: () => runLoader(Number(value)),
+};
+
+await ROLES[role]?.();
