--- /dev/null
+++ b/packages/core/src/home.ts
@@ -0,0 +1,120 @@
+import type { DatabaseGroup } from './group.js';
+import { computeHash } from './placement.js';
+import type { Vm } from './vm.js';
+
+/** Homes of a group in each zone that has an instance of it; the second stands in for the first. */
+export const HOMES_PER_ZONE = 2;
+/** Up to this many VMs every VM is a home of every group, so that no caller is forwarded. */
+export const ALL_HOME_VMS = 8;
+
+interface Candidate {
+  readonly vm: string;
+  readonly weight: number;
+}
+
+function computeWeight(group: string, vm: string): number {
+  return computeHash(`home/${group}|${vm}`);
+}
+
+function compareCandidates(a: Candidate, b: Candidate): number {
+  return b.weight - a.weight || a.vm.localeCompare(b.vm);
+}
+
+function chooseBest(candidates: readonly Candidate[]): readonly Candidate[] {
+  return [...candidates].sort(compareCandidates).slice(0, HOMES_PER_ZONE);
+}
+
+/**
+ * Which VMs serve which group. Homes come from rendezvous hashing within each zone that has an
+ * instance of the group, so that a zone that is cut off has homes of its own. A VM that comes or
+ * goes changes only the groups in which it ranks among the first; the others are not computed
+ * again.
+ */
+export class HomeTable {
+  private readonly groups = new Map<string, readonly string[]>();
+
+  private readonly vms = new Map<string, Vm>();
+
+  /** Best candidates by `zone|group`. */
+  private readonly homes = new Map<string, readonly Candidate[]>();
+
+  /** Takes in the groups in force. */
+  updateGroups(groups: readonly DatabaseGroup[]): void {
+    this.groups.clear();
+    const kept = new Set<string>();
+    groups.forEach(({ name, instances }) => {
+      const zones = [...new Set(instances.map(({ zone }) => zone))];
+      this.groups.set(name, zones);
+      zones.forEach((zone) => kept.add(`${zone}|${name}`));
+    });
+    [...this.homes.keys()].filter((key) => !kept.has(key)).forEach((key) => this.homes.delete(key));
+    this.groups.forEach((zones, name) => {
+      zones.forEach((zone) => {
+        if (!this.homes.has(`${zone}|${name}`)) this.computeHomes(zone, name);
+      });
+    });
+  }
+
+  /** Takes in the live VMs. */
+  updateVms(vms: readonly Vm[]): void {
+    const live = new Map(vms.map((vm) => [vm.id, vm]));
+    const gone = [...this.vms.values()].filter(({ id, zone }) => live.get(id)?.zone !== zone);
+    const come = vms.filter(({ id, zone }) => this.vms.get(id)?.zone !== zone);
+    this.vms.clear();
+    live.forEach((vm, id) => this.vms.set(id, vm));
+    gone.forEach((vm) => this.removeVm(vm));
+    come.forEach((vm) => this.addVm(vm));
+  }
+
+  /** VMs that serve the group, nearest first for callers in `zone`. */
+  findHomes(group: string, zone: string): readonly string[] {
+    if (this.vms.size <= ALL_HOME_VMS) return this.rankAll(group, zone);
+    const zones = this.groups.get(group) ?? [];
+    const ordered = [...zones].sort((a, b) => Number(b === zone) - Number(a === zone));
+    const homes = ordered.flatMap((one) => this.homes.get(`${one}|${group}`) ?? []);
+    // A group whose zones have no VM at all is served from anywhere.
+    return homes.length > 0 ? homes.map(({ vm }) => vm) : this.rankAll(group, zone).slice(0, 2);
+  }
+
+  isHome(group: string, vm: string): boolean {
+    return this.findHomes(group, this.vms.get(vm)?.zone ?? '').includes(vm);
+  }
+
+  /** Groups that the VM serves. */
+  listGroups(vm: string): readonly string[] {
+    return [...this.groups.keys()].filter((group) => this.isHome(group, vm));
+  }
+
+  private rankAll(group: string, zone: string): readonly string[] {
+    return [...this.vms.values()]
+      .map((vm) => ({ vm: vm.id, weight: computeWeight(group, vm.id), near: vm.zone === zone }))
+      .sort((a, b) => Number(b.near) - Number(a.near) || compareCandidates(a, b))
+      .map(({ vm }) => vm);
+  }
+
+  private computeHomes(zone: string, group: string): void {
+    const candidates = [...this.vms.values()]
+      .filter((vm) => vm.zone === zone)
+      .map(({ id }) => ({ vm: id, weight: computeWeight(group, id) }));
+    this.homes.set(`${zone}|${group}`, chooseBest(candidates));
+  }
+
+  private removeVm({ id, zone }: Vm): void {
+    this.listZone(zone).forEach((group) => {
+      const homes = this.homes.get(`${zone}|${group}`) ?? [];
+      if (homes.some(({ vm }) => vm === id)) this.computeHomes(zone, group);
+    });
+  }
+
+  private addVm({ id, zone }: Vm): void {
+    this.listZone(zone).forEach((group) => {
+      const key = `${zone}|${group}`;
+      const others = (this.homes.get(key) ?? []).filter(({ vm }) => vm !== id);
+      this.homes.set(key, chooseBest([...others, { vm: id, weight: computeWeight(group, id) }]));
+    });
+  }
+
+  private listZone(zone: string): readonly string[] {
+    return [...this.groups].filter(([, zones]) => zones.includes(zone)).map(([group]) => group);
+  }
+}
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -64,3 +64,4 @@
 } from './peer.js';
 export { FixedMembership, MembershipView } from './vm.js';
 export type { Vm } from './vm.js';
+export { ALL_HOME_VMS, HomeTable, HOMES_PER_ZONE } from './home.js';
