--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,3 +1,4 @@
+import type { Server as HttpServer } from 'node:http';
 import type { AddressInfo, Server, Socket } from 'node:net';
 import type { Clock, Configuration, DatabaseGroup, GroupRecord } from '@shallotpick/core';
 import { EMPTY_CONFIGURATION } from '@shallotpick/core';
@@ -17,7 +18,7 @@
   readonly log: Log;
   readonly metrics: Metrics;
   readonly callerServer: Server;
-  readonly metricsServer: Server;
+  readonly metricsServer: HttpServer;
   readonly createGroup: (group: DatabaseGroup) => GroupServer;
   /** Starts and stops what feeds the daemon with configuration. */
   readonly startSources: (daemon: Daemon) => () => void;
@@ -119,6 +120,8 @@
     this.groups.clear();
     this.parts.callerServer.close();
     this.parts.metricsServer.close();
+    // Kept-alive connections of monitoring would hold the process for seconds.
+    this.parts.metricsServer.closeAllConnections();
     this.parts.log.info('daemon stopped');
   }
 
