Define the messages and calls between daemons

The seams of the exchange were typed in the core but had no wire form. The calls Ping, Exchange and Borrow are now described in peer.proto, with generated code, a codec and a typed gRPC service definition. Observations cross the wire as ages, because the clocks of two VMs have different origins.

A property test round-trips exchanges, borrow requests and grants.

--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -29,3 +29,22 @@
   parseTarget,
 } from './message.js';
 export type { ErrorFields, Startup, TransactionState } from './message.js';
+export {
+  decodeBorrow,
+  decodeExchange,
+  decodeGrant,
+  decodePing,
+  encodeBorrow,
+  encodeExchange,
+  encodeGrant,
+  encodePing,
+  MAX_PEER_MESSAGE_BYTES,
+} from './peer.js';
+export { PEER_SERVICE } from './service.js';
+export type { PeerService } from './service.js';
+export type {
+  BorrowMessage,
+  ExchangeMessage,
+  GrantMessage,
+  PingMessage,
+} from './generated/peer_pb.js';
--- /dev/null
+++ b/packages/wire/src/peer.ts
@@ -0,0 +1,161 @@
+import { create } from '@bufbuild/protobuf';
+import type {
+  BorrowGrant,
+  BorrowRequest,
+  MemberUpdate,
+  Millis,
+  PeerExchange,
+  PrimaryObservation,
+  RecordUpdate,
+} from '@shallotpick/core';
+import { ProtocolError } from './errors.js';
+import {
+  type BorrowMessage,
+  BorrowMessageSchema,
+  type ExchangeMessage,
+  ExchangeMessageSchema,
+  type GrantMessage,
+  GrantMessageSchema,
+  type GroupRecord,
+  type Member,
+  MemberState,
+  type Observation,
+  type PingMessage,
+  PingMessageSchema,
+  RecordPhase,
+} from './generated/peer_pb.js';
+
+/** Largest message between daemons; a note has at most 1 MB in the platform. */
+export const MAX_PEER_MESSAGE_BYTES = 4 * 1024 * 1024;
+const MAX_AGE_MS: Millis = 2 ** 31;
+
+const STATES = {
+  live: MemberState.LIVE,
+  suspect: MemberState.SUSPECT,
+  leaving: MemberState.LEAVING,
+  dead: MemberState.DEAD,
+} as const;
+
+const STATE_NAMES: ReadonlyMap<MemberState, MemberUpdate['state']> = new Map(
+  Object.entries(STATES).map(([name, code]) => [code, name as MemberUpdate['state']]),
+);
+
+function toNumber(value: bigint): number {
+  const number = Number(value);
+  if (!Number.isSafeInteger(number)) throw new ProtocolError(`number ${value} is out of range`);
+  return number;
+}
+
+const encodeMember = ({ vm, incarnation, state }: MemberUpdate) => ({
+  vm,
+  incarnation: BigInt(incarnation),
+  state: STATES[state],
+});
+
+/** Entries with a state that this version does not know are left out. */
+function decodeMembers(members: readonly Member[]): readonly MemberUpdate[] {
+  return members.flatMap(({ vm, incarnation, state }) => {
+    const name = STATE_NAMES.get(state);
+    if (!vm?.id || !name) return [];
+    const { id, zone, host, peerPort } = vm;
+    return [{ vm: { id, zone, host, peerPort }, incarnation: toNumber(incarnation), state: name }];
+  });
+}
+
+/**
+ * The age instead of the time of observation goes over the wire, since the clocks of two VMs have
+ * different origins.
+ */
+const encodeObservation = ({ observedAt, term, ...rest }: PrimaryObservation, now: Millis) => ({
+  ...rest,
+  term: BigInt(term),
+  ageMs: Math.round(Math.min(Math.max(0, now - observedAt), MAX_AGE_MS)),
+});
+
+function decodeObservation(observation: Observation, now: Millis): PrimaryObservation {
+  const { vm, zone, group, term, reachable, ageMs } = observation;
+  return { vm, zone, group, term: toNumber(term), reachable, observedAt: now - ageMs };
+}
+
+const encodeRecord = ({ record, version }: RecordUpdate) => ({
+  ...record,
+  term: BigInt(record.term),
+  phase: record.phase === 'named' ? RecordPhase.NAMED : RecordPhase.FENCING,
+  primary: record.primary ?? undefined,
+  version: BigInt(version),
+});
+
+function decodeRecords(records: readonly GroupRecord[]): readonly RecordUpdate[] {
+  return records
+    .filter(({ phase }) => phase === RecordPhase.FENCING || phase === RecordPhase.NAMED)
+    .map(({ group, term, phase, primary, attempt, writer, version }) => ({
+      record: {
+        group,
+        term: toNumber(term),
+        phase: phase === RecordPhase.NAMED ? 'named' : 'fencing',
+        primary: primary ?? null,
+        attempt,
+        writer,
+      },
+      version: toNumber(version),
+    }));
+}
+
+/** Encodes a ping or its answer. */
+export function encodePing(from: string, members: readonly MemberUpdate[]): PingMessage {
+  return create(PingMessageSchema, { from, members: members.map(encodeMember) });
+}
+
+/** Decodes a ping or its answer. */
+export function decodePing(message: PingMessage): {
+  readonly from: string;
+  readonly members: readonly MemberUpdate[];
+} {
+  return { from: message.from, members: decodeMembers(message.members) };
+}
+
+/** Encodes an exchange that is sent at `now` of the sender's clock. */
+export function encodeExchange(exchange: PeerExchange, now: Millis): ExchangeMessage {
+  return create(ExchangeMessageSchema, {
+    from: exchange.from,
+    noteNumber: BigInt(exchange.noteNumber),
+    members: exchange.members.map(encodeMember),
+    observations: exchange.observations.map((one) => encodeObservation(one, now)),
+    records: exchange.records.map(encodeRecord),
+    notes: exchange.notes.map(({ number, text }) => ({ number: BigInt(number), text })),
+  });
+}
+
+/**
+ * Decodes an exchange that came in at `now` of the receiver's clock.
+ *
+ * @throws ProtocolError when a number is out of range.
+ */
+export function decodeExchange(message: ExchangeMessage, now: Millis): PeerExchange {
+  return {
+    from: message.from,
+    noteNumber: toNumber(message.noteNumber),
+    members: decodeMembers(message.members),
+    observations: message.observations.map((one) => decodeObservation(one, now)),
+    records: decodeRecords(message.records),
+    notes: message.notes.map(({ number, text }) => ({ number: toNumber(number), text })),
+  };
+}
+
+export function encodeBorrow(request: BorrowRequest): BorrowMessage {
+  return create(BorrowMessageSchema, request);
+}
+
+export function decodeBorrow(message: BorrowMessage): BorrowRequest {
+  const { $typeName, $unknown, ...request } = message;
+  return request;
+}
+
+export function encodeGrant(grant: BorrowGrant): GrantMessage {
+  return create(GrantMessageSchema, grant);
+}
+
+export function decodeGrant(message: GrantMessage): BorrowGrant {
+  const { $typeName, $unknown, ...grant } = message;
+  return grant;
+}
--- /dev/null
+++ b/packages/wire/test/peer.spec.ts
@@ -0,0 +1,118 @@
+import { expect } from 'earl';
+import fc from 'fast-check';
+import type { MemberUpdate, PeerExchange } from '@shallotpick/core';
+import {
+  decodeBorrow,
+  decodeExchange,
+  decodeGrant,
+  encodeBorrow,
+  encodeExchange,
+  encodeGrant,
+  PEER_SERVICE,
+} from '../src/index.js';
+
+// Records without a prototype never compare equal to decoded ones.
+const PLAIN = { noNullPrototype: true } as const;
+const id = fc.string({ minLength: 1, maxLength: 12 });
+const count = fc.nat(2 ** 31 - 1);
+const version = fc.nat(Number.MAX_SAFE_INTEGER);
+const AGE_LIMIT_MS = 10_000;
+const SENT_AT = 1_000_000;
+const RECEIVED_AT = 20_000;
+
+const exchange: fc.Arbitrary<PeerExchange> = fc.record(
+  {
+    from: id,
+    noteNumber: version,
+    members: fc.array(
+      fc.record(
+        {
+          vm: fc.record({ id, zone: id, host: id, peerPort: fc.nat(65_535) }, PLAIN),
+          incarnation: version,
+          state: fc.constantFrom<MemberUpdate['state']>('live', 'suspect', 'leaving', 'dead'),
+        },
+        PLAIN,
+      ),
+    ),
+    observations: fc.array(
+      fc.record(
+        {
+          vm: id,
+          zone: id,
+          group: id,
+          term: version,
+          reachable: fc.boolean(),
+          observedAt: fc.integer({ min: SENT_AT - AGE_LIMIT_MS, max: SENT_AT }),
+        },
+        PLAIN,
+      ),
+    ),
+    records: fc.array(
+      fc.record(
+        {
+          record: fc.record(
+            {
+              group: id,
+              term: version,
+              phase: fc.constantFrom('fencing' as const, 'named' as const),
+              primary: fc.option(fc.string()),
+              attempt: id,
+              writer: id,
+            },
+            PLAIN,
+          ),
+          version,
+        },
+        PLAIN,
+      ),
+    ),
+    notes: fc.array(fc.record({ number: version, text: fc.string() }, PLAIN)),
+  },
+  PLAIN,
+);
+
+describe('messages between daemons', () => {
+  // Guards against a field that is lost on the wire, and against the comparison of two clocks.
+  it('keep an exchange whole and turn times of observation into the receiver’s clock', () => {
+    fc.assert(
+      fc.property(exchange, (sent) => {
+        const { requestSerialize, requestDeserialize } = PEER_SERVICE.exchange;
+        const bytes = requestSerialize(encodeExchange(sent, SENT_AT));
+        const received = decodeExchange(requestDeserialize(bytes), RECEIVED_AT);
+        const observations = sent.observations.map((one) => ({
+          ...one,
+          observedAt: one.observedAt - SENT_AT + RECEIVED_AT,
+        }));
+        expect(received).toEqual({ ...sent, observations });
+      }),
+    );
+  });
+
+  // Guards against a quota field that is lost or swapped.
+  it('keep quota requests and grants', () => {
+    const names = fc.record({ group: id, instance: id }, PLAIN);
+    const request = fc
+      .tuple(id, names, fc.array(count, { minLength: 6, maxLength: 6 }))
+      .map(([vm, name, [a = 0, b = 0, c = 0, d = 0, e = 0, f = 0]]) => ({
+        vm,
+        ...name,
+        heldConnections: a,
+        wantedConnections: b,
+        heldConcurrency: c,
+        wantedConcurrency: d,
+        heldLongPermits: e,
+        wantedLongPermits: f,
+      }));
+    fc.assert(
+      fc.property(request, names, count, (borrow, name, connections) => {
+        const { borrow: method } = PEER_SERVICE;
+        const sent = method.requestDeserialize(method.requestSerialize(encodeBorrow(borrow)));
+        expect(decodeBorrow(sent)).toEqual(borrow);
+        const limits = { connections, concurrency: 1, longPermits: 2, renewWithinMs: 3 };
+        const grant = { ...name, ...limits };
+        const answer = method.responseDeserialize(method.responseSerialize(encodeGrant(grant)));
+        expect(decodeGrant(answer)).toEqual(grant);
+      }),
+    );
+  });
+});
