Exchange observations and group records between daemons

Failover decisions rested on what one VM sees, because daemons did not talk to each other. PeerHub runs the regular exchange over gRPC links with deadlines, merges what the features collect, and pushes at once when a primary becomes unreachable or comes back. With key files set, both directions use mutual TLS, and a certificate must carry the name of peers; changed files are taken over without a restart.

grpc-js drops connections when a certificate provider answers in the same task in which its listener is registered; the provider therefore answers in the next one.

Specs: mutual TLS, refusal of clients without a peer certificate, reload, and the content of observations.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,10 +1,17 @@
 import type { AddressInfo, Server, Socket } from 'node:net';
-import type { Clock, Configuration, DatabaseGroup, GroupRecord } from '@shallotpick/core';
+import type {
+  Clock,
+  Configuration,
+  DatabaseGroup,
+  GroupRecord,
+  RecordUpdate,
+} from '@shallotpick/core';
 import { EMPTY_CONFIGURATION } from '@shallotpick/core';
 import { CallerConnection } from './caller.js';
 import type { GroupServer } from './group.js';
 import type { Log } from './log.js';
 import type { Metrics } from './metrics.js';
+import type { Peering } from './peering.js';
 import { Session } from './session.js';
 import type { Settings } from './settings.js';
 import { SQLSTATE } from './sqlstate.js';
@@ -21,11 +28,8 @@
   readonly createGroup: (group: DatabaseGroup) => GroupServer;
   /** Starts and stops what feeds the daemon with configuration. */
   readonly startSources: (daemon: Daemon) => () => void;
-}
-
-interface VersionedRecord {
-  readonly record: GroupRecord;
-  readonly version: number;
+  /** The traffic with other daemons; none for a daemon that works alone. */
+  readonly peering?: Peering | undefined;
 }
 
 /** One proxy: its callers and the groups that it serves. */
@@ -34,7 +38,7 @@
 
   private readonly definitions = new Map<string, string>();
 
-  private readonly records = new Map<string, VersionedRecord>();
+  private readonly records = new Map<string, RecordUpdate>();
 
   private readonly callers = new Set<CallerConnection>();
 
@@ -53,6 +57,7 @@
     await Promise.all([
       this.listen(callerServer, settings.callerPort),
       this.listen(metricsServer, settings.metricsPort),
+      this.parts.peering?.start(),
     ]);
     this.stopSources = this.parts.startSources(this);
     const callerPort = this.readCallerPort();
@@ -67,6 +72,10 @@
     return (this.parts.metricsServer.address() as AddressInfo).port;
   }
 
+  get peering(): Peering | undefined {
+    return this.parts.peering;
+  }
+
   readConfiguration(): Configuration {
     return this.configuration;
   }
@@ -90,7 +99,14 @@
     configuration.groups.forEach((group) => this.updateGroup(group));
   }
 
+  /** The newest records known, for peers. */
+  listRecords(): readonly RecordUpdate[] {
+    return [...this.records.values()];
+  }
+
+  /** Takes in a record from the platform or a peer; an older version changes nothing. */
   handleRecord(record: GroupRecord, version: number): void {
+    if (version <= (this.records.get(record.group)?.version ?? -1)) return;
     this.records.set(record.group, { record, version });
     this.groups.get(record.group)?.handleRecord(record, version);
   }
@@ -114,6 +130,7 @@
 
   stop(): void {
     this.stopSources();
+    this.parts.peering?.stop();
     this.callers.forEach((caller) => caller.close());
     this.groups.forEach((group) => group.stop());
     this.groups.clear();
--- a/packages/daemon/src/errors.ts
+++ b/packages/daemon/src/errors.ts
@@ -14,3 +14,6 @@
 
 /** Work was refused; it did not run. */
 export const RefusedError = DaemonError.subclass('RefusedError');
+
+/** A call to a peer failed or its port cannot be opened. */
+export const PeerError = DaemonError.subclass('PeerError');
--- a/packages/daemon/src/failover.ts
+++ b/packages/daemon/src/failover.ts
@@ -74,7 +74,7 @@
     return this.coordinator.findObservation(now);
   }
 
-  private get name(): string {
+  get name(): string {
     return this.options.group.name;
   }
 
--- a/packages/daemon/src/metrics.ts
+++ b/packages/daemon/src/metrics.ts
@@ -20,6 +20,11 @@
     'outcome',
   ]);
 
+  readonly peerCalls = this.createCounter('peer_calls_total', 'Calls to peers', [
+    'call',
+    'outcome',
+  ]);
+
   readonly failovers = this.createCounter('failover_steps_total', 'Failover actions', ['action']);
 
   readonly callers = new Gauge({
--- /dev/null
+++ b/packages/daemon/src/peerlink.ts
@@ -0,0 +1,113 @@
+import { type ChannelCredentials, Client, type MethodDefinition } from '@grpc/grpc-js';
+import {
+  type BorrowGrant,
+  type BorrowRequest,
+  type Clock,
+  type MemberUpdate,
+  type Millis,
+  type PeerExchange,
+  PeerLink,
+  type Vm,
+} from '@shallotpick/core';
+import {
+  decodeExchange,
+  decodeGrant,
+  decodePing,
+  encodeBorrow,
+  encodeExchange,
+  encodePing,
+  MAX_PEER_MESSAGE_BYTES,
+  PEER_SERVICE,
+} from '@shallotpick/wire';
+import { PeerError } from './errors.js';
+import type { Metrics } from './metrics.js';
+
+/** Long enough for a note of 1 MB between regions. */
+const EXCHANGE_TIMEOUT_MS: Millis = 2_000;
+const BORROW_TIMEOUT_MS: Millis = 1_000;
+const PING_TIMEOUT_MS: Millis = 1_000;
+
+/** gRPC's own bounds (1 s to 2 min) would hide a restarted peer for minutes. */
+const RECONNECT_MIN_MS: Millis = 100;
+const RECONNECT_MAX_MS: Millis = 1_000;
+
+export interface PeerLinkOptions {
+  readonly self: string;
+  readonly vm: Vm;
+  readonly clock: Clock;
+  readonly metrics: Metrics;
+  readonly credentials: ChannelCredentials;
+  /** Name in the certificates of peers; undefined without TLS. */
+  readonly peerName?: string | undefined;
+}
+
+/** The calls to one peer over gRPC. */
+export class GrpcPeerLink extends PeerLink {
+  private readonly client: Client;
+
+  constructor(private readonly options: PeerLinkOptions) {
+    super();
+    const { vm, credentials, peerName } = options;
+    this.client = new Client(`${vm.host}:${vm.peerPort}`, credentials, {
+      'grpc.initial_reconnect_backoff_ms': RECONNECT_MIN_MS,
+      'grpc.min_reconnect_backoff_ms': RECONNECT_MIN_MS,
+      'grpc.max_reconnect_backoff_ms': RECONNECT_MAX_MS,
+      'grpc.max_receive_message_length': MAX_PEER_MESSAGE_BYTES,
+      'grpc.use_local_subchannel_pool': 1,
+      'grpc.enable_http_proxy': 0,
+      ...(peerName === undefined ? {} : { 'grpc.ssl_target_name_override': peerName }),
+    });
+  }
+
+  /** Checks that the peer is alive; both sides pass on membership changes. */
+  async ping(members: readonly MemberUpdate[]): Promise<readonly MemberUpdate[]> {
+    const { self, vm } = this.options;
+    const message = encodePing(self, members);
+    const answer = decodePing(await this.call(PEER_SERVICE.ping, message, PING_TIMEOUT_MS));
+    if (answer.from !== vm.id) {
+      throw new PeerError(`the daemon at ${vm.host}:${vm.peerPort} is ${answer.from}`);
+    }
+    return answer.members;
+  }
+
+  async exchange(message: PeerExchange): Promise<PeerExchange> {
+    const { clock } = this.options;
+    const sent = encodeExchange(message, clock.readNow());
+    const answer = await this.call(PEER_SERVICE.exchange, sent, EXCHANGE_TIMEOUT_MS);
+    return decodeExchange(answer, clock.readNow());
+  }
+
+  async borrow(request: BorrowRequest): Promise<BorrowGrant> {
+    const sent = encodeBorrow(request);
+    return decodeGrant(await this.call(PEER_SERVICE.borrow, sent, BORROW_TIMEOUT_MS));
+  }
+
+  close(): void {
+    this.client.close();
+  }
+
+  private async call<I, O>(
+    method: MethodDefinition<I, O>,
+    message: I,
+    timeoutMs: Millis,
+  ): Promise<O> {
+    const call = method.path.slice(method.path.lastIndexOf('/') + 1).toLowerCase();
+    const { path, requestSerialize, responseDeserialize } = method;
+    return new Promise((resolve, reject) => {
+      const options = { deadline: Date.now() + timeoutMs };
+      this.client.makeUnaryRequest(
+        path,
+        requestSerialize,
+        responseDeserialize,
+        message,
+        options,
+        (cause, answer) => {
+          this.options.metrics.peerCalls.inc({ call, outcome: cause ? 'failed' : 'answered' });
+          if (cause || answer === undefined) {
+            reject(new PeerError(`${this.options.vm.id} did not answer a ${call}`, { cause }));
+          } else resolve(answer);
+        },
+      );
+    });
+  }
+}
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -1,16 +1,43 @@
 import { parseArgs } from 'node:util';
+import type { Vm } from '@shallotpick/core';
 import { z } from 'zod';
 import { SettingError } from './errors.js';
 
 const port = z.coerce.number().int().min(0).max(65_535);
 const id = z.string().regex(/^[a-z][a-z0-9-]{0,62}$/, 'lower-case letters, digits and hyphens');
 
-const settingsSchema = z.object({
+const file = z.string().min(1).optional();
+const PEER = /^([a-z][a-z0-9-]{0,62})@([a-z][a-z0-9-]{0,62})@([^@\s]+):(\d{1,5})$/;
+
+/** `id@zone@host:port,...` */
+const peers = z
+  .string()
+  .default('')
+  .transform((text, context): readonly Vm[] =>
+    text.split(',').flatMap((entry) => {
+      if (entry.trim() === '') return [];
+      const [, peer = '', zone = '', host = '', peerPort] = PEER.exec(entry.trim()) ?? [];
+      const parsed = port.min(1).safeParse(peerPort);
+      if (peer && parsed.success) return [{ id: peer, zone, host, peerPort: parsed.data }];
+      context.addIssue({ code: 'custom', message: `"${entry}" is not id@zone@host:port` });
+      return [];
+    }),
+  );
+
+const settingsShape = z.object({
   vm: id,
   zone: id,
   host: z.string().min(1).default('127.0.0.1'),
   callerPort: port.default(6432),
   metricsPort: port.default(9432),
+  /** Port for other daemons; without it the daemon works alone. */
+  peerPort: port.optional(),
+  peers,
+  tlsPeerKey: file,
+  tlsPeerCert: file,
+  tlsPeerCa: file,
+  /** DNS name that the certificates of all peers carry. */
+  tlsPeerName: z.string().min(1).default('shallotpick-peer'),
   platformUrl: z.url(),
   instanceUser: z.string().min(1).default('shallotpick'),
   maxCallers: z.coerce.number().int().min(1).max(1_000_000).default(20_000),
@@ -19,17 +46,29 @@
   logLevel: z.enum(['error', 'warn', 'info', 'debug']).default('info'),
 });
 
+/** `callerPort` as the flag `caller-port`. */
+function toFlag(name: string): string {
+  return name.replace(/[A-Z]/g, (letter) => `-${letter.toLowerCase()}`);
+}
+
+/** Settings that only make sense together. */
+const TOGETHER = [['tlsPeerKey', 'tlsPeerCert', 'tlsPeerCa']] as const;
+
+const settingsSchema = settingsShape.superRefine((settings, context) => {
+  TOGETHER.forEach((names) => {
+    const missing = names.filter((name) => settings[name] === undefined);
+    if (missing.length === 0 || missing.length === names.length) return;
+    const message = `must be set together with ${names.map(toFlag).join(', ')}`;
+    missing.forEach((name) => context.addIssue({ code: 'custom', path: [name], message }));
+  });
+});
+
 /** Settings of one daemon; see docs/operators.md. */
 export type Settings = Readonly<z.infer<typeof settingsSchema>>;
 
 type SettingName = keyof Settings;
 
-const SETTING_NAMES = Object.keys(settingsSchema.shape) as readonly SettingName[];
-
-/** `callerPort` as the flag `caller-port`. */
-function toFlag(name: string): string {
-  return name.replace(/[A-Z]/g, (letter) => `-${letter.toLowerCase()}`);
-}
+const SETTING_NAMES = Object.keys(settingsShape.shape) as readonly SettingName[];
 
 /** `callerPort` as the variable `SHALLOTPICK_CALLER_PORT`. */
 function toVariable(name: string): string {
--- /dev/null
+++ b/packages/daemon/src/tls.ts
@@ -0,0 +1,184 @@
+import { readFileSync } from 'node:fs';
+import { readFile } from 'node:fs/promises';
+import { createSecureContext, type SecureContext } from 'node:tls';
+import {
+  ChannelCredentials,
+  experimental,
+  type ServerCredentials,
+  ServerCredentials as Credentials,
+} from '@grpc/grpc-js';
+import type { Millis } from '@shallotpick/core';
+import { SettingError } from './errors.js';
+import type { Log } from './log.js';
+
+/** Files are read again this often; a few small reads cost less than a watcher that misses a
+ * rename of a mounted directory. */
+const RELOAD_INTERVAL_MS: Millis = 1_000;
+
+/** Paths of PEM files. */
+export interface CertificatePaths {
+  readonly key: string;
+  readonly cert: string;
+  readonly ca?: string | undefined;
+}
+
+/** The contents of the files. */
+export interface Certificates {
+  readonly key: Buffer;
+  readonly cert: Buffer;
+  readonly ca?: Buffer | undefined;
+}
+
+type Listener = (certificates: Certificates) => void;
+
+/** Blocks; used before the daemon serves anybody, so that a bad file stops the start. */
+function loadCertificates({ key, cert, ca }: CertificatePaths): Certificates {
+  const read = (path: string): Buffer => readFileSync(path); // eslint-disable-line n/no-sync
+  return { key: read(key), cert: read(cert), ca: ca === undefined ? undefined : read(ca) };
+}
+
+async function readCertificates(paths: CertificatePaths): Promise<Certificates> {
+  const [key, cert, ca] = await Promise.all([
+    readFile(paths.key),
+    readFile(paths.cert),
+    paths.ca === undefined ? undefined : readFile(paths.ca),
+  ]);
+  return { key, cert, ca };
+}
+
+function isEqual(a: Certificates, b: Certificates): boolean {
+  const sameCa = a.ca === b.ca || (a.ca !== undefined && b.ca !== undefined && a.ca.equals(b.ca));
+  return a.key.equals(b.key) && a.cert.equals(b.cert) && sameCa;
+}
+
+/**
+ * Key and certificate files that are loaded again when they change. Files that do not fit
+ * together, as in the middle of a rotation, are not taken over.
+ */
+export class CertificateFiles {
+  private current: Certificates;
+
+  private context: SecureContext;
+
+  private readonly listeners = new Set<Listener>();
+
+  private readonly timer: NodeJS.Timeout;
+
+  /** @throws SettingError when the files cannot be read or do not fit together. */
+  constructor(
+    private readonly paths: CertificatePaths,
+    private readonly log: Log,
+  ) {
+    try {
+      this.current = loadCertificates(paths);
+      this.context = createSecureContext(this.current);
+    } catch (cause) {
+      const reason = cause instanceof Error ? cause.message : String(cause);
+      throw new SettingError(`TLS files of ${paths.cert} cannot be used: ${reason}`, { cause });
+    }
+    this.timer = setInterval(() => {
+      this.load().catch((error: unknown) => log.error('TLS files', { error: String(error) }));
+    }, RELOAD_INTERVAL_MS).unref();
+  }
+
+  /** The context for new connections. */
+  get secureContext(): SecureContext {
+    return this.context;
+  }
+
+  get certificates(): Certificates {
+    return this.current;
+  }
+
+  /** Reads the files again and takes over a changed set that is valid. */
+  async load(): Promise<void> {
+    try {
+      const read = await readCertificates(this.paths);
+      if (isEqual(read, this.current)) return;
+      this.context = createSecureContext(read);
+      this.current = read;
+      this.log.info('TLS files loaded', { cert: this.paths.cert });
+      this.listeners.forEach((listener) => listener(read));
+    } catch (error) {
+      this.log.warn('TLS files not taken over', { cert: this.paths.cert, error: String(error) });
+    }
+  }
+
+  addListener(listener: Listener): void {
+    this.listeners.add(listener);
+  }
+
+  stop(): void {
+    clearInterval(this.timer);
+  }
+}
+
+/**
+ * Feeds gRPC with certificate files. A new listener is called after the current task, because
+ * grpc-js registers its server only after it has registered the listener.
+ */
+class FileProvider implements experimental.CertificateProvider {
+  private readonly caListeners = new Set<experimental.CaCertificateUpdateListener>();
+
+  private readonly listeners = new Set<experimental.IdentityCertificateUpdateListener>();
+
+  constructor(private readonly files: CertificateFiles) {
+    files.addListener(() => {
+      this.caListeners.forEach((listener) => listener(this.toCaUpdate()));
+      this.listeners.forEach((listener) => listener(this.toUpdate()));
+    });
+  }
+
+  addCaCertificateListener(listener: experimental.CaCertificateUpdateListener): void {
+    this.caListeners.add(listener);
+    queueMicrotask(() => listener(this.toCaUpdate()));
+  }
+
+  removeCaCertificateListener(listener: experimental.CaCertificateUpdateListener): void {
+    this.caListeners.delete(listener);
+  }
+
+  addIdentityCertificateListener(listener: experimental.IdentityCertificateUpdateListener): void {
+    this.listeners.add(listener);
+    queueMicrotask(() => listener(this.toUpdate()));
+  }
+
+  removeIdentityCertificateListener(
+    listener: experimental.IdentityCertificateUpdateListener,
+  ): void {
+    this.listeners.delete(listener);
+  }
+
+  private toCaUpdate(): experimental.CaCertificateUpdate | null {
+    const { ca } = this.files.certificates;
+    return ca ? { caCertificate: ca } : null;
+  }
+
+  private toUpdate(): experimental.IdentityCertificateUpdate {
+    const { key, cert } = this.files.certificates;
+    return { certificate: cert, privateKey: key };
+  }
+}
+
+/** Credentials of both directions between daemons. */
+export interface PeerCredentials {
+  readonly server: ServerCredentials;
+  readonly channel: ChannelCredentials;
+}
+
+/**
+ * Creates mutual TLS credentials from files that include a CA, or cleartext credentials without
+ * files. The server refuses a client whose certificate the CA has not signed.
+ */
+export function createPeerCredentials(files: CertificateFiles | undefined): PeerCredentials {
+  if (!files) {
+    return { server: Credentials.createInsecure(), channel: ChannelCredentials.createInsecure() };
+  }
+  // One provider serves both arguments, whose order differs between the declaration and the
+  // implementation of grpc-js.
+  const provider = new FileProvider(files);
+  return {
+    server: experimental.createCertificateProviderServerCredentials(provider, provider, true),
+    channel: experimental.createCertificateProviderChannelCredentials(provider, provider, {}),
+  };
+}
--- a/packages/daemon/src/wiring.ts
+++ b/packages/daemon/src/wiring.ts
@@ -1,20 +1,87 @@
 import { randomUUID } from 'node:crypto';
 import { createServer } from 'node:net';
-import { type DatabaseGroup, type DatabaseInstance, FixedMembership } from '@shallotpick/core';
+import {
+  type Clock,
+  type DatabaseGroup,
+  type DatabaseInstance,
+  type ExchangeFeature,
+  FixedMembership,
+  type MembershipView,
+  type Vm,
+} from '@shallotpick/core';
 import { SystemClock } from './clock.js';
 import { ControlLink } from './control.js';
 import { Daemon } from './daemon.js';
 import { FailoverDriver } from './failover.js';
 import { GroupServer } from './group.js';
 import { createHealthServer } from './health.js';
-import { createLog } from './log.js';
+import { createLog, type Log } from './log.js';
 import { Metrics } from './metrics.js';
+import { ObservationFeature } from './observations.js';
+import { Peering } from './peering.js';
+import { GrpcPeerLink } from './peerlink.js';
+import { PeerHub } from './peers.js';
+import { PeerServer } from './peerserver.js';
 import { HttpPlatform } from './platform.js';
 import { ConnectionPool } from './pool.js';
 import type { Settings } from './settings.js';
 import { StatusBoard } from './status.js';
+import { CertificateFiles, createPeerCredentials } from './tls.js';
 import { PlatformWatcher } from './watcher.js';
 
+interface PeeringParts {
+  readonly settings: Settings;
+  readonly membership: MembershipView;
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly metrics: Metrics;
+  readonly findDaemon: () => Daemon;
+  /** More subjects of the exchange than the observations. */
+  readonly features: readonly ExchangeFeature[];
+}
+
+function createPeering(parts: PeeringParts): Peering | undefined {
+  const { settings, membership, clock, log, metrics, findDaemon } = parts;
+  if (settings.peerPort === undefined) return undefined;
+  const { tlsPeerKey: key, tlsPeerCert: cert, tlsPeerCa: ca, host, vm: self } = settings;
+  const files = key && cert ? new CertificateFiles({ key, cert, ca }, log) : undefined;
+  if (!files) log.warn('no TLS between daemons; anyone who reaches the peer port is a peer');
+  const peerName = files && settings.tlsPeerName;
+  const credentials = createPeerCredentials(files);
+  const observations = new ObservationFeature({
+    membership,
+    listGroups: () =>
+      findDaemon()
+        .listGroups()
+        .map(({ failover }) => failover),
+    listRecords: () => findDaemon().listRecords(),
+    handleRecord: (record, version) => findDaemon().handleRecord(record, version),
+  });
+  const findVm = (id: string): Vm | undefined => membership.listLive().find((vm) => vm.id === id);
+  const hub = new PeerHub({
+    self,
+    clock,
+    log,
+    features: [observations, ...parts.features],
+    createLink: (vm) =>
+      new GrpcPeerLink({ self, vm, clock, metrics, credentials: credentials.channel, peerName }),
+    listPartners: () => membership.listLive().filter(({ id }) => id !== self),
+    findVm,
+    readNoteNumber: () => findDaemon().readConfiguration().number,
+    hasNews: (now) => observations.hasNews(now),
+    handlePing: () => [],
+  });
+  const server = new PeerServer({
+    self,
+    clock,
+    log,
+    credentials: credentials.server,
+    peerName,
+    handler: hub,
+  });
+  return new Peering({ hub, server, host, port: settings.peerPort, files });
+}
+
 /** Constructs a daemon with its real adapters. */
 export function createDaemon(settings: Settings): Daemon {
   const { vm, zone, instanceUser } = settings;
@@ -33,7 +100,8 @@
     );
   const createPool = (instance: DatabaseInstance, database: string): ConnectionPool =>
     new ConnectionPool({ instance, database, user: instanceUser, applicationName });
-  const membership = new FixedMembership({ id: vm, zone, host: settings.host, peerPort: 0 });
+  const self: Vm = { id: vm, zone, host: settings.host, peerPort: settings.peerPort ?? 0 };
+  const membership = new FixedMembership(self, settings.peers);
   const createGroup = (group: DatabaseGroup): GroupServer => {
     const links = createLinks(group);
     const shared = { group, clock, log, metrics };
@@ -62,11 +130,10 @@
     return () => watcher.stop();
   };
 
+  const shared = { settings, clock, log, metrics };
   const daemon: Daemon = new Daemon({
-    settings,
-    clock,
-    log,
-    metrics,
+    ...shared,
+    peering: createPeering({ ...shared, membership, features: [], findDaemon: () => daemon }),
     callerServer: createServer(),
     metricsServer: createHealthServer(metrics, () => daemon.isReady()),
     createGroup,
--- /dev/null
+++ b/packages/daemon/test/observations.spec.ts
@@ -0,0 +1,103 @@
+import { expect } from 'earl';
+import { FixedMembership, type PrimaryObservation, type RecordUpdate } from '@shallotpick/core';
+import { ObservationFeature, type ObservedGroup } from '../src/observations.js';
+import { mergeExchanges } from '../src/peers.js';
+
+const toVm = (index: number) => ({
+  id: `vm-${index}`,
+  zone: `z-${index % 3}`,
+  host: '127.0.0.1',
+  peerPort: 1 + index,
+});
+
+class FakeGroup implements ObservedGroup {
+  reachable = true;
+
+  readonly heard: PrimaryObservation[] = [];
+
+  constructor(
+    readonly name: string,
+    private readonly vm: string,
+  ) {}
+
+  findObservation(now: number): PrimaryObservation {
+    const { name: group, vm, reachable } = this;
+    return { vm, zone: 'z', group, term: 1, reachable, observedAt: now };
+  }
+
+  handleObservation(observation: PrimaryObservation): void {
+    this.heard.push(observation);
+  }
+}
+
+function createNode(index: number, fleet: number) {
+  const others = Array.from({ length: fleet }, (_, one) => toVm(one)).filter(
+    ({ id }) => id !== `vm-${index}`,
+  );
+  const groups = Array.from({ length: 3 }, (_, one) => new FakeGroup(`g-${one}`, `vm-${index}`));
+  const records: RecordUpdate[] = [];
+  const handled: string[] = [];
+  const feature = new ObservationFeature({
+    membership: new FixedMembership(toVm(index), others),
+    listGroups: () => groups,
+    listRecords: () => records,
+    handleRecord: (record, version) => handled.push(`${record.group}@${version}`),
+  });
+  return { feature, groups, records, handled };
+}
+
+const toRecord = (group: string, version: number): RecordUpdate => ({
+  record: { group, term: 1, phase: 'named', primary: 'i', attempt: 'a', writer: 'vm-9' },
+  version,
+});
+
+describe('ObservationFeature', () => {
+  // Guards against a failover that rests on the view of one zone, and on lost records.
+  it('tells peers the state of each primary and the records', () => {
+    const [a, b] = [createNode(0, 4), createNode(1, 4)];
+    a.records.push(toRecord('g-0', 5));
+    b.feature.handle(mergeExchanges('vm-0', 0, [a.feature.collect('vm-1', undefined, 10)]));
+    expect(b.groups.map(({ heard }) => heard.map(({ vm }) => vm))).toEqual([
+      ['vm-0'],
+      ['vm-0'],
+      ['vm-0'],
+    ]);
+    expect(b.handled).toEqual(['g-0@5']);
+  });
+
+  // Guards against news of a lost primary that waits for the next round or repeats for ever.
+  it('reports each change of a primary once', () => {
+    const { feature, groups } = createNode(0, 4);
+    expect(feature.hasNews(0)).toEqual(false);
+    groups.slice(0, 1).forEach((group) => Object.assign(group, { reachable: false }));
+    expect([feature.hasNews(1), feature.hasNews(2)]).toEqual([true, false]);
+    groups.slice(0, 1).forEach((group) => Object.assign(group, { reachable: true }));
+    expect([feature.hasNews(3), feature.hasNews(4)]).toEqual([true, false]);
+  });
+
+  // Guards against a message whose size grows with the fleet, and a lost contradiction.
+  it('tells a large fleet only of lost primaries, and contradicts such a report', () => {
+    const [a, b] = [createNode(0, 100), createNode(1, 100)];
+    expect(a.feature.collect('vm-1', undefined, 0).observations).toEqual([]);
+    a.groups.slice(0, 1).forEach((group) => Object.assign(group, { reachable: false }));
+    a.feature.hasNews(0);
+    const watcher = a.feature.listWatchers()[0] ?? '';
+    const report = mergeExchanges('vm-0', 0, [a.feature.collect(watcher, undefined, 0)]);
+    expect(report.observations.map(({ group }) => group)).toEqual(['g-0']);
+    const answer = b.feature.collect('vm-0', report, 0).observations;
+    expect(answer.map(({ group, reachable }) => [group, reachable])).toEqual([['g-0', true]]);
+  });
+
+  // Guards against records that never reach a peer because each message has room for a few.
+  it('passes every record on within a few rounds', () => {
+    const { feature, records } = createNode(0, 4);
+    records.push(...Array.from({ length: 50 }, (_, index) => toRecord(`g-${index}`, 1)));
+    const sent = new Set<string>();
+    for (let round = 0; round < 12; round++) {
+      const part = feature.collect('vm-1', undefined, round * 20_000);
+      expect(part.records.length <= 16).toEqual(true);
+      part.records.forEach(({ record }) => sent.add(record.group));
+    }
+    expect(sent.size).toEqual(50);
+  });
+});
--- /dev/null
+++ b/packages/daemon/test/peers.spec.ts
@@ -0,0 +1,165 @@
+import { expect } from 'earl';
+import { copyFile } from 'node:fs/promises';
+import { ChannelCredentials } from '@grpc/grpc-js';
+import { ExchangeFeature, type Millis, type PeerExchange, type Vm } from '@shallotpick/core';
+import { SystemClock } from '../src/clock.js';
+import { createLog } from '../src/log.js';
+import { Metrics } from '../src/metrics.js';
+import { GrpcPeerLink } from '../src/peerlink.js';
+import { PeerHub } from '../src/peers.js';
+import { PeerServer } from '../src/peerserver.js';
+import { CertificateFiles, type CertificatePaths, createPeerCredentials } from '../src/tls.js';
+import { type Authority, createAuthority } from './certificates.js';
+
+const PEER_NAME = 'shallotpick-peer';
+const clock = new SystemClock();
+const metrics = new Metrics();
+const log = createLog('debug', 'test');
+log.silent = !process.env.LOGS;
+
+class NoteFeature extends ExchangeFeature {
+  readonly heard: string[] = [];
+
+  constructor(private readonly text: string) {
+    super();
+  }
+
+  collect(): Partial<PeerExchange> {
+    return { notes: [{ number: 1, text: this.text }] };
+  }
+
+  handle(message: PeerExchange): void {
+    this.heard.push(`${message.from}:${message.notes[0]?.text}`);
+  }
+}
+
+class FaultyFeature extends ExchangeFeature {
+  collect(_peer: string, _heard: PeerExchange | undefined, _now: Millis): Partial<PeerExchange> {
+    throw new Error('fault in collect');
+  }
+
+  handle(): void {
+    throw new Error('fault in handle');
+  }
+}
+
+interface Node {
+  readonly vm: Vm;
+  readonly feature: NoteFeature;
+  readonly hub: PeerHub;
+  readonly files: CertificateFiles | undefined;
+  stop(): void;
+}
+
+async function startNode(id: string, paths: CertificatePaths | undefined): Promise<Node> {
+  const files = paths && new CertificateFiles(paths, log);
+  const { server: serverCredentials, channel } = createPeerCredentials(files);
+  const peerName = files && PEER_NAME;
+  const feature = new NoteFeature(`from ${id}`);
+  const hub = new PeerHub({
+    self: id,
+    clock,
+    log,
+    features: [new FaultyFeature(), feature],
+    createLink: (vm) =>
+      new GrpcPeerLink({ self: id, vm, clock, metrics, credentials: channel, peerName }),
+    listPartners: () => [],
+    findVm: () => undefined,
+    readNoteNumber: () => 7,
+    hasNews: () => false,
+    handlePing: () => [],
+  });
+  const credentials = serverCredentials;
+  const server = new PeerServer({ self: id, clock, log, credentials, peerName, handler: hub });
+  const peerPort = await server.start('127.0.0.1', 0);
+  const stop = (): void => {
+    hub.stop();
+    server.stop();
+    files?.stop();
+  };
+  return { vm: { id, zone: 'z', host: '127.0.0.1', peerPort }, feature, hub, files, stop };
+}
+
+const createStranger = (vm: Vm, credentials: ChannelCredentials): GrpcPeerLink =>
+  new GrpcPeerLink({ self: 'stranger', vm, clock, metrics, credentials, peerName: PEER_NAME });
+
+describe('PeerHub', () => {
+  let authority: Authority;
+  let other: Authority;
+  const nodes: Node[] = [];
+
+  before(async () => {
+    [authority, other] = await Promise.all([createAuthority(), createAuthority()]);
+  });
+
+  afterEach(() => nodes.splice(0).forEach((node) => node.stop()));
+
+  after(() => Promise.all([authority.remove(), other.remove()]));
+
+  const start = async (id: string, paths: CertificatePaths | undefined): Promise<Node> => {
+    const node = await startNode(id, paths);
+    nodes.push(node);
+    return node;
+  };
+
+  const waitUntil = async (check: () => boolean): Promise<void> => {
+    while (!check()) {
+      await new Promise((resolve) => {
+        setTimeout(resolve, 2);
+      });
+    }
+  };
+
+  // Guards against messages that reach only one side, and a faulty feature that stops the rest.
+  it('exchanges what the features have over mutual TLS', async () => {
+    const paths = await authority.issue('both', PEER_NAME);
+    const [a, b] = [await start('vm-a', paths), await start('vm-b', paths)];
+    a.hub.push([b.vm]);
+    await waitUntil(() => a.feature.heard.length > 0);
+    expect(a.feature.heard).toEqual(['vm-b:from vm-b']);
+    expect(b.feature.heard).toEqual(['vm-a:from vm-a']);
+  });
+
+  // Guards against a peer port that serves anybody who can reach it.
+  it('refuses callers without the certificate of a peer', async () => {
+    const { vm } = await start('vm-a', await authority.issue('server', PEER_NAME));
+    const read = async (paths: CertificatePaths): Promise<ChannelCredentials> =>
+      createPeerCredentials(new CertificateFiles(paths, log)).channel;
+    const peer = createStranger(vm, await read(await authority.issue('peer', PEER_NAME)));
+    expect(await peer.ping([])).toEqual([]);
+    peer.close();
+    const foreign = await other.issue('foreign', PEER_NAME);
+    const { ca } = await authority.issue('unused', PEER_NAME);
+    const links = [
+      createStranger(vm, ChannelCredentials.createInsecure()),
+      createStranger(vm, await read({ ...foreign, ca })),
+      createStranger(vm, await read(await authority.issue('caller', 'callers'))),
+    ];
+    for (const link of links) {
+      await expect(link.ping([])).toBeRejectedWith('vm-a did not answer a ping');
+      link.close();
+    }
+  });
+
+  // Guards against a daemon that must restart when its certificates are replaced.
+  it('takes over replaced certificate files', async () => {
+    const served = await authority.issue('served', PEER_NAME);
+    const { vm, files } = await start('vm-a', served);
+    const replacement = await other.issue('replacement', PEER_NAME);
+    const { channel } = createPeerCredentials(new CertificateFiles(replacement, log));
+    const early = createStranger(vm, channel);
+    await expect(early.ping([])).toBeRejected();
+    early.close();
+    await copyFile(replacement.key, served.key);
+    await files?.load();
+    const half = createStranger(vm, channel);
+    await expect(half.ping([])).toBeRejected();
+    half.close();
+    await copyFile(replacement.cert, served.cert);
+    await copyFile(replacement.ca, served.ca);
+    await files?.load();
+    const late = createStranger(vm, channel);
+    expect(await late.ping([])).toEqual([]);
+    late.close();
+  });
+});
