Split query texts and make the stand-in follow implicit transactions

Cause: a text of several statements was classified by its first statement only, so 'SELECT 1; DELETE ...' was routed and retried as a read. The stand-in committed each statement of a Query or series on its own, ignored SET, and had no cancel requests. Change: core scans quotes, nested comments and semicolons and classifies every statement; a read that calls an unknown function is marked mayWrite. New RetryBudget, createBackoff and SessionFloors. The stand-in has implicit transactions, parameters, portals with limits, cancel requests and connection faults for tests.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -20,7 +20,7 @@
   parsePosition,
 } from './position.js';
 export type { LogPosition } from './position.js';
-export { classifyStatement } from './statement.js';
+export { classifyStatement, classifyStatements } from './statement.js';
 export type { Statement, StatementKind } from './statement.js';
 export { AdmissionQueue } from './admission.js';
 export type { AdmissionDecision, AdmissionOptions, Capacity, Work } from './admission.js';
@@ -64,3 +64,8 @@
 } from './peer.js';
 export { FixedMembership, MembershipView } from './vm.js';
 export type { Vm } from './vm.js';
+export { SessionFloors } from './floor.js';
+export { createBackoff, RetryBudget } from './retry.js';
+export type { BackoffOptions, RetryBudgetOptions } from './retry.js';
+export { parseScript } from './scan.js';
+export type { ScannedStatement } from './scan.js';
--- a/packages/core/test/statement.spec.ts
+++ b/packages/core/test/statement.spec.ts
@@ -1,7 +1,7 @@
 import { expect } from 'earl';
-import { classifyStatement } from '../src/index.js';
+import { classifyStatements } from '../src/index.js';
 
-describe('classifyStatement', () => {
+describe('classifyStatements', () => {
   // A write that is routed as a read would skip the wait for a majority.
   it('tells reads from writes and reads the hints of the leading comment', function () {
     const sources = [
@@ -20,7 +20,13 @@
       'WITH gone AS (DELETE FROM items RETURNING 1) SELECT * FROM gone',
       '  ',
       'SELECT 1; DELETE FROM items',
+      "SELECT 'a;b', $x$;$x$ /* ; /* ; */ */ FROM items; -- end;\n",
+      'SELECT count(*), lower(name) FROM items WHERE id IN (1, 2)',
+      'SELECT book_seat(7)',
+      "SELECT 'for update' FROM items FOR /* now */ UPDATE",
+      "SELECT set_config('search_path', 'other', false)",
+      'COMMIT PREPARED one',
     ];
-    expect(sources.map(classifyStatement)).toMatchSnapshot(this);
+    expect(sources.flatMap(classifyStatements)).toMatchSnapshot(this);
   });
 });
--- a/packages/standin/src/backend.ts
+++ b/packages/standin/src/backend.ts
@@ -1,6 +1,7 @@
+import { randomInt } from 'node:crypto';
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { Socket } from 'node:net';
-import { match, P } from 'ts-pattern';
+import { parseScript } from '@shallotpick/core';
 import {
   BACKEND,
   CONTROL_USER,
@@ -8,12 +9,10 @@
   encodeBackendKeyData,
   encodeBare,
   encodeColumns,
-  encodeCommandComplete,
   encodeError,
   encodeParameters,
   encodeParameterStatus,
   encodeReady,
-  encodeRow,
   type Frame,
   FrameReader,
   FRONTEND,
@@ -22,25 +21,13 @@
   parseQuery,
   parseStartup,
   parseTarget,
-  type TransactionState,
 } from '@shallotpick/wire';
 import { parseBindValues } from './bind.js';
+import { Executor, type Failure, type Portal } from './executor.js';
 import type { StandinInstance } from './instance.js';
-import { countParameters, listColumns, parseStatement, type Query } from './query.js';
-import type { RowChange } from './store.js';
+import { countParameters, listColumns, parseStatement } from './query.js';
 
-interface Failure {
-  readonly code: string;
-  readonly message: string;
-}
-
-interface Portal {
-  readonly text: string;
-  readonly values: readonly (string | null)[];
-}
-
-const READ_ONLY: Failure = { code: '25006', message: 'cannot write on a read-only instance' };
-const ABORTED: Failure = { code: '25P02', message: 'current transaction is aborted' };
+const MAX_SECRET = 2 ** 31 - 1;
 
 let nextProcessId = 1;
 
@@ -54,12 +41,6 @@
 
   private readonly reader = new FrameReader(false, MAX_STARTUP_BYTES);
 
-  private state: TransactionState = 'I';
-
-  private changes: RowChange[] = [];
-
-  private releases: (() => void)[] = [];
-
   private readonly statements = new Map<string, string>();
 
   private readonly portals = new Map<string, Portal>();
@@ -72,11 +53,24 @@
 
   private closed = false;
 
+  private readonly executor: Executor;
+
+  private processId = 0;
+
+  private readonly secret = randomInt(1, MAX_SECRET);
+
   constructor(
     private readonly instance: StandinInstance,
     private readonly socket: Socket,
     private readonly onClose: () => void,
   ) {
+    this.executor = new Executor({
+      instance,
+      isControl: () => this.isControl,
+      send: (bytes) => this.output.push(bytes),
+      flush: () => this.flush(),
+      drop: () => this.drop(),
+    });
     socket.setNoDelay(true);
     socket.on('data', (chunk) => {
       this.reader.add(chunk);
@@ -90,6 +84,15 @@
     this.socket.destroy();
   }
 
+  hasKey(processId: number, secret: number): boolean {
+    return this.processId === processId && this.secret === secret;
+  }
+
+  /** Interrupts the running statement. */
+  cancel(): void {
+    this.executor.cancel();
+  }
+
   /** Goes on with messages that waited, for instance after a pause. */
   wake(): void {
     if (this.handling) return;
@@ -103,10 +106,17 @@
 
   private handleClose(): void {
     this.closed = true;
-    this.finishTransaction();
+    this.executor.close();
     this.onClose();
   }
 
+  private drop(): void {
+    this.output = [];
+    this.closed = true;
+    this.executor.close();
+    this.socket.destroy();
+  }
+
   /** True while the process is stopped or the proxy's zone is cut off. */
   private isHeld(): boolean {
     return this.instance.paused || this.instance.cutZones.has(this.zone);
@@ -131,6 +141,7 @@
       return;
     }
     if (startup.kind === 'cancel') {
+      this.instance.cancel(startup.processId, startup.secret);
       this.socket.end();
       return;
     }
@@ -150,13 +161,14 @@
     }
     this.started = true;
     this.reader.startTyped();
+    this.processId = nextProcessId;
     nextProcessId += 1;
     this.output.push(
       encodeAuthenticationOk(),
       encodeParameterStatus('server_version', '15.0 (stand-in)'),
       encodeParameterStatus('client_encoding', 'UTF8'),
       encodeParameterStatus('standard_conforming_strings', 'on'),
-      encodeBackendKeyData(nextProcessId, nextProcessId),
+      encodeBackendKeyData(this.processId, this.secret),
       encodeReady('I'),
     );
     await this.flush();
@@ -164,9 +176,10 @@
 
   private async handleFrame({ type, body }: Frame): Promise<void> {
     if (type === FRONTEND.sync) {
+      const failure = this.executor.finishImplicit(!this.skipping);
+      if (failure) this.output.push(encodeError({ severity: 'ERROR', ...failure }));
       this.skipping = false;
-      this.output.push(encodeReady(this.state));
-      await this.flush();
+      await this.sendReady();
       return;
     }
     if (type === FRONTEND.terminate) {
@@ -180,19 +193,36 @@
     if (!this.skipping) await this.handleExtended(type, body);
   }
 
+  private async sendReady(): Promise<void> {
+    if (this.executor.state === 'I') this.portals.clear();
+    this.output.push(encodeReady(this.executor.state));
+    await this.flush();
+  }
+
   private async runSimple(source: string): Promise<void> {
-    const texts = source.split(';').filter((text) => text.trim() !== '');
-    if (texts.length === 0) this.output.push(encodeBare(BACKEND.emptyQuery));
+    const texts = parseScript(source).map((statement) => statement.source);
+    if (texts.length > 1) this.executor.startImplicit();
+    // A simple Query ends the unnamed statement.
+    this.statements.delete('');
+    let failure: Failure | undefined;
     for (const text of texts) {
-      if (!(await this.runStatement({ text, values: [] }, true))) break;
+      if (text !== texts[0]) this.executor.startImplicit();
+      failure = await this.executor.run({ text, values: [] }, true);
+      if (failure) break;
     }
-    this.output.push(encodeReady(this.state));
-    await this.flush();
+    const late = this.executor.finishImplicit(!failure);
+    if (failure ?? late) this.fail((failure ?? late) as Failure);
+    this.skipping = false;
+    await this.sendReady();
   }
 
   private async handleExtended(type: number, body: Buffer): Promise<void> {
     if (type === FRONTEND.parse) {
       const { name, text } = parseParse(body);
+      if (name !== '' && this.statements.has(name)) {
+        this.fail({ code: '42P05', message: `prepared statement "${name}" already exists` });
+        return;
+      }
       this.statements.set(name, text);
       this.output.push(encodeBare(BACKEND.parseComplete));
       return;
@@ -212,7 +242,9 @@
     else if (type === FRONTEND.execute) {
       const name = body.toString('utf8', 0, body.indexOf(0));
       const portal = this.portals.get(name);
-      if (portal) await this.runStatement(portal, false);
+      const maxRows = body.readInt32BE(body.indexOf(0) + 1);
+      this.executor.startImplicit();
+      if (portal) await this.runPortal(portal, maxRows);
       else this.fail({ code: '34000', message: `portal "${name}" does not exist` });
     } else if (type === FRONTEND.close) {
       const { kind, name } = parseTarget(body);
@@ -234,181 +266,15 @@
     this.output.push(columns ? encodeColumns(columns) : encodeBare(BACKEND.noData));
   }
 
-  private fail({ code, message }: Failure): false {
-    this.output.push(encodeError({ severity: 'ERROR', code, message }));
-    this.skipping = true;
-    if (this.state === 'T') this.state = 'E';
-    return false;
+  private async runPortal(portal: Portal, maxRows: number): Promise<void> {
+    const failure = await this.executor.run(portal, false, maxRows);
+    if (failure) this.fail(failure);
   }
 
-  private async runStatement(portal: Portal, isSimple: boolean): Promise<boolean> {
-    const { query, costMs } = parseStatement(portal.text, portal.values);
-    if (this.state === 'E' && query.kind !== 'rollback' && query.kind !== 'commit') {
-      return this.finishFailed(ABORTED, isSimple);
-    }
-    const needsSlot = !this.isControl && !['begin', 'set', 'empty'].includes(query.kind);
-    const cost = costMs ?? this.instance.options.statementCostMs;
-    const outcome = needsSlot
-      ? await this.instance.slots.run(async () => {
-          if (cost > 0) await sleep(cost);
-          return this.closed ? ABORTED : this.runQuery(query, isSimple);
-        })
-      : await this.runQuery(query, isSimple);
-    return outcome ? this.finishFailed(outcome, isSimple) : true;
-  }
-
-  private finishFailed(failure: Failure, isSimple: boolean): false {
-    this.fail(failure);
-    if (isSimple) this.skipping = false;
-    return false;
-  }
-
-  private async runQuery(query: Query, isSimple: boolean): Promise<Failure | undefined> {
-    return match(query)
-      .with({ kind: 'begin' }, () => {
-        this.state = 'T';
-        return this.complete('BEGIN');
-      })
-      .with({ kind: 'commit' }, () => this.runCommit())
-      .with({ kind: 'rollback' }, () => {
-        this.finishTransaction();
-        return this.complete('ROLLBACK');
-      })
-      .with({ kind: 'empty' }, () => {
-        this.output.push(encodeBare(BACKEND.emptyQuery));
-        return undefined;
-      })
-      .with({ kind: 'set' }, ({ tag }) => this.complete(tag))
-      .with({ kind: 'put' }, ({ key, value, tag }) => this.write('items', key, value, tag))
-      .with({ kind: 'increment' }, ({ key }) => {
-        const value = String(Number(this.findValue(key) ?? 0) + 1);
-        return this.write('items', key, value, 'UPDATE 1');
-      })
-      .with({ kind: 'once' }, ({ key }) => this.writeOnce(key))
-      .with({ kind: 'unsupported' }, ({ text }): Failure => ({
-        code: '42601',
-        message: `statement is not supported by the stand-in: ${text.slice(0, 80)}`,
-      }))
-      .with({ kind: 'payload' }, (payload) => this.sendPayload(payload, isSimple))
-      .otherwise((read) => {
-        const rows = this.listRows(read);
-        if (isSimple) this.output.push(encodeColumns(listColumns(read) ?? []));
-        rows.forEach((row) => this.output.push(encodeRow(row)));
-        this.instance.served.reads += 1;
-        return this.complete(`SELECT ${rows.length}`);
-      });
-  }
-
-  private complete(tag: string): undefined {
-    this.output.push(encodeCommandComplete(tag));
-    return undefined;
-  }
-
-  private findValue(key: string): string | undefined {
-    const own = this.changes.findLast((change) => change.key === key && change.table === 'items');
-    return own?.value ?? this.instance.store.findRow('items', key);
-  }
-
-  private write(
-    table: RowChange['table'],
-    key: string,
-    value: string,
-    tag: string,
-  ): Failure | undefined {
-    if (!this.instance.isWritable()) return READ_ONLY;
-    const change = { table, key, value };
-    if (this.state === 'T') this.changes.push(change);
-    else if (!this.instance.commit([change])) return READ_ONLY;
-    this.instance.served.writes += 1;
-    return this.complete(tag);
-  }
-
-  private async writeOnce(key: string): Promise<Failure | undefined> {
-    const release = await this.instance.lockOnceKey(key);
-    if (this.instance.store.findRow('once', key) !== undefined) {
-      release();
-      return { code: '23505', message: 'duplicate key value violates unique constraint' };
-    }
-    this.releases.push(release);
-    const failure = this.write('once', key, '', 'INSERT 0 1');
-    if (this.state !== 'T' || failure) this.releaseKeys();
-    return failure;
-  }
-
-  private runCommit(): Failure | undefined {
-    const { state, changes } = this;
-    if (state === 'E') {
-      this.finishTransaction();
-      return this.complete('ROLLBACK');
-    }
-    const committed = changes.length === 0 || this.instance.commit(changes);
-    this.finishTransaction();
-    if (committed) return this.complete('COMMIT');
-    return { code: '40001', message: 'the instance was fenced; the transaction was rolled back' };
-  }
-
-  private finishTransaction(): void {
-    this.changes = [];
-    this.state = 'I';
-    this.releaseKeys();
-  }
-
-  private releaseKeys(): void {
-    const { releases } = this;
-    this.releases = [];
-    releases.forEach((release) => release());
-  }
-
-  private async sendPayload(
-    { rows, bytes }: { readonly rows: number; readonly bytes: number },
-    isSimple: boolean,
-  ): Promise<undefined> {
-    if (isSimple) this.output.push(encodeColumns(['payload']));
-    const row = encodeRow(['x'.repeat(bytes)]);
-    for (let index = 0; index < rows && !this.closed; index++) {
-      this.output.push(row);
-      if (this.output.length >= 64) await this.flush();
-    }
-    return this.complete(`SELECT ${rows}`);
-  }
-
-  private listRows(query: Query): readonly (readonly (string | null)[])[] {
-    const { instance } = this;
-    const { store } = instance;
-    return match(query)
-      .with({ kind: 'find' }, ({ key }) => {
-        const value = this.findValue(key);
-        return value === undefined ? [] : [[value]];
-      })
-      .with({ kind: 'list' }, () => store.listRows('items'))
-      .with({ kind: 'count' }, () => [[String(store.listRows('items').length)]])
-      .with({ kind: 'constant' }, ({ value }) => [[value]])
-      .with({ kind: 'status' }, () => {
-        const durable = store.readDurable();
-        const applied = store.readApplied();
-        return [
-          [
-            instance.role,
-            ...[instance.fenceTerm, durable.term, durable.offset, applied.term, applied.offset].map(
-              String,
-            ),
-            instance.following,
-            String(instance.countConnections()),
-            String(instance.slots.countRunning()),
-          ],
-        ];
-      })
-      .with({ kind: 'fence' }, ({ term }) => {
-        const granted = instance.fence(term);
-        const durable = store.readDurable();
-        return [[granted ? 't' : 'f', String(durable.term), String(durable.offset)]];
-      })
-      .with({ kind: 'promote' }, ({ term }) => [[instance.promote(term) ? 't' : 'f']])
-      .with({ kind: 'follow' }, ({ term, primary }) => [
-        [instance.follow(term, primary) ? 't' : 'f'],
-      ])
-      .with({ kind: P.any }, () => [])
-      .exhaustive();
+  private fail({ code, message }: Failure): void {
+    this.output.push(encodeError({ severity: 'ERROR', code, message }));
+    this.skipping = true;
+    this.executor.handleFailure();
   }
 
   private async flush(): Promise<void> {
--- a/packages/standin/src/instance.ts
+++ b/packages/standin/src/instance.ts
@@ -19,6 +19,11 @@
   readonly answerDelayMs: number;
 }
 
+interface OnceLock {
+  readonly owner: object;
+  readonly released: Promise<void>;
+}
+
 /** A database server with a replicated log, served over the PostgreSQL protocol. */
 export class StandinInstance {
   readonly store = new Store();
@@ -45,13 +50,16 @@
   /** Most data connections open at once. */
   peakConnections = 0;
 
+  /** Asked around each statement of a data connection; true drops the connection there. */
+  findFault: ((text: string, stage: 'before' | 'after' | 'rows') => boolean) | undefined;
+
   private server: Server | undefined;
 
   private port = 0;
 
   private readonly backends = new Set<Backend>();
 
-  private readonly onceOwners = new Map<string, Promise<void>>();
+  private readonly onceLocks = new Map<string, OnceLock>();
 
   constructor(
     readonly options: InstanceOptions,
@@ -81,6 +89,11 @@
     });
   }
 
+  /** Interrupts the statement of the connection that was given this key. */
+  cancel(processId: number, secret: number): void {
+    [...this.backends].find((backend) => backend.hasKey(processId, secret))?.cancel();
+  }
+
   isUp(): boolean {
     return this.server !== undefined && !this.paused;
   }
@@ -166,19 +179,20 @@
     else setTimeout(() => this.store.applyTo(target), this.applyLagMs).unref();
   }
 
-  /** Waits until no other open transaction holds the key, then holds it until `release`. */
-  async lockOnceKey(key: string): Promise<() => void> {
-    for (let owner = this.onceOwners.get(key); owner; owner = this.onceOwners.get(key)) {
-      await owner;
+  /** Waits until no other transaction holds the key, then holds it for `owner` until `release`. */
+  async lockOnceKey(key: string, owner: object): Promise<() => void> {
+    for (let lock = this.onceLocks.get(key); lock; lock = this.onceLocks.get(key)) {
+      if (lock.owner === owner) return () => {};
+      await lock.released;
     }
     let release = (): void => {};
-    const held = new Promise<void>((resolve) => {
+    const released = new Promise<void>((resolve) => {
       release = () => {
-        this.onceOwners.delete(key);
+        this.onceLocks.delete(key);
         resolve();
       };
     });
-    this.onceOwners.set(key, held);
+    this.onceLocks.set(key, { owner, released });
     return release;
   }
 
--- a/packages/standin/src/query.ts
+++ b/packages/standin/src/query.ts
@@ -1,9 +1,11 @@
 import { match, P } from 'ts-pattern';
+import type { VariableChange } from './variables.js';
 
 /** A statement of the small SQL dialect that the stand-in understands. */
 export type Query =
   | { readonly kind: 'begin' | 'commit' | 'rollback' | 'empty' | 'status' }
-  | { readonly kind: 'set'; readonly tag: string }
+  | { readonly kind: 'set'; readonly tag: string; readonly change: VariableChange }
+  | { readonly kind: 'show'; readonly name: string }
   | { readonly kind: 'find'; readonly key: string }
   | { readonly kind: 'list' | 'count' }
   | { readonly kind: 'constant'; readonly value: string }
@@ -52,15 +54,31 @@
     .with(P.string.regex(/^(?:begin|start transaction)\b/), () => ({ kind: 'begin' }) as const)
     .with(P.string.regex(/^(?:commit|end)\b/), () => ({ kind: 'commit' }) as const)
     .with(P.string.regex(/^(?:rollback|abort)\b/), () => ({ kind: 'rollback' }) as const)
-    .with(P.string.regex(/^reset\b/), () => ({ kind: 'set', tag: 'RESET' }) as const)
-    .with(P.string.regex(/^discard\b/), () => ({ kind: 'set', tag: 'DISCARD ALL' }) as const)
-    .with(P.string.regex(/^set\b/), () => ({ kind: 'set', tag: 'SET' }) as const)
     .with('select * from shallotpick_status()', () => ({ kind: 'status' }) as const)
     .with('select key, value from items', () => ({ kind: 'list' }) as const)
     .with('select count(*) from items', () => ({ kind: 'count' }) as const)
     .otherwise(() => undefined);
 }
 
+function parseVariable(text: string): Query | undefined {
+  const show = /^show\s+([\w.]+)$/i.exec(text);
+  if (show?.[1]) return { kind: 'show', name: show[1].toLowerCase() };
+  const reset = /^reset\s+([\w.]+)$/i.exec(text)?.[1]?.toLowerCase();
+  if (reset) {
+    const name = reset === 'all' ? undefined : reset;
+    return { kind: 'set', tag: 'RESET', change: { name, value: undefined, isLocal: false } };
+  }
+  const set = /^set\s+(?:(session|local)\s+)?([\w.]+)\s*(?:=|\s+to\s)\s*(.+)$/i.exec(text);
+  if (!set) return undefined;
+  const [, scope, name = '', value = ''] = set;
+  const change = {
+    name: name.toLowerCase(),
+    value: /^default$/i.test(value) ? undefined : value.replace(/^'(.*)'$/, '$1'),
+    isLocal: scope?.toLowerCase() === 'local',
+  };
+  return { kind: 'set', tag: 'SET', change };
+}
+
 function parseControl(text: string): Query | undefined {
   const term = PATTERNS.term.exec(text);
   if (term) {
@@ -117,6 +135,7 @@
     .replace(/;\s*$/, '')
     .trim();
   const query = parseKeyword(text) ??
+    parseVariable(text) ??
     parseControl(text) ??
     parseRead(text, parameters) ??
     parseWrite(text, parameters) ?? { kind: 'unsupported', text };
@@ -133,6 +152,7 @@
   return match(query)
     .with({ kind: P.union('find', 'constant') }, () => ['value'])
     .with({ kind: 'count' }, () => ['count'])
+    .with({ kind: 'show' }, ({ name }) => [name])
     .with({ kind: 'payload' }, () => ['payload'])
     .with({ kind: 'list' }, () => ['key', 'value'])
     .with({ kind: 'status' }, () => [
--- /dev/null
+++ b/packages/standin/src/rows.ts
@@ -0,0 +1,52 @@
+import { match, P } from 'ts-pattern';
+import type { StandinInstance } from './instance.js';
+import type { Query } from './query.js';
+
+export type Row = readonly (string | null)[];
+
+/** What the connection that reads adds to the tables. */
+export interface RowContext {
+  readonly instance: StandinInstance;
+  findValue(key: string): string | undefined;
+  findVariable(name: string): string;
+  countNew(): number;
+}
+
+/** Lists the rows that a read returns. */
+export function listRows(query: Query, context: RowContext): readonly Row[] {
+  const { instance } = context;
+  const { store } = instance;
+  return match(query)
+    .with({ kind: 'find' }, ({ key }) => {
+      const value = context.findValue(key);
+      return value === undefined ? [] : [[value]];
+    })
+    .with({ kind: 'list' }, () => store.listRows('items'))
+    .with({ kind: 'count' }, () => [[String(store.listRows('items').length + context.countNew())]])
+    .with({ kind: 'constant' }, ({ value }) => [[value]])
+    .with({ kind: 'show' }, ({ name }) => [[context.findVariable(name)]])
+    .with({ kind: 'status' }, () => {
+      const durable = store.readDurable();
+      const applied = store.readApplied();
+      return [
+        [
+          instance.role,
+          ...[instance.fenceTerm, durable.term, durable.offset, applied.term, applied.offset].map(
+            String,
+          ),
+          instance.following,
+          String(instance.countConnections()),
+          String(instance.slots.countRunning()),
+        ],
+      ];
+    })
+    .with({ kind: 'fence' }, ({ term }) => {
+      const granted = instance.fence(term);
+      const durable = store.readDurable();
+      return [[granted ? 't' : 'f', String(durable.term), String(durable.offset)]];
+    })
+    .with({ kind: 'promote' }, ({ term }) => [[instance.promote(term) ? 't' : 'f']])
+    .with({ kind: 'follow' }, ({ term, primary }) => [[instance.follow(term, primary) ? 't' : 'f']])
+    .with({ kind: P.any }, () => [])
+    .exhaustive();
+}
