Split the session and give each part one duty

Retries are taken from a budget of a fifth of the requests. Callers are read ahead by at most 1 MiB, and not at all while they do not read.

--- a/packages/core/src/contract.ts
+++ b/packages/core/src/contract.ts
@@ -57,3 +57,14 @@
   if (named) return named;
   return contracts.find((contract) => hasMatch(contract.match, subject)) ?? DEFAULT_CONTRACT;
 }
+
+/** Combines the contracts of statements that run as one request: the strictest of each term. */
+export function mergeContracts(contracts: readonly Contract[]): Contract {
+  const [first = DEFAULT_CONTRACT] = contracts;
+  return {
+    ...first,
+    maxAgeMs: Math.min(first.maxAgeMs, ...contracts.map(({ maxAgeMs }) => maxAgeMs)),
+    length: contracts.some(({ length }) => length === 'long') ? 'long' : 'short',
+    repeat: contracts.some(({ repeat }) => repeat === 'never') ? 'never' : 'allowed',
+  };
+}
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,6 +1,6 @@
 export { Clock, ManualClock } from './clock.js';
 export type { Millis } from './clock.js';
-export { findContract, DEFAULT_CONTRACT } from './contract.js';
+export { findContract, DEFAULT_CONTRACT, mergeContracts } from './contract.js';
 export type { Contract, ContractMatch, ContractSubject } from './contract.js';
 export { CoreError, InvalidNoteError, NotRunError } from './errors.js';
 export { countMajority } from './group.js';
--- a/packages/core/src/statement.ts
+++ b/packages/core/src/statement.ts
@@ -12,6 +12,8 @@
   readonly contract?: string;
   /** Idempotency key named in the leading comment. */
   readonly once?: string;
+  /** A hint whose value is not allowed; taken as something else it could run work twice. */
+  readonly invalidHint?: string;
   /** True when the text holds more than one statement. */
   readonly multiple: boolean;
   /** True for a read that calls a function that is not known to be read-only. */
@@ -19,7 +21,8 @@
 }
 
 const LEADING_COMMENT = /^\s*(?:\/\*([\s\S]*?)\*\/|--([^\n]*)(?:\n|$))/;
-const HINT = /\b(contract|once)=([\w.:-]{1,128})/g;
+const HINT = /\b(contract|once)=(\S+)/g;
+const HINT_VALUE = /^[\w.:-]{1,128}$/;
 const LOCKING = /\bfor\s+(?:no\s+key\s+update|update|share|key\s+share)\b/i;
 const SESSION_BOUND =
   /^(?:listen|unlisten|declare|create\s+(?:(?:global|local)\s+)?temp(?:orary)?|prepare|execute|deallocate|discard|load)\b|\bpg_(?:try_)?advisory_(?:un)?lock|\bset_config\s*\((?![^()]*,\s*true\s*\))/i;
@@ -74,11 +77,14 @@
 
 function classifyOne({ source, outline }: ScannedStatement, multiple: boolean): Statement {
   let text = source;
-  const hints: { contract?: string; once?: string } = {};
+  const hints: { contract?: string; once?: string; invalidHint?: string } = {};
   for (let comment = LEADING_COMMENT.exec(text); comment; comment = LEADING_COMMENT.exec(text)) {
     const body = comment[1] ?? comment[2] ?? '';
     if (body.trimStart().startsWith('shallotpick')) {
-      for (const [, name, value] of body.matchAll(HINT)) hints[name as keyof typeof hints] = value;
+      for (const [hint, name, value = ''] of body.matchAll(HINT)) {
+        if (!HINT_VALUE.test(value)) hints.invalidHint = hint.slice(0, 80);
+        else hints[name as 'contract' | 'once'] = value;
+      }
     }
     text = text.slice(comment[0].length);
   }
--- a/packages/daemon/src/caller.ts
+++ b/packages/daemon/src/caller.ts
@@ -14,24 +14,29 @@
   MAX_STARTUP_BYTES,
   parseStartup,
 } from '@shallotpick/wire';
+import type { CallerRequest } from './request.js';
 import { SQLSTATE } from './sqlstate.js';
 
-/** Callers that run ahead of their answers are not read from beyond this many messages. */
-const MAX_FRAMES_AHEAD = 1_000;
+/** A caller that runs ahead of its answers is not read from beyond this many bytes. */
+const MAX_BYTES_AHEAD = 1024 * 1024;
+/** Longest series of extended messages without Flush or Sync, since it is sent as a whole. */
+const MAX_SERIES_BYTES = MAX_MESSAGE_BYTES;
+/** Types that mean nothing outside COPY; PostgreSQL ignores them there too. */
+const COPY_TYPES: ReadonlySet<number> = new Set([
+  FRONTEND.copyData,
+  FRONTEND.copyDone,
+  FRONTEND.copyFail,
+]);
 const MAX_KEY = 2 ** 31 - 1;
 
-/** One request of a caller: a Query message, or extended messages up to Sync. */
-export interface CallerRequest {
-  readonly kind: 'simple' | 'extended';
-  readonly frames: readonly Frame[];
-}
-
 /** The session layer behind a caller connection. */
 export interface CallerHandler {
   /** Returns the parameters to report, or the reason for refusing the caller. */
   handleStart(parameters: ReadonlyMap<string, string>): Promise<ErrorFields | undefined>;
   handleRequest(request: CallerRequest): Promise<void>;
   handleClose(): void;
+  /** Interrupts the request that waits or runs. */
+  handleCancel(): void;
   isInTransaction(): boolean;
 }
 
@@ -45,7 +50,12 @@
 
   private readonly reader = new FrameReader(false, MAX_STARTUP_BYTES);
 
-  private batch: Frame[] = [];
+  private series: Frame[] = [];
+
+  private seriesBytes = 0;
+
+  /** Bytes of the requests that wait. */
+  private waitingBytes = 0;
 
   private readonly requests: CallerRequest[] = [];
 
@@ -55,7 +65,10 @@
 
   private closed = false;
 
-  constructor(private readonly socket: Socket) {
+  constructor(
+    private readonly socket: Socket,
+    private readonly onCancel: (processId: number, secret: number) => void,
+  ) {
     socket.setNoDelay(true);
     socket.on('data', (chunk) => this.handleData(chunk));
     socket.on('error', () => socket.destroy());
@@ -69,9 +82,13 @@
     return this.closed;
   }
 
+  hasKey(processId: number, secret: number): boolean {
+    return this.processId === processId && this.secret === secret;
+  }
+
   /** True between requests and outside a transaction. */
   isIdle(): boolean {
-    const waits = this.running || this.requests.length > 0 || this.batch.length > 0;
+    const waits = this.running || this.requests.length > 0 || this.series.length > 0;
     return !waits && !this.handler?.isInTransaction();
   }
 
@@ -79,7 +96,7 @@
   send(bytes: Buffer, onDrain?: () => void): boolean {
     if (this.closed) return false;
     if (this.socket.write(bytes)) return false;
-    if (onDrain) this.socket.once('drain', onDrain).once('close', onDrain);
+    if (onDrain) this.waitForDrain(onDrain);
     return true;
   }
 
@@ -104,7 +121,7 @@
       this.refuse({ code: SQLSTATE.protocolViolation, message });
       return;
     }
-    if (this.requests.length + this.batch.length > MAX_FRAMES_AHEAD) this.socket.pause();
+    if (this.waitingBytes > MAX_BYTES_AHEAD) this.socket.pause();
     this.runRequests();
   }
 
@@ -115,6 +132,7 @@
       return;
     }
     if (startup.kind === 'cancel') {
+      this.onCancel(startup.processId, startup.secret);
       this.socket.end();
       return;
     }
@@ -148,34 +166,69 @@
   }
 
   private handleFrame(frame: Frame): void {
-    if (frame.type === FRONTEND.terminate) {
-      this.socket.end();
-      return;
-    }
-    if (frame.type === FRONTEND.query) {
-      this.requests.push({ kind: 'simple', frames: [frame] });
-      return;
+    const { type } = frame;
+    if (COPY_TYPES.has(type)) return;
+    if (type === FRONTEND.query) this.add('simple', [frame]);
+    else if (type === FRONTEND.functionCall) this.add('function', [frame]);
+    else if (type === FRONTEND.terminate) this.add('terminate', [frame]);
+    else this.addToSeries(frame);
+  }
+
+  private addToSeries(frame: Frame): void {
+    this.series.push(frame);
+    this.seriesBytes += frame.raw.length;
+    if (frame.type === FRONTEND.sync || frame.type === FRONTEND.flush) {
+      this.add('extended', this.series, frame.type === FRONTEND.flush);
+      this.series = [];
+      this.seriesBytes = 0;
+    } else if (this.seriesBytes > MAX_SERIES_BYTES) {
+      const message = `a series without Sync exceeds ${MAX_SERIES_BYTES} bytes; it was not run`;
+      this.refuse({ code: SQLSTATE.programLimit, message });
+      this.series = [];
+      this.socket.pause();
     }
-    this.batch.push(frame);
-    if (frame.type !== FRONTEND.sync) return;
-    this.requests.push({ kind: 'extended', frames: this.batch });
-    this.batch = [];
+  }
+
+  private add(kind: CallerRequest['kind'], frames: readonly Frame[], isPartial = false): void {
+    this.requests.push({ kind, frames, isPartial });
+    this.waitingBytes += this.countBytes(frames);
+  }
+
+  private countBytes(frames: readonly Frame[]): number {
+    return frames.reduce((sum, { raw }) => sum + raw.length, 0);
+  }
+
+  /** Calls back once, when the caller has read what was sent or has gone. */
+  private waitForDrain(onDrain: () => void): void {
+    const finish = (): void => {
+      this.socket.off('drain', finish).off('close', finish);
+      onDrain();
+    };
+    this.socket.on('drain', finish).on('close', finish);
   }
 
   private runRequests(): void {
-    if (this.running || !this.handler) return;
+    if (this.running || this.closed || !this.handler) return;
     const request = this.requests.shift();
     if (!request) {
       this.socket.resume();
       return;
     }
+    this.waitingBytes -= this.countBytes(request.frames);
+    if (this.waitingBytes <= MAX_BYTES_AHEAD) this.socket.resume();
+    if (request.kind === 'terminate') {
+      this.socket.end();
+      return;
+    }
     this.running = true;
     this.handler
       .handleRequest(request)
       .catch(() => this.socket.destroy())
       .finally(() => {
         this.running = false;
-        if (!this.closed) this.runRequests();
+        // A caller that does not read its answers gets no further request run.
+        if (this.socket.writableNeedDrain) this.waitForDrain(() => this.runRequests());
+        else this.runRequests();
       });
   }
 }
--- a/packages/daemon/src/connection.ts
+++ b/packages/daemon/src/connection.ts
@@ -38,6 +38,12 @@
   /** Prepared statements that this connection has, by name. */
   readonly statements = new Map<string, string>();
 
+  /** Session parameters that were set on this connection: the statement that set each. */
+  readonly parameters = new Map<string, string>();
+
+  /** True once a cancel request was sent; a late one would hit a later statement. */
+  isCancelled = false;
+
   /** Transaction state after the last answer. */
   state: TransactionState = 'I';
 
@@ -45,11 +51,15 @@
 
   private exchange: Exchange | undefined;
 
+  private key: readonly [number, number] | undefined;
+
+  private cancelling: Promise<void> = Promise.resolve();
+
   private failure: Error | undefined;
 
   private constructor(
     private readonly socket: Socket,
-    readonly instance: string,
+    private readonly options: ConnectionOptions,
   ) {
     socket.setNoDelay(true);
     socket.on('data', (chunk) => this.handleData(chunk));
@@ -63,9 +73,9 @@
    * @throws InstanceError when the instance refuses or does not answer in time.
    */
   static async open(options: ConnectionOptions): Promise<InstanceConnection> {
-    const { host, port, id } = options.instance;
+    const { host, port } = options.instance;
     const socket = connect({ host, port });
-    const connection = new InstanceConnection(socket, id);
+    const connection = new InstanceConnection(socket, options);
     const timer = setTimeout(() => {
       connection.fail(new InstanceError('no answer while connecting'));
     }, options.timeoutMs);
@@ -98,6 +108,40 @@
     });
   }
 
+  /** Sends more messages of the request that runs. */
+  send(bytes: Buffer): void {
+    this.socket.write(bytes);
+  }
+
+  /** True while a request runs. */
+  isBusy(): boolean {
+    return this.exchange !== undefined;
+  }
+
+  /** Asks the instance to interrupt the statement that runs. */
+  cancel(): void {
+    if (!this.key || !this.exchange) return;
+    const { host, port } = this.options.instance;
+    const [processId, secret] = this.key;
+    this.isCancelled = true;
+    const socket = connect({ host, port });
+    const timer = setTimeout(() => socket.destroy(), this.options.timeoutMs);
+    this.cancelling = new Promise((resolve) => {
+      socket.once('close', () => {
+        clearTimeout(timer);
+        resolve();
+      });
+    });
+    socket.on('error', () => socket.destroy());
+    socket.end(serialize.cancel(processId, secret));
+    socket.resume();
+  }
+
+  /** Waits until the instance has taken the last cancel request. */
+  async waitForCancel(): Promise<void> {
+    await this.cancelling;
+  }
+
   resume(): void {
     this.socket.resume();
   }
@@ -108,6 +152,7 @@
   }
 
   private handleStartup({ type, body }: Frame): void {
+    if (type === BACKEND.backendKeyData) this.key = [body.readInt32BE(0), body.readInt32BE(4)];
     if (type !== BACKEND.error) return;
     const fields = parseFields(body);
     const error = new InstanceError(fields.get('M') ?? 'refused', {
--- /dev/null
+++ b/packages/daemon/src/context.ts
@@ -0,0 +1,158 @@
+import {
+  type Clock,
+  type Configuration,
+  type Contract,
+  findContract,
+  mergeContracts,
+  type RetryBudget,
+  SessionFloors,
+  type Statement,
+} from '@shallotpick/core';
+import {
+  encodeError,
+  encodeParameterStatus,
+  encodeReady,
+  type TransactionState,
+} from '@shallotpick/wire';
+import { match, P } from 'ts-pattern';
+import type { CallerConnection } from './caller.js';
+import type { GroupServer, Lease } from './group.js';
+import type { Log } from './log.js';
+import { SessionParameters } from './parameter.js';
+import type { Plan, Refusal } from './plan.js';
+import { type DecodedRequest, type EncodedRequest, PreparedStatements } from './prepared.js';
+import { Relay } from './relay.js';
+import { SQLSTATE } from './sqlstate.js';
+
+export const TOKEN_PARAMETER = 'shallotpick.token';
+
+export interface SessionOptions {
+  readonly caller: CallerConnection;
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly queueDeadlineMs: number;
+  readonly retries: RetryBudget;
+  /** Delay before the given retry, counted from 1. */
+  readonly computeBackoff: (retry: number) => number;
+  readonly findGroup: (name: string) => GroupServer | undefined;
+  readonly readConfiguration: () => Configuration;
+}
+
+/** The open transaction of a session. */
+export interface OpenTransaction {
+  hasChanges: boolean;
+  /** Once-keys that the transaction has inserted itself. */
+  readonly onceKeys: Set<string>;
+}
+
+/** What the parts of a session share: its identity, floor, transaction and connection. */
+export class SessionContext {
+  group: GroupServer | undefined;
+
+  user = '';
+
+  applicationName = '';
+
+  readonly floors = new SessionFloors();
+
+  readonly prepared = new PreparedStatements();
+
+  readonly parameters = new SessionParameters();
+
+  /** The connection of the running request or open transaction. */
+  lease: Lease | undefined;
+
+  transaction: OpenTransaction | undefined;
+
+  /**
+   * Set when a transaction was lost, or BEGIN was refused: statements that the caller has
+   * already sent for that transaction must not run alone.
+   */
+  failed: 'lost' | 'refused' | undefined;
+
+  isClosed = false;
+
+  /** Ends the wait for a connection. */
+  interrupt: ((reason: 'cancelled' | 'closed') => void) | undefined;
+
+  constructor(readonly options: SessionOptions) {}
+
+  get groupName(): string {
+    return this.group?.name ?? '';
+  }
+
+  readState(): TransactionState {
+    if (this.failed) return 'E';
+    return this.transaction ? (this.lease?.connection.state ?? 'I') : 'I';
+  }
+
+  /** Sends an error that ends the request. */
+  sendError(fields: Refusal): void {
+    const error = encodeError({ severity: 'ERROR', ...fields });
+    this.options.caller.send(Buffer.concat([error, encodeReady(this.readState())]));
+  }
+
+  findContract(subjects: readonly Statement[]): Contract {
+    const { contracts } = this.options.readConfiguration();
+    const { groupName: group, user, applicationName } = this;
+    return mergeContracts(
+      subjects.map(({ text, contract: named }) =>
+        findContract(contracts, { group, user, applicationName, statement: text, named }),
+      ),
+    );
+  }
+
+  /** True when the instance leads, or may lead, its group. */
+  isPrimary(instance: string): boolean {
+    const view = this.group?.readView();
+    return view?.record?.primary === instance || view?.statuses.get(instance)?.role === 'primary';
+  }
+
+  createRelay({ connection }: Lease, { replies }: EncodedRequest, holds: boolean): Relay {
+    const { caller } = this.options;
+    return new Relay({ caller, connection, prepared: this.prepared, replies, holds });
+  }
+
+  encode(request: DecodedRequest, { connection }: Lease): EncodedRequest {
+    return this.prepared.encode(request, connection);
+  }
+
+  /** Gives the connection back; one that is not idle is closed. */
+  releaseLease(): void {
+    const { lease } = this;
+    this.lease = undefined;
+    this.transaction = undefined;
+    lease?.release();
+  }
+
+  /** Takes in the end of a request: parameters, and whether a transaction is open now. */
+  handleEnd(lease: Lease, plan: Plan, relay: Relay): void {
+    const { connection } = lease;
+    const failed = relay.errorCode !== undefined;
+    if (!failed) this.parameters.add(plan.executed);
+    if (connection.state !== 'I') {
+      this.transaction ??= { hasChanges: false, onceKeys: new Set() };
+      this.transaction.hasChanges ||= plan.writes || plan.isUnsure;
+      return;
+    }
+    this.parameters.finish(!failed && !relay.tags.includes('ROLLBACK'), connection);
+    this.releaseLease();
+  }
+
+  /** Waits for a majority after a commit and raises the floor; the error if that fails. */
+  async acknowledge({ instance, term }: Lease): Promise<Refusal | undefined> {
+    const verdict = await this.group?.waitForMajority(instance, term);
+    return match(verdict)
+      .with({ kind: 'acknowledged' }, ({ position }) => {
+        this.floors.update(this.groupName, position);
+        const token = this.floors.formatToken(this.groupName) ?? '';
+        this.options.caller.send(encodeParameterStatus(TOKEN_PARAMETER, token));
+        return undefined;
+      })
+      .with(P.nullish, { kind: 'unknown' }, (unknown) => ({
+        code: SQLSTATE.outcomeUnknown,
+        message: `outcome unknown: ${unknown?.reason ?? 'the group is gone'}`,
+      }))
+      .exhaustive();
+  }
+}
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,6 +1,6 @@
 import type { AddressInfo, Server, Socket } from 'node:net';
 import type { Clock, Configuration, DatabaseGroup, GroupRecord } from '@shallotpick/core';
-import { EMPTY_CONFIGURATION } from '@shallotpick/core';
+import { EMPTY_CONFIGURATION, RetryBudget } from '@shallotpick/core';
 import { CallerConnection } from './caller.js';
 import type { GroupServer } from './group.js';
 import type { Log } from './log.js';
@@ -10,12 +10,16 @@
 import { SQLSTATE } from './sqlstate.js';
 
 const DRAIN_POLL_MS = 10;
+/** Retries add at most a fifth to the load; the reserve covers the start of a failover. */
+const RETRY_BUDGET = { ratio: 0.2, capacity: 500 };
 
 export interface DaemonParts {
   readonly settings: Settings;
   readonly clock: Clock;
   readonly log: Log;
   readonly metrics: Metrics;
+  /** Delay before the given retry of a request, counted from 1. */
+  readonly computeBackoff: (retry: number) => number;
   readonly callerServer: Server;
   readonly metricsServer: Server;
   readonly createGroup: (group: DatabaseGroup) => GroupServer;
@@ -38,6 +42,8 @@
 
   private readonly callers = new Set<CallerConnection>();
 
+  private readonly retries = new RetryBudget(RETRY_BUDGET);
+
   private configuration: Configuration = EMPTY_CONFIGURATION;
 
   private stopSources = (): void => {};
@@ -138,7 +144,7 @@
   }
 
   private handleSocket(socket: Socket): void {
-    const caller = new CallerConnection(socket);
+    const caller = new CallerConnection(socket, (id, secret) => this.handleCancel(id, secret));
     if (this.callers.size >= this.parts.settings.maxCallers) {
       caller.refuse({ code: SQLSTATE.tooManyCallers, message: 'too many callers' });
       return;
@@ -149,6 +155,8 @@
       clock,
       log,
       queueDeadlineMs: settings.queueDeadlineMs,
+      retries: this.retries,
+      computeBackoff: this.parts.computeBackoff,
       findGroup: (name) => this.groups.get(name),
       readConfiguration: () => this.configuration,
     });
@@ -160,6 +168,11 @@
     });
   }
 
+  private handleCancel(processId: number, secret: number): void {
+    const caller = [...this.callers].find((one) => one.hasKey(processId, secret));
+    caller?.handler?.handleCancel();
+  }
+
   private updateGroup(group: DatabaseGroup): void {
     const definition = JSON.stringify(group);
     if (this.definitions.get(group.name) === definition) return;
--- a/packages/daemon/src/pool.ts
+++ b/packages/daemon/src/pool.ts
@@ -1,6 +1,8 @@
 import type { DatabaseInstance, Millis } from '@shallotpick/core';
 import { InstanceConnection } from './connection.js';
 
+/** A connection with more prepared statements is replaced, which bounds the instance's memory. */
+const MAX_STATEMENTS = 500;
 const CONNECT_TIMEOUT_MS: Millis = 2_000;
 
 export interface PoolOptions {
@@ -37,7 +39,9 @@
 
   /** Takes a connection back; one that is in doubt is closed. */
   release(connection: InstanceConnection): void {
-    if (connection.isUsable() && connection.state === 'I') {
+    const { isCancelled, statements } = connection;
+    const isClean = connection.state === 'I' && !connection.isBusy() && !isCancelled;
+    if (connection.isUsable() && isClean && statements.size <= MAX_STATEMENTS) {
       this.idle.push(connection);
       return;
     }
--- /dev/null
+++ b/packages/daemon/src/request.ts
@@ -0,0 +1,47 @@
+import {
+  BACKEND,
+  encodeBare,
+  encodeCommandComplete,
+  encodeParameters,
+  encodeReady,
+  type Frame,
+  FRONTEND,
+  parseTarget,
+} from '@shallotpick/wire';
+
+/** One request of a caller. */
+export interface CallerRequest {
+  /** A Query, a series of extended messages, a FunctionCall, or Terminate. */
+  readonly kind: 'simple' | 'extended' | 'function' | 'terminate';
+  readonly frames: readonly Frame[];
+  /** True for a part of a series that ends in Flush; the series goes on to its Sync. */
+  readonly isPartial: boolean;
+}
+
+const HEADER_BYTES = 5;
+
+/** Encodes a message from the parts of its body. */
+export function encodeFrame(type: number, ...parts: readonly (Buffer | string)[]): Buffer {
+  const body = parts.map((part) => (typeof part === 'string' ? Buffer.from(part) : part));
+  const header = Buffer.alloc(HEADER_BYTES);
+  header[0] = type;
+  header.writeInt32BE(
+    body.reduce((sum, { length }) => sum + length, HEADER_BYTES - 1),
+    1,
+  );
+  return Buffer.concat([header, ...body]);
+}
+
+/** Answers a request whose statements need no instance, such as ROLLBACK of a lost transaction. */
+export function encodeLocalAnswer({ frames }: CallerRequest, tag: string): Buffer {
+  const answers = frames.flatMap(({ type, body }) => {
+    if (type === FRONTEND.parse) return [encodeBare(BACKEND.parseComplete)];
+    if (type === FRONTEND.bind) return [encodeBare(BACKEND.bindComplete)];
+    if (type === FRONTEND.close) return [encodeBare(BACKEND.closeComplete)];
+    if (type === FRONTEND.execute || type === FRONTEND.query) return [encodeCommandComplete(tag)];
+    if (type !== FRONTEND.describe) return [];
+    const noData = encodeBare(BACKEND.noData);
+    return parseTarget(body).kind === 'statement' ? [encodeParameters(0), noData] : [noData];
+  });
+  return Buffer.concat([...answers, encodeReady('I')]);
+}
--- a/packages/daemon/src/sqlstate.ts
+++ b/packages/daemon/src/sqlstate.ts
@@ -4,7 +4,7 @@
   notRun: 'SP001',
   /** The work was sent and its outcome is unknown (transaction_resolution_unknown). */
   outcomeUnknown: '08007',
-  /** The answer broke off after rows had been passed on; the work was a read. */
+  /** The answer broke off after rows had been passed on; what ran has no effect. */
   answerCut: 'SP003',
   /** Work with this once-key has run before. */
   alreadyRan: 'SP004',
@@ -12,6 +12,12 @@
   failedTransaction: '25P02',
   /** The daemon does not support the request; it did not run. */
   notSupported: '0A000',
+  /** The caller cancelled the request before it was sent; it did not run. */
+  cancelled: '57014',
+  /** The name of the prepared statement is taken; the request did not run. */
+  duplicateStatement: '42P05',
+  /** The caller sent more messages before Sync than the proxy takes in. */
+  programLimit: '54000',
   /** The caller broke the protocol. */
   protocolViolation: '08P01',
   invalidPassword: '28P01',
--- a/packages/daemon/src/wiring.ts
+++ b/packages/daemon/src/wiring.ts
@@ -1,6 +1,12 @@
-import { randomUUID } from 'node:crypto';
+import { randomInt, randomUUID } from 'node:crypto';
 import { createServer } from 'node:net';
-import { type DatabaseGroup, type DatabaseInstance, FixedMembership } from '@shallotpick/core';
+import {
+  createBackoff,
+  type DatabaseGroup,
+  type DatabaseInstance,
+  FixedMembership,
+} from '@shallotpick/core';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { SystemClock } from './clock.js';
 import { ControlLink } from './control.js';
 import { Daemon } from './daemon.js';
@@ -15,6 +21,9 @@
 import { StatusBoard } from './status.js';
 import { PlatformWatcher } from './watcher.js';
 
+const RETRY_BACKOFF = { baseMs: 10, maxMs: 200 };
+const MAX_SEED = 2 ** 31;
+
 /** Constructs a daemon with its real adapters. */
 export function createDaemon(settings: Settings): Daemon {
   const { vm, zone, instanceUser } = settings;
@@ -67,6 +76,7 @@
     clock,
     log,
     metrics,
+    computeBackoff: createBackoff(RETRY_BACKOFF, xoroshiro128plus(randomInt(MAX_SEED))),
     callerServer: createServer(),
     metricsServer: createHealthServer(metrics, () => daemon.isReady()),
     createGroup,
