--- a/packages/standin/src/executor.ts
+++ b/packages/standin/src/executor.ts
@@ -147,6 +147,10 @@
         return this.complete(tag);
       })
       .with({ kind: 'put' }, ({ key, value, tag }) => this.write('items', key, value, tag))
+      .with({ kind: 'call' }, ({ key, value }) => {
+        const failure = this.applyWrite('items', key, value);
+        return failure ?? this.sendRows(query, portal, isSimple, maxRows);
+      })
       .with({ kind: 'increment' }, ({ key }) => {
         const value = String(Number(this.findValue(key) ?? 0) + 1);
         return this.write('items', key, value, 'UPDATE 1');
@@ -211,13 +215,17 @@
     value: string,
     tag: string,
   ): Failure | undefined {
+    return this.applyWrite(table, key, value) ?? this.complete(tag);
+  }
+
+  private applyWrite(table: RowChange['table'], key: string, value: string): Failure | undefined {
     const { instance } = this.options;
     if (!instance.isWritable()) return READ_ONLY;
     const change = { table, key, value };
     if (this.isInTransaction()) this.changes.push(change);
     else if (!instance.commit([change])) return READ_ONLY;
     instance.served.writes += 1;
-    return this.complete(tag);
+    return undefined;
   }
 
   /** Waits outside a slot, so that the transaction that holds the key can get one to finish. */
--- a/packages/standin/src/query.ts
+++ b/packages/standin/src/query.ts
@@ -11,6 +11,8 @@
   | { readonly kind: 'constant'; readonly value: string }
   | { readonly kind: 'payload'; readonly rows: number; readonly bytes: number }
   | { readonly kind: 'put'; readonly key: string; readonly value: string; readonly tag: string }
+  /** A function that writes and returns the value. */
+  | { readonly kind: 'call'; readonly key: string; readonly value: string }
   | { readonly kind: 'increment'; readonly key: string }
   | { readonly kind: 'once'; readonly key: string }
   | { readonly kind: 'fence' | 'promote'; readonly term: number }
@@ -38,6 +40,7 @@
     `^update items set value\\s*=\\s*value\\s*\\+\\s*1 where key\\s*=\\s*${VALUE}$`,
     'i',
   ),
+  call: new RegExp(`^select put\\(${VALUE},\\s*${VALUE}\\)$`, 'i'),
   once: new RegExp(`^insert into shallotpick_once\\s*\\(key\\) values\\s*\\(${VALUE}\\)$`, 'i'),
   term: /^select \* from shallotpick_(fence|promote)\((\d+)\)$/i,
   follow: /^select \* from shallotpick_follow\((\d+),\s*'([\w-]+)'\)$/i,
@@ -103,6 +106,11 @@
 function parseWrite(text: string, parameters: readonly (string | null)[]): Query | undefined {
   const increment = PATTERNS.increment.exec(text);
   if (increment?.[1]) return { kind: 'increment', key: readValue(increment[1], parameters) };
+  const call = PATTERNS.call.exec(text);
+  if (call?.[1] && call[2]) {
+    const value = readValue(call[2], parameters);
+    return { kind: 'call', key: readValue(call[1], parameters), value };
+  }
   const once = PATTERNS.once.exec(text);
   if (once?.[1]) return { kind: 'once', key: readValue(once[1], parameters) };
   const put = PATTERNS.put.exec(text);
@@ -150,7 +158,7 @@
 /** Column names of the rows that a query returns; undefined when it returns none. */
 export function listColumns(query: Query): readonly string[] | undefined {
   return match(query)
-    .with({ kind: P.union('find', 'constant') }, () => ['value'])
+    .with({ kind: P.union('find', 'constant', 'call') }, () => ['value'])
     .with({ kind: 'count' }, () => ['count'])
     .with({ kind: 'show' }, ({ name }) => [name])
     .with({ kind: 'payload' }, () => ['payload'])
--- a/packages/standin/src/rows.ts
+++ b/packages/standin/src/rows.ts
@@ -23,7 +23,7 @@
     })
     .with({ kind: 'list' }, () => store.listRows('items'))
     .with({ kind: 'count' }, () => [[String(store.listRows('items').length + context.countNew())]])
-    .with({ kind: 'constant' }, ({ value }) => [[value]])
+    .with({ kind: P.union('constant', 'call') }, ({ value }) => [[value]])
     .with({ kind: 'show' }, ({ name }) => [[context.findVariable(name)]])
     .with({ kind: 'status' }, () => {
       const durable = store.readDurable();
