--- a/packages/bench/src/naive.ts
+++ b/packages/bench/src/naive.ts
@@ -86,9 +86,12 @@
     return undefined;
   }
 
-  async handleRequest({ frames }: CallerRequest): Promise<void> {
+  async handleRequest({ kind, frames }: CallerRequest): Promise<void> {
     const { target } = this;
-    if (!target) return;
+    if (kind === 'terminate' || !target) {
+      this.caller.close();
+      return;
+    }
     try {
       if (!this.connection) await this.open(target);
       const { connection } = this;
@@ -109,6 +112,10 @@
     if (this.target) this.release(this.target);
   }
 
+  handleCancel(): void {
+    // The naive version has no cancel.
+  }
+
   isInTransaction(): boolean {
     return this.connection !== undefined;
   }
@@ -191,7 +198,7 @@
   }
 
   private handleSocket(socket: Socket): void {
-    const caller = new CallerConnection(socket);
+    const caller = new CallerConnection(socket, () => undefined);
     caller.handler = new NaiveSession(caller, (database) => this.targets.get(database));
     this.callers.add(caller);
     socket.once('close', () => this.callers.delete(caller));
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,6 +1,6 @@
 export { Clock, ManualClock } from './clock.js';
 export type { Millis } from './clock.js';
-export { findContract, DEFAULT_CONTRACT } from './contract.js';
+export { findContract, DEFAULT_CONTRACT, mergeContracts } from './contract.js';
 export type { Contract, ContractMatch, ContractSubject } from './contract.js';
 export { CoreError, InvalidNoteError, NotRunError } from './errors.js';
 export { countMajority } from './group.js';
@@ -20,7 +20,7 @@
   parsePosition,
 } from './position.js';
 export type { LogPosition } from './position.js';
-export { classifyStatement } from './statement.js';
+export { classifyStatement, classifyStatements } from './statement.js';
 export type { Statement, StatementKind } from './statement.js';
 export { AdmissionQueue } from './admission.js';
 export type { AdmissionDecision, AdmissionOptions, Capacity, Work } from './admission.js';
@@ -65,3 +65,8 @@
 export { FixedMembership, MembershipView } from './vm.js';
 export type { Vm } from './vm.js';
 export { ALL_HOME_VMS, HomeTable, HOMES_PER_ZONE } from './home.js';
+export { SessionFloors } from './floor.js';
+export { createBackoff, RetryBudget } from './retry.js';
+export type { BackoffOptions, RetryBudgetOptions } from './retry.js';
+export { parseScript } from './scan.js';
+export type { ScannedStatement } from './scan.js';
--- a/packages/daemon/src/wiring.ts
+++ b/packages/daemon/src/wiring.ts
@@ -1,7 +1,8 @@
-import { randomUUID } from 'node:crypto';
+import { randomInt, randomUUID } from 'node:crypto';
 import { createServer } from 'node:net';
 import {
   type Clock,
+  createBackoff,
   type DatabaseGroup,
   type DatabaseInstance,
   type ExchangeFeature,
@@ -9,6 +10,7 @@
   type MembershipView,
   type Vm,
 } from '@shallotpick/core';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { SystemClock } from './clock.js';
 import { ControlLink } from './control.js';
 import { Daemon } from './daemon.js';
@@ -29,6 +31,9 @@
 import { CertificateFiles, createPeerCredentials } from './tls.js';
 import { PlatformWatcher } from './watcher.js';
 
+const RETRY_BACKOFF = { baseMs: 10, maxMs: 200 };
+const MAX_SEED = 2 ** 31;
+
 interface PeeringParts {
   readonly settings: Settings;
   readonly membership: MembershipView;
@@ -134,6 +139,7 @@
   const daemon: Daemon = new Daemon({
     ...shared,
     peering: createPeering({ ...shared, membership, features: [], findDaemon: () => daemon }),
+    computeBackoff: createBackoff(RETRY_BACKOFF, xoroshiro128plus(randomInt(MAX_SEED))),
     callerServer: createServer(),
     metricsServer: createHealthServer(metrics, () => daemon.isReady()),
     createGroup,
--- a/packages/standin/src/query.ts
+++ b/packages/standin/src/query.ts
@@ -1,14 +1,18 @@
 import { match, P } from 'ts-pattern';
+import type { VariableChange } from './variables.js';
 
 /** A statement of the small SQL dialect that the stand-in understands. */
 export type Query =
   | { readonly kind: 'begin' | 'commit' | 'rollback' | 'empty' | 'status' }
-  | { readonly kind: 'set'; readonly tag: string }
+  | { readonly kind: 'set'; readonly tag: string; readonly change: VariableChange }
+  | { readonly kind: 'show'; readonly name: string }
   | { readonly kind: 'find'; readonly key: string }
   | { readonly kind: 'list' | 'count' }
   | { readonly kind: 'constant'; readonly value: string }
   | { readonly kind: 'payload'; readonly rows: number; readonly bytes: number }
   | { readonly kind: 'put'; readonly key: string; readonly value: string; readonly tag: string }
+  /** A function that writes and returns the value. */
+  | { readonly kind: 'call'; readonly key: string; readonly value: string }
   | { readonly kind: 'increment'; readonly key: string }
   | { readonly kind: 'once'; readonly key: string }
   | { readonly kind: 'fence' | 'promote'; readonly term: number }
@@ -36,6 +40,7 @@
     `^update items set value\\s*=\\s*value\\s*\\+\\s*1 where key\\s*=\\s*${VALUE}$`,
     'i',
   ),
+  call: new RegExp(`^select put\\(${VALUE},\\s*${VALUE}\\)$`, 'i'),
   once: new RegExp(`^insert into shallotpick_once\\s*\\(key\\) values\\s*\\(${VALUE}\\)$`, 'i'),
   term: /^select \* from shallotpick_(fence|promote)\((\d+)\)$/i,
   follow: /^select \* from shallotpick_follow\((\d+),\s*'([\w-]+)'\)$/i,
@@ -52,15 +57,31 @@
     .with(P.string.regex(/^(?:begin|start transaction)\b/), () => ({ kind: 'begin' }) as const)
     .with(P.string.regex(/^(?:commit|end)\b/), () => ({ kind: 'commit' }) as const)
     .with(P.string.regex(/^(?:rollback|abort)\b/), () => ({ kind: 'rollback' }) as const)
-    .with(P.string.regex(/^reset\b/), () => ({ kind: 'set', tag: 'RESET' }) as const)
-    .with(P.string.regex(/^discard\b/), () => ({ kind: 'set', tag: 'DISCARD ALL' }) as const)
-    .with(P.string.regex(/^set\b/), () => ({ kind: 'set', tag: 'SET' }) as const)
     .with('select * from shallotpick_status()', () => ({ kind: 'status' }) as const)
     .with('select key, value from items', () => ({ kind: 'list' }) as const)
     .with('select count(*) from items', () => ({ kind: 'count' }) as const)
     .otherwise(() => undefined);
 }
 
+function parseVariable(text: string): Query | undefined {
+  const show = /^show\s+([\w.]+)$/i.exec(text);
+  if (show?.[1]) return { kind: 'show', name: show[1].toLowerCase() };
+  const reset = /^reset\s+([\w.]+)$/i.exec(text)?.[1]?.toLowerCase();
+  if (reset) {
+    const name = reset === 'all' ? undefined : reset;
+    return { kind: 'set', tag: 'RESET', change: { name, value: undefined, isLocal: false } };
+  }
+  const set = /^set\s+(?:(session|local)\s+)?([\w.]+)\s*(?:=|\s+to\s)\s*(.+)$/i.exec(text);
+  if (!set) return undefined;
+  const [, scope, name = '', value = ''] = set;
+  const change = {
+    name: name.toLowerCase(),
+    value: /^default$/i.test(value) ? undefined : value.replace(/^'(.*)'$/, '$1'),
+    isLocal: scope?.toLowerCase() === 'local',
+  };
+  return { kind: 'set', tag: 'SET', change };
+}
+
 function parseControl(text: string): Query | undefined {
   const term = PATTERNS.term.exec(text);
   if (term) {
@@ -85,6 +106,11 @@
 function parseWrite(text: string, parameters: readonly (string | null)[]): Query | undefined {
   const increment = PATTERNS.increment.exec(text);
   if (increment?.[1]) return { kind: 'increment', key: readValue(increment[1], parameters) };
+  const call = PATTERNS.call.exec(text);
+  if (call?.[1] && call[2]) {
+    const value = readValue(call[2], parameters);
+    return { kind: 'call', key: readValue(call[1], parameters), value };
+  }
   const once = PATTERNS.once.exec(text);
   if (once?.[1]) return { kind: 'once', key: readValue(once[1], parameters) };
   const put = PATTERNS.put.exec(text);
@@ -117,6 +143,7 @@
     .replace(/;\s*$/, '')
     .trim();
   const query = parseKeyword(text) ??
+    parseVariable(text) ??
     parseControl(text) ??
     parseRead(text, parameters) ??
     parseWrite(text, parameters) ?? { kind: 'unsupported', text };
@@ -131,8 +158,9 @@
 /** Column names of the rows that a query returns; undefined when it returns none. */
 export function listColumns(query: Query): readonly string[] | undefined {
   return match(query)
-    .with({ kind: P.union('find', 'constant') }, () => ['value'])
+    .with({ kind: P.union('find', 'constant', 'call') }, () => ['value'])
     .with({ kind: 'count' }, () => ['count'])
+    .with({ kind: 'show' }, ({ name }) => [name])
     .with({ kind: 'payload' }, () => ['payload'])
     .with({ kind: 'list' }, () => ['key', 'value'])
     .with({ kind: 'status' }, () => [
