Settle lost platform answers and damp failovers by votes of zones

A claim whose request was lost was read back for ever and never sent again; a late answer to the claim was taken as the answer to the naming and promoted an instance that was not named; a lost answer to a fence held up the term for ever; a VM alone without peers could fail a group over; observations of other VMs were compared with the local clock; only the first rank sent follow requests, with every probe; a write sent to a paused primary never got an answer.

Change: conditional writes are repeated under a jittered backoff and matched with their answers; refusals lead to the next term; most zones must report the primary as lost, and a majority of instances must answer, before a term is claimed; the suspected primary is left out of the choice at first; any VM finishes a named promotion; followers are told by rank until they follow; commits and leases of a replaced primary end with its record.

--- a/packages/core/src/failover.ts
+++ b/packages/core/src/failover.ts
@@ -1,175 +1,162 @@
-import { match } from 'ts-pattern';
+import type {
+  Actions,
+  FailoverAction,
+  FailoverOptions,
+  FenceAnswer,
+  Step,
+  WriteAction,
+  WriteOutcome,
+} from './action.js';
+import { Backoff } from './backoff.js';
 import type { Millis } from './clock.js';
-import {
-  countMajority,
-  type DatabaseGroup,
-  type GroupRecord,
-  type InstanceStatus,
-} from './group.js';
-import { comparePositions, type LogPosition } from './position.js';
-
-/** A primary that misses probes for this long counts as unreachable. */
-export const SUSPECT_AFTER_MS: Millis = 150;
+import { FollowerDirector, isLeading } from './follower.js';
+import type { GroupRecord, InstanceStatus } from './group.js';
+import { PrimaryMonitor, type PrimaryObservation, SUSPECT_AFTER_MS } from './monitor.js';
+import { Repeats } from './repeats.js';
+import { FenceTally } from './tally.js';
+
 /** The next rank steps in when a failover has not progressed for this long times its rank. */
-export const RANK_STAGGER_MS: Millis = 400;
-/** No second failover is started within this time of a completed one. */
+export const RANK_STAGGER_MS: Millis = 250;
+/** A primary that has led is not replaced within this time of its naming. */
 export const DAMPING_MS: Millis = 1_000;
-/** An observation of another VM older than this does not count. */
-export const OBSERVATION_TTL_MS: Millis = 1_000;
-
-/** What one VM sees of a group's primary. */
-export interface PrimaryObservation {
-  readonly vm: string;
-  readonly zone: string;
-  readonly group: string;
-  readonly term: number;
-  readonly reachable: boolean;
-  readonly observedAt: Millis;
-}
-
-/** An instance's answer to a fence request. */
-export interface FenceAnswer {
-  readonly instance: string;
-  readonly term: number;
-  readonly granted: boolean;
-  readonly durable: LogPosition;
-}
-
-/** The outcome of a conditional update. `lost`: it may or may not have taken effect. */
-export type WriteOutcome =
-  | { readonly kind: 'written'; readonly version: number }
-  | { readonly kind: 'conflict' }
-  | { readonly kind: 'lost' };
-
-export type FailoverAction =
-  | {
-      readonly kind: 'writeRecord';
-      readonly record: GroupRecord;
-      /** 0 creates the record only if it is absent. */
-      readonly expectedVersion: number;
-    }
-  | { readonly kind: 'readRecord'; readonly group: string }
-  | { readonly kind: 'fence'; readonly instance: string; readonly term: number }
-  | { readonly kind: 'promote'; readonly instance: string; readonly term: number }
-  | {
-      readonly kind: 'follow';
-      readonly instance: string;
-      readonly term: number;
-      readonly primary: string;
-    };
-
-type Step =
-  | { readonly kind: 'watching' }
-  | { readonly kind: 'claiming'; readonly record: GroupRecord }
-  | { readonly kind: 'fencing'; readonly record: GroupRecord }
-  | { readonly kind: 'naming'; readonly record: GroupRecord }
-  | { readonly kind: 'promoting'; readonly record: GroupRecord };
-
-export interface FailoverOptions {
-  readonly vm: string;
-  readonly zone: string;
-  readonly group: DatabaseGroup;
-  /** Creates an id that no other write has. */
-  readonly createAttempt: () => string;
-}
+/** Time for the other instances to grant a fence before the suspected primary counts again. */
+const PREFER_OTHERS_MS: Millis = 100;
+/** A step that has not finished after this time is left to the rules for a lost primary. */
+const STEP_TIMEOUT_MS: Millis = 1_000;
 
 const WATCHING: Step = { kind: 'watching' };
 
 /**
  * Replaces the primary of one group. Every step is guarded by a conditional update of the
  * group's record or by a fence term, so that a step that comes late, twice or after a pause
- * changes nothing.
+ * changes nothing. docs/failover.md has the argument.
  */
 export class FailoverCoordinator {
-  private record: GroupRecord | undefined;
+  protected record: GroupRecord | undefined;
+
+  protected version = 0;
+
+  private readonly monitor: PrimaryMonitor;
+
+  private readonly repeats = new Repeats();
+
+  private readonly followers = new FollowerDirector();
+
+  private readonly backoff: Backoff;
 
-  private version = 0;
+  private readonly readBackoff: Backoff;
 
   private recordSeenAt: Millis = 0;
 
-  private rank = 0;
+  /** False until the platform or a peer has told whether there is a record. */
+  private isKnown = false;
 
-  private step: Step = WATCHING;
+  /** The record's primary has been seen leading in the record's term. */
+  private hasLed = false;
 
-  private stepSince: Millis = 0;
+  /** Since when most zones have agreed that the primary is lost. */
+  private agreedAt: Millis | undefined;
 
-  private readonly statuses = new Map<string, InstanceStatus>();
+  private suspect: string | null = null;
 
-  private readonly heardAt = new Map<string, Millis>();
+  private rank = 0;
 
-  private readonly observations = new Map<string, PrimaryObservation>();
+  private step: Step = WATCHING;
 
-  private readonly fences = new Map<string, FenceAnswer>();
+  private stepSince: Millis = 0;
 
-  constructor(private readonly options: FailoverOptions) {}
+  constructor(
+    protected readonly options: FailoverOptions,
+    private readonly tally: FenceTally = new FenceTally(options),
+  ) {
+    this.monitor = new PrimaryMonitor(options);
+    this.backoff = new Backoff(options.random);
+    this.readBackoff = new Backoff(options.random);
+  }
 
-  /** Position of this VM among the watchers of the group; 0 acts first. */
-  updateRank(rank: number): void {
+  /** This VM's place among the watchers of the group (0 acts first) and the zones that vote. */
+  updateWatchers(rank: number, zones: readonly string[]): void {
     this.rank = rank;
+    this.monitor.updateZones(zones);
   }
 
-  /** Takes in the group's record as the platform or a peer gives it. */
-  handleRecord(
-    record: GroupRecord | undefined,
-    version: number,
-    now: Millis,
-  ): readonly FailoverAction[] {
+  /** Takes in the group's record, or its absence (version 0), from the platform or a peer. */
+  handleRecord(record: GroupRecord | undefined, version: number, now: Millis): Actions {
     if (version < this.version) return [];
-    const changed = version > this.version;
+    const changed = version > this.version || !this.isKnown;
+    this.isKnown = true;
+    if (!changed) return [];
+    this.readBackoff.release();
     this.version = version;
     this.record = record;
-    if (changed) this.recordSeenAt = now;
-    return this.settleWrite(now);
+    this.recordSeenAt = now;
+    this.hasLed = false;
+    this.agreedAt = undefined;
+    this.followers.release();
+    return this.settleStep(now);
   }
 
-  handleStatus(status: InstanceStatus, now: Millis): readonly FailoverAction[] {
-    this.statuses.set(status.instance, status);
-    this.heardAt.set(status.instance, now);
-    if (this.step.kind === 'promoting' && this.leads(status)) this.updateStep(WATCHING, now);
-    return this.followPrimary(status);
+  handleStatus(status: InstanceStatus, now: Millis): Actions {
+    if (!this.monitor.updateStatus(status, now)) return [];
+    const { record } = this;
+    if (status.fenceTerm > (record?.term ?? 0)) return this.readRecord(now);
+    if (status.instance !== record?.primary) {
+      const primary = this.monitor.findStatus(record?.primary ?? '');
+      if (!record || !primary || !isLeading(primary, record)) return [];
+      return this.followers.handleStatus(status, record, this.rank * RANK_STAGGER_MS, now);
+    }
+    if (!isLeading(status, record)) return [];
+    this.hasLed = true;
+    this.backoff.release();
+    if (this.step.kind === 'promoting') this.updateStep(WATCHING, now);
+    return [];
   }
 
-  handleObservation(observation: PrimaryObservation): void {
-    this.observations.set(observation.vm, observation);
+  handleObservation(observation: PrimaryObservation, now: Millis): void {
+    this.monitor.updateObservation(observation, now);
   }
 
-  handleFence(answer: FenceAnswer, now: Millis): readonly FailoverAction[] {
+  handleFence(answer: FenceAnswer, now: Millis): Actions {
     const { step } = this;
-    if (step.kind !== 'fencing' || answer.term !== step.record.term || !answer.granted) return [];
-    this.fences.set(answer.instance, answer);
-    if (this.fences.size < countMajority(this.options.group.instances.length)) return [];
-    return this.nameCandidate(step.record, now);
+    if (step.kind !== 'fencing' || answer.term !== step.record.term) return [];
+    this.tally.add(answer);
+    if (answer.granted) return this.nameCandidate(step.record, now);
+    // Answers were lost after the grant, or the instances know a later term.
+    if (!this.tally.isHopeless()) return [];
+    this.updateStep(WATCHING, now);
+    return [...this.readRecord(now), ...(this.backoff.isDue(now) ? this.claimTerm(now) : [])];
   }
 
-  handleWrite(outcome: WriteOutcome, now: Millis): readonly FailoverAction[] {
+  /** Takes in the outcome of `write`, at any time after it was requested. */
+  handleWrite(write: WriteAction, outcome: WriteOutcome, now: Millis): Actions {
+    if (outcome.kind === 'written') return this.handleRecord(write.record, outcome.version, now);
     const { step } = this;
-    if (step.kind !== 'claiming' && step.kind !== 'naming') return [];
-    return match(outcome)
-      .with({ kind: 'written' }, ({ version }) => this.handleRecord(step.record, version, now))
-      .otherwise(() => [{ kind: 'readRecord', group: this.options.group.name } as const]);
+    return 'write' in step && step.write.record === write.record ? [this.createRead()] : [];
   }
 
-  /** What this VM sees of the primary, for its peers. */
-  findObservation(now: Millis): PrimaryObservation | undefined {
+  /** Takes in the answer to a promotion; the others need not wait for a probe to follow. */
+  handlePromotion(instance: string, term: number, done: boolean, now: Millis): Actions {
     const { record, options } = this;
-    if (!record?.primary || record.phase !== 'named') return undefined;
-    const { vm, zone, group } = options;
-    const reachable = this.isReachable(record, now);
-    return { vm, zone, group: group.name, term: record.term, reachable, observedAt: now };
+    const isNamed = record?.phase === 'named' && record.primary === instance;
+    if (!isNamed || record.term !== term) return [];
+    if (!done) return this.readRecord(now);
+    if (this.step.kind === 'promoting') this.updateStep(WATCHING, now);
+    return options.group.instances
+      .filter(({ id }) => id !== instance)
+      .flatMap(({ id }) => this.followers.follow(id, record, now));
   }
 
-  handleTick(now: Millis): readonly FailoverAction[] {
-    if (this.step.kind !== 'watching') return this.repeatStep(now);
-    return this.isDue(now) ? this.claimTerm(now) : [];
+  /** What this VM sees of the primary, for its peers. */
+  findObservation(now: Millis): PrimaryObservation | undefined {
+    return this.record && this.monitor.findObservation(this.record, this.options.vm, now);
   }
 
-  private leads(status: InstanceStatus): boolean {
-    const { record } = this;
-    return (
-      record?.primary === status.instance &&
-      status.role === 'primary' &&
-      status.durable.term === record.term
-    );
+  handleTick(now: Millis): Actions {
+    this.monitor.updateTick(now);
+    if (!this.isKnown) return this.readRecord(now);
+    if (this.step.kind !== 'watching') return this.repeatStep(now);
+    if (this.isDue(now)) return this.backoff.isDue(now) ? this.claimTerm(now) : [];
+    return this.promoteStuck(now);
   }
 
   private updateStep(step: Step, now: Millis): void {
@@ -177,119 +164,136 @@
     this.stepSince = now;
   }
 
-  private isReachable(record: GroupRecord, now: Millis): boolean {
-    const heardAt = record.primary ? this.heardAt.get(record.primary) : undefined;
-    return heardAt !== undefined && now - heardAt < SUSPECT_AFTER_MS;
-  }
-
   private isDue(now: Millis): boolean {
-    const { record } = this;
+    const { record, monitor } = this;
     const idle = now - this.recordSeenAt;
     const stagger = this.rank * RANK_STAGGER_MS;
+    if (!monitor.hasMajority(now)) return false;
     if (!record) return idle >= stagger;
     if (record.phase === 'fencing') return idle >= RANK_STAGGER_MS + stagger;
-    if (this.isReachable(record, now)) return this.isStuckPromotion(record, idle, stagger);
-    const heardAt = this.heardAt.get(record.primary ?? '') ?? this.recordSeenAt;
-    const silent = now - heardAt >= SUSPECT_AFTER_MS + stagger;
-    return silent && idle >= DAMPING_MS && this.hasZonesAgreed(record, now);
+    if (idle < (this.hasLed ? DAMPING_MS : RANK_STAGGER_MS + stagger)) return false;
+    const primary = record.primary ?? '';
+    const isReachable = monitor.isReachable(primary, now);
+    const status = monitor.findStatus(primary);
+    if (isReachable && status && !isLeading(status, record)) return idle >= DAMPING_MS + stagger;
+    const silence = monitor.countSilence(primary, this.recordSeenAt, now);
+    const isLost = isReachable || silence >= SUSPECT_AFTER_MS;
+    if (!isLost || !monitor.hasZonesAgreed(record, now)) this.agreedAt = undefined;
+    else this.agreedAt ??= now;
+    return this.agreedAt !== undefined && now - this.agreedAt >= stagger;
   }
 
-  /** The named instance answers, but nobody promoted it. */
-  private isStuckPromotion(record: GroupRecord, idle: Millis, stagger: Millis): boolean {
-    const status = this.statuses.get(record.primary ?? '');
-    const behind = status !== undefined && status.durable.term < record.term;
-    return behind && idle >= DAMPING_MS + stagger;
-  }
-
-  private hasZonesAgreed(record: GroupRecord, now: Millis): boolean {
-    const votes = new Map<string, boolean>([[this.options.zone, false]]);
-    for (const { term, reachable, observedAt, zone } of this.observations.values()) {
-      if (term !== record.term || now - observedAt > OBSERVATION_TTL_MS) continue;
-      votes.set(zone, reachable || votes.get(zone) === true);
+  /** Finishes the failover of a VM that was lost between naming and promotion. */
+  private promoteStuck(now: Millis): Actions {
+    const { record } = this;
+    if (record?.phase !== 'named' || now - this.recordSeenAt < this.rank * RANK_STAGGER_MS) {
+      return [];
     }
-    const reaching = [...votes.values()].filter(Boolean).length;
-    return reaching * 2 < votes.size;
+    const status = this.monitor.findStatus(record.primary ?? '');
+    if (!status || status.role === 'primary' || status.fenceTerm !== record.term) return [];
+    return this.repeats.isDue('promote', now) ? this.promote(record) : [];
   }
 
-  private claimTerm(now: Millis): readonly FailoverAction[] {
+  private claimTerm(now: Millis): Actions {
     const { vm, group, createAttempt } = this.options;
+    // An instance refuses a fence at or below the term that it has granted.
+    const term = Math.max(this.record?.term ?? 0, this.monitor.findFenceTerm()) + 1;
     const record: GroupRecord = {
       group: group.name,
-      term: (this.record?.term ?? 0) + 1,
+      term,
       phase: 'fencing',
       primary: null,
       attempt: createAttempt(),
       writer: vm,
     };
-    this.fences.clear();
-    this.updateStep({ kind: 'claiming', record }, now);
-    return [{ kind: 'writeRecord', record, expectedVersion: this.version }];
+    this.suspect = this.record?.primary ?? this.suspect;
+    this.tally.release();
+    return this.write('claiming', record, now);
+  }
+
+  private write(kind: 'claiming' | 'naming', record: GroupRecord, now: Millis): Actions {
+    const write: WriteAction = { kind: 'writeRecord', record, expectedVersion: this.version };
+    this.backoff.schedule(now);
+    this.updateStep({ kind, write }, now);
+    return [write];
   }
 
-  /** Compares the record in the platform with the write in progress. */
-  private settleWrite(now: Millis): readonly FailoverAction[] {
+  /** Compares a changed record with the step in progress; any other writer's change ends it. */
+  private settleStep(now: Millis): Actions {
     const { step, record } = this;
     if (step.kind === 'watching') return [];
-    if (record?.attempt !== step.record.attempt || record.phase !== step.record.phase) {
-      if (record && record.term >= step.record.term) this.updateStep(WATCHING, now);
+    const own = 'write' in step ? step.write.record : step.record;
+    if (!record || record.attempt !== own.attempt || record.phase !== own.phase) {
+      this.updateStep(WATCHING, now);
       return [];
     }
     if (step.kind === 'claiming') {
       this.updateStep({ kind: 'fencing', record }, now);
       return this.fenceAll(record);
     }
-    if (step.kind === 'naming') {
-      this.updateStep({ kind: 'promoting', record }, now);
-      return this.promote(record);
-    }
-    return [];
+    if (step.kind !== 'naming') return [];
+    this.updateStep({ kind: 'promoting', record }, now);
+    this.repeats.isDue('promote', now);
+    return this.promote(record);
   }
 
-  private fenceAll({ term }: GroupRecord): readonly FailoverAction[] {
-    return this.options.group.instances
-      .filter(({ id }) => !this.fences.has(id))
-      .map(({ id }) => ({ kind: 'fence', instance: id, term }));
+  private fenceAll({ term }: GroupRecord): Actions {
+    return this.tally.listMissing().map((instance) => ({ kind: 'fence', instance, term }));
   }
 
-  private nameCandidate(claimed: GroupRecord, now: Millis): readonly FailoverAction[] {
-    const best = [...this.fences.values()].reduce((a, b) => {
-      const order = comparePositions(a.durable, b.durable) || b.instance.localeCompare(a.instance);
-      return order >= 0 ? a : b;
-    });
-    const record: GroupRecord = { ...claimed, phase: 'named', primary: best.instance };
-    this.updateStep({ kind: 'naming', record }, now);
-    return [{ kind: 'writeRecord', record, expectedVersion: this.version }];
+  /**
+   * Leaves the suspected primary out at first: its log may be longest by entries that nobody
+   * acknowledged, and naming it again would not help the zones that cannot reach it.
+   */
+  private nameCandidate(claimed: GroupRecord, now: Millis): Actions {
+    const isEarly = now - this.stepSince < PREFER_OTHERS_MS;
+    const primary = this.tally.findCandidate(isEarly ? this.suspect : null);
+    if (!primary) return [];
+    return this.write('naming', { ...claimed, phase: 'named', primary }, now);
   }
 
-  private promote({ primary, term }: GroupRecord): readonly FailoverAction[] {
+  private promote({ primary, term }: GroupRecord): Actions {
     return primary ? [{ kind: 'promote', instance: primary, term }] : [];
   }
 
-  /** Sends a step again that has had no answer for a while, and gives up after several times. */
-  private repeatStep(now: Millis): readonly FailoverAction[] {
-    const waited = now - this.stepSince;
-    if (waited < RANK_STAGGER_MS) return [];
+  private createRead(): FailoverAction {
+    return { kind: 'readRecord', group: this.options.group.name };
+  }
+
+  private readRecord(now: Millis): Actions {
+    if (!this.readBackoff.isDue(now)) return [];
+    this.readBackoff.schedule(now);
+    return [this.createRead()];
+  }
+
+  /** Sends a step again that has had no answer for a while, and gives up in the end. */
+  private repeatStep(now: Millis): Actions {
     const { step } = this;
-    this.stepSince = now;
-    return match(step)
-      .with({ kind: 'fencing' }, ({ record }) => this.fenceAll(record))
-      .with({ kind: 'promoting' }, ({ record }) => {
-        if (now - this.recordSeenAt >= DAMPING_MS) this.updateStep(WATCHING, now);
-        return this.promote(record);
-      })
-      .with({ kind: 'watching' }, () => [])
-      .otherwise(() => [{ kind: 'readRecord', group: this.options.group.name } as const]);
+    if ('write' in step) return this.repeatWrite(step, now);
+    if (step.kind === 'watching') return [];
+    if (now - this.stepSince >= STEP_TIMEOUT_MS) {
+      this.updateStep(WATCHING, now);
+      return [];
+    }
+    if (step.kind === 'promoting') {
+      // The candidate may be lost as well; the rules for a lost primary then start again.
+      if (this.isDue(now)) this.updateStep(WATCHING, now);
+      return this.repeats.isDue('promote', now) ? this.promote(step.record) : [];
+    }
+    const named = this.nameCandidate(step.record, now);
+    if (named.length > 0) return named;
+    return this.repeats.isDue('fence', now) ? this.fenceAll(step.record) : [];
   }
 
-  private followPrimary(status: InstanceStatus): readonly FailoverAction[] {
-    const { record } = this;
-    if (record?.phase !== 'named' || !record.primary || this.rank !== 0) return [];
-    if (status.instance === record.primary) return [];
-    const primary = this.statuses.get(record.primary);
-    if (!primary || !this.leads(primary)) return [];
-    const follows = status.following === record.primary && status.fenceTerm >= record.term;
-    if (follows && status.role === 'replica') return [];
-    const { term } = record;
-    return [{ kind: 'follow', instance: status.instance, term, primary: record.primary }];
+  /** The same conditional write may be sent any number of times: it takes effect once at most. */
+  private repeatWrite(step: Step & { readonly write: WriteAction }, now: Millis): Actions {
+    if (!this.backoff.isDue(now)) return [];
+    if (step.kind === 'claiming' && !this.isDue(now)) {
+      // The primary has come back while the platform was down.
+      this.updateStep(WATCHING, now);
+      return [this.createRead()];
+    }
+    this.backoff.schedule(now);
+    return [step.write];
   }
 }
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -24,14 +24,17 @@
 export type { Statement, StatementKind } from './statement.js';
 export { AdmissionQueue } from './admission.js';
 export type { AdmissionDecision, AdmissionOptions, Capacity, Work } from './admission.js';
-export { FailoverCoordinator, SUSPECT_AFTER_MS } from './failover.js';
+export { FailoverCoordinator } from './failover.js';
+export { FenceTally } from './tally.js';
 export type {
   FailoverAction,
   FailoverOptions,
   FenceAnswer,
-  PrimaryObservation,
+  WriteAction,
   WriteOutcome,
-} from './failover.js';
+} from './action.js';
+export { SUSPECT_AFTER_MS } from './monitor.js';
+export type { PrimaryObservation } from './monitor.js';
 export { MajorityTracker } from './majority.js';
 export type {
   MajorityDecision,
--- a/packages/core/src/majority.ts
+++ b/packages/core/src/majority.ts
@@ -2,7 +2,8 @@
 import { countMajority, type InstanceStatus } from './group.js';
 import { chooseLater, hasPosition, LOG_START, type LogPosition } from './position.js';
 
-const MAX_READINGS = 256;
+/** Readings come each millisecond while commits wait, and stated ages reach a minute back. */
+const MAX_READINGS = 512;
 
 /**
  * A bound on everything acknowledged before `startedAt`: the greatest durable position among
@@ -44,15 +45,15 @@
  * which floor an arriving session needs, and how old the data of an instance may be.
  */
 export class MajorityTracker {
-  private readonly latest = new Map<string, InstanceStatus>();
+  protected readonly latest = new Map<string, InstanceStatus>();
 
   private readonly commits = new Map<number, CommitState>();
 
   private readonly arrivals = new Map<number, PendingArrival>();
 
-  private readings: MajorityReading[] = [];
+  protected readings: MajorityReading[] = [];
 
-  constructor(private readonly instances: readonly string[]) {}
+  constructor(protected readonly instances: readonly string[]) {}
 
   /** Registers a commit; its verdict comes from a later status or tick. */
   addCommit(commit: PendingCommit): void {
@@ -78,6 +79,20 @@
     return [...this.decideArrivals(), ...this.decideCommits(status)];
   }
 
+  /**
+   * Ends the wait of commits of primaries before `term`, once the group's record names a primary
+   * of that term: the replaced primary's position may never be reported again.
+   */
+  handleTerm(term: number): readonly MajorityDecision[] {
+    const decisions: MajorityDecision[] = [];
+    for (const commit of this.commits.values()) {
+      if (commit.term >= term) continue;
+      this.commits.delete(commit.id);
+      decisions.push({ kind: 'unknown', id: commit.id, reason: 'the primary was replaced' });
+    }
+    return decisions;
+  }
+
   /** Expires waits whose deadline has passed. */
   handleTick(now: Millis): readonly MajorityDecision[] {
     const decisions: MajorityDecision[] = [];
@@ -107,7 +122,7 @@
     return this.readings.at(-1);
   }
 
-  private updateReadings(): void {
+  protected updateReadings(): void {
     const statuses = [...this.latest.values()].sort((a, b) => b.requestedAt - a.requestedAt);
     const majority = countMajority(this.instances.length);
     const oldest = statuses[majority - 1];
@@ -118,7 +133,19 @@
     const position = statuses
       .filter(({ requestedAt }) => requestedAt >= startedAt)
       .reduce((bound, { durable }) => chooseLater(bound, durable), LOG_START);
-    this.readings = [...this.readings.slice(1 - MAX_READINGS), { startedAt, position }];
+    this.readings.push({ startedAt, position });
+    if (this.readings.length > MAX_READINGS) this.removeReadings();
+  }
+
+  /** Drops every other reading of the older half, so that old ages get coarse, not unknown. */
+  private removeReadings(): void {
+    const half = this.readings.length / 2;
+    this.readings = this.readings.filter((_, index) => index > half || index % 2 === 0);
+  }
+
+  /** A reading that began before the session arrived may miss what was acknowledged since. */
+  protected isReadingFor(arrivedAt: Millis, reading: MajorityReading): boolean {
+    return reading.startedAt >= arrivedAt;
   }
 
   private decideArrivals(): readonly MajorityDecision[] {
@@ -126,7 +153,7 @@
     if (!reading) return [];
     const decisions: MajorityDecision[] = [];
     for (const { id, arrivedAt } of this.arrivals.values()) {
-      if (arrivedAt > reading.startedAt) continue;
+      if (!this.isReadingFor(arrivedAt, reading)) continue;
       this.arrivals.delete(id);
       decisions.push({ kind: 'floor', id, position: reading.position });
     }
@@ -144,7 +171,10 @@
     return decisions;
   }
 
-  private decideCommit(commit: CommitState, status: InstanceStatus): MajorityDecision | undefined {
+  protected decideCommit(
+    commit: CommitState,
+    status: InstanceStatus,
+  ): MajorityDecision | undefined {
     const { id, term } = commit;
     if (status.durable.term > term) {
       return { kind: 'unknown', id, reason: `the group moved on to term ${status.durable.term}` };
@@ -152,7 +182,7 @@
     const target = commit.target ?? this.findTarget(commit, status);
     if (target === 'replaced') return { kind: 'unknown', id, reason: 'the primary was replaced' };
     if (!target) return undefined;
-    if (this.countHolders(target) >= countMajority(this.instances.length)) {
+    if (this.hasHolders(target)) {
       return { kind: 'acknowledge', id, position: target };
     }
     this.commits.set(id, { ...commit, target });
@@ -171,10 +201,14 @@
     return leads && status.fenceTerm <= commit.term ? status.durable : 'replaced';
   }
 
-  /** Counts reports in the same term only; an equal offset of a later term may be another branch. */
-  private countHolders(target: LogPosition): number {
-    return [...this.latest.values()].filter(
-      ({ durable }) => durable.term === target.term && durable.offset >= target.offset,
-    ).length;
+  /** True when a majority has reported to hold everything up to `target`. */
+  protected hasHolders(target: LogPosition): boolean {
+    const holders = [...this.latest.values()].filter(({ durable }) => this.holds(durable, target));
+    return holders.length >= countMajority(this.instances.length);
+  }
+
+  /** Counts the same term only: an equal offset of a later term may lie on another branch. */
+  protected holds(durable: LogPosition, target: LogPosition): boolean {
+    return durable.term === target.term && durable.offset >= target.offset;
   }
 }
--- a/packages/daemon/src/failover.ts
+++ b/packages/daemon/src/failover.ts
@@ -12,6 +12,7 @@
   type Platform,
   type PrimaryObservation,
   rankVms,
+  type WriteAction,
 } from '@shallotpick/core';
 import { match } from 'ts-pattern';
 import type { Log } from './log.js';
@@ -26,6 +27,8 @@
   readonly links: ReadonlyMap<string, InstanceLink>;
   readonly membership: MembershipView;
   readonly createAttempt: () => string;
+  /** Spreads repeated attempts; numbers from 0 up to 1. */
+  readonly random: () => number;
 }
 
 /** Carries out what the failover coordinator of a group decides. */
@@ -34,12 +37,14 @@
 
   private current: GroupRecord | undefined;
 
+  private version = 0;
+
   constructor(private readonly options: FailoverDriverOptions) {
-    const { group, membership, createAttempt } = options;
+    const { group, membership, createAttempt, random } = options;
     const { id: vm, zone } = membership.self;
-    this.coordinator = new FailoverCoordinator({ vm, zone, group, createAttempt });
-    this.updateRank();
-    membership.addListener(() => this.updateRank());
+    this.coordinator = new FailoverCoordinator({ vm, zone, group, createAttempt, random });
+    this.updateWatchers();
+    membership.addListener(() => this.updateWatchers());
   }
 
   /** The newest record known. */
@@ -47,18 +52,14 @@
     return this.current;
   }
 
+  /** Takes in a record from the platform or a peer; one of a lower version changes nothing. */
   handleRecord(record: GroupRecord, version: number): void {
-    if (this.current?.term !== record.term || this.current.phase !== record.phase) {
-      const { group, term, phase, primary, writer } = record;
-      this.options.log.info('group record', { group, term, phase, primary, writer });
-    }
-    this.current = record;
-    const now = this.options.clock.readNow();
-    this.runActions(this.coordinator.handleRecord(record, version, now));
+    this.updateRecord(record, version);
+    this.runActions(this.coordinator.handleRecord(record, version, this.options.clock.readNow()));
   }
 
   handleObservation(observation: PrimaryObservation): void {
-    this.coordinator.handleObservation(observation);
+    this.coordinator.handleObservation(observation, this.options.clock.readNow());
   }
 
   handleStatus(status: InstanceStatus, now: Millis): void {
@@ -78,13 +79,27 @@
     return this.options.group.name;
   }
 
-  private updateRank(): void {
+  private updateRecord(record: GroupRecord, version: number): void {
+    if (version <= this.version) return;
+    this.version = version;
+    this.current = record;
+    const { group, term, phase, primary, writer } = record;
+    this.options.log.info('group record', { group, term, phase, primary, writer });
+  }
+
+  private updateWatchers(): void {
     const { membership } = this.options;
+    const live = membership.listLive();
     const ranking = rankVms(
       `failover/${this.name}`,
-      membership.listLive().map(({ id }) => id),
+      live.map(({ id }) => id),
+    );
+    // A VM that does not count as live itself leaves the others time to act first.
+    const place = ranking.indexOf(membership.self.id);
+    this.coordinator.updateWatchers(
+      place < 0 ? ranking.length : place,
+      live.map(({ zone }) => zone),
     );
-    this.coordinator.updateRank(Math.max(0, ranking.indexOf(membership.self.id)));
   }
 
   private runActions(actions: readonly FailoverAction[]): void {
@@ -103,16 +118,15 @@
   private async runAction(action: FailoverAction): Promise<void> {
     const { links, clock } = this.options;
     await match(action)
-      .with({ kind: 'writeRecord' }, ({ record, expectedVersion }) =>
-        this.writeRecord(record, expectedVersion),
-      )
+      .with({ kind: 'writeRecord' }, (write) => this.writeRecord(write))
       .with({ kind: 'readRecord' }, () => this.readRecord())
       .with({ kind: 'fence' }, async ({ instance, term }) => {
         const answer = await links.get(instance)?.fence(term);
         if (answer) this.runActions(this.coordinator.handleFence(answer, clock.readNow()));
       })
       .with({ kind: 'promote' }, async ({ instance, term }) => {
-        await links.get(instance)?.promote(term);
+        const done = (await links.get(instance)?.promote(term)) ?? false;
+        this.runActions(this.coordinator.handlePromotion(instance, term, done, clock.readNow()));
       })
       .with({ kind: 'follow' }, async ({ instance, term, primary }) => {
         await links.get(instance)?.follow(term, primary);
@@ -120,16 +134,18 @@
       .exhaustive();
   }
 
-  private async writeRecord(record: GroupRecord, expectedVersion: number): Promise<void> {
+  private async writeRecord(write: WriteAction): Promise<void> {
     const { platform, clock } = this.options;
+    const { record, expectedVersion } = write;
     const key = formatGroupKey(this.name);
     const outcome = await platform.write(key, JSON.stringify(record), expectedVersion);
-    if (outcome.kind === 'written') this.current = record;
-    this.runActions(this.coordinator.handleWrite(outcome, clock.readNow()));
+    if (outcome.kind === 'written') this.updateRecord(record, outcome.version);
+    this.runActions(this.coordinator.handleWrite(write, outcome, clock.readNow()));
   }
 
   private async readRecord(): Promise<void> {
     const object = await this.options.platform.read(formatGroupKey(this.name));
     if (object) this.handleRecord(JSON.parse(object.value) as GroupRecord, object.version);
+    else this.runActions(this.coordinator.handleRecord(undefined, 0, this.options.clock.readNow()));
   }
 }
--- a/packages/daemon/src/group.ts
+++ b/packages/daemon/src/group.ts
@@ -70,6 +70,15 @@
 
   private readonly pending = new Map<number, Pending>();
 
+  /** Leases of writes and transactions. */
+  private readonly writing = new Set<Lease>();
+
+  /** Connections being opened: what gives each up, and its instance. */
+  private readonly opening = new Map<(error: Error) => void, string>();
+
+  /** Highest term whose primary this proxy knows. */
+  private servedTerm = 0;
+
   private nextId = 1;
 
   private timer: NodeJS.Timeout | undefined;
@@ -136,7 +145,7 @@
       this.runDecisions(this.queue.handleDone(instance, work, this.options.clock.readNow()));
     };
     try {
-      return await this.openLease(instance, release);
+      return await this.openLease(instance, request.kind, release);
     } catch (cause) {
       release();
       if (this.options.clock.readNow() >= deadline) {
@@ -170,20 +179,45 @@
     return id;
   }
 
-  private async openLease(instance: string, release: () => void): Promise<Lease> {
+  private async openLease(
+    instance: string,
+    kind: WorkRequest['kind'],
+    release: () => void,
+  ): Promise<Lease> {
     const pool = this.options.pools.get(instance);
     if (!pool) throw new RefusedError(`instance ${instance} is not known`);
-    const connection = await pool.connect();
+    const connection = await this.connect(pool, instance);
     const term = this.board.statuses.get(instance)?.durable.term ?? 0;
-    return {
+    const lease: Lease = {
       instance,
       connection,
       term,
       release: () => {
+        this.writing.delete(lease);
         pool.release(connection);
         release();
       },
     };
+    if (kind === 'write') this.writing.add(lease);
+    return lease;
+  }
+
+  /** Opens a connection, and gives up when the group's primary is replaced in the meantime. */
+  private async connect(pool: ConnectionPool, instance: string): Promise<InstanceConnection> {
+    const opening = pool.connect();
+    const replaced = new Promise<never>((_, reject) => {
+      this.opening.set(reject, instance);
+      opening.catch(() => undefined).finally(() => this.opening.delete(reject));
+    });
+    try {
+      return await Promise.race([opening, replaced]);
+    } catch (error) {
+      opening.then(
+        (connection) => pool.release(connection),
+        () => undefined,
+      );
+      throw error;
+    }
   }
 
   private async waitForSlot(work: Work, request: WorkRequest): Promise<string> {
@@ -233,6 +267,22 @@
     this.board.handleTick(now);
     this.runDecisions(this.queue.handleTick(now));
     this.failover.handleTick(now);
+    this.closeReplaced();
+  }
+
+  /** Ends what waits for a replaced primary, which may be paused and never answer. */
+  private closeReplaced(): void {
+    const { record } = this.failover;
+    if (record?.phase !== 'named') return;
+    this.board.handleTerm(record.term);
+    this.writing.forEach((lease) => {
+      if (lease.instance !== record.primary || lease.term < record.term) lease.connection.close();
+    });
+    if (record.term === this.servedTerm) return;
+    this.servedTerm = record.term;
+    this.opening.forEach((instance, refuse) => {
+      if (instance !== record.primary) refuse(new RefusedError('the primary was replaced'));
+    });
   }
 
   private handleStatus(status: InstanceStatus, before: InstanceStatus | undefined): void {
--- a/packages/daemon/src/status.ts
+++ b/packages/daemon/src/status.ts
@@ -119,6 +119,11 @@
     return floor;
   }
 
+  /** Gives commits of replaced primaries their verdict, once `term` has a primary. */
+  handleTerm(term: number): void {
+    this.runVerdicts(this.tracker.handleTerm(term));
+  }
+
   handleTick(now: Millis): void {
     this.latest.forEach((_, instance) => {
       const heardAt = this.heardAt.get(instance) ?? 0;
--- a/packages/daemon/src/wiring.ts
+++ b/packages/daemon/src/wiring.ts
@@ -48,6 +48,7 @@
         platform,
         membership,
         createAttempt: randomUUID,
+        random: Math.random,
       }),
     });
   };
--- a/packages/standin/src/instance.ts
+++ b/packages/standin/src/instance.ts
@@ -68,6 +68,7 @@
     });
     const address = server.address();
     if (address && typeof address === 'object') this.port = address.port;
+    this.group.shipAll();
   }
 
   /** Drops every connection and stops listening; the log stays, as on a disk. */
@@ -149,6 +150,8 @@
     if (term < this.fenceTerm || primary === this.options.id) return false;
     const leader = this.group.findInstance(primary);
     if (!leader || !this.group.isLinked(this, leader)) return false;
+    // A former primary, or one not promoted yet, does not accept a follower of this term.
+    if (leader.role !== 'primary' || leader.fenceTerm !== term) return false;
     this.fenceTerm = term;
     this.role = 'replica';
     this.following = primary;
