--- a/packages/daemon/src/wiring.ts
+++ b/packages/daemon/src/wiring.ts
@@ -121,6 +121,7 @@
         platform,
         membership,
         createAttempt: randomUUID,
+        random: Math.random,
       }),
     });
   };
