--- a/packages/bench/src/slopes.ts
+++ b/packages/bench/src/slopes.ts
@@ -72,6 +72,7 @@
     zone: 'zone-0',
     group,
     createAttempt: () => 'attempt',
+    random: () => 0.5,
   });
   const tracker = new MajorityTracker(group.instances.map(({ id }) => id));
   const record: GroupRecord = {
