Validate, chain, compact and spread release notes

Cause: notes were only folded; nothing checked them against their base, settled races, or carried them between daemons.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -39,14 +39,27 @@
   PendingArrival,
   PendingCommit,
 } from './majority.js';
+export { NoteChain, parseNoteText } from './chain.js';
+export type { ChainDecision, NumberedNote } from './chain.js';
+export { compareConfigurations } from './difference.js';
+export type { ConfigurationChange, FieldChange } from './difference.js';
+export { loadChain, loadNotes, loadSnapshot, runSubmission, writeSnapshot } from './history.js';
 export {
   applyNote,
+  checkNote,
   EMPTY_CONFIGURATION,
   formatGroupKey,
   formatNoteKey,
+  formatPath,
+  MAX_VALUE_BYTES,
   noteSchema,
+  parseNote,
+  parseNoteKey,
 } from './note.js';
-export type { Configuration, ReleaseNote } from './note.js';
+export type { Configuration, NoteIssue, ParsedNote, ReleaseNote } from './note.js';
+export { createShards, formatShardKey, ShardCollector, SNAPSHOT_INTERVAL } from './snapshot.js';
+export type { SnapshotShard } from './snapshot.js';
+export { MAX_SPREAD_BYTES, Spread } from './spread.js';
 export { computeHash, rankVms } from './placement.js';
 export { Platform } from './platform.js';
 export type { PlatformListing, PlatformObject, PlatformWrite, VmListing } from './platform.js';
--- a/packages/core/src/note.ts
+++ b/packages/core/src/note.ts
@@ -3,51 +3,89 @@
 import { InvalidNoteError } from './errors.js';
 import type { DatabaseGroup } from './group.js';
 
-const name = z.string().regex(/^[a-z][a-z0-9-]{0,62}$/);
-
-const instanceSchema = z.strictObject({
-  id: name,
-  zone: name,
-  host: z.string().min(1),
-  port: z.int().min(1).max(65_535),
-  slots: z.int().min(1).max(1_000),
-  connectionLimit: z.int().min(1).max(100_000),
-  leaving: z.boolean().optional(),
+/** Greatest length of one value in the platform. */
+export const MAX_VALUE_BYTES = 1_000_000;
+const NOTE_NUMBER_DIGITS = 9;
+
+const name = z
+  .string()
+  .regex(
+    /^[a-z][a-z0-9-]{0,62}$/,
+    'allowed: a lower-case letter, then up to 62 lower-case letters, digits and hyphens',
+  );
+
+/** An object that refuses unknown fields and says which are allowed. */
+function createObject<T extends z.core.$ZodLooseShape>(shape: T): z.ZodObject<T, z.core.$strict> {
+  return z.strictObject(shape, {
+    error: (issue) =>
+      issue.code === 'unrecognized_keys'
+        ? `unknown field ${issue.keys?.join(', ')}; allowed: ${Object.keys(shape).join(', ')}`
+        : undefined,
+  });
+}
+
+const instanceSchema = createObject({
+  id: name.describe('Name of the instance, unique in its group'),
+  zone: name.describe('Availability zone of the instance'),
+  host: z.string().min(1).max(253).describe('IP address or host name'),
+  port: z.int().min(1).max(65_535).describe('TCP port'),
+  slots: z.int().min(1).max(1_000).describe('Statements that the instance runs well at once'),
+  connectionLimit: z.int().min(1).max(100_000).describe('Connections, over all proxies'),
+  leaving: z.boolean().optional().describe('True once the instance is to get no new work'),
+});
+
+const groupSchema = createObject({
+  name: name.describe('Name of the group, which callers use as the database name'),
+  instances: z.array(instanceSchema).min(1).max(9),
 });
 
-const groupSchema = z.strictObject({ name, instances: z.array(instanceSchema).min(1).max(9) });
-
-const contractSchema = z.strictObject({
-  name,
-  match: z.strictObject({
-    group: name.optional(),
-    user: z.string().optional(),
-    applicationName: z.string().optional(),
-    statementPrefix: z.string().min(1).optional(),
-  }),
-  maxAgeMs: z.int().min(0).max(86_400_000),
-  length: z.enum(['short', 'long']),
-  repeat: z.enum(['allowed', 'never']),
+const contractSchema = createObject({
+  name: name.describe('Name of the contract, for the comment of a statement'),
+  match: createObject({
+    group: name.optional().describe('Group that the statement addresses'),
+    user: z.string().max(63).optional().describe('User of the caller'),
+    applicationName: z.string().max(63).optional().describe('application_name of the caller'),
+    statementPrefix: z.string().min(1).max(1_000).optional().describe('Start of the statement'),
+  }).describe('Every stated field must match; an empty match applies by name only'),
+  maxAgeMs: z
+    .int()
+    .min(0)
+    .max(86_400_000)
+    .describe('Greatest age of the data, in milliseconds; 0 asks for the primary'),
+  length: z.enum(['short', 'long']).describe('Expected length of the work'),
+  repeat: z.enum(['allowed', 'never']).describe('Whether the proxy may send the work twice'),
 });
 
-const contentSchema = z.strictObject({
+const contentSchema = createObject({
   groups: z.array(groupSchema).default([]),
   contracts: z.array(contractSchema).default([]),
 });
 
+const withdrawnSchema = createObject({
+  groups: z.array(name).default([]),
+  contracts: z.array(name).default([]),
+});
+
 /** Schema of a release note as operators write it. */
-export const noteSchema = z.strictObject({
-  id: z.string().min(1).max(64),
-  base: z.int().min(0),
+export const noteSchema = createObject({
+  id: z.string().min(1).max(64).describe('Chosen by the operator; the same id is applied once'),
+  base: z.int().min(0).max(999_999_998).describe('Number of the note that this one changes'),
   added: contentSchema.default({ groups: [], contracts: [] }),
   changed: contentSchema.default({ groups: [], contracts: [] }),
-  withdrawn: z
-    .strictObject({ groups: z.array(name).default([]), contracts: z.array(name).default([]) })
-    .default({ groups: [], contracts: [] }),
+  withdrawn: withdrawnSchema.default({ groups: [], contracts: [] }),
 });
 
 export type ReleaseNote = z.infer<typeof noteSchema>;
 
+/** Schema of one shard of a snapshot. */
+export const shardSchema = createObject({
+  number: z.int().min(1),
+  shard: z.int().min(0),
+  shards: z.int().min(1),
+  groups: z.array(groupSchema),
+  contracts: z.array(contractSchema),
+});
+
 /** What is in force after a chain of notes. */
 export interface Configuration {
   /** Number of the last note; 0 before the first. */
@@ -58,43 +96,112 @@
 
 export const EMPTY_CONFIGURATION: Configuration = { number: 0, groups: [], contracts: [] };
 
+/** One rule that a note breaks. */
+export interface NoteIssue {
+  /** Fields and indexes from the root of the note. */
+  readonly path: readonly (string | number)[];
+  /** What is wrong and what is allowed. */
+  readonly message: string;
+}
+
+export type ParsedNote =
+  | { readonly kind: 'note'; readonly note: ReleaseNote }
+  | { readonly kind: 'invalid'; readonly issues: readonly NoteIssue[] };
+
+/** Checks the form of a note, without regard to its base. */
+export function parseNote(value: unknown): ParsedNote {
+  const parsed = noteSchema.safeParse(value);
+  if (parsed.success) return { kind: 'note', note: parsed.data };
+  const issues = parsed.error.issues.map(({ path, message }) => ({
+    path: path.map((part) => (typeof part === 'symbol' ? String(part) : part)),
+    message,
+  }));
+  return { kind: 'invalid', issues };
+}
+
+/** `added.groups[0].name` for a path of fields and indexes. */
+export function formatPath(path: NoteIssue['path']): string {
+  return path
+    .map((part) => (typeof part === 'number' ? `[${part}]` : `.${part}`))
+    .join('')
+    .replace(/^\./, '');
+}
+
+type Section = 'groups' | 'contracts';
+
 interface Named {
   readonly name: string;
 }
 
+/** Checks the names of one section: each once, new when added, known when changed or withdrawn. */
+function checkNames(base: Configuration, note: ReleaseNote, section: Section): NoteIssue[] {
+  const known = new Set((base[section] as readonly Named[]).map((item) => item.name));
+  const seen = new Set<string>();
+  const check = (path: NoteIssue['path'], item: string, isNew: boolean): NoteIssue[] => {
+    const issues: NoteIssue[] = seen.has(item)
+      ? [{ path, message: `${item} occurs twice; allowed: once a note` }]
+      : [];
+    seen.add(item);
+    if (isNew && known.has(item)) {
+      issues.push({ path, message: `${item} exists already; list it under changed.${section}` });
+    }
+    if (!isNew && !known.has(item)) {
+      issues.push({ path, message: `${item} does not exist in note ${base.number}` });
+    }
+    return issues;
+  };
+  const part = (kind: 'added' | 'changed'): NoteIssue[] =>
+    (note[kind][section] as readonly Named[]).flatMap((item, index) =>
+      check([kind, section, index, 'name'], item.name, kind === 'added'),
+    );
+  const withdrawn = note.withdrawn[section].flatMap((item, index) =>
+    check(['withdrawn', section, index], item, false),
+  );
+  return [...part('added'), ...part('changed'), ...withdrawn];
+}
+
+/** Checks that ids and addresses of instances occur once in their group. */
+function checkInstances(note: ReleaseNote): NoteIssue[] {
+  return (['added', 'changed'] as const).flatMap((kind) =>
+    note[kind].groups.flatMap((group, at) =>
+      group.instances.flatMap((instance, index) => {
+        const path = [kind, 'groups', at, 'instances', index];
+        const before = group.instances.slice(0, index);
+        const issues: NoteIssue[] = [];
+        if (before.some(({ id }) => id === instance.id)) {
+          issues.push({
+            path: [...path, 'id'],
+            message: `${instance.id} occurs twice in the group`,
+          });
+        }
+        if (before.some(({ host, port }) => host === instance.host && port === instance.port)) {
+          const address = `${instance.host}:${instance.port}`;
+          issues.push({ path: [...path, 'port'], message: `${address} occurs twice in the group` });
+        }
+        return issues;
+      }),
+    ),
+  );
+}
+
 function applySection<T extends Named>(
-  kind: string,
   base: readonly T[],
   added: readonly T[],
   changed: readonly T[],
   withdrawn: readonly string[],
 ): readonly T[] {
+  if (added.length + changed.length + withdrawn.length === 0) return base;
   const items = new Map(base.map((item) => [item.name, item]));
-  for (const item of added) {
-    if (items.has(item.name)) throw new InvalidNoteError(`${kind} ${item.name} exists already`);
-    items.set(item.name, item);
-  }
-  for (const item of changed) {
-    if (!items.has(item.name)) throw new InvalidNoteError(`${kind} ${item.name} does not exist`);
-    items.set(item.name, item);
-  }
-  for (const removed of withdrawn) {
-    if (!items.delete(removed)) throw new InvalidNoteError(`${kind} ${removed} does not exist`);
-  }
+  [...added, ...changed].forEach((item) => items.set(item.name, item));
+  withdrawn.forEach((removed) => items.delete(removed));
   return [...items.values()];
 }
 
-/** Applies a note to the configuration that it names as its base. */
-export function applyNote(base: Configuration, note: ReleaseNote): Configuration {
-  if (note.base !== base.number) {
-    throw new InvalidNoteError(`the note is based on ${note.base}, in force is ${base.number}`);
-  }
-  const { added, changed, withdrawn } = note;
+function foldNote(base: Configuration, { added, changed, withdrawn }: ReleaseNote): Configuration {
   return {
     number: base.number + 1,
-    groups: applySection('group', base.groups, added.groups, changed.groups, withdrawn.groups),
+    groups: applySection(base.groups, added.groups, changed.groups, withdrawn.groups),
     contracts: applySection(
-      'contract',
       base.contracts,
       added.contracts,
       changed.contracts,
@@ -103,9 +210,60 @@
   };
 }
 
+/** Checks that no contract in force matches on a group that does not exist. */
+function checkMatches(result: Configuration, note: ReleaseNote): NoteIssue[] {
+  const groups = new Set(result.groups.map((group) => group.name));
+  return result.contracts.flatMap(({ name: contract, match: { group } }) => {
+    if (group === undefined || groups.has(group)) return [];
+    const kind = note.added.contracts.some((one) => one.name === contract) ? 'added' : 'changed';
+    const index = note[kind].contracts.findIndex((one) => one.name === contract);
+    if (index >= 0) {
+      const path = [kind, 'contracts', index, 'match', 'group'];
+      return [{ path, message: `group ${group} does not exist` }];
+    }
+    const at = note.withdrawn.groups.indexOf(group);
+    return [
+      { path: ['withdrawn', 'groups', at], message: `contract ${contract} matches group ${group}` },
+    ];
+  });
+}
+
+/** Checks a note against the configuration that it names as its base. */
+export function checkNote(base: Configuration, note: ReleaseNote): readonly NoteIssue[] {
+  if (note.base !== base.number) {
+    const message = `the note is based on ${note.base}; allowed: ${base.number}, the newest note`;
+    return [{ path: ['base'], message }];
+  }
+  const issues = [
+    ...checkNames(base, note, 'groups'),
+    ...checkNames(base, note, 'contracts'),
+    ...checkInstances(note),
+  ];
+  return issues.length > 0 ? issues : checkMatches(foldNote(base, note), note);
+}
+
+/**
+ * Applies a note to the configuration that it names as its base.
+ *
+ * @throws InvalidNoteError that names each field that breaks a rule.
+ */
+export function applyNote(base: Configuration, note: ReleaseNote): Configuration {
+  const issues = checkNote(base, note);
+  if (issues.length > 0) {
+    const lines = issues.map(({ path, message }) => `${formatPath(path)}: ${message}`);
+    throw new InvalidNoteError(lines.join('; '));
+  }
+  return foldNote(base, note);
+}
+
 /** Key of a note in the platform; sorts in the order of the numbers. */
 export function formatNoteKey(number: number): string {
-  return `notes/${String(number).padStart(9, '0')}`;
+  return `notes/${String(number).padStart(NOTE_NUMBER_DIGITS, '0')}`;
+}
+
+/** Number of the note with a platform key. */
+export function parseNoteKey(key: string): number {
+  return Number(key.slice(key.lastIndexOf('/') + 1));
 }
 
 /** Key of a group's record in the platform. */
--- /dev/null
+++ b/packages/core/src/snapshot.ts
@@ -0,0 +1,80 @@
+import { InvalidNoteError } from './errors.js';
+import { type Configuration, shardSchema } from './note.js';
+
+/** Notes between two snapshots; bounds what a starting daemon reads one note at a time. */
+export const SNAPSHOT_INTERVAL = 100;
+/** Length of a shard; the rest up to the platform's limit is left for the frame around it. */
+const SHARD_BYTES = 900_000;
+const NUMBER_DIGITS = 9;
+const SHARD_DIGITS = 5;
+
+/** Object that names the newest complete snapshot. */
+export const SNAPSHOT_HEAD_KEY = 'snapshots/head';
+
+/** One part of a snapshot: its place and its JSON text. */
+export interface SnapshotShard {
+  readonly number: number;
+  readonly shard: number;
+  readonly text: string;
+}
+
+/** Key of a shard in the platform. */
+export function formatShardKey(number: number, shard: number): string {
+  const digits = String(number).padStart(NUMBER_DIGITS, '0');
+  return `snapshots/${digits}/${String(shard).padStart(SHARD_DIGITS, '0')}`;
+}
+
+/** Splits a configuration into shards. The same configuration always gives the same shards. */
+export function createShards(configuration: Configuration): readonly SnapshotShard[] {
+  const { number } = configuration;
+  const parts: { groups: string[]; contracts: string[] }[] = [];
+  let room = 0;
+  const add = (section: 'groups' | 'contracts', item: unknown): void => {
+    const text = JSON.stringify(item);
+    const bytes = Buffer.byteLength(text) + 1;
+    if (bytes > room) {
+      parts.push({ groups: [], contracts: [] });
+      room = SHARD_BYTES;
+    }
+    room -= bytes;
+    parts.at(-1)?.[section].push(text);
+  };
+  configuration.groups.forEach((group) => add('groups', group));
+  configuration.contracts.forEach((contract) => add('contracts', contract));
+  if (parts.length === 0) parts.push({ groups: [], contracts: [] });
+  return parts.map(({ groups, contracts }, shard) => ({
+    number,
+    shard,
+    text: `{"number":${number},"shard":${shard},"shards":${parts.length},"groups":[${groups.join()}],"contracts":[${contracts.join()}]}`,
+  }));
+}
+
+/** Collects the shards of a snapshot, in any order and with repetitions. */
+export class ShardCollector {
+  private parts = new Map<number, ReturnType<typeof shardSchema.parse>>();
+
+  private number = 0;
+
+  /**
+   * Adds one shard; returns the configuration once it is complete. Shards of a newer snapshot
+   * replace those of an older one.
+   *
+   * @throws InvalidNoteError when the text is not a shard.
+   */
+  add(text: string): Configuration | undefined {
+    const parsed = shardSchema.safeParse(JSON.parse(text));
+    if (!parsed.success) throw new InvalidNoteError('not a shard', { cause: parsed.error });
+    const { number, shard, shards } = parsed.data;
+    if (number < this.number) return undefined;
+    if (number > this.number) this.parts.clear();
+    this.number = number;
+    this.parts.set(shard, parsed.data);
+    if (this.parts.size < shards) return undefined;
+    const ordered = [...this.parts.values()].sort((a, b) => a.shard - b.shard);
+    return {
+      number,
+      groups: ordered.flatMap(({ groups }) => groups),
+      contracts: ordered.flatMap(({ contracts }) => contracts),
+    };
+  }
+}
--- /dev/null
+++ b/packages/core/src/spread.ts
@@ -0,0 +1,137 @@
+import type { Millis } from './clock.js';
+import { NoteChain } from './chain.js';
+import type { Configuration } from './note.js';
+import { ExchangeFeature, type NoteUpdate, type PeerExchange } from './peer.js';
+import { createShards, ShardCollector, SNAPSHOT_INTERVAL, type SnapshotShard } from './snapshot.js';
+
+/** Notes in one message; a single note or shard that the platform takes always fits. */
+export const MAX_SPREAD_BYTES = 1_000_000;
+/** A peer that reports an old number is not sent the same notes again within this time. */
+const RESEND_AFTER_MS: Millis = 1_000;
+
+interface Progress {
+  /** Greatest number that was sent or that the peer reported. */
+  sentNumber: number;
+  sentAt: Millis;
+  /** Counts the shards sent; the next one in turn follows from it. */
+  shard: number;
+}
+
+/**
+ * Disseminates release notes between daemons. Each message carries the number of the newest note
+ * in force as a digest; the receiver's number tells the sender which notes are missing. Notes are
+ * pushed in order and applied in order, so numbers only go up. A peer that is behind the kept
+ * notes gets the shards of the last snapshot, in turn, until it reports a newer number.
+ */
+export class Spread extends ExchangeFeature {
+  private readonly texts = new Map<number, string>();
+
+  private readonly progress = new Map<string, Progress>();
+
+  private readonly collector = new ShardCollector();
+
+  private chain = new NoteChain();
+
+  /** Start of the kept notes; the same on all daemons, at multiples of the interval. */
+  private base: Configuration = this.chain.configuration;
+
+  private shards: readonly SnapshotShard[] | undefined;
+
+  constructor(private readonly onConfiguration: (configuration: Configuration) => void) {
+    super();
+  }
+
+  get configuration(): Configuration {
+    return this.chain.configuration;
+  }
+
+  /** Adds a note that the platform holds; false unless it is the next one. */
+  addNote(number: number, text: string): boolean {
+    if (!this.chain.add(number, text)) return false;
+    this.texts.set(number, text);
+    if (number % SNAPSHOT_INTERVAL === 0) this.updateBase();
+    this.onConfiguration(this.configuration);
+    return true;
+  }
+
+  /** Starts from a snapshot; false when what is in force is as new. */
+  addSnapshot(configuration: Configuration): boolean {
+    if (configuration.number <= this.configuration.number) return false;
+    this.chain = new NoteChain(configuration);
+    this.texts.clear();
+    this.updateBase();
+    this.onConfiguration(configuration);
+    return true;
+  }
+
+  override collect(
+    peer: string,
+    heard: PeerExchange | undefined,
+    now: Millis,
+  ): Partial<PeerExchange> {
+    const { number } = this.configuration;
+    const theirs = heard?.noteNumber;
+    const notes = theirs === undefined || theirs >= number ? [] : this.listFor(peer, theirs, now);
+    return { noteNumber: number, notes };
+  }
+
+  override handle(message: PeerExchange): void {
+    [...message.notes]
+      .sort((a, b) => a.number - b.number)
+      .forEach(({ number, text }) => {
+        if (number <= this.configuration.number) return;
+        // Notes have no field of that name; shards begin with it.
+        if (text.startsWith('{"number":')) this.handleShard(text);
+        else this.addNote(number, text);
+      });
+  }
+
+  private handleShard(text: string): void {
+    const configuration = this.collector.add(text);
+    if (configuration) this.addSnapshot(configuration);
+  }
+
+  private updateBase(): void {
+    this.base = this.configuration;
+    this.shards = undefined;
+    [...this.texts.keys()]
+      .filter((number) => number <= this.base.number - SNAPSHOT_INTERVAL)
+      .forEach((number) => this.texts.delete(number));
+  }
+
+  private listFor(peer: string, theirs: number, now: Millis): readonly NoteUpdate[] {
+    const progress = this.progress.get(peer) ?? { sentNumber: 0, sentAt: -Infinity, shard: 0 };
+    this.progress.set(peer, progress);
+    if (now - progress.sentAt >= RESEND_AFTER_MS) progress.sentNumber = theirs;
+    const from = Math.max(theirs, progress.sentNumber);
+    if (!this.texts.has(theirs + 1)) {
+      progress.sentAt = now;
+      progress.shard += 1;
+      return this.listShard(progress.shard);
+    }
+    const notes = this.listAfter(from);
+    if (notes.length > 0) {
+      progress.sentNumber = notes.at(-1)?.number ?? from;
+      progress.sentAt = now;
+    }
+    return notes;
+  }
+
+  private listShard(turn: number): readonly NoteUpdate[] {
+    this.shards ??= createShards(this.base);
+    const next = this.shards[turn % this.shards.length];
+    return next ? [{ number: next.number, text: next.text }] : [];
+  }
+
+  private listAfter(from: number): readonly NoteUpdate[] {
+    const notes: NoteUpdate[] = [];
+    let room = MAX_SPREAD_BYTES;
+    for (let number = from + 1; number <= this.configuration.number; number++) {
+      const text = this.texts.get(number);
+      room -= text === undefined ? 0 : Buffer.byteLength(text);
+      if (text === undefined || room < 0) break;
+      notes.push({ number, text });
+    }
+    return notes;
+  }
+}
