Give the platform adapter backoff, a breaker and relays

Cause: every daemon watched the platform and repeated failed calls at a fixed pace; after a compaction it listed all notes. The stand-in limits rates, counts bytes and compacts its history on demand.

--- a/packages/core/src/errors.ts
+++ b/packages/core/src/errors.ts
@@ -8,3 +8,6 @@
 
 /** Work was refused before any instance saw it. */
 export const NotRunError = CoreError.subclass('NotRunError');
+
+/** The platform no longer keeps the changes after the revision; the reader lists again. */
+export const CompactedError = CoreError.subclass('CompactedError');
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -2,7 +2,7 @@
 export type { Millis } from './clock.js';
 export { findContract, DEFAULT_CONTRACT } from './contract.js';
 export type { Contract, ContractMatch, ContractSubject } from './contract.js';
-export { CoreError, InvalidNoteError, NotRunError } from './errors.js';
+export { CompactedError, CoreError, InvalidNoteError, NotRunError } from './errors.js';
 export { countMajority } from './group.js';
 export type {
   DatabaseGroup,
--- a/packages/core/src/platform.ts
+++ b/packages/core/src/platform.ts
@@ -35,7 +35,11 @@
 
   abstract list(prefix: string): Promise<PlatformListing>;
 
-  /** Waits for changes after `revision`; resolves with none when nothing changed in time. */
+  /**
+   * Waits for changes after `revision`; resolves with none when nothing changed in time.
+   *
+   * @throws CompactedError when the changes after `revision` are no longer kept.
+   */
   abstract watch(prefix: string, revision: number): Promise<PlatformListing>;
 
   abstract listVms(): Promise<readonly VmListing[]>;
--- a/packages/daemon/src/platform.ts
+++ b/packages/daemon/src/platform.ts
@@ -1,16 +1,37 @@
 import {
+  CompactedError,
+  type Millis,
   Platform,
   type PlatformListing,
   type PlatformObject,
   type PlatformWrite,
   type VmListing,
 } from '@shallotpick/core';
+import {
+  circuitBreaker,
+  ConsecutiveBreaker,
+  ExponentialBackoff,
+  handleAll,
+  handleWhen,
+  type IPolicy,
+  retry,
+  wrap,
+} from 'cockatiel';
 import { z } from 'zod';
 import { PlatformError } from './errors.js';
-import type { Metrics } from './metrics.js';
 
-const CALL_TIMEOUT_MS = 1_000;
-const WATCH_TIMEOUT_MS = 10_000;
+const CALL_TIMEOUT_MS: Millis = 1_000;
+/** Longer than the platform holds a watch without a change. */
+const WATCH_TIMEOUT_MS: Millis = 10_000;
+const MAX_RETRIES = 3;
+const RETRY_DELAY_MS: Millis = 50;
+const MAX_RETRY_DELAY_MS: Millis = 1_000;
+/** Failures in a row before calls are refused without being sent. */
+const BREAK_AFTER = 5;
+const BREAK_MS: Millis = 200;
+const MAX_BREAK_MS: Millis = 2_000;
+const STATUS_TOO_MANY = 429;
+const STATUS_GONE = 410;
 
 const objectSchema = z.object({ key: z.string(), value: z.string(), version: z.number() });
 const listingSchema = z.object({ revision: z.number(), objects: z.array(objectSchema) });
@@ -19,33 +40,75 @@
   z.object({ id: z.string(), zone: z.string(), state: z.enum(['live', 'leaving']) }),
 );
 
-type Call = 'read' | 'write' | 'list' | 'watch' | 'vms';
+export type PlatformCall = 'read' | 'write' | 'list' | 'watch' | 'vms';
+
+/** The platform refused the call before it had any effect. */
+const ThrottledError = PlatformError.subclass('ThrottledError');
+
+export interface HttpPlatformOptions {
+  readonly url: string;
+  /** Called once for each call that is sent, with the status or `failed`. */
+  readonly onCall?: (call: PlatformCall, outcome: string) => void;
+  readonly timeoutMs?: Millis;
+}
+
+/** Refuses calls for a while after failures in a row, longer each time. */
+function createBreaker(): IPolicy {
+  const halfOpenAfter = new ExponentialBackoff({ initialDelay: BREAK_MS, maxDelay: MAX_BREAK_MS });
+  return circuitBreaker(
+    handleWhen((error) => !(error instanceof ThrottledError)),
+    { halfOpenAfter, breaker: new ConsecutiveBreaker(BREAK_AFTER) },
+  );
+}
+
+const backoff = (): ExponentialBackoff<unknown> =>
+  new ExponentialBackoff({ initialDelay: RETRY_DELAY_MS, maxDelay: MAX_RETRY_DELAY_MS });
 
-/** The platform's object API over HTTP. Each call is counted. */
+/**
+ * The platform's object API over HTTP. Each call has a timeout and is counted. Reads are retried
+ * with jittered backoff; a write is sent again only when it was refused for its rate, because any
+ * other failure may have taken effect. Watches have their own breaker, so that a waiting watch
+ * does not hold up the call that tests whether the platform is back.
+ */
 export class HttpPlatform extends Platform {
-  constructor(
-    private readonly url: string,
-    private readonly metrics: Metrics,
-  ) {
+  private readonly breaker = createBreaker();
+
+  private readonly readPolicy = wrap(
+    retry(handleAll, { maxAttempts: MAX_RETRIES, backoff: backoff() }),
+    this.breaker,
+  );
+
+  private readonly writePolicy = wrap(
+    retry(
+      handleWhen((error) => error instanceof ThrottledError),
+      { maxAttempts: MAX_RETRIES, backoff: backoff() },
+    ),
+    this.breaker,
+  );
+
+  private readonly watchPolicy = createBreaker();
+
+  constructor(private readonly options: HttpPlatformOptions) {
     super();
   }
 
-  async read(key: string): Promise<PlatformObject | undefined> {
+  override async read(key: string): Promise<PlatformObject | undefined> {
     const response = await this.request('read', `/objects/${encodeURIComponent(key)}`);
     if (response.status === 404) return undefined;
     return objectSchema.parse(await this.readJson(response));
   }
 
-  async write(key: string, value: string, expectedVersion: number): Promise<PlatformWrite> {
+  override async write(
+    key: string,
+    value: string,
+    expectedVersion: number,
+  ): Promise<PlatformWrite> {
     const condition: Record<string, string> =
       expectedVersion === 0 ? { 'if-none-match': '*' } : { 'if-match': String(expectedVersion) };
     try {
       const path = `/objects/${encodeURIComponent(key)}`;
-      const response = await this.request('write', path, {
-        method: 'PUT',
-        body: value,
-        headers: condition,
-      });
+      const init = { method: 'PUT', body: value, headers: condition };
+      const response = await this.request('write', path, init);
       if (response.status === 412) return { kind: 'conflict' };
       const { version } = versionSchema.parse(await this.readJson(response));
       return { kind: 'written', version };
@@ -54,38 +117,47 @@
     }
   }
 
-  async list(prefix: string): Promise<PlatformListing> {
+  override async list(prefix: string): Promise<PlatformListing> {
     const response = await this.request('list', `/objects?prefix=${encodeURIComponent(prefix)}`);
     return listingSchema.parse(await this.readJson(response));
   }
 
-  async watch(prefix: string, revision: number): Promise<PlatformListing> {
+  override async watch(prefix: string, revision: number): Promise<PlatformListing> {
     const path = `/watch?prefix=${encodeURIComponent(prefix)}&from=${revision}`;
     const response = await this.request('watch', path);
-    if (response.status === 410) return this.list(prefix);
+    if (response.status === STATUS_GONE) {
+      throw new CompactedError(`the changes after revision ${revision} are gone`);
+    }
     return listingSchema.parse(await this.readJson(response));
   }
 
-  async listVms(): Promise<readonly VmListing[]> {
+  override async listVms(): Promise<readonly VmListing[]> {
     return vmsSchema.parse(await this.readJson(await this.request('vms', '/vms')));
   }
 
-  private async request(call: Call, path: string, init: RequestInit = {}): Promise<Response> {
-    const timeout = call === 'watch' ? WATCH_TIMEOUT_MS : CALL_TIMEOUT_MS;
+  private async request(call: PlatformCall, path: string, init?: RequestInit): Promise<Response> {
+    const policies = { write: this.writePolicy, watch: this.watchPolicy } as const;
+    const policy = call === 'write' || call === 'watch' ? policies[call] : this.readPolicy;
     try {
-      const response = await fetch(`${this.url}${path}`, {
-        ...init,
-        signal: AbortSignal.timeout(timeout),
-      });
-      if (response.status >= 500) throw new PlatformError(`status ${response.status}`);
-      this.metrics.platformCalls.inc({ call, outcome: String(response.status) });
-      return response;
+      return await policy.execute(() => this.send(call, path, init));
     } catch (cause) {
-      this.metrics.platformCalls.inc({ call, outcome: 'failed' });
       throw new PlatformError(`the platform did not answer a ${call}`, { cause });
     }
   }
 
+  private async send(call: PlatformCall, path: string, init?: RequestInit): Promise<Response> {
+    const { url, timeoutMs = CALL_TIMEOUT_MS, onCall } = this.options;
+    const signal = AbortSignal.timeout(call === 'watch' ? WATCH_TIMEOUT_MS : timeoutMs);
+    const response = await fetch(`${url}${path}`, { ...init, signal }).catch((cause: unknown) => {
+      onCall?.(call, 'failed');
+      throw new PlatformError('no answer', { cause });
+    });
+    onCall?.(call, String(response.status));
+    if (response.status === STATUS_TOO_MANY) throw new ThrottledError('too many calls');
+    if (response.status >= 500) throw new PlatformError(`status ${response.status}`);
+    return response;
+  }
+
   private async readJson(response: Response): Promise<unknown> {
     if (!response.ok) throw new PlatformError(`status ${response.status}`);
     return response.json();
--- a/packages/daemon/src/wiring.ts
+++ b/packages/daemon/src/wiring.ts
@@ -1,6 +1,11 @@
 import { randomUUID } from 'node:crypto';
 import { createServer } from 'node:net';
-import { type DatabaseGroup, type DatabaseInstance, FixedMembership } from '@shallotpick/core';
+import {
+  type DatabaseGroup,
+  type DatabaseInstance,
+  FixedMembership,
+  Spread,
+} from '@shallotpick/core';
 import { SystemClock } from './clock.js';
 import { ControlLink } from './control.js';
 import { Daemon } from './daemon.js';
@@ -21,7 +26,10 @@
   const clock = new SystemClock();
   const log = createLog(settings.logLevel, vm);
   const metrics = new Metrics();
-  const platform = new HttpPlatform(settings.platformUrl, metrics);
+  const platform = new HttpPlatform({
+    url: settings.platformUrl,
+    onCall: (call, outcome) => metrics.platformCalls.inc({ call, outcome }),
+  });
   const applicationName = `shallotpick/${vm}/${zone}`;
 
   const createLinks = (group: DatabaseGroup): ReadonlyMap<string, ControlLink> =>
@@ -52,10 +60,13 @@
     });
   };
   const startSources = (daemon: Daemon): (() => void) => {
+    const spread = new Spread((configuration) => daemon.handleConfiguration(configuration));
     const watcher = new PlatformWatcher({
       platform,
       log,
-      onConfiguration: (configuration) => daemon.handleConfiguration(configuration),
+      membership,
+      spread,
+      createRandom: Math.random,
       onRecord: (record, version) => daemon.handleRecord(record, version),
     });
     watcher.start();
--- /dev/null
+++ b/packages/daemon/test/platform.spec.ts
@@ -0,0 +1,155 @@
+import {
+  formatNoteKey,
+  type GroupRecord,
+  Spread,
+  type Vm,
+  FixedMembership,
+} from '@shallotpick/core';
+import { StandinPlatform } from '@shallotpick/standin';
+import { expect } from 'earl';
+import { createLog } from '../src/log.js';
+import { HttpPlatform } from '../src/platform.js';
+import { PlatformWatcher } from '../src/watcher.js';
+
+const POLL_MS = 5;
+const VMS: readonly Vm[] = ['a', 'b', 'c', 'd', 'e'].map((letter) => ({
+  id: `vm-${letter}`,
+  zone: 'nyali',
+  host: '127.0.0.1',
+  peerPort: 0,
+}));
+
+const createText = (number: number): string =>
+  JSON.stringify({ id: `id-${number}`, base: number - 1 });
+
+const waitUntil = async (isTrue: () => boolean): Promise<void> => {
+  while (!isTrue()) {
+    await new Promise((resolve) => {
+      setTimeout(resolve, POLL_MS);
+    });
+  }
+};
+
+describe('HttpPlatform', () => {
+  const standin = new StandinPlatform();
+  let url = '';
+  const outcomes: string[] = [];
+  let platform: HttpPlatform;
+
+  before(async () => {
+    url = await standin.start();
+  });
+
+  beforeEach(() => {
+    outcomes.length = 0;
+    platform = new HttpPlatform({
+      url,
+      timeoutMs: 200,
+      onCall: (call, outcome) => outcomes.push(`${call} ${outcome}`),
+    });
+  });
+
+  after(() => standin.stop());
+
+  // Guards against a write that is sent again although it may have taken effect.
+  it('reports a write without an answer as lost and sends it once', async () => {
+    standin.faults.loseAnswers = 1;
+    expect(await platform.write('x', 'one', 0)).toEqual({ kind: 'lost' });
+    expect(outcomes).toEqual(['write failed']);
+    expect((await platform.read('x'))?.value).toEqual('one');
+  });
+
+  // Guards against calls without end to a platform that is down.
+  it('stops sending after failures in a row and goes on once the platform is back', async () => {
+    standin.faults.down = true;
+    for (let index = 0; index < 6; index++) await platform.read('x').catch(() => undefined);
+    expect(outcomes.length < 15).toEqual(true);
+    standin.faults.down = false;
+    let found: string | undefined;
+    while (found === undefined) {
+      found = (await platform.read('x').catch(() => undefined))?.value;
+    }
+    expect(found).toEqual('one');
+  });
+
+  // Guards against a refusal for the rate that counts as a failure of the platform.
+  it('sends a throttled write again', async () => {
+    standin.faults.writesPerSecond = 0;
+    setTimeout(() => {
+      standin.faults.writesPerSecond = 400;
+    }, 20);
+    expect((await platform.write('y', 'two', 0)).kind).toEqual('written');
+    expect(outcomes.slice(0, 1)).toEqual(['write 429']);
+  });
+});
+
+describe('PlatformWatcher', () => {
+  let standin: StandinPlatform;
+  let url = '';
+  const watchers: PlatformWatcher[] = [];
+
+  const createWatcher = (
+    self: Vm,
+    others: readonly Vm[],
+  ): { spread: Spread; watches: () => number } => {
+    let watches = 0;
+    const spread = new Spread(() => undefined);
+    const watcher = new PlatformWatcher({
+      platform: new HttpPlatform({
+        url,
+        onCall: (call) => {
+          watches += Number(call === 'watch');
+        },
+      }),
+      log: createLog('error', self.id),
+      membership: new FixedMembership(self, others),
+      spread,
+      createRandom: () => 0,
+      onRecord: (record: GroupRecord) => record,
+    });
+    watchers.push(watcher);
+    watcher.start();
+    return { spread, watches: () => watches };
+  };
+
+  beforeEach(async () => {
+    standin = new StandinPlatform();
+    url = await standin.start();
+    standin.set(formatNoteKey(1), createText(1));
+  });
+
+  afterEach(async () => {
+    watchers.splice(0).forEach((watcher) => watcher.stop());
+    await standin.stop();
+  });
+
+  // Guards against a fleet in which every VM watches the platform.
+  it('watches from two VMs of a zone only, and every VM reads once', async () => {
+    const all = VMS.map((vm) =>
+      createWatcher(
+        vm,
+        VMS.filter((other) => other !== vm),
+      ),
+    );
+    await waitUntil(() => all.every(({ spread }) => spread.configuration.number === 1));
+    standin.set(formatNoteKey(2), createText(2));
+    await waitUntil(() => all.filter((one) => one.spread.configuration.number === 2).length === 2);
+    expect(all.filter(({ watches }) => watches() > 0).length).toEqual(2);
+  });
+
+  // Guards against a reader that stays behind after the platform has dropped old changes.
+  it('reads the notes again after a compaction, an outage and a lost place', async () => {
+    const [vm] = VMS as [Vm];
+    const { spread } = createWatcher(vm, []);
+    await waitUntil(() => spread.configuration.number === 1);
+    standin.faults.down = true;
+    for (let number = 2; number <= 120; number++) {
+      standin.set(formatNoteKey(number), createText(number));
+    }
+    standin.removeHistory();
+    standin.faults.down = false;
+    await waitUntil(() => spread.configuration.number === 120);
+    await waitUntil(() => standin.find('snapshots/head') !== undefined);
+    expect(standin.find('snapshots/head')).toEqual('{"number":100,"shards":1}');
+  });
+});
--- a/packages/standin/src/platform.ts
+++ b/packages/standin/src/platform.ts
@@ -4,6 +4,9 @@
 const WATCH_TIMEOUT_MS = 5_000;
 const MAX_VALUE_BYTES = 1_048_576;
 const KEPT_REVISIONS = 10_000;
+const WRITES_PER_SECOND = 400;
+const READS_PER_SECOND = 2_000;
+const SECOND_MS = 1_000;
 
 /** Faults that the stand-in can be told to show. */
 export interface PlatformFaults {
@@ -13,6 +16,26 @@
   delayMs: number;
   /** The next writes that take effect without an answer. */
   loseAnswers: number;
+  /** Calls that are answered a second; the rest get 429. A waiting watch is one read. */
+  writesPerSecond: number;
+  readsPerSecond: number;
+}
+
+/** Counts the calls of the current second. */
+class RateLimit {
+  private startedAt = 0;
+
+  private count = 0;
+
+  isExceeded(perSecond: number): boolean {
+    const now = Date.now();
+    if (now - this.startedAt >= SECOND_MS) {
+      this.startedAt = now;
+      this.count = 0;
+    }
+    this.count += 1;
+    return this.count > perSecond;
+  }
 }
 
 interface Stored {
@@ -28,10 +51,16 @@
 
 /** The platform's object API over HTTP, in memory. */
 export class StandinPlatform {
-  readonly faults: PlatformFaults = { down: false, delayMs: 0, loseAnswers: 0 };
+  readonly faults: PlatformFaults = {
+    down: false,
+    delayMs: 0,
+    loseAnswers: 0,
+    writesPerSecond: WRITES_PER_SECOND,
+    readsPerSecond: READS_PER_SECOND,
+  };
 
-  /** Calls by method, waiting watches included. */
-  readonly calls = { reads: 0, writes: 0, watches: 0 };
+  /** Calls by method, waiting watches included, and the bytes of bodies in both directions. */
+  readonly calls = { reads: 0, writes: 0, watches: 0, throttled: 0, bytes: 0 };
 
   vms: readonly VmListing[] = [];
 
@@ -39,6 +68,13 @@
 
   private revision = 0;
 
+  /** Changes up to here are no longer kept for watches. */
+  private compacted = 0;
+
+  private readonly writeRate = new RateLimit();
+
+  private readonly readRate = new RateLimit();
+
   private readonly watchers = new Set<() => void>();
 
   private readonly server: Server = createServer((request, response) => {
@@ -68,6 +104,12 @@
     this.watchers.forEach((wake) => wake());
   }
 
+  /** Forgets the changes so far, so that a watch from an older revision gets 410. */
+  removeHistory(): void {
+    this.compacted = this.revision;
+    this.watchers.forEach((wake) => wake());
+  }
+
   find(key: string): string | undefined {
     return this.objects.get(key)?.value;
   }
@@ -84,6 +126,12 @@
       response.writeHead(503).end();
       return;
     }
+    this.calls.bytes += Buffer.byteLength(body);
+    if (this.isThrottled(request.method)) {
+      this.calls.throttled += 1;
+      response.writeHead(429, { 'retry-after': '1' }).end();
+      return;
+    }
     const key = decodeURIComponent(url.pathname.slice('/objects/'.length));
     if (url.pathname === '/vms') this.answer(response, 200, this.vms);
     else if (url.pathname === '/watch') await this.answerWatch(url, response);
@@ -92,9 +140,18 @@
     else this.answerRead(key, response);
   }
 
+  private isThrottled(method: string | undefined): boolean {
+    const { writesPerSecond, readsPerSecond } = this.faults;
+    return method === 'PUT'
+      ? this.writeRate.isExceeded(writesPerSecond)
+      : this.readRate.isExceeded(readsPerSecond);
+  }
+
   private answer(response: ServerResponse, status: number, value: unknown): void {
+    const text = JSON.stringify(value);
+    this.calls.bytes += Buffer.byteLength(text);
     response.writeHead(status, { 'content-type': 'application/json' });
-    response.end(JSON.stringify(value));
+    response.end(text);
   }
 
   private answerRead(key: string, response: ServerResponse): void {
@@ -139,7 +196,8 @@
     this.calls.watches += 1;
     const prefix = url.searchParams.get('prefix') ?? '';
     const from = Number(url.searchParams.get('from') ?? 0);
-    if (from > this.revision || from < this.revision - KEPT_REVISIONS) {
+    const oldest = Math.max(this.compacted, this.revision - KEPT_REVISIONS);
+    if (from > this.revision || from < oldest) {
       this.answer(response, 410, { revision: this.revision });
       return;
     }
