Serve operators over gRPC from each daemon

Cause: nothing told operators which note is in force, where a contract would be served, or let them drain a daemon. Change: operator.proto with generated code, a typed client, and an operator server on its own port: mutual TLS when key files are set, loopback only otherwise, off unless a port is set.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -5,6 +5,7 @@
 import type { GroupServer } from './group.js';
 import type { Log } from './log.js';
 import type { Metrics } from './metrics.js';
+import type { OperatorServer } from './operator.js';
 import { Session } from './session.js';
 import type { Settings } from './settings.js';
 import { SQLSTATE } from './sqlstate.js';
@@ -18,6 +19,7 @@
   readonly metrics: Metrics;
   readonly callerServer: Server;
   readonly metricsServer: Server;
+  readonly operatorServer: OperatorServer;
   readonly createGroup: (group: DatabaseGroup) => GroupServer;
   /** Starts and stops what feeds the daemon with configuration. */
   readonly startSources: (daemon: Daemon) => () => void;
@@ -54,6 +56,7 @@
       this.listen(callerServer, settings.callerPort),
       this.listen(metricsServer, settings.metricsPort),
     ]);
+    await this.parts.operatorServer.start(this);
     this.stopSources = this.parts.startSources(this);
     const callerPort = this.readCallerPort();
     this.parts.log.info('daemon started', { callerPort, metricsPort: this.readMetricsPort() });
@@ -80,6 +83,18 @@
     return !this.draining && this.groups.size > 0;
   }
 
+  isDraining(): boolean {
+    return this.draining;
+  }
+
+  countCallers(): number {
+    return this.callers.size;
+  }
+
+  readOperatorPort(): number {
+    return this.parts.operatorServer.port;
+  }
+
   handleConfiguration(configuration: Configuration): void {
     if (configuration.number <= this.configuration.number) return;
     this.configuration = configuration;
@@ -119,6 +134,7 @@
     this.groups.clear();
     this.parts.callerServer.close();
     this.parts.metricsServer.close();
+    this.parts.operatorServer.stop();
     this.parts.log.info('daemon stopped');
   }
 
--- /dev/null
+++ b/packages/daemon/src/operator.ts
@@ -0,0 +1,210 @@
+import { readFile } from 'node:fs/promises';
+import {
+  type Clock,
+  comparePositions,
+  type Contract,
+  DEFAULT_CONTRACT,
+  findPrimary,
+  type GroupView,
+  type InstanceStatus,
+  type LogPosition,
+} from '@shallotpick/core';
+import { createOperatorCalls, OPERATOR_SERVICE, type OperatorHandlers } from '@shallotpick/wire';
+import { Server, ServerCredentials, status as grpcStatus } from '@grpc/grpc-js';
+import type { Daemon } from './daemon.js';
+import { DaemonError, SettingError } from './errors.js';
+import { findExplanation } from './explain.js';
+import type { Log } from './log.js';
+import type { Settings } from './settings.js';
+
+const LOOPBACK = /^(127\.\d+\.\d+\.\d+|::1|localhost)$/;
+
+/** An operator's request cannot be met; `code` is the gRPC status. */
+const RequestError = DaemonError.subclass('RequestError', {
+  custom: class extends DaemonError {
+    code: number = grpcStatus.INVALID_ARGUMENT;
+  },
+});
+
+export interface OperatorServerOptions {
+  readonly settings: Settings;
+  readonly clock: Clock;
+  readonly log: Log;
+}
+
+/** Mutual TLS when key files are set; otherwise only loopback may be listened on. */
+async function createCredentials(settings: Settings): Promise<ServerCredentials> {
+  const { tlsCaFile, tlsCertFile, tlsKeyFile, host } = settings;
+  if (tlsCaFile && tlsCertFile && tlsKeyFile) {
+    const files = [tlsCaFile, tlsCertFile, tlsKeyFile] as const;
+    const [ca, cert, key] = await Promise.all(files.map((file) => readFile(file)));
+    if (ca && cert && key) {
+      return ServerCredentials.createSsl(ca, [{ private_key: key, cert_chain: cert }], true);
+    }
+  }
+  if (!LOOPBACK.test(host)) {
+    throw new SettingError(
+      `--host (SHALLOTPICK_HOST) is "${host}": the operator port on it needs --tls-ca-file, --tls-cert-file and --tls-key-file; allowed without them: a loopback address`,
+    );
+  }
+  return ServerCredentials.createInsecure();
+}
+
+/** Distance in offsets; undefined across terms, where offsets cannot be compared. */
+function computeLag(status: InstanceStatus, newest: LogPosition): number | undefined {
+  if (status.applied.term !== newest.term) return undefined;
+  return Math.max(0, newest.offset - status.applied.offset);
+}
+
+/** Serves operators: status, explanation of routes, and drain. */
+export class OperatorServer implements OperatorHandlers {
+  private readonly server = new Server();
+
+  private daemon: Daemon | undefined;
+
+  private boundPort = 0;
+
+  constructor(private readonly options: OperatorServerOptions) {}
+
+  /** Port that is listened on; 0 before the start or when the service is off. */
+  get port(): number {
+    return this.boundPort;
+  }
+
+  /** @throws SettingError when the address needs TLS and no key files are set. */
+  async start(daemon: Daemon): Promise<void> {
+    const { settings, log } = this.options;
+    if (settings.operatorPort === undefined) return;
+    this.daemon = daemon;
+    this.server.addService(OPERATOR_SERVICE, createOperatorCalls(this));
+    const address = `${settings.host}:${settings.operatorPort}`;
+    const credentials = await createCredentials(settings);
+    this.boundPort = await new Promise((resolve, reject) => {
+      this.server.bindAsync(address, credentials, (error, port) => {
+        if (error) reject(new DaemonError(`${address} cannot be used`, { cause: error }));
+        else resolve(port);
+      });
+    });
+    log.info('operator service started', { port: this.boundPort });
+  }
+
+  stop(): void {
+    this.server.forceShutdown();
+  }
+
+  readStatus(): ReturnType<OperatorHandlers['readStatus']> {
+    const daemon = this.requireDaemon();
+    const { vm, zone } = this.options.settings;
+    return {
+      vm,
+      zone,
+      noteNumber: daemon.readConfiguration().number,
+      ready: daemon.isReady(),
+      draining: daemon.isDraining(),
+      callers: daemon.countCallers(),
+      groups: daemon.listGroups().map((group) => this.formatGroup(group.readView())),
+    };
+  }
+
+  explain(
+    request: Parameters<OperatorHandlers['explain']>[0],
+  ): ReturnType<OperatorHandlers['explain']> {
+    const { settings, clock } = this.options;
+    const daemon = this.requireDaemon();
+    const group = daemon.listGroups().find(({ name }) => name === request.group);
+    const names = daemon.listGroups().map(({ name }) => name);
+    if (!group) this.refuse(`group "${request.group}" is not known; allowed: ${names.join(', ')}`);
+    const contract = this.findContract(request.contract);
+    const { kind } = request;
+    if (kind !== 'read' && kind !== 'write') this.refuse('kind: allowed: read, write');
+    const view = group.readView();
+    const { route, candidates } = findExplanation(
+      view,
+      contract,
+      kind,
+      settings.zone,
+      clock.readNow(),
+    );
+    return {
+      vm: settings.vm,
+      contract: contract.name,
+      maxAgeMs: contract.maxAgeMs,
+      length: contract.length,
+      repeat: contract.repeat,
+      instances: route.kind === 'instances' ? [...route.instances] : [],
+      reason: route.reason,
+      candidates: [...candidates],
+    };
+  }
+
+  drain({ vm }: Parameters<OperatorHandlers['drain']>[0]): { callers: number } {
+    const { settings, log } = this.options;
+    const daemon = this.requireDaemon();
+    if (vm !== settings.vm) this.refuse(`this daemon is ${settings.vm}, not ${vm}`);
+    const callers = daemon.countCallers();
+    if (!daemon.isDraining()) {
+      log.info('drain requested by an operator', { callers });
+      daemon.drain().catch((error: unknown) => {
+        log.error('drain failed', { error: String(error) });
+      });
+    }
+    return { callers };
+  }
+
+  private refuse(message: string): never {
+    throw new RequestError(message);
+  }
+
+  private requireDaemon(): Daemon {
+    if (!this.daemon) throw new DaemonError('the operator service is not started');
+    return this.daemon;
+  }
+
+  private findContract(name: string): Contract {
+    const { contracts } = this.requireDaemon().readConfiguration();
+    const all = [DEFAULT_CONTRACT, ...contracts];
+    const found = all.find((contract) => contract.name === name);
+    const names = all.map((contract) => contract.name).join(', ');
+    return (
+      found ?? this.refuse(`contract "${name}" is not in the note in force; allowed: ${names}`)
+    );
+  }
+
+  private formatGroup(view: GroupView): {
+    name: string;
+    term: number;
+    phase: string;
+    primary: string;
+    instances: ReturnType<OperatorServer['formatInstance']>[];
+  } {
+    const { group, record } = view;
+    return {
+      name: group.name,
+      term: record?.term ?? 0,
+      phase: record?.phase ?? '',
+      primary: findPrimary(view) ?? '',
+      instances: group.instances.map(({ id }) => this.formatInstance(view, id)),
+    };
+  }
+
+  private formatInstance(view: GroupView, id: string) {
+    const instance = view.group.instances.find((one) => one.id === id);
+    const status = view.statuses.get(id);
+    const newest = [...view.statuses.values()]
+      .map(({ durable }) => durable)
+      .sort(comparePositions)
+      .at(-1);
+    return {
+      id,
+      zone: instance?.zone ?? '',
+      role: status?.role ?? '',
+      leaving: instance?.leaving ?? false,
+      lagOffsets: status && newest ? computeLag(status, newest) : undefined,
+      ageMs: view.findAge(id, this.options.clock.readNow()),
+      connections: status?.connections ?? 0,
+      connectionLimit: instance?.connectionLimit ?? 0,
+      running: status?.running ?? 0,
+      slots: instance?.slots ?? 0,
+    };
+  }
+}
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -11,6 +11,11 @@
   host: z.string().min(1).default('127.0.0.1'),
   callerPort: port.default(6432),
   metricsPort: port.default(9432),
+  /** Not set: no operator service. */
+  operatorPort: port.optional(),
+  tlsCaFile: z.string().min(1).optional(),
+  tlsCertFile: z.string().min(1).optional(),
+  tlsKeyFile: z.string().min(1).optional(),
   platformUrl: z.url(),
   instanceUser: z.string().min(1).default('shallotpick'),
   maxCallers: z.coerce.number().int().min(1).max(1_000_000).default(20_000),
--- a/packages/daemon/src/wiring.ts
+++ b/packages/daemon/src/wiring.ts
@@ -14,6 +14,7 @@
 import { createHealthServer } from './health.js';
 import { createLog } from './log.js';
 import { Metrics } from './metrics.js';
+import { OperatorServer } from './operator.js';
 import { HttpPlatform } from './platform.js';
 import { ConnectionPool } from './pool.js';
 import type { Settings } from './settings.js';
@@ -80,6 +81,7 @@
     metrics,
     callerServer: createServer(),
     metricsServer: createHealthServer(metrics, () => daemon.isReady()),
+    operatorServer: new OperatorServer({ settings, clock, log }),
     createGroup,
     startSources,
   });
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -29,3 +29,11 @@
   parseTarget,
 } from './message.js';
 export type { ErrorFields, Startup, TransactionState } from './message.js';
+export { createOperatorCalls, OPERATOR_SERVICE, OperatorClient } from './operator.js';
+export type { OperatorHandlers } from './operator.js';
+export type {
+  ExplainResponse,
+  GroupStatus,
+  InstanceState,
+  StatusResponse,
+} from './generated/operator/operator_pb.js';
--- /dev/null
+++ b/packages/wire/src/operator.ts
@@ -0,0 +1,132 @@
+import {
+  create,
+  type DescMessage,
+  fromBinary,
+  type MessageInitShape,
+  type MessageShape,
+  toBinary,
+} from '@bufbuild/protobuf';
+import {
+  type ChannelCredentials,
+  Client,
+  type handleUnaryCall,
+  type MethodDefinition,
+  type ServiceError,
+  type UntypedServiceImplementation,
+} from '@grpc/grpc-js';
+import {
+  DrainRequestSchema,
+  type DrainResponse,
+  DrainResponseSchema,
+  ExplainRequestSchema,
+  type ExplainResponse,
+  ExplainResponseSchema,
+  StatusRequestSchema,
+  type StatusResponse,
+  StatusResponseSchema,
+} from './generated/operator/operator_pb.js';
+
+const CALL_TIMEOUT_MS = 5_000;
+
+function createMethod<I extends DescMessage, O extends DescMessage>(
+  name: string,
+  input: I,
+  output: O,
+): MethodDefinition<MessageShape<I>, MessageShape<O>> {
+  return {
+    path: `/shallotpick.operator.v1.OperatorService/${name}`,
+    requestStream: false,
+    responseStream: false,
+    requestSerialize: (message) => Buffer.from(toBinary(input, message)),
+    requestDeserialize: (bytes) => fromBinary(input, bytes),
+    responseSerialize: (message) => Buffer.from(toBinary(output, message)),
+    responseDeserialize: (bytes) => fromBinary(output, bytes),
+  };
+}
+
+/** The operators' calls as gRPC methods; see proto/operator.proto. */
+export const OPERATOR_SERVICE = {
+  status: createMethod('Status', StatusRequestSchema, StatusResponseSchema),
+  explain: createMethod('Explain', ExplainRequestSchema, ExplainResponseSchema),
+  drain: createMethod('Drain', DrainRequestSchema, DrainResponseSchema),
+};
+
+/** What a daemon does for operators. Errors with a gRPC `code` keep it. */
+export interface OperatorHandlers {
+  readStatus(): MessageInitShape<typeof StatusResponseSchema>;
+  explain(
+    request: MessageShape<typeof ExplainRequestSchema>,
+  ): MessageInitShape<typeof ExplainResponseSchema>;
+  drain(
+    request: MessageShape<typeof DrainRequestSchema>,
+  ): MessageInitShape<typeof DrainResponseSchema>;
+}
+
+function createCall<I, D extends DescMessage>(
+  output: D,
+  answer: (request: I) => MessageInitShape<D>,
+): handleUnaryCall<I, MessageShape<D>> {
+  return (call, callback) => {
+    try {
+      callback(null, create(output, answer(call.request)));
+    } catch (error) {
+      callback(error as ServiceError);
+    }
+  };
+}
+
+/** Adapts handlers to the form that a gRPC server takes with `OPERATOR_SERVICE`. */
+export function createOperatorCalls(handlers: OperatorHandlers): UntypedServiceImplementation {
+  return {
+    status: createCall(StatusResponseSchema, () => handlers.readStatus()),
+    explain: createCall(
+      ExplainResponseSchema,
+      (request: MessageShape<typeof ExplainRequestSchema>) => handlers.explain(request),
+    ),
+    drain: createCall(DrainResponseSchema, (request: MessageShape<typeof DrainRequestSchema>) =>
+      handlers.drain(request),
+    ),
+  };
+}
+
+/** Calls one daemon's operator service. Calls reject with the gRPC error. */
+export class OperatorClient {
+  private readonly client: Client;
+
+  constructor(address: string, credentials: ChannelCredentials) {
+    this.client = new Client(address, credentials);
+  }
+
+  async readStatus(): Promise<StatusResponse> {
+    return this.request(OPERATOR_SERVICE.status, create(StatusRequestSchema));
+  }
+
+  async explain(request: MessageInitShape<typeof ExplainRequestSchema>): Promise<ExplainResponse> {
+    return this.request(OPERATOR_SERVICE.explain, create(ExplainRequestSchema, request));
+  }
+
+  async drain(vm: string): Promise<DrainResponse> {
+    return this.request(OPERATOR_SERVICE.drain, create(DrainRequestSchema, { vm }));
+  }
+
+  close(): void {
+    this.client.close();
+  }
+
+  private async request<I, O>(method: MethodDefinition<I, O>, request: I): Promise<O> {
+    const deadline = Date.now() + CALL_TIMEOUT_MS;
+    return new Promise((resolve, reject) => {
+      this.client.makeUnaryRequest(
+        method.path,
+        method.requestSerialize,
+        method.responseDeserialize,
+        request,
+        { deadline },
+        (error, response) => {
+          if (response) resolve(response);
+          else reject(error ?? new Error('no answer'));
+        },
+      );
+    });
+  }
+}
