--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -2,7 +2,7 @@
 export type { Millis } from './clock.js';
 export { findContract, DEFAULT_CONTRACT, mergeContracts } from './contract.js';
 export type { Contract, ContractMatch, ContractSubject } from './contract.js';
-export { CoreError, InvalidNoteError, NotRunError } from './errors.js';
+export { CompactedError, CoreError, InvalidNoteError, NotRunError } from './errors.js';
 export { countMajority } from './group.js';
 export type {
   DatabaseGroup,
@@ -42,14 +42,27 @@
   PendingArrival,
   PendingCommit,
 } from './majority.js';
+export { NoteChain, parseNoteText } from './chain.js';
+export type { ChainDecision, NumberedNote } from './chain.js';
+export { compareConfigurations } from './difference.js';
+export type { ConfigurationChange, FieldChange } from './difference.js';
+export { loadChain, loadNotes, loadSnapshot, runSubmission, writeSnapshot } from './history.js';
 export {
   applyNote,
+  checkNote,
   EMPTY_CONFIGURATION,
   formatGroupKey,
   formatNoteKey,
+  formatPath,
+  MAX_VALUE_BYTES,
   noteSchema,
+  parseNote,
+  parseNoteKey,
 } from './note.js';
-export type { Configuration, ReleaseNote } from './note.js';
+export type { Configuration, NoteIssue, ParsedNote, ReleaseNote } from './note.js';
+export { createShards, formatShardKey, ShardCollector, SNAPSHOT_INTERVAL } from './snapshot.js';
+export type { SnapshotShard } from './snapshot.js';
+export { MAX_SPREAD_BYTES, Spread } from './spread.js';
 export { computeHash, rankVms } from './placement.js';
 export { Platform } from './platform.js';
 export type { PlatformListing, PlatformObject, PlatformWrite, VmListing } from './platform.js';
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -13,6 +13,7 @@
 import type { Log } from './log.js';
 import type { Metrics } from './metrics.js';
 import type { Peering } from './peering.js';
+import type { OperatorServer } from './operator.js';
 import { Session } from './session.js';
 import type { Settings } from './settings.js';
 import { SQLSTATE } from './sqlstate.js';
@@ -30,6 +31,7 @@
   readonly computeBackoff: (retry: number) => number;
   readonly callerServer: Server;
   readonly metricsServer: HttpServer;
+  readonly operatorServer: OperatorServer;
   readonly createGroup: (group: DatabaseGroup) => GroupServer;
   /** Starts and stops what feeds the daemon with configuration. */
   readonly startSources: (daemon: Daemon) => () => void;
@@ -66,6 +68,7 @@
       this.listen(metricsServer, settings.metricsPort),
       this.parts.peering?.start(),
     ]);
+    await this.parts.operatorServer.start(this);
     this.stopSources = this.parts.startSources(this);
     const callerPort = this.readCallerPort();
     this.parts.log.info('daemon started', { callerPort, metricsPort: this.readMetricsPort() });
@@ -96,6 +99,18 @@
     return !this.draining && this.groups.size > 0;
   }
 
+  isDraining(): boolean {
+    return this.draining;
+  }
+
+  countCallers(): number {
+    return this.callers.size;
+  }
+
+  readOperatorPort(): number {
+    return this.parts.operatorServer.port;
+  }
+
   handleConfiguration(configuration: Configuration): void {
     if (configuration.number <= this.configuration.number) return;
     this.configuration = configuration;
@@ -145,6 +160,7 @@
     this.parts.metricsServer.close();
     // Kept-alive connections of monitoring would hold the process for seconds.
     this.parts.metricsServer.closeAllConnections();
+    this.parts.operatorServer.stop();
     this.parts.log.info('daemon stopped');
   }
 
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -38,6 +38,11 @@
   tlsPeerCa: file,
   /** DNS name that the certificates of all peers carry. */
   tlsPeerName: z.string().min(1).default('shallotpick-peer'),
+  /** Not set: no operator service. */
+  operatorPort: port.optional(),
+  tlsCaFile: z.string().min(1).optional(),
+  tlsCertFile: z.string().min(1).optional(),
+  tlsKeyFile: z.string().min(1).optional(),
   platformUrl: z.url(),
   instanceUser: z.string().min(1).default('shallotpick'),
   maxCallers: z.coerce.number().int().min(1).max(1_000_000).default(20_000),
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -48,3 +48,11 @@
   GrantMessage,
   PingMessage,
 } from './generated/peer_pb.js';
+export { createOperatorCalls, OPERATOR_SERVICE, OperatorClient } from './operator.js';
+export type { OperatorHandlers } from './operator.js';
+export type {
+  ExplainResponse,
+  GroupStatus,
+  InstanceState,
+  StatusResponse,
+} from './generated/operator/operator_pb.js';
