Count only requests that were sent as cut by a drain

Cause: a caller that had not reached the drained proxy again was counted as cut there. Change: a guest without a connection reports an error, and forgets its proxy when it leaves it.

--- a/packages/bench/src/guest.ts
+++ b/packages/bench/src/guest.ts
@@ -1,6 +1,9 @@
 import pg from 'pg';
 import type { Deployment } from './cluster.js';
 
+/** SQLSTATE connection_does_not_exist. */
+const NO_CONNECTION = '08003';
+
 /** Outcome of one statement as its caller sees it. */
 export type Outcome =
   | { readonly kind: 'done'; readonly rows: readonly Readonly<Record<string, string>>[] }
@@ -35,7 +38,10 @@
       user: this.name,
       database: this.database,
     });
-    client.on('error', () => undefined);
+    const forget = (): void => {
+      if (this.client === client) this.client = undefined;
+    };
+    client.on('error', forget).on('end', forget);
     await client.connect();
     this.client = client;
     this.proxy = proxy;
@@ -43,7 +49,8 @@
 
   async run(text: string, values: readonly string[] = []): Promise<Outcome> {
     const { client } = this;
-    if (!client) return { kind: 'cut' };
+    // Nothing was sent, so nothing can have been cut.
+    if (!client) return { kind: 'error', code: NO_CONNECTION };
     try {
       const { rows } = await client.query(text, [...values]);
       return { kind: 'done', rows };
@@ -67,6 +74,7 @@
   async close(): Promise<void> {
     const { client } = this;
     this.client = undefined;
+    this.proxy = -1;
     await client?.end().catch(() => undefined);
   }
 }
