--- a/packages/daemon/src/alone.ts
+++ b/packages/daemon/src/alone.ts
@@ -64,7 +64,7 @@
   }
 
   async run(): Promise<void> {
-    const { clock, queueDeadlineMs, retries, computeBackoff } = this.context.options;
+    const { clock, metrics, queueDeadlineMs, retries, computeBackoff } = this.context.options;
     const deadline = clock.readNow() + queueDeadlineMs;
     let kind: 'read' | 'write' = this.plan.isRead ? 'read' : 'write';
     retries.addRequest();
@@ -78,6 +78,7 @@
         this.sendFailure(outcome.error);
         return;
       }
+      metrics.retries.inc({ reason: outcome.isReadOnly ? 'read-only' : 'lost' });
       if (outcome.isReadOnly) kind = 'write';
       await new Promise((resolve) => {
         setTimeout(resolve, computeBackoff(retry));
--- a/packages/daemon/src/context.ts
+++ b/packages/daemon/src/context.ts
@@ -18,6 +18,7 @@
 import type { CallerConnection } from './caller.js';
 import type { GroupServer, Lease } from './group.js';
 import type { Log } from './log.js';
+import type { Metrics } from './metrics.js';
 import { SessionParameters } from './parameter.js';
 import type { Plan, Refusal } from './plan.js';
 import { type DecodedRequest, type EncodedRequest, PreparedStatements } from './prepared.js';
@@ -30,6 +31,7 @@
   readonly caller: CallerConnection;
   readonly clock: Clock;
   readonly log: Log;
+  readonly metrics: Metrics;
   readonly queueDeadlineMs: number;
   readonly retries: RetryBudget;
   /** Delay before the given retry, counted from 1. */
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -154,6 +154,7 @@
       caller,
       clock,
       log,
+      metrics,
       queueDeadlineMs: settings.queueDeadlineMs,
       retries: this.retries,
       computeBackoff: this.parts.computeBackoff,
--- a/packages/standin/src/backend.ts
+++ b/packages/standin/src/backend.ts
@@ -287,7 +287,11 @@
     while (this.isHeld() && !this.closed) await sleep(5);
     if (this.closed || this.socket.write(bytes)) return;
     await new Promise<void>((resolve) => {
-      this.socket.once('drain', resolve).once('close', resolve);
+      const finish = (): void => {
+        this.socket.off('drain', finish).off('close', finish);
+        resolve();
+      };
+      this.socket.on('drain', finish).on('close', finish);
     });
   }
 }
