Run the failover core in virtual time against random faults

Change: npm run invariants runs several coordinators, trackers and routers with fake instances and a fake platform under seeded faults and checks what callers were told.

--- /dev/null
+++ b/packages/bench/src/harness/checks.ts
@@ -0,0 +1,90 @@
+import type { Entry, FakeInstance } from './instance.js';
+
+/** Guarantees that the runs check; the first broken one is reported. */
+export type Guarantee =
+  | 'nothing acknowledged is lost'
+  | 'no acknowledgement by a replaced primary'
+  | 'at most one primary per term'
+  | 'read-your-writes'
+  | 'stated age'
+  | 'writes go on after faults end';
+
+/** A broken guarantee, with what shows it. */
+export interface Violation {
+  readonly guarantee: Guarantee;
+  readonly at: number;
+  readonly detail: string;
+}
+
+interface Promotion {
+  readonly instance: string;
+  readonly term: number;
+  readonly at: number;
+  readonly log: readonly Entry[];
+}
+
+interface Acknowledged {
+  readonly entry: Entry;
+  readonly at: number;
+}
+
+/** Compares what callers were told with what the instances hold. */
+export class Checks {
+  violation: Violation | undefined;
+
+  readonly promotions: Promotion[] = [];
+
+  readonly acknowledged: Acknowledged[] = [];
+
+  constructor(private readonly readNow: () => number) {}
+
+  handlePromotion(instance: FakeInstance, term: number): void {
+    const { id, entries } = instance;
+    const other = this.promotions.find((known) => known.term === term && known.instance !== id);
+    if (other) {
+      this.report('at most one primary per term', `${id} and ${other.instance} in term ${term}`);
+    }
+    const promotion = { instance: id, term, at: this.readNow(), log: [...entries] };
+    this.promotions.push(promotion);
+    this.acknowledged.forEach(({ entry }) => this.checkKept(entry, promotion));
+  }
+
+  handleAcknowledgement(entry: Entry): void {
+    this.acknowledged.push({ entry, at: this.readNow() });
+    this.promotions.forEach((promotion) => {
+      this.checkKept(entry, promotion);
+      const isReplaced = promotion.term > entry.term && promotion.at < entry.committedAt;
+      if (!isReplaced) return;
+      const detail = `entry ${entry.id} of term ${entry.term} after ${promotion.instance} led ${promotion.term}`;
+      this.report('no acknowledgement by a replaced primary', detail);
+    });
+  }
+
+  /** `own`: what the session was told before it asked. */
+  handleRead(
+    instance: FakeInstance,
+    own: readonly Entry[],
+    maxAgeMs: number,
+    routedAt: number,
+  ): void {
+    const missed = own.find((entry) => !instance.hasApplied(entry));
+    if (missed) this.report('read-your-writes', `${instance.id} lacks ${missed.id}`);
+    if (maxAgeMs <= 0) return;
+    const old = this.acknowledged.find(
+      ({ entry, at }) => at < routedAt - maxAgeMs && !instance.hasApplied(entry),
+    );
+    if (!old) return;
+    const age = Math.round(routedAt - old.at);
+    this.report('stated age', `${instance.id} lacks ${old.entry.id} of ${age} ms ago`);
+  }
+
+  report(guarantee: Guarantee, detail: string): void {
+    this.violation ??= { guarantee, at: this.readNow(), detail };
+  }
+
+  private checkKept(entry: Entry, { instance, term, log }: Promotion): void {
+    if (term <= entry.term || log[entry.offset - 1]?.id === entry.id) return;
+    const detail = `entry ${entry.id} of term ${entry.term} is not in the log of ${instance} in term ${term}`;
+    this.report('nothing acknowledged is lost', detail);
+  }
+}
--- /dev/null
+++ b/packages/bench/src/harness/platform.ts
@@ -0,0 +1,36 @@
+import type { GroupRecord, WriteOutcome } from '@shallotpick/core';
+import type { Endpoint, World } from './world.js';
+
+/** The record of one group in a platform with conditional updates. */
+export class FakePlatform implements Endpoint {
+  readonly id = 'platform';
+
+  readonly zone = 'platform';
+
+  isDown = false;
+
+  pausedUntil = 0;
+
+  epoch = 0;
+
+  /** Answers to writes before this time are lost after the write took effect. */
+  losesAnswersUntil = 0;
+
+  record: GroupRecord | undefined;
+
+  version = 0;
+
+  constructor(
+    private readonly world: World,
+    private readonly checksVersions: boolean,
+  ) {}
+
+  write(record: GroupRecord, expectedVersion: number): WriteOutcome {
+    const isExpected = expectedVersion === this.version;
+    if (!isExpected && this.checksVersions) return { kind: 'conflict' };
+    this.version += 1;
+    this.record = record;
+    if (this.world.now < this.losesAnswersUntil) return { kind: 'lost' };
+    return { kind: 'written', version: this.version };
+  }
+}
--- /dev/null
+++ b/packages/bench/src/harness/session.ts
@@ -0,0 +1,155 @@
+import type { Contract, LogPosition } from '@shallotpick/core';
+import type { Checks } from './checks.js';
+import type { FakeDaemon } from './daemon.js';
+import type { Entry, FakeInstance } from './instance.js';
+import type { World } from './world.js';
+
+const ROUTE_RETRY_MS = 10;
+const REQUEST_LIMIT_MS = 3_000;
+const STATED_AGES_MS = [0, 60, 300, 1_500];
+
+export interface SessionOptions {
+  readonly world: World;
+  readonly checks: Checks;
+  readonly instances: readonly FakeInstance[];
+  readonly listDaemons: () => readonly FakeDaemon[];
+  readonly createId: () => number;
+}
+
+const createContract = (maxAgeMs: number): Contract => ({
+  name: `age ${maxAgeMs}`,
+  match: {},
+  maxAgeMs,
+  length: 'short',
+  repeat: 'allowed',
+});
+
+/** A caller that writes, reads and moves between daemons, with or without its token. */
+export class FakeSession {
+  private floor: LogPosition | undefined;
+
+  private acknowledged: readonly Entry[] = [];
+
+  private place = 0;
+
+  /** Answers to earlier requests than the current one are ignored. */
+  private request = 0;
+
+  constructor(private readonly options: SessionOptions) {}
+
+  start(): void {
+    this.place = Math.floor(this.options.world.random() * this.options.listDaemons().length);
+    this.runNext();
+  }
+
+  private runNext(): void {
+    const { world } = this.options;
+    this.request += 1;
+    const { request } = this;
+    const finish = (): void => {
+      if (request !== this.request) return;
+      this.request += 1;
+      world.schedule(2 + world.random() * 25, () => this.runNext());
+    };
+    world.schedule(REQUEST_LIMIT_MS, finish);
+    if (world.random() < 0.4) this.move();
+    const daemon = this.options.listDaemons()[this.place];
+    if (!daemon || daemon.isDown) this.move();
+    else if (!this.floor) this.arrive(daemon, request, finish);
+    else if (world.random() < 0.5) this.write(daemon, request, finish);
+    else this.read(daemon, world.choose(STATED_AGES_MS), request, finish);
+  }
+
+  private move(): void {
+    const { world, listDaemons } = this.options;
+    this.place = Math.floor(world.random() * listDaemons().length);
+    if (world.random() < 0.6) this.floor = undefined;
+  }
+
+  private arrive(daemon: FakeDaemon, request: number, finish: () => void): void {
+    daemon.addArrival((floor) => {
+      if (request !== this.request) return;
+      this.floor = floor;
+      if (floor) this.read(daemon, this.options.world.choose(STATED_AGES_MS), request, finish);
+      else finish();
+    });
+  }
+
+  /** Runs `work` on an instance that the daemon's router names, when there is one. */
+  private route(
+    daemon: FakeDaemon,
+    kind: 'read' | 'write',
+    maxAgeMs: number,
+    request: number,
+    work: (instance: FakeInstance) => void,
+  ): void {
+    const { world, instances } = this.options;
+    if (request !== this.request || daemon.isDown) return;
+    const contract = createContract(maxAgeMs);
+    const floor = this.floor ?? { term: 0, offset: 0 };
+    const route = daemon.route({ kind, contract, floor });
+    if (route.kind === 'wait') {
+      world.schedule(ROUTE_RETRY_MS, () =>
+        world.deliver(daemon, daemon.epoch, () =>
+          this.route(daemon, kind, maxAgeMs, request, work),
+        ),
+      );
+      return;
+    }
+    const instance = instances.find(({ id }) => id === route.instances[0]);
+    if (instance) work(instance);
+  }
+
+  private write(daemon: FakeDaemon, request: number, finish: () => void): void {
+    const { world, createId } = this.options;
+    this.route(daemon, 'write', 0, request, (instance) => {
+      const term = daemon.findTerm(instance.id);
+      const id = createId();
+      let isSent = false;
+      world.send(daemon, instance, () => {
+        // A statement travels on one connection, which never delivers it twice.
+        if (isSent) return;
+        isSent = true;
+        const entry = instance.commit(id);
+        if (!entry) world.send(instance, daemon, finish);
+        else
+          { world.send(instance, daemon, () =>
+            this.waitForVerdict(daemon, instance, entry, term, request, finish),
+          ); }
+      });
+    });
+  }
+
+  private waitForVerdict(
+    daemon: FakeDaemon,
+    primary: FakeInstance,
+    entry: Entry,
+    term: number,
+    request: number,
+    finish: () => void,
+  ): void {
+    if (request !== this.request) return;
+    const { checks } = this.options;
+    daemon.addCommit(primary.id, term, (position) => {
+      if (position) checks.handleAcknowledgement(entry);
+      if (request !== this.request) return;
+      if (position) {
+        this.acknowledged = [...this.acknowledged, entry];
+        this.floor = position;
+      }
+      finish();
+    });
+  }
+
+  private read(daemon: FakeDaemon, maxAgeMs: number, request: number, finish: () => void): void {
+    const { world, checks } = this.options;
+    const { acknowledged } = this;
+    this.route(daemon, 'read', maxAgeMs, request, (instance) => {
+      const routedAt = world.now;
+      world.send(daemon, instance, () => {
+        checks.handleRead(instance, acknowledged, maxAgeMs, routedAt);
+        world.send(instance, daemon, finish);
+      });
+    });
+  }
+}
--- /dev/null
+++ b/packages/bench/src/invariants.ts
@@ -0,0 +1,82 @@
+import { parseArgs } from 'node:util';
+import * as fc from 'fast-check';
+import type { Violation } from './harness/checks.js';
+import { RULES, type Rules } from './harness/rules.js';
+import { type Scenario, scenarioArbitrary } from './harness/scenario.js';
+import { Simulation } from './harness/simulation.js';
+
+const SHRINK_LIMIT_MS = 30_000;
+
+/** The result of a number of runs. */
+export interface InvariantReport {
+  readonly seed: number;
+  readonly runs: number;
+  readonly acknowledged: number;
+  readonly promotions: number;
+  /** Undefined when every guarantee held. */
+  readonly failure: { readonly scenario: Scenario; readonly violation: Violation } | undefined;
+}
+
+const isKept = (scenario: Scenario, rules: Rules): boolean =>
+  new Simulation(scenario, rules).run() === undefined;
+
+/** Looks for a smaller scenario that fails, for a limited time. */
+function findSmaller(failed: fc.RunDetails<[Scenario]>, rules: Rules): Scenario | undefined {
+  const property = fc.property(scenarioArbitrary, (scenario) => isKept(scenario, rules));
+  const details = fc.check(property, {
+    seed: failed.seed,
+    path: failed.counterexamplePath ?? '',
+    interruptAfterTimeLimit: SHRINK_LIMIT_MS,
+  });
+  return details.counterexample?.[0];
+}
+
+/** Runs random scenarios until one breaks a guarantee. */
+export function runInvariants(
+  seed: number,
+  runs: number,
+  rules: Rules = RULES,
+  shrinks = false,
+): InvariantReport {
+  let acknowledged = 0;
+  let promotions = 0;
+  const property = fc.property(scenarioArbitrary, (scenario) => {
+    const simulation = new Simulation(scenario, rules);
+    const violation = simulation.run();
+    acknowledged += simulation.checks.acknowledged.length;
+    promotions += simulation.checks.promotions.length - 1;
+    return violation === undefined;
+  });
+  const details = fc.check(property, { seed, numRuns: runs, endOnFailure: true });
+  const smaller = details.failed && shrinks ? findSmaller(details, rules) : undefined;
+  const scenario = smaller ?? details.counterexample?.[0];
+  const violation = scenario && new Simulation(scenario, rules).run();
+  const failure = scenario && violation ? { scenario, violation } : undefined;
+  if (details.failed && !failure) {
+    throw details.errorInstance ?? new Error('a run is not repeatable');
+  }
+  return { seed, runs: details.numRuns, acknowledged, promotions, failure };
+}
+
+function runCommand(): void {
+  const { values } = parseArgs({
+    options: { seed: { type: 'string', default: '1' }, runs: { type: 'string', default: '200' } },
+  });
+  const report = runInvariants(Number(values.seed), Number(values.runs), RULES, true);
+  const { seed, runs, acknowledged, promotions, failure } = report;
+  if (!failure) {
+    process.stdout.write(
+      `seed ${seed}: ${runs} runs, ${acknowledged} acknowledged writes, ${promotions} promotions, no violation\n`,
+    );
+    return;
+  }
+  const { guarantee, at, detail } = failure.violation;
+  process.stdout.write(
+    `seed ${seed}: broken after ${runs} runs: ${guarantee}\n` +
+      `at ${Math.round(at)} ms: ${detail}\n` +
+      `counterexample: ${JSON.stringify(failure.scenario)}\n`,
+  );
+  process.exitCode = 1;
+}
+
+if (process.argv[1]?.endsWith('invariants.ts')) runCommand();
