Detect dead and leaving VMs between daemons

The set of live VMs was fixed at the start, so the duties of a crashed VM never moved. Each VM is now pinged by all others in a small fleet and by two others in a large one; a VM that misses two pings in a row is suspect and loses its duties, and contradicts with a higher incarnation. Changes ride on pings within token buckets, a digest finds lasting differences, and a change to leaving in the platform's VM list counts like a message of a peer. A draining daemon announces that it leaves. Instances that the VM list shows as leaving are passed on in the exchange.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -57,6 +57,7 @@
 export type {
   BorrowGrant,
   BorrowRequest,
+  LeavingInstance,
   MemberUpdate,
   NoteUpdate,
   PeerExchange,
@@ -64,3 +65,6 @@
 } from './peer.js';
 export { FixedMembership, MembershipView } from './vm.js';
 export type { Vm } from './vm.js';
+export { compareMembers } from './member.js';
+export { Membership } from './membership.js';
+export type { MembershipMessage, MembershipOptions } from './membership.js';
--- /dev/null
+++ b/packages/core/src/listing.ts
@@ -0,0 +1,22 @@
+import type { VmListing } from './platform.js';
+
+/** Finds the changes between two versions of the platform's VM list. */
+export class ListingTracker {
+  private states: ReadonlyMap<string, VmListing['state']> = new Map();
+
+  /**
+   * Returns the VMs that the list newly shows as leaving. Only the change counts, because a list
+   * that lags may still speak of the last life of a VM that has rejoined.
+   */
+  handleListing(listing: readonly VmListing[]): readonly string[] {
+    const before = this.states;
+    this.states = new Map(listing.map(({ id, state }) => [id, state]));
+    return listing
+      .filter(({ id, state }) => state === 'leaving' && before.get(id) !== 'leaving')
+      .map(({ id }) => id);
+  }
+
+  find(id: string): VmListing['state'] | undefined {
+    return this.states.get(id);
+  }
+}
--- a/packages/core/src/peer.ts
+++ b/packages/core/src/peer.ts
@@ -23,6 +23,13 @@
   readonly text: string;
 }
 
+/** A database instance that the platform's VM list shows as leaving. */
+export interface LeavingInstance {
+  readonly id: string;
+  /** When the list was read, on the receiver's clock. */
+  readonly reportedAt: Millis;
+}
+
 /** One message of the regular exchange between two daemons; the answer has the same form. */
 export interface PeerExchange {
   readonly from: string;
@@ -32,6 +39,7 @@
   readonly observations: readonly PrimaryObservation[];
   readonly records: readonly RecordUpdate[];
   readonly notes: readonly NoteUpdate[];
+  readonly leaving?: readonly LeavingInstance[];
 }
 
 /** What a daemon uses of an instance and asks its lender for. */
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -28,8 +28,8 @@
   readonly createGroup: (group: DatabaseGroup) => GroupServer;
   /** Starts and stops what feeds the daemon with configuration. */
   readonly startSources: (daemon: Daemon) => () => void;
-  /** The traffic with other daemons; none for a daemon that works alone. */
-  readonly peering?: Peering | undefined;
+  /** The traffic with other daemons. */
+  readonly peering: Peering;
 }
 
 /** One proxy: its callers and the groups that it serves. */
@@ -44,6 +44,9 @@
 
   private configuration: Configuration = EMPTY_CONFIGURATION;
 
+  /** Instances that the platform's VM list shows as leaving. */
+  private leaving: ReadonlySet<string> = new Set();
+
   private stopSources = (): void => {};
 
   private draining = false;
@@ -57,7 +60,7 @@
     await Promise.all([
       this.listen(callerServer, settings.callerPort),
       this.listen(metricsServer, settings.metricsPort),
-      this.parts.peering?.start(),
+      this.parts.peering.start(),
     ]);
     this.stopSources = this.parts.startSources(this);
     const callerPort = this.readCallerPort();
@@ -72,7 +75,7 @@
     return (this.parts.metricsServer.address() as AddressInfo).port;
   }
 
-  get peering(): Peering | undefined {
+  get peering(): Peering {
     return this.parts.peering;
   }
 
@@ -111,11 +114,27 @@
     this.groups.get(record.group)?.handleRecord(record, version);
   }
 
+  hasInstance(id: string): boolean {
+    return this.configuration.groups.some(({ instances }) =>
+      instances.some((one) => one.id === id),
+    );
+  }
+
+  /** Takes in the instances that the platform's VM list shows as leaving. */
+  updateLeaving(leaving: ReadonlySet<string>): void {
+    this.leaving = leaving;
+    this.parts.log.info('instances leaving', { instances: [...leaving] });
+    this.configuration.groups.forEach((group) => {
+      this.groups.get(group.name)?.updateLeaving(this.listLeaving(group));
+    });
+  }
+
   /** Takes no new sessions, lets requests finish up to the limit, and stops. */
   async drain(): Promise<void> {
     const { clock, settings, log } = this.parts;
     this.draining = true;
     log.info('draining', { callers: this.callers.size });
+    await this.parts.peering.leave();
     this.parts.callerServer.close();
     const deadline = clock.readNow() + settings.drainLimitMs;
     while (clock.readNow() < deadline) {
@@ -130,7 +149,7 @@
 
   stop(): void {
     this.stopSources();
-    this.parts.peering?.stop();
+    this.parts.peering.stop();
     this.callers.forEach((caller) => caller.close());
     this.groups.forEach((group) => group.stop());
     this.groups.clear();
@@ -178,17 +197,30 @@
   }
 
   private updateGroup(group: DatabaseGroup): void {
-    const definition = JSON.stringify(group);
-    if (this.definitions.get(group.name) === definition) return;
+    // An instance that leaves changes no connection of the others, so the server is kept.
+    const definition = JSON.stringify(group, (key, value) =>
+      key === 'leaving' ? undefined : value,
+    );
+    if (this.definitions.get(group.name) === definition) {
+      this.groups.get(group.name)?.updateLeaving(this.listLeaving(group));
+      return;
+    }
     this.removeGroup(group.name);
     const server = this.parts.createGroup(group);
     this.groups.set(group.name, server);
     this.definitions.set(group.name, definition);
+    server.updateLeaving(this.listLeaving(group));
     server.start();
     const known = this.records.get(group.name);
     if (known) server.handleRecord(known.record, known.version);
   }
 
+  /** An instance leaves once the note or the VM list says so. */
+  private listLeaving({ instances }: DatabaseGroup): ReadonlySet<string> {
+    const ids = instances.filter(({ id, leaving }) => leaving || this.leaving.has(id));
+    return new Set(ids.map(({ id }) => id));
+  }
+
   private removeGroup(name: string): void {
     this.groups.get(name)?.stop();
     this.groups.delete(name);
--- a/packages/daemon/src/failover.ts
+++ b/packages/daemon/src/failover.ts
@@ -84,7 +84,9 @@
       `failover/${this.name}`,
       membership.listLive().map(({ id }) => id),
     );
-    this.coordinator.updateRank(Math.max(0, ranking.indexOf(membership.self.id)));
+    const rank = ranking.indexOf(membership.self.id);
+    // A VM that is leaving ranks after all others.
+    this.coordinator.updateRank(rank < 0 ? ranking.length : rank);
   }
 
   private runActions(actions: readonly FailoverAction[]): void {
--- a/packages/daemon/src/group.ts
+++ b/packages/daemon/src/group.ts
@@ -70,11 +70,15 @@
 
   private readonly pending = new Map<number, Pending>();
 
+  /** The group with the instances that are leaving marked. */
+  private group: DatabaseGroup;
+
   private nextId = 1;
 
   private timer: NodeJS.Timeout | undefined;
 
   constructor(private readonly options: GroupServerOptions) {
+    this.group = options.group;
     this.board = options.createBoard((status, before) => this.handleStatus(status, before));
     this.router = new Router(options.zone);
     this.queue = new AdmissionQueue({
@@ -107,11 +111,19 @@
     this.options.pools.forEach((pool) => pool.close());
   }
 
+  /** Replaces the instances that get no new work; their idle connections are closed. */
+  updateLeaving(leaving: ReadonlySet<string>): void {
+    const { group, pools } = this.options;
+    const instances = group.instances.map((one) => ({ ...one, leaving: leaving.has(one.id) }));
+    this.group = { ...group, instances };
+    pools.forEach((pool, id) => pool.updateLeaving(leaving.has(id)));
+  }
+
   /** What is known now, for routing and for operators. */
   readView(): GroupView {
     const { board } = this;
     return {
-      group: this.options.group,
+      group: this.group,
       record: this.failover.record,
       statuses: board.statuses,
       findAge: (instance, now) => board.findAge(instance, now),
--- a/packages/daemon/src/peering.ts
+++ b/packages/daemon/src/peering.ts
@@ -1,10 +1,15 @@
+import type { Membership } from '@shallotpick/core';
+import type { MembershipDriver } from './membership.js';
 import type { PeerHub } from './peers.js';
 import type { PeerServer } from './peerserver.js';
 import type { CertificateFiles } from './tls.js';
 
 export interface PeeringOptions {
+  readonly membership: Membership;
   readonly hub: PeerHub;
-  readonly server: PeerServer;
+  readonly driver: MembershipDriver;
+  /** None for a daemon that no peer can call. */
+  readonly server: PeerServer | undefined;
   readonly host: string;
   readonly port: number;
   readonly files: CertificateFiles | undefined;
@@ -12,29 +17,37 @@
 
 /** Everything of a daemon that talks with other daemons. */
 export class Peering {
-  private bound = 0;
-
   constructor(private readonly options: PeeringOptions) {}
 
-  /** The port that peers call; known after `start`. */
-  get port(): number {
-    return this.bound;
-  }
-
   get hub(): PeerHub {
     return this.options.hub;
   }
 
+  get membership(): Membership {
+    return this.options.membership;
+  }
+
   /** Opens the port and begins the regular exchange. */
   async start(): Promise<void> {
-    const { server, hub, host, port } = this.options;
-    this.bound = await server.start(host, port);
+    const { server, hub, driver, membership, host, port } = this.options;
+    if (server) {
+      const peerPort = await server.start(host, port);
+      membership.updateSelf({ ...membership.self, peerPort });
+    }
+    driver.start();
     hub.start();
   }
 
+  /** Tells the peers that this VM goes away. */
+  async leave(): Promise<void> {
+    await this.options.driver.leave();
+  }
+
   stop(): void {
-    this.options.hub.stop();
-    this.options.server.stop();
-    this.options.files?.stop();
+    const { driver, hub, server, files } = this.options;
+    driver.stop();
+    hub.stop();
+    server?.stop();
+    files?.stop();
   }
 }
--- a/packages/daemon/src/peerlink.ts
+++ b/packages/daemon/src/peerlink.ts
@@ -3,7 +3,7 @@
   type BorrowGrant,
   type BorrowRequest,
   type Clock,
-  type MemberUpdate,
+  type MembershipMessage,
   type Millis,
   type PeerExchange,
   PeerLink,
@@ -60,14 +60,14 @@
   }
 
   /** Checks that the peer is alive; both sides pass on membership changes. */
-  async ping(members: readonly MemberUpdate[]): Promise<readonly MemberUpdate[]> {
+  async ping(sent: MembershipMessage): Promise<MembershipMessage> {
     const { self, vm } = this.options;
-    const message = encodePing(self, members);
+    const message = encodePing(self, sent);
     const answer = decodePing(await this.call(PEER_SERVICE.ping, message, PING_TIMEOUT_MS));
     if (answer.from !== vm.id) {
       throw new PeerError(`the daemon at ${vm.host}:${vm.peerPort} is ${answer.from}`);
     }
-    return answer.members;
+    return answer;
   }
 
   async exchange(message: PeerExchange): Promise<PeerExchange> {
--- a/packages/daemon/src/peers.ts
+++ b/packages/daemon/src/peers.ts
@@ -3,7 +3,6 @@
   BorrowRequest,
   Clock,
   ExchangeFeature,
-  MemberUpdate,
   Millis,
   PeerExchange,
   PeerLink,
@@ -38,7 +37,6 @@
   readonly readNoteNumber: () => number;
   /** True when something must not wait for the next round. */
   readonly hasNews: (now: Millis) => boolean;
-  readonly handlePing: (from: string, members: readonly MemberUpdate[]) => readonly MemberUpdate[];
 }
 
 interface OpenLink {
@@ -60,11 +58,12 @@
     observations: parts.flatMap(({ observations }) => observations ?? []),
     records: parts.flatMap(({ records }) => records ?? []),
     notes: parts.flatMap(({ notes }) => notes ?? []),
+    leaving: parts.flatMap(({ leaving }) => leaving ?? []),
   };
 }
 
 /** The traffic with the other daemons: links, the regular exchange, and answers to calls. */
-export class PeerHub implements PeerHandler {
+export class PeerHub implements Omit<PeerHandler, 'handlePing'> {
   /** Answers requests for quotas; set by the part that lends them. */
   borrowHandler: ((request: BorrowRequest) => Promise<BorrowGrant>) | undefined;
 
@@ -119,10 +118,6 @@
     return vm && this.connect(vm);
   }
 
-  handlePing(from: string, members: readonly MemberUpdate[]): readonly MemberUpdate[] {
-    return this.options.handlePing(from, members);
-  }
-
   handleExchange(message: PeerExchange): PeerExchange {
     this.handleMessage(message);
     return this.collect(message.from);
--- a/packages/daemon/src/peerserver.ts
+++ b/packages/daemon/src/peerserver.ts
@@ -9,7 +9,7 @@
   BorrowGrant,
   BorrowRequest,
   Clock,
-  MemberUpdate,
+  MembershipMessage,
   PeerExchange,
 } from '@shallotpick/core';
 import {
@@ -30,7 +30,7 @@
 
 /** What answers the calls of peers. */
 export interface PeerHandler {
-  handlePing(from: string, members: readonly MemberUpdate[]): readonly MemberUpdate[];
+  handlePing(from: string, message: MembershipMessage): MembershipMessage;
   handleExchange(message: PeerExchange): PeerExchange;
   handleBorrow(request: BorrowRequest): Promise<BorrowGrant>;
 }
@@ -69,8 +69,8 @@
     const { self, clock, handler } = options;
     this.server.addService(PEER_SERVICE as unknown as Parameters<Server['addService']>[0], {
       ping: this.createCall(async (message: Parameters<typeof decodePing>[0]) => {
-        const { from, members } = decodePing(message);
-        return encodePing(self, handler.handlePing(from, members));
+        const { from, ...heard } = decodePing(message);
+        return encodePing(self, handler.handlePing(from, heard));
       }),
       exchange: this.createCall(async (message: Parameters<typeof decodeExchange>[0]) => {
         const heard = decodeExchange(message, clock.readNow());
--- a/packages/daemon/src/pool.ts
+++ b/packages/daemon/src/pool.ts
@@ -19,6 +19,8 @@
 
   private readonly open = new Set<InstanceConnection>();
 
+  private leaving = false;
+
   constructor(private readonly options: PoolOptions) {}
 
   /** Takes an idle connection or opens one. */
@@ -35,9 +37,19 @@
     return connection;
   }
 
+  /** While the instance is leaving, no connection is kept idle. */
+  updateLeaving(leaving: boolean): void {
+    this.leaving = leaving;
+    if (!leaving) return;
+    this.idle.splice(0).forEach((connection) => {
+      connection.close();
+      this.open.delete(connection);
+    });
+  }
+
   /** Takes a connection back; one that is in doubt is closed. */
   release(connection: InstanceConnection): void {
-    if (connection.isUsable() && connection.state === 'I') {
+    if (connection.isUsable() && connection.state === 'I' && !this.leaving) {
       this.idle.push(connection);
       return;
     }
--- a/packages/daemon/src/wiring.ts
+++ b/packages/daemon/src/wiring.ts
@@ -1,12 +1,12 @@
-import { randomUUID } from 'node:crypto';
+import { randomInt, randomUUID } from 'node:crypto';
 import { createServer } from 'node:net';
 import {
   type Clock,
   type DatabaseGroup,
   type DatabaseInstance,
   type ExchangeFeature,
-  FixedMembership,
-  type MembershipView,
+  Membership,
+  type Platform,
   type Vm,
 } from '@shallotpick/core';
 import { SystemClock } from './clock.js';
@@ -15,7 +15,9 @@
 import { FailoverDriver } from './failover.js';
 import { GroupServer } from './group.js';
 import { createHealthServer } from './health.js';
+import { LeavingFeature } from './leaving.js';
 import { createLog, type Log } from './log.js';
+import { MembershipDriver } from './membership.js';
 import { Metrics } from './metrics.js';
 import { ObservationFeature } from './observations.js';
 import { Peering } from './peering.js';
@@ -31,7 +33,8 @@
 
 interface PeeringParts {
   readonly settings: Settings;
-  readonly membership: MembershipView;
+  readonly membership: Membership;
+  readonly platform: Platform;
   readonly clock: Clock;
   readonly log: Log;
   readonly metrics: Metrics;
@@ -40,12 +43,24 @@
   readonly features: readonly ExchangeFeature[];
 }
 
-function createPeering(parts: PeeringParts): Peering | undefined {
-  const { settings, membership, clock, log, metrics, findDaemon } = parts;
-  if (settings.peerPort === undefined) return undefined;
+/** A new life of a VM has a greater incarnation than those before it. */
+function createMembership({ vm: id, zone, host, peerPort, peers: seeds }: Settings): Membership {
+  const self = { id, zone, host, peerPort: peerPort ?? 0 };
+  return new Membership({
+    self,
+    incarnation: Date.now(),
+    seeds,
+    chooseNumber: (below) => randomInt(below),
+  });
+}
+
+function createPeering(parts: PeeringParts): Peering {
+  const { settings, membership, clock, log, metrics, platform, findDaemon } = parts;
   const { tlsPeerKey: key, tlsPeerCert: cert, tlsPeerCa: ca, host, vm: self } = settings;
   const files = key && cert ? new CertificateFiles({ key, cert, ca }, log) : undefined;
-  if (!files) log.warn('no TLS between daemons; anyone who reaches the peer port is a peer');
+  if (!files && settings.peerPort !== undefined) {
+    log.warn('no TLS between daemons; anyone who reaches the peer port is a peer');
+  }
   const peerName = files && settings.tlsPeerName;
   const credentials = createPeerCredentials(files);
   const observations = new ObservationFeature({
@@ -57,19 +72,36 @@
     listRecords: () => findDaemon().listRecords(),
     handleRecord: (record, version) => findDaemon().handleRecord(record, version),
   });
+  const leaving = new LeavingFeature({
+    isInstance: (id) => findDaemon().hasInstance(id),
+    onChange: (ids) => findDaemon().updateLeaving(ids),
+  });
   const findVm = (id: string): Vm | undefined => membership.listLive().find((vm) => vm.id === id);
+  const listPartners = (): readonly Vm[] => {
+    const watchers = observations.listWatchers().flatMap((id) => findVm(id) ?? []);
+    return [
+      ...new Map([...membership.listPartners(), ...watchers].map((vm) => [vm.id, vm])).values(),
+    ];
+  };
   const hub = new PeerHub({
     self,
     clock,
     log,
-    features: [observations, ...parts.features],
+    features: [observations, leaving, ...parts.features],
     createLink: (vm) =>
       new GrpcPeerLink({ self, vm, clock, metrics, credentials: credentials.channel, peerName }),
-    listPartners: () => membership.listLive().filter(({ id }) => id !== self),
+    listPartners,
     findVm,
     readNoteNumber: () => findDaemon().readConfiguration().number,
-    hasNews: (now) => observations.hasNews(now),
-    handlePing: () => [],
+    hasNews: (now) => [observations, leaving].map((one) => one.hasNews(now)).includes(true),
+  });
+  const driver = new MembershipDriver({
+    membership,
+    platform,
+    clock,
+    log,
+    connect: (vm) => hub.connect(vm),
+    onListing: (listing, now) => leaving.handleListing(listing, now),
   });
   const server = new PeerServer({
     self,
@@ -77,9 +109,21 @@
     log,
     credentials: credentials.server,
     peerName,
-    handler: hub,
+    handler: {
+      handlePing: (from, message) => driver.handlePing(from, message),
+      handleExchange: (message) => hub.handleExchange(message),
+      handleBorrow: (request) => hub.handleBorrow(request),
+    },
+  });
+  return new Peering({
+    membership,
+    hub,
+    driver,
+    server: settings.peerPort === undefined ? undefined : server,
+    host,
+    port: settings.peerPort ?? 0,
+    files,
   });
-  return new Peering({ hub, server, host, port: settings.peerPort, files });
 }
 
 /** Constructs a daemon with its real adapters. */
@@ -100,8 +144,7 @@
     );
   const createPool = (instance: DatabaseInstance, database: string): ConnectionPool =>
     new ConnectionPool({ instance, database, user: instanceUser, applicationName });
-  const self: Vm = { id: vm, zone, host: settings.host, peerPort: settings.peerPort ?? 0 };
-  const membership = new FixedMembership(self, settings.peers);
+  const membership = createMembership(settings);
   const createGroup = (group: DatabaseGroup): GroupServer => {
     const links = createLinks(group);
     const shared = { group, clock, log, metrics };
@@ -133,7 +176,13 @@
   const shared = { settings, clock, log, metrics };
   const daemon: Daemon = new Daemon({
     ...shared,
-    peering: createPeering({ ...shared, membership, features: [], findDaemon: () => daemon }),
+    peering: createPeering({
+      ...shared,
+      membership,
+      platform,
+      features: [],
+      findDaemon: () => daemon,
+    }),
     callerServer: createServer(),
     metricsServer: createHealthServer(metrics, () => daemon.isReady()),
     createGroup,
--- a/packages/wire/src/peer.ts
+++ b/packages/wire/src/peer.ts
@@ -2,6 +2,7 @@
 import type {
   BorrowGrant,
   BorrowRequest,
+  MembershipMessage,
   MemberUpdate,
   Millis,
   PeerExchange,
@@ -63,13 +64,16 @@
 }
 
 /**
- * The age instead of the time of observation goes over the wire, since the clocks of two VMs have
+ * The age instead of the time goes over the wire, since the clocks of two VMs have
  * different origins.
  */
+const computeAge = (at: Millis, now: Millis): Millis =>
+  Math.round(Math.min(Math.max(0, now - at), MAX_AGE_MS));
+
 const encodeObservation = ({ observedAt, term, ...rest }: PrimaryObservation, now: Millis) => ({
   ...rest,
   term: BigInt(term),
-  ageMs: Math.round(Math.min(Math.max(0, now - observedAt), MAX_AGE_MS)),
+  ageMs: computeAge(observedAt, now),
 });
 
 function decodeObservation(observation: Observation, now: Millis): PrimaryObservation {
@@ -102,16 +106,14 @@
 }
 
 /** Encodes a ping or its answer. */
-export function encodePing(from: string, members: readonly MemberUpdate[]): PingMessage {
-  return create(PingMessageSchema, { from, members: members.map(encodeMember) });
+export function encodePing(from: string, { members, digest }: MembershipMessage): PingMessage {
+  return create(PingMessageSchema, { from, members: members.map(encodeMember), digest });
 }
 
 /** Decodes a ping or its answer. */
-export function decodePing(message: PingMessage): {
-  readonly from: string;
-  readonly members: readonly MemberUpdate[];
-} {
-  return { from: message.from, members: decodeMembers(message.members) };
+export function decodePing(message: PingMessage): MembershipMessage & { readonly from: string } {
+  const { from, digest, members } = message;
+  return { from, digest, members: decodeMembers(members) };
 }
 
 /** Encodes an exchange that is sent at `now` of the sender's clock. */
@@ -123,6 +125,10 @@
     observations: exchange.observations.map((one) => encodeObservation(one, now)),
     records: exchange.records.map(encodeRecord),
     notes: exchange.notes.map(({ number, text }) => ({ number: BigInt(number), text })),
+    leaving: exchange.leaving?.map(({ id, reportedAt }) => ({
+      id,
+      ageMs: computeAge(reportedAt, now),
+    })),
   });
 }
 
@@ -139,6 +145,7 @@
     observations: message.observations.map((one) => decodeObservation(one, now)),
     records: decodeRecords(message.records),
     notes: message.notes.map(({ number, text }) => ({ number: toNumber(number), text })),
+    leaving: message.leaving.map(({ id, ageMs }) => ({ id, reportedAt: now - ageMs })),
   };
 }
 
