--- a/packages/bench/src/harness/instance.ts
+++ b/packages/bench/src/harness/instance.ts
@@ -129,8 +129,9 @@
       return;
     }
     const entries = this.entries.slice(length);
-    if (entries.length > 0)
-      { this.world.send(this, replica, () => replica.receive(id, term, entries)); }
+    if (entries.length > 0) {
+      this.world.send(this, replica, () => replica.receive(id, term, entries));
+    }
   }
 
   /** A message of a stream of another term belongs to a connection that is closed. */
--- a/packages/bench/src/harness/session.ts
+++ b/packages/bench/src/harness/session.ts
@@ -112,10 +112,11 @@
         isSent = true;
         const entry = instance.commit(id);
         if (!entry) world.send(instance, daemon, finish);
-        else
-          { world.send(instance, daemon, () =>
+        else {
+          world.send(instance, daemon, () =>
             this.waitForVerdict(daemon, instance, entry, term, request, finish),
-          ); }
+          );
+        }
       });
     });
   }
--- a/packages/daemon/src/wiring.ts
+++ b/packages/daemon/src/wiring.ts
@@ -6,8 +6,8 @@
   type DatabaseGroup,
   type DatabaseInstance,
   type ExchangeFeature,
-  FixedMembership,
-  type MembershipView,
+  Membership,
+  type Platform,
   Spread,
   type Vm,
 } from '@shallotpick/core';
@@ -18,7 +18,9 @@
 import { FailoverDriver } from './failover.js';
 import { GroupServer } from './group.js';
 import { createHealthServer } from './health.js';
+import { LeavingFeature } from './leaving.js';
 import { createLog, type Log } from './log.js';
+import { MembershipDriver } from './membership.js';
 import { Metrics } from './metrics.js';
 import { ObservationFeature } from './observations.js';
 import { Peering } from './peering.js';
@@ -38,7 +40,8 @@
 
 interface PeeringParts {
   readonly settings: Settings;
-  readonly membership: MembershipView;
+  readonly membership: Membership;
+  readonly platform: Platform;
   readonly clock: Clock;
   readonly log: Log;
   readonly metrics: Metrics;
@@ -47,12 +50,24 @@
   readonly features: readonly ExchangeFeature[];
 }
 
-function createPeering(parts: PeeringParts): Peering | undefined {
-  const { settings, membership, clock, log, metrics, findDaemon } = parts;
-  if (settings.peerPort === undefined) return undefined;
+/** A new life of a VM has a greater incarnation than those before it. */
+function createMembership({ vm: id, zone, host, peerPort, peers: seeds }: Settings): Membership {
+  const self = { id, zone, host, peerPort: peerPort ?? 0 };
+  return new Membership({
+    self,
+    incarnation: Date.now(),
+    seeds,
+    chooseNumber: (below) => randomInt(below),
+  });
+}
+
+function createPeering(parts: PeeringParts): Peering {
+  const { settings, membership, clock, log, metrics, platform, findDaemon } = parts;
   const { tlsPeerKey: key, tlsPeerCert: cert, tlsPeerCa: ca, host, vm: self } = settings;
   const files = key && cert ? new CertificateFiles({ key, cert, ca }, log) : undefined;
-  if (!files) log.warn('no TLS between daemons; anyone who reaches the peer port is a peer');
+  if (!files && settings.peerPort !== undefined) {
+    log.warn('no TLS between daemons; anyone who reaches the peer port is a peer');
+  }
   const peerName = files && settings.tlsPeerName;
   const credentials = createPeerCredentials(files);
   const observations = new ObservationFeature({
@@ -64,19 +79,36 @@
     listRecords: () => findDaemon().listRecords(),
     handleRecord: (record, version) => findDaemon().handleRecord(record, version),
   });
+  const leaving = new LeavingFeature({
+    isInstance: (id) => findDaemon().hasInstance(id),
+    onChange: (ids) => findDaemon().updateLeaving(ids),
+  });
   const findVm = (id: string): Vm | undefined => membership.listLive().find((vm) => vm.id === id);
+  const listPartners = (): readonly Vm[] => {
+    const watchers = observations.listWatchers().flatMap((id) => findVm(id) ?? []);
+    return [
+      ...new Map([...membership.listPartners(), ...watchers].map((vm) => [vm.id, vm])).values(),
+    ];
+  };
   const hub = new PeerHub({
     self,
     clock,
     log,
-    features: [observations, ...parts.features],
+    features: [observations, leaving, ...parts.features],
     createLink: (vm) =>
       new GrpcPeerLink({ self, vm, clock, metrics, credentials: credentials.channel, peerName }),
-    listPartners: () => membership.listLive().filter(({ id }) => id !== self),
+    listPartners,
     findVm,
     readNoteNumber: () => findDaemon().readConfiguration().number,
-    hasNews: (now) => observations.hasNews(now),
-    handlePing: () => [],
+    hasNews: (now) => [observations, leaving].map((one) => one.hasNews(now)).includes(true),
+  });
+  const driver = new MembershipDriver({
+    membership,
+    platform,
+    clock,
+    log,
+    connect: (vm) => hub.connect(vm),
+    onListing: (listing, now) => leaving.handleListing(listing, now),
   });
   const server = new PeerServer({
     self,
@@ -84,9 +116,21 @@
     log,
     credentials: credentials.server,
     peerName,
-    handler: hub,
+    handler: {
+      handlePing: (from, message) => driver.handlePing(from, message),
+      handleExchange: (message) => hub.handleExchange(message),
+      handleBorrow: (request) => hub.handleBorrow(request),
+    },
+  });
+  return new Peering({
+    membership,
+    hub,
+    driver,
+    server: settings.peerPort === undefined ? undefined : server,
+    host,
+    port: settings.peerPort ?? 0,
+    files,
   });
-  return new Peering({ hub, server, host, port: settings.peerPort, files });
 }
 
 /** Constructs a daemon with its real adapters. */
@@ -110,8 +154,7 @@
     );
   const createPool = (instance: DatabaseInstance, database: string): ConnectionPool =>
     new ConnectionPool({ instance, database, user: instanceUser, applicationName });
-  const self: Vm = { id: vm, zone, host: settings.host, peerPort: settings.peerPort ?? 0 };
-  const membership = new FixedMembership(self, settings.peers);
+  const membership = createMembership(settings);
   const createGroup = (group: DatabaseGroup): GroupServer => {
     const links = createLinks(group);
     const shared = { group, clock, log, metrics };
@@ -153,8 +196,14 @@
   const shared = { settings, clock, log, metrics };
   daemon = new Daemon({
     ...shared,
-    peering: createPeering({ ...shared, membership, features: [spread], findDaemon }),
     computeBackoff: createBackoff(RETRY_BACKOFF, xoroshiro128plus(randomInt(MAX_SEED))),
+    peering: createPeering({
+      ...shared,
+      membership,
+      platform,
+      features: [spread],
+      findDaemon,
+    }),
     callerServer: createServer(),
     metricsServer: createHealthServer(metrics, () => daemon.isReady()),
     operatorServer: new OperatorServer({ settings, clock, log }),
