Serve groups from their homes and on demand, and retire replaced definitions

Cause: a release note that changed a group stopped its server at once: requests in flight were cut and open sessions kept a stopped server. Each change also compared all groups as text. Change: GroupHost starts groups that have a home on the VM, and others from their first caller; a changed definition gets a new server while the old one ends what it has begun; unchanged groups are recognised as the same objects.

--- a/packages/daemon/src/context.ts
+++ b/packages/daemon/src/context.ts
@@ -49,7 +49,8 @@
 
 /** What the parts of a session share: its identity, floor, transaction and connection. */
 export class SessionContext {
-  group: GroupServer | undefined;
+  /** The database that the caller named at its start. */
+  groupName = '';
 
   user = '';
 
@@ -79,8 +80,9 @@
 
   constructor(readonly options: SessionOptions) {}
 
-  get groupName(): string {
-    return this.group?.name ?? '';
+  /** The server of the group now; a release note may replace it between two requests. */
+  get group(): GroupServer | undefined {
+    return this.options.findGroup(this.groupName);
   }
 
   readState(): TransactionState {
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,15 +1,9 @@
 import type { Server as HttpServer } from 'node:http';
 import type { AddressInfo, Server, Socket } from 'node:net';
-import type {
-  Clock,
-  Configuration,
-  DatabaseGroup,
-  GroupRecord,
-  RecordUpdate,
-} from '@shallotpick/core';
-import { EMPTY_CONFIGURATION, RetryBudget } from '@shallotpick/core';
+import { type Clock, type Configuration, type GroupRecord, RetryBudget } from '@shallotpick/core';
 import { CallerConnection } from './caller.js';
 import type { GroupServer } from './group.js';
+import type { GroupHost } from './host.js';
 import type { Log } from './log.js';
 import type { Metrics } from './metrics.js';
 import type { Peering } from './peering.js';
@@ -32,7 +26,8 @@
   readonly callerServer: Server;
   readonly metricsServer: HttpServer;
   readonly operatorServer: OperatorServer;
-  readonly createGroup: (group: DatabaseGroup) => GroupServer;
+  /** The groups that this daemon serves. */
+  readonly host: GroupHost;
   /** Starts and stops what feeds the daemon with configuration. */
   readonly startSources: (daemon: Daemon) => () => void;
   /** The traffic with other daemons. */
@@ -41,21 +36,10 @@
 
 /** One proxy: its callers and the groups that it serves. */
 export class Daemon {
-  private readonly groups = new Map<string, GroupServer>();
-
-  private readonly definitions = new Map<string, string>();
-
-  private readonly records = new Map<string, RecordUpdate>();
-
   private readonly callers = new Set<CallerConnection>();
 
   private readonly retries = new RetryBudget(RETRY_BUDGET);
 
-  private configuration: Configuration = EMPTY_CONFIGURATION;
-
-  /** Instances that the platform's VM list shows as leaving. */
-  private leaving: ReadonlySet<string> = new Set();
-
   private stopSources = (): void => {};
 
   private draining = false;
@@ -72,6 +56,7 @@
       this.parts.peering.start(),
     ]);
     await this.parts.operatorServer.start(this);
+    this.parts.host.start();
     this.stopSources = this.parts.startSources(this);
     const callerPort = this.readCallerPort();
     this.parts.log.info('daemon started', { callerPort, metricsPort: this.readMetricsPort() });
@@ -89,17 +74,21 @@
     return this.parts.peering;
   }
 
+  get host(): GroupHost {
+    return this.parts.host;
+  }
+
   readConfiguration(): Configuration {
-    return this.configuration;
+    return this.parts.host.readConfiguration();
   }
 
   listGroups(): readonly GroupServer[] {
-    return [...this.groups.values()];
+    return this.parts.host.list();
   }
 
   /** True when the balancer may send callers here. */
   isReady(): boolean {
-    return !this.draining && this.groups.size > 0;
+    return !this.draining && this.readConfiguration().number > 0;
   }
 
   isDraining(): boolean {
@@ -115,40 +104,11 @@
   }
 
   handleConfiguration(configuration: Configuration): void {
-    if (configuration.number <= this.configuration.number) return;
-    this.configuration = configuration;
-    const names = new Set(configuration.groups.map(({ name }) => name));
-    [...this.groups.keys()]
-      .filter((name) => !names.has(name))
-      .forEach((name) => this.removeGroup(name));
-    configuration.groups.forEach((group) => this.updateGroup(group));
-  }
-
-  /** The newest records known, for peers. */
-  listRecords(): readonly RecordUpdate[] {
-    return [...this.records.values()];
+    this.parts.host.updateConfiguration(configuration);
   }
 
-  /** Takes in a record from the platform or a peer; an older version changes nothing. */
   handleRecord(record: GroupRecord, version: number): void {
-    if (version <= (this.records.get(record.group)?.version ?? -1)) return;
-    this.records.set(record.group, { record, version });
-    this.groups.get(record.group)?.handleRecord(record, version);
-  }
-
-  hasInstance(id: string): boolean {
-    return this.configuration.groups.some(({ instances }) =>
-      instances.some((one) => one.id === id),
-    );
-  }
-
-  /** Takes in the instances that the platform's VM list shows as leaving. */
-  updateLeaving(leaving: ReadonlySet<string>): void {
-    this.leaving = leaving;
-    this.parts.log.info('instances leaving', { instances: [...leaving] });
-    this.configuration.groups.forEach((group) => {
-      this.groups.get(group.name)?.updateLeaving(this.listLeaving(group));
-    });
+    this.parts.host.handleRecord(record, version);
   }
 
   /** Takes no new sessions, lets requests finish up to the limit, and stops. */
@@ -173,8 +133,7 @@
     this.stopSources();
     this.parts.peering.stop();
     this.callers.forEach((caller) => caller.close());
-    this.groups.forEach((group) => group.stop());
-    this.groups.clear();
+    this.parts.host.stop();
     this.parts.callerServer.close();
     this.parts.metricsServer.close();
     // Kept-alive connections of monitoring would hold the process for seconds.
@@ -213,8 +172,8 @@
       queueDeadlineMs: settings.queueDeadlineMs,
       retries: this.retries,
       computeBackoff: this.parts.computeBackoff,
-      findGroup: (name) => this.groups.get(name),
-      readConfiguration: () => this.configuration,
+      findGroup: (name) => this.parts.host.find(name),
+      readConfiguration: () => this.readConfiguration(),
     });
     this.callers.add(caller);
     metrics.callers.set(this.callers.size);
@@ -228,35 +187,4 @@
     const caller = [...this.callers].find((one) => one.hasKey(processId, secret));
     caller?.handler?.handleCancel();
   }
-
-  private updateGroup(group: DatabaseGroup): void {
-    // An instance that leaves changes no connection of the others, so the server is kept.
-    const definition = JSON.stringify(group, (key, value) =>
-      key === 'leaving' ? undefined : value,
-    );
-    if (this.definitions.get(group.name) === definition) {
-      this.groups.get(group.name)?.updateLeaving(this.listLeaving(group));
-      return;
-    }
-    this.removeGroup(group.name);
-    const server = this.parts.createGroup(group);
-    this.groups.set(group.name, server);
-    this.definitions.set(group.name, definition);
-    server.updateLeaving(this.listLeaving(group));
-    server.start();
-    const known = this.records.get(group.name);
-    if (known) server.handleRecord(known.record, known.version);
-  }
-
-  /** An instance leaves once the note or the VM list says so. */
-  private listLeaving({ instances }: DatabaseGroup): ReadonlySet<string> {
-    const ids = instances.filter(({ id, leaving }) => leaving || this.leaving.has(id));
-    return new Set(ids.map(({ id }) => id));
-  }
-
-  private removeGroup(name: string): void {
-    this.groups.get(name)?.stop();
-    this.groups.delete(name);
-    this.definitions.delete(name);
-  }
 }
--- a/packages/daemon/src/group.ts
+++ b/packages/daemon/src/group.ts
@@ -82,6 +82,9 @@
   /** The group with the instances that are leaving marked. */
   private group: DatabaseGroup;
 
+  /** Leases that are held. */
+  private leased = 0;
+
   private nextId = 1;
 
   private timer: NodeJS.Timeout | undefined;
@@ -120,6 +123,11 @@
     this.options.pools.forEach((pool) => pool.close());
   }
 
+  /** True when nothing runs, waits or holds a connection. */
+  isIdle(): boolean {
+    return this.leased === 0 && this.pending.size === 0;
+  }
+
   /** Replaces the instances that get no new work; their idle connections are closed. */
   updateLeaving(leaving: ReadonlySet<string>): void {
     const { group, pools } = this.options;
@@ -205,11 +213,13 @@
       connection,
       term,
       release: () => {
+        this.leased -= 1;
         this.writing.delete(lease);
         pool.release(connection);
         release();
       },
     };
+    this.leased += 1;
     if (kind === 'write') this.writing.add(lease);
     return lease;
   }
--- /dev/null
+++ b/packages/daemon/src/host.ts
@@ -0,0 +1,211 @@
+import {
+  type Clock,
+  type Configuration,
+  type DatabaseGroup,
+  EMPTY_CONFIGURATION,
+  type GroupRecord,
+  HomeTable,
+  type MembershipView,
+  type Millis,
+  type RecordUpdate,
+} from '@shallotpick/core';
+import type { GroupServer } from './group.js';
+import type { Log } from './log.js';
+
+const SWEEP_INTERVAL_MS: Millis = 1_000;
+/** A group that this VM is no home of is served for this long after its last request. */
+const IDLE_LIMIT_MS: Millis = 300_000;
+
+export interface GroupHostOptions {
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly membership: MembershipView;
+  readonly createGroup: (group: DatabaseGroup) => GroupServer;
+  /** How long work of a replaced definition may go on. */
+  readonly drainLimitMs: Millis;
+}
+
+interface Served {
+  readonly server: GroupServer;
+  readonly definition: string;
+  usedAt: Millis;
+}
+
+interface Retired {
+  readonly server: GroupServer;
+  readonly deadline: Millis;
+}
+
+/** Leaving changes no connection of the other instances, so it is no part of the definition. */
+function formatDefinition(group: DatabaseGroup): string {
+  return JSON.stringify(group, (key, value) => (key === 'leaving' ? undefined : value) as unknown);
+}
+
+/**
+ * The groups that this daemon serves: those that have a home on this VM, and others from their
+ * first caller until they have been idle for a while. A group whose definition changes is served
+ * by a new server at once, while the old one ends what it has begun.
+ */
+export class GroupHost {
+  private readonly definitions = new Map<string, DatabaseGroup>();
+
+  private readonly served = new Map<string, Served>();
+
+  private readonly retired = new Set<Retired>();
+
+  private readonly records = new Map<string, RecordUpdate>();
+
+  private readonly homes = new HomeTable();
+
+  private configuration: Configuration = EMPTY_CONFIGURATION;
+
+  /** Instances that the platform's VM list shows as leaving. */
+  private leaving: ReadonlySet<string> = new Set();
+
+  private timer: NodeJS.Timeout | undefined;
+
+  constructor(private readonly options: GroupHostOptions) {}
+
+  start(): void {
+    this.options.membership.addListener(() => this.updateHomes());
+    this.timer = setInterval(() => this.handleTick(), SWEEP_INTERVAL_MS);
+  }
+
+  stop(): void {
+    clearInterval(this.timer);
+    this.served.forEach(({ server }) => server.stop());
+    this.served.clear();
+    this.retired.forEach(({ server }) => server.stop());
+    this.retired.clear();
+  }
+
+  readConfiguration(): Configuration {
+    return this.configuration;
+  }
+
+  /** The servers that run now. */
+  list(): readonly GroupServer[] {
+    return [...this.served.values()].map(({ server }) => server);
+  }
+
+  /** Finds the server of a group in force, and starts it for a group without a home here. */
+  find(name: string): GroupServer | undefined {
+    const definition = this.definitions.get(name);
+    const served = this.served.get(name) ?? (definition && this.startGroup(definition));
+    if (served) served.usedAt = this.options.clock.readNow();
+    return served?.server;
+  }
+
+  /** Takes in a newer configuration; an older one changes nothing. */
+  updateConfiguration(configuration: Configuration): void {
+    if (configuration.number <= this.configuration.number) return;
+    this.configuration = configuration;
+    const names = new Set(configuration.groups.map(({ name }) => name));
+    [...this.definitions.keys()]
+      .filter((name) => !names.has(name))
+      .forEach((name) => {
+        this.definitions.delete(name);
+        this.retire(name);
+      });
+    // A note leaves unchanged groups as the same objects, so that a change costs little.
+    const changed = configuration.groups.filter(
+      (group) => this.definitions.get(group.name) !== group,
+    );
+    changed.forEach((group) => this.updateGroup(group));
+    this.homes.updateGroups(configuration.groups);
+    this.updateHomes();
+  }
+
+  /** The newest records known, for peers. */
+  listRecords(): readonly RecordUpdate[] {
+    return [...this.records.values()];
+  }
+
+  /** Takes in a record from the platform or a peer; an older version changes nothing. */
+  handleRecord(record: GroupRecord, version: number): void {
+    if (version <= (this.records.get(record.group)?.version ?? -1)) return;
+    this.records.set(record.group, { record, version });
+    this.served.get(record.group)?.server.handleRecord(record, version);
+  }
+
+  hasInstance(id: string): boolean {
+    return this.configuration.groups.some(({ instances }) =>
+      instances.some((one) => one.id === id),
+    );
+  }
+
+  /** Takes in the instances that the platform's VM list shows as leaving. */
+  updateLeaving(leaving: ReadonlySet<string>): void {
+    this.leaving = leaving;
+    this.options.log.info('instances leaving', { instances: [...leaving] });
+    this.served.forEach(({ server }, name) => {
+      const group = this.definitions.get(name);
+      if (group) server.updateLeaving(this.listLeaving(group));
+    });
+  }
+
+  private updateGroup(group: DatabaseGroup): void {
+    this.definitions.set(group.name, group);
+    const served = this.served.get(group.name);
+    if (!served) return;
+    if (served.definition === formatDefinition(group)) {
+      served.server.updateLeaving(this.listLeaving(group));
+      return;
+    }
+    this.retire(group.name);
+    this.startGroup(group);
+  }
+
+  private updateHomes(): void {
+    const { membership, log } = this.options;
+    this.homes.updateVms(membership.listLive());
+    this.homes.listGroups(membership.self.id).forEach((name) => {
+      const group = this.definitions.get(name);
+      if (!group || this.served.has(name)) return;
+      log.info('placement', { group: name, homes: this.homes.findHomes(name, '') });
+      this.startGroup(group);
+    });
+  }
+
+  private startGroup(group: DatabaseGroup): Served {
+    const server = this.options.createGroup(group);
+    const definition = formatDefinition(group);
+    const served = { server, definition, usedAt: this.options.clock.readNow() };
+    this.served.set(group.name, served);
+    server.updateLeaving(this.listLeaving(group));
+    server.start();
+    const known = this.records.get(group.name);
+    if (known) server.handleRecord(known.record, known.version);
+    return served;
+  }
+
+  /** Sends no more work to a group's server, and stops it when what it has begun has ended. */
+  private retire(name: string): void {
+    const served = this.served.get(name);
+    if (!served) return;
+    this.served.delete(name);
+    const { clock, drainLimitMs, log } = this.options;
+    log.info('placement ended', { group: name });
+    this.retired.add({ server: served.server, deadline: clock.readNow() + drainLimitMs });
+  }
+
+  private handleTick(): void {
+    const now = this.options.clock.readNow();
+    this.retired.forEach((one) => {
+      if (!one.server.isIdle() && now < one.deadline) return;
+      one.server.stop();
+      this.retired.delete(one);
+    });
+    const self = this.options.membership.self.id;
+    this.served.forEach(({ server, usedAt }, name) => {
+      const isUnused = now - usedAt >= IDLE_LIMIT_MS && server.isIdle();
+      if (isUnused && !this.homes.isHome(name, self)) this.retire(name);
+    });
+  }
+
+  /** An instance leaves once the note or the VM list says so. */
+  private listLeaving({ instances }: DatabaseGroup): ReadonlySet<string> {
+    const ids = instances.filter(({ id, leaving }) => leaving || this.leaving.has(id));
+    return new Set(ids.map(({ id }) => id));
+  }
+}
--- a/packages/daemon/src/session.ts
+++ b/packages/daemon/src/session.ts
@@ -24,7 +24,7 @@
     const database = parameters.get('database') ?? parameters.get('user') ?? '';
     context.user = parameters.get('user') ?? '';
     context.applicationName = parameters.get('application_name') ?? '';
-    context.group = context.options.findGroup(database);
+    context.groupName = database;
     context.parameters.applyStartup(parameters);
     const token = /shallotpick\.token=(\S+)/.exec(parameters.get('options') ?? '')?.[1];
     if (token) context.floors.applyToken(database, token);
--- a/packages/daemon/src/wiring.ts
+++ b/packages/daemon/src/wiring.ts
@@ -17,6 +17,7 @@
 import { Daemon } from './daemon.js';
 import { FailoverDriver } from './failover.js';
 import { GroupServer } from './group.js';
+import { GroupHost } from './host.js';
 import { createHealthServer } from './health.js';
 import { LeavingFeature } from './leaving.js';
 import { createLog, type Log } from './log.js';
@@ -45,7 +46,7 @@
   readonly clock: Clock;
   readonly log: Log;
   readonly metrics: Metrics;
-  readonly findDaemon: () => Daemon;
+  readonly host: GroupHost;
   /** More subjects of the exchange than the observations. */
   readonly features: readonly ExchangeFeature[];
 }
@@ -62,7 +63,7 @@
 }
 
 function createPeering(parts: PeeringParts): Peering {
-  const { settings, membership, clock, log, metrics, platform, findDaemon } = parts;
+  const { settings, membership, clock, log, metrics, platform, host: groups } = parts;
   const { tlsPeerKey: key, tlsPeerCert: cert, tlsPeerCa: ca, host, vm: self } = settings;
   const files = key && cert ? new CertificateFiles({ key, cert, ca }, log) : undefined;
   if (!files && settings.peerPort !== undefined) {
@@ -72,16 +73,13 @@
   const credentials = createPeerCredentials(files);
   const observations = new ObservationFeature({
     membership,
-    listGroups: () =>
-      findDaemon()
-        .listGroups()
-        .map(({ failover }) => failover),
-    listRecords: () => findDaemon().listRecords(),
-    handleRecord: (record, version) => findDaemon().handleRecord(record, version),
+    listGroups: () => groups.list().map(({ failover }) => failover),
+    listRecords: () => groups.listRecords(),
+    handleRecord: (record, version) => groups.handleRecord(record, version),
   });
   const leaving = new LeavingFeature({
-    isInstance: (id) => findDaemon().hasInstance(id),
-    onChange: (ids) => findDaemon().updateLeaving(ids),
+    isInstance: (id) => groups.hasInstance(id),
+    onChange: (ids) => groups.updateLeaving(ids),
   });
   const findVm = (id: string): Vm | undefined => membership.listLive().find((vm) => vm.id === id);
   const listPartners = (): readonly Vm[] => {
@@ -99,7 +97,7 @@
       new GrpcPeerLink({ self, vm, clock, metrics, credentials: credentials.channel, peerName }),
     listPartners,
     findVm,
-    readNoteNumber: () => findDaemon().readConfiguration().number,
+    readNoteNumber: () => groups.readConfiguration().number,
     hasNews: (now) => [observations, leaving].map((one) => one.hasNews(now)).includes(true),
   });
   const driver = new MembershipDriver({
@@ -173,10 +171,9 @@
       }),
     });
   };
-  // The daemon's sources and peers need it before it exists; they call this only once started.
-  let daemon: Daemon;
-  const findDaemon = (): Daemon => daemon;
-  const spread = new Spread((configuration) => findDaemon().handleConfiguration(configuration));
+  const { drainLimitMs } = settings;
+  const host = new GroupHost({ clock, log, membership, createGroup, drainLimitMs });
+  const spread = new Spread((configuration) => host.updateConfiguration(configuration));
   const startSources = (target: Daemon): (() => void) => {
     const watcher = new PlatformWatcher({
       platform,
@@ -194,7 +191,7 @@
   };
 
   const shared = { settings, clock, log, metrics };
-  daemon = new Daemon({
+  const daemon: Daemon = new Daemon({
     ...shared,
     computeBackoff: createBackoff(RETRY_BACKOFF, xoroshiro128plus(randomInt(MAX_SEED))),
     peering: createPeering({
@@ -202,12 +199,12 @@
       membership,
       platform,
       features: [spread],
-      findDaemon,
+      host,
     }),
     callerServer: createServer(),
     metricsServer: createHealthServer(metrics, () => daemon.isReady()),
     operatorServer: new OperatorServer({ settings, clock, log }),
-    createGroup,
+    host,
     startSources,
   });
   return daemon;
