Remember classified texts and parsed statements

Cause: each Parse hashed its text and copied the connection's statement names, and each statement was classified anew. Change: bounded caches by text; only the names that a request changes are kept apart.

--- a/packages/daemon/src/prepared.ts
+++ b/packages/daemon/src/prepared.ts
@@ -1,5 +1,5 @@
 import { createHash } from 'node:crypto';
-import { classifyStatements, type Statement } from '@shallotpick/core';
+import type { Statement } from '@shallotpick/core';
 import {
   type Frame,
   FRONTEND,
@@ -8,6 +8,7 @@
   parseQuery,
   parseTarget,
 } from '@shallotpick/wire';
+import { findStatements, TextCache } from './cache.js';
 import type { InstanceConnection } from './connection.js';
 import { type CallerRequest, encodeFrame } from './request.js';
 
@@ -53,13 +54,15 @@
   readonly replies: ExpectedReplies;
 }
 
-function createPrepared(body: Buffer): Prepared {
-  const { name, text } = parseParse(body);
-  const tail = Buffer.from(body.subarray(Buffer.byteLength(name) + 1));
+function createPrepared(tail: Buffer): Prepared {
   const hash = createHash('sha256').update(tail).digest('hex').slice(0, KEY_LENGTH);
-  return { key: `sp_${hash}`, tail, statements: classifyStatements(text) };
+  const text = tail.toString('utf8', 0, tail.indexOf(0));
+  return { key: `sp_${hash}`, tail, statements: findStatements(text) };
 }
 
+/** By the bytes of text and types, one character for each byte. */
+const known = new TextCache((tail) => createPrepared(Buffer.from(tail, 'latin1')));
+
 /** The prepared statements and portals of one session, by the caller's names. */
 export class PreparedStatements {
   private readonly byName = new Map<string, Prepared>();
@@ -78,13 +81,13 @@
       if (frame.type === FRONTEND.parse) {
         const { name } = parseParse(frame.body);
         problem ??= this.findProblem(name);
-        const one = createPrepared(frame.body);
+        const one = known.find(frame.body.toString('latin1', Buffer.byteLength(name) + 1));
         if (problem === undefined) this.add(name, one);
         prepared.push(...one.statements);
         return { kind: 'parse', name, prepared: one };
       }
       if (frame.type === FRONTEND.query) {
-        executed.push(...classifyStatements(parseQuery(frame.body)));
+        executed.push(...findStatements(parseQuery(frame.body)));
       }
       if (frame.type === FRONTEND.execute) {
         const portal = frame.body.toString('utf8', 0, frame.body.indexOf(0));
@@ -97,22 +100,25 @@
 
   /** Encodes a request for a connection; statements that the connection lacks are parsed first. */
   encode({ steps }: DecodedRequest, connection: InstanceConnection): EncodedRequest {
-    const held = new Map(connection.statements);
+    /** What the connection will have after the messages so far, where that differs. */
+    const changed = new Map<string, string>();
+    const findHeld = (target: string): string | undefined =>
+      changed.get(target) ?? connection.statements.get(target);
     const replies: ExpectedReplies = { parses: [], closes: [] };
     const parse = ({ key, tail }: Prepared, target: string, name?: string): readonly Buffer[] => {
       const output: Buffer[] = [];
-      if (target !== '' && held.has(target)) {
+      if (target !== '' && findHeld(target) !== undefined) {
         output.push(encodeFrame(FRONTEND.close, 'S', target, '\0'));
         replies.closes.push({ target, isHidden: true });
       }
-      held.set(target, key);
+      changed.set(target, key);
       // A Parse of the unnamed statement ends the old one even when it fails.
       if (target === '') connection.statements.delete('');
       replies.parses.push({ target, key, ...(name === undefined ? {} : { name }) });
       return [...output, encodeFrame(FRONTEND.parse, target, '\0', tail)];
     };
     const prepare = (prepared: Prepared, target: string): readonly Buffer[] =>
-      held.get(target) === prepared.key ? [] : parse(prepared, target);
+      findHeld(target) === prepared.key ? [] : parse(prepared, target);
     const output = steps.flatMap((step): readonly Buffer[] => {
       if (step.kind === 'parse') {
         return parse(step.prepared, step.name === '' ? '' : step.prepared.key, step.name);
