--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,10 +1,19 @@
+import type { Server as HttpServer } from 'node:http';
 import type { AddressInfo, Server, Socket } from 'node:net';
-import type { Clock, Configuration, DatabaseGroup, GroupRecord } from '@shallotpick/core';
+import type {
+  Clock,
+  Configuration,
+  DatabaseGroup,
+  GroupRecord,
+  RecordUpdate,
+} from '@shallotpick/core';
 import { EMPTY_CONFIGURATION, RetryBudget } from '@shallotpick/core';
 import { CallerConnection } from './caller.js';
 import type { GroupServer } from './group.js';
 import type { Log } from './log.js';
 import type { Metrics } from './metrics.js';
+import type { Peering } from './peering.js';
+import type { OperatorServer } from './operator.js';
 import { Session } from './session.js';
 import type { Settings } from './settings.js';
 import { SQLSTATE } from './sqlstate.js';
@@ -21,15 +30,13 @@
   /** Delay before the given retry of a request, counted from 1. */
   readonly computeBackoff: (retry: number) => number;
   readonly callerServer: Server;
-  readonly metricsServer: Server;
+  readonly metricsServer: HttpServer;
+  readonly operatorServer: OperatorServer;
   readonly createGroup: (group: DatabaseGroup) => GroupServer;
   /** Starts and stops what feeds the daemon with configuration. */
   readonly startSources: (daemon: Daemon) => () => void;
-}
-
-interface VersionedRecord {
-  readonly record: GroupRecord;
-  readonly version: number;
+  /** The traffic with other daemons; none for a daemon that works alone. */
+  readonly peering?: Peering | undefined;
 }
 
 /** One proxy: its callers and the groups that it serves. */
@@ -38,7 +45,7 @@
 
   private readonly definitions = new Map<string, string>();
 
-  private readonly records = new Map<string, VersionedRecord>();
+  private readonly records = new Map<string, RecordUpdate>();
 
   private readonly callers = new Set<CallerConnection>();
 
@@ -59,7 +66,9 @@
     await Promise.all([
       this.listen(callerServer, settings.callerPort),
       this.listen(metricsServer, settings.metricsPort),
+      this.parts.peering?.start(),
     ]);
+    await this.parts.operatorServer.start(this);
     this.stopSources = this.parts.startSources(this);
     const callerPort = this.readCallerPort();
     this.parts.log.info('daemon started', { callerPort, metricsPort: this.readMetricsPort() });
@@ -73,6 +82,10 @@
     return (this.parts.metricsServer.address() as AddressInfo).port;
   }
 
+  get peering(): Peering | undefined {
+    return this.parts.peering;
+  }
+
   readConfiguration(): Configuration {
     return this.configuration;
   }
@@ -86,6 +99,18 @@
     return !this.draining && this.groups.size > 0;
   }
 
+  isDraining(): boolean {
+    return this.draining;
+  }
+
+  countCallers(): number {
+    return this.callers.size;
+  }
+
+  readOperatorPort(): number {
+    return this.parts.operatorServer.port;
+  }
+
   handleConfiguration(configuration: Configuration): void {
     if (configuration.number <= this.configuration.number) return;
     this.configuration = configuration;
@@ -96,7 +121,14 @@
     configuration.groups.forEach((group) => this.updateGroup(group));
   }
 
+  /** The newest records known, for peers. */
+  listRecords(): readonly RecordUpdate[] {
+    return [...this.records.values()];
+  }
+
+  /** Takes in a record from the platform or a peer; an older version changes nothing. */
   handleRecord(record: GroupRecord, version: number): void {
+    if (version <= (this.records.get(record.group)?.version ?? -1)) return;
     this.records.set(record.group, { record, version });
     this.groups.get(record.group)?.handleRecord(record, version);
   }
@@ -120,11 +152,15 @@
 
   stop(): void {
     this.stopSources();
+    this.parts.peering?.stop();
     this.callers.forEach((caller) => caller.close());
     this.groups.forEach((group) => group.stop());
     this.groups.clear();
     this.parts.callerServer.close();
     this.parts.metricsServer.close();
+    // Kept-alive connections of monitoring would hold the process for seconds.
+    this.parts.metricsServer.closeAllConnections();
+    this.parts.operatorServer.stop();
     this.parts.log.info('daemon stopped');
   }
 
--- a/packages/standin/src/executor.ts
+++ b/packages/standin/src/executor.ts
@@ -176,7 +176,7 @@
     const sent = maxRows > 0 ? rows.slice(0, maxRows) : rows;
     if (isSimple) send(encodeColumns(listColumns(read) ?? []));
     sent.forEach((row) => send(encodeRow(row)));
-    instance.served.reads += 1;
+    if (!this.options.isControl()) instance.served.reads += 1;
     if (sent.length < rows.length) {
       // eslint-disable-next-line no-param-reassign -- The portal keeps what was not fetched.
       portal.rest = rows.slice(sent.length);
--- a/packages/standin/src/instance.ts
+++ b/packages/standin/src/instance.ts
@@ -76,6 +76,7 @@
     });
     const address = server.address();
     if (address && typeof address === 'object') this.port = address.port;
+    this.group.shipAll();
   }
 
   /** Drops every connection and stops listening; the log stays, as on a disk. */
@@ -98,6 +99,10 @@
     return this.server !== undefined && !this.paused;
   }
 
+  setApplyLag(lagMs: number): void {
+    this.applyLagMs = lagMs;
+  }
+
   /** Holds all work, as a stopped process would, until `resume`. */
   pause(): void {
     this.paused = true;
@@ -162,6 +167,8 @@
     if (term < this.fenceTerm || primary === this.options.id) return false;
     const leader = this.group.findInstance(primary);
     if (!leader || !this.group.isLinked(this, leader)) return false;
+    // A former primary, or one not promoted yet, does not accept a follower of this term.
+    if (leader.role !== 'primary' || leader.fenceTerm !== term) return false;
     this.fenceTerm = term;
     this.role = 'replica';
     this.following = primary;
