End SET with its transaction, and answer a lone Sync at once

Cause: after 'COMMIT; BEGIN' or COMMIT AND CHAIN a SET of the committed transaction was undone by a later ROLLBACK, and the connection kept it for other sessions. A Sync alone went through admission, and in a lost transaction it got an error. Change: pending parameters end with the first COMMIT or ROLLBACK of the answer; a lone Sync gets ReadyForQuery. Cases for both, for a once-key after a failover and for the bound on held answers.

--- a/packages/bench/test/once.spec.ts
+++ b/packages/bench/test/once.spec.ts
@@ -120,6 +120,17 @@
     await Promise.all([first.end(), second.end()]);
   });
 
+  // The key must be found again by the primary that a failover names.
+  it('knows the first run after a failover', async () => {
+    const [first, second] = await Promise.all([connect(0), connect(1)]);
+    const work = `/* shallotpick once=seat */ ${put('a')}`;
+    expect(await readCode(first, work)).toEqual('ok');
+    await findPrimary().stop();
+    expect(await readCode(second, work)).toEqual('SP004');
+    expect(await readCode(first, work)).toEqual('SP004');
+    await Promise.all([first.end(), second.end()]);
+  });
+
   // Guards against a key that is cut short, and a key beside statements that end its transaction.
   it('refuses keys and texts that it cannot guard', async () => {
     const client = await connect(0);
--- a/packages/bench/test/prepared.spec.ts
+++ b/packages/bench/test/prepared.spec.ts
@@ -72,6 +72,7 @@
     ]);
     expect(await send(close)).toEqual(['3', 'Z I']);
     expect(await send(...use('s'))).toEqual(['E 26000', 'Z I']);
+    expect(await send()).toEqual(['Z I']);
     other.socket.destroy();
   });
 
@@ -134,6 +135,11 @@
     await client.query("SET timezone = 'Europe/Paris'");
     await client.query('COMMIT');
     expect([await show(other), await show(client)]).toEqual(['D default', 'D Europe/Paris']);
+    await client.query('BEGIN');
+    await client.query("SET timezone = 'Asia/Tokyo'");
+    await client.query('COMMIT; BEGIN');
+    await client.query('ROLLBACK');
+    expect([await show(other), await show(client)]).toEqual(['D default', 'D Asia/Tokyo']);
     await client.query('RESET ALL');
     expect(await show(client)).toEqual('D default');
     expect(await client.query('SET session_replication_role = replica')).toEqual([
--- a/packages/bench/test/session.spec.ts
+++ b/packages/bench/test/session.spec.ts
@@ -119,6 +119,11 @@
       ...['T', 'D 0', 'C SELECT 1', 'Z I'],
     ]);
     expect(await client.query(';')).toEqual(['I', 'Z I']);
+    // An answer that must be held whole is bounded.
+    expect(await client.query(`${put('b')}; SELECT payload(2000, 10000)`)).toEqual([
+      'E 08007',
+      'Z I',
+    ]);
   });
 
   // Guards against answers that overtake each other, and statements that join another session.
--- a/packages/daemon/src/context.ts
+++ b/packages/daemon/src/context.ts
@@ -132,12 +132,15 @@
     const { connection } = lease;
     const failed = relay.errorCode !== undefined;
     if (!failed) this.parameters.add(plan.executed);
+    // SET stands in no request with these tags, so it belongs to the transaction that ended first.
+    const end = relay.tags.find((tag) => tag === 'COMMIT' || tag === 'ROLLBACK');
+    if (end) this.parameters.finish(end === 'COMMIT', connection);
     if (connection.state !== 'I') {
       this.transaction ??= { hasChanges: false, onceKeys: new Set() };
       this.transaction.hasChanges ||= plan.writes || plan.isUnsure;
       return;
     }
-    this.parameters.finish(!failed && !relay.tags.includes('ROLLBACK'), connection);
+    this.parameters.finish(!failed, connection);
     this.releaseLease();
   }
 
--- a/packages/daemon/src/session.ts
+++ b/packages/daemon/src/session.ts
@@ -1,4 +1,4 @@
-import type { ErrorFields } from '@shallotpick/wire';
+import { encodeReady, type ErrorFields } from '@shallotpick/wire';
 import { AloneRunner } from './alone.js';
 import type { CallerHandler } from './caller.js';
 import { SessionContext, type SessionOptions } from './context.js';
@@ -71,6 +71,11 @@
 
   private async runRequest(request: CallerRequest): Promise<void> {
     const { context, series } = this;
+    const isLoneSync = request.kind === 'extended' && request.frames.length === 1;
+    if (isLoneSync && !request.isPartial && !series.isOpen()) {
+      context.options.caller.send(encodeReady(context.readState()));
+      return;
+    }
     const decoded = context.prepared.decode(request);
     const plan = createPlan(decoded);
     const isInTransaction = context.transaction !== undefined;
