--- a/packages/daemon/src/pool.ts
+++ b/packages/daemon/src/pool.ts
@@ -21,6 +21,8 @@
 
   private readonly open = new Set<InstanceConnection>();
 
+  private leaving = false;
+
   constructor(private readonly options: PoolOptions) {}
 
   /** Takes an idle connection or opens one. */
@@ -37,11 +39,22 @@
     return connection;
   }
 
+  /** While the instance is leaving, no connection is kept idle. */
+  updateLeaving(leaving: boolean): void {
+    this.leaving = leaving;
+    if (!leaving) return;
+    this.idle.splice(0).forEach((connection) => {
+      connection.close();
+      this.open.delete(connection);
+    });
+  }
+
   /** Takes a connection back; one that is in doubt is closed. */
   release(connection: InstanceConnection): void {
     const { isCancelled, statements } = connection;
     const isClean = connection.state === 'I' && !connection.isBusy() && !isCancelled;
-    if (connection.isUsable() && isClean && statements.size <= MAX_STATEMENTS) {
+    const isKept = isClean && !this.leaving;
+    if (connection.isUsable() && isKept && statements.size <= MAX_STATEMENTS) {
       this.idle.push(connection);
       return;
     }
