Send errors at Flush

Cause: an error in a series with Flush was kept until Sync, while the caller waited for it before its Sync. Change: the relay of a series sends errors at once; a case guards it.

--- a/packages/bench/test/prepared.spec.ts
+++ b/packages/bench/test/prepared.spec.ts
@@ -102,6 +102,9 @@
     expect(await send()).toEqual(['Z I']);
     expect(primary?.store.findRow('items', 'k')).toEqual('v');
     expect(await send(...use('f', 'k', 'w'))).toEqual(['2', 'C INSERT 0 1', 'Z I']);
+    client.send(...use('missing'), serialize.flush());
+    expect(await client.readUntil('E')).toEqual(['E 26000']);
+    expect(await send()).toEqual(['Z I']);
     client.send(...use('f', 'lost', 'x'), serialize.flush());
     await client.readUntil('C');
     client.send(serialize.parse({ text: 'COMMIT' }), ...use(''), serialize.flush());
--- a/packages/daemon/src/context.ts
+++ b/packages/daemon/src/context.ts
@@ -110,9 +110,14 @@
     return view?.record?.primary === instance || view?.statuses.get(instance)?.role === 'primary';
   }
 
-  createRelay({ connection }: Lease, { replies }: EncodedRequest, holds: boolean): Relay {
+  createRelay(
+    { connection }: Lease,
+    { replies }: EncodedRequest,
+    holds: boolean,
+    isSeries = false,
+  ): Relay {
     const { caller } = this.options;
-    return new Relay({ caller, connection, prepared: this.prepared, replies, holds });
+    return new Relay({ caller, connection, prepared: this.prepared, replies, holds, isSeries });
   }
 
   encode(request: DecodedRequest, { connection }: Lease): EncodedRequest {
--- a/packages/daemon/src/relay.ts
+++ b/packages/daemon/src/relay.ts
@@ -25,6 +25,8 @@
   readonly replies: ExpectedReplies;
   /** Holds the answer back from the first completed command on. */
   readonly holds: boolean;
+  /** The caller reads the answer before its Sync, so errors are sent at once. */
+  readonly isSeries: boolean;
 }
 
 /** Passes an answer on, and holds the success of a write until a majority has it. */
@@ -73,7 +75,8 @@
   flush(): boolean {
     // An error is kept until the end of the answer: the request may run elsewhere. A complete
     // answer is sent by `finish`.
-    if (this.output.length === 0 || this.errorCode !== undefined || this.ready) return false;
+    const keepsError = this.errorCode !== undefined && !this.options.isSeries;
+    if (this.output.length === 0 || keepsError || this.ready) return false;
     const bytes = Buffer.concat(this.output);
     this.output = [];
     this.hasSent = true;
--- a/packages/daemon/src/series.ts
+++ b/packages/daemon/src/series.ts
@@ -80,7 +80,7 @@
     }
     context.lease = lease;
     const encoded = context.encode(request, lease);
-    const relay = context.createRelay(lease, encoded, false);
+    const relay = context.createRelay(lease, encoded, false, true);
     const done = lease.connection.run(encoded.bytes, relay).catch(() => this.handleLoss());
     this.open = { lease, relay, plans: [plan], done };
   }
