Encrypt and authenticate callers and instances

Callers connected in cleartext and without a password. The startup message is then put back into the socket, so the caller's connection is unchanged. With a CA for the instances, their connections use TLS with verification of the name. Certificates, the CA and the users file are read again when they change.

Specs: the example of RFC 7677, refusals, and pg as a caller over TLS and in cleartext; a relay speaks TLS in front of the stand-in instances.

--- a/packages/daemon/src/connection.ts
+++ b/packages/daemon/src/connection.ts
@@ -1,4 +1,4 @@
-import { connect, type Socket } from 'node:net';
+import type { Socket } from 'node:net';
 import type { DatabaseInstance } from '@shallotpick/core';
 import {
   BACKEND,
@@ -10,6 +10,8 @@
   type TransactionState,
 } from '@shallotpick/wire';
 import { InstanceError } from './errors.js';
+import { openSocket } from './secure.js';
+import type { TrustFile } from './tls.js';
 
 /** Receives the answer to a request, message by message. */
 export interface AnswerSink {
@@ -31,6 +33,8 @@
   /** `shallotpick/<vm>/<zone>`, for the instance's activity views. */
   readonly applicationName: string;
   readonly timeoutMs: number;
+  /** CA of the instance; cleartext without. */
+  readonly trust?: TrustFile | undefined;
 }
 
 /** One connection to a database instance. It carries one request at a time. */
@@ -63,8 +67,8 @@
    * @throws InstanceError when the instance refuses or does not answer in time.
    */
   static async open(options: ConnectionOptions): Promise<InstanceConnection> {
-    const { host, port, id } = options.instance;
-    const socket = connect({ host, port });
+    const { id } = options.instance;
+    const socket = await openSocket(options);
     const connection = new InstanceConnection(socket, id);
     const timer = setTimeout(() => {
       connection.fail(new InstanceError('no answer while connecting'));
--- a/packages/daemon/src/control.ts
+++ b/packages/daemon/src/control.ts
@@ -16,6 +16,7 @@
 } from '@shallotpick/wire';
 import { type AnswerSink, InstanceConnection } from './connection.js';
 import { InstanceError } from './errors.js';
+import type { TrustFile } from './tls.js';
 
 type Row = Readonly<Record<string, string>>;
 
@@ -46,6 +47,8 @@
   readonly instance: DatabaseInstance;
   readonly database: string;
   readonly applicationName: string;
+  /** CA of the instance; cleartext without. */
+  readonly trust?: TrustFile | undefined;
   readonly clock: Clock;
 }
 
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -8,6 +8,7 @@
 } from '@shallotpick/core';
 import { EMPTY_CONFIGURATION } from '@shallotpick/core';
 import { CallerConnection } from './caller.js';
+import { type CallerGate, refuseSocket } from './gate.js';
 import type { GroupServer } from './group.js';
 import type { Log } from './log.js';
 import type { Metrics } from './metrics.js';
@@ -25,6 +26,7 @@
   readonly metrics: Metrics;
   readonly callerServer: Server;
   readonly metricsServer: Server;
+  readonly createGate: (socket: Socket) => CallerGate;
   readonly createGroup: (group: DatabaseGroup) => GroupServer;
   /** Starts and stops what feeds the daemon with configuration. */
   readonly startSources: (daemon: Daemon) => () => void;
@@ -40,6 +42,9 @@
 
   private readonly records = new Map<string, RecordUpdate>();
 
+  /** Sockets whose startup is not complete. */
+  private readonly gates = new Set<Socket>();
+
   private readonly callers = new Set<CallerConnection>();
 
   private configuration: Configuration = EMPTY_CONFIGURATION;
@@ -56,7 +61,9 @@
   /** Opens the ports and starts to follow the configuration. */
   async start(): Promise<void> {
     const { callerServer, metricsServer, settings } = this.parts;
-    callerServer.on('connection', (socket: Socket) => this.handleSocket(socket));
+    callerServer.on('connection', (socket: Socket) => {
+      this.openGate(socket).catch(() => socket.destroy());
+    });
     await Promise.all([
       this.listen(callerServer, settings.callerPort),
       this.listen(metricsServer, settings.metricsPort),
@@ -150,6 +157,7 @@
   stop(): void {
     this.stopSources();
     this.parts.peering.stop();
+    this.gates.forEach((socket) => socket.destroy());
     this.callers.forEach((caller) => caller.close());
     this.groups.forEach((group) => group.stop());
     this.groups.clear();
@@ -173,6 +181,20 @@
     });
   }
 
+  /** Lets a caller in once its startup, TLS and authentication are done. */
+  private async openGate(socket: Socket): Promise<void> {
+    if (this.callers.size + this.gates.size >= this.parts.settings.maxCallers) {
+      refuseSocket(socket, { code: SQLSTATE.tooManyCallers, message: 'too many callers' });
+      return;
+    }
+    this.gates.add(socket);
+    const ready = await this.parts.createGate(socket).open();
+    this.gates.delete(socket);
+    if (!ready || ready.destroyed) return;
+    this.handleSocket(ready);
+    ready.resume();
+  }
+
   private handleSocket(socket: Socket): void {
     const caller = new CallerConnection(socket);
     if (this.callers.size >= this.parts.settings.maxCallers) {
--- a/packages/daemon/src/errors.ts
+++ b/packages/daemon/src/errors.ts
@@ -17,3 +17,6 @@
 
 /** A call to a peer failed or its port cannot be opened. */
 export const PeerError = DaemonError.subclass('PeerError');
+
+/** A caller did not prove who it is. */
+export const AuthenticationError = DaemonError.subclass('AuthenticationError');
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -8,6 +8,7 @@
   RefusedError,
   SettingError,
 } from './errors.js';
+export { createVerifier } from './users.js';
 export { loadSettings } from './settings.js';
 export type { Settings } from './settings.js';
 export { SQLSTATE } from './sqlstate.js';
--- a/packages/daemon/src/pool.ts
+++ b/packages/daemon/src/pool.ts
@@ -1,5 +1,6 @@
 import type { DatabaseInstance, Millis } from '@shallotpick/core';
 import { InstanceConnection } from './connection.js';
+import type { TrustFile } from './tls.js';
 
 const CONNECT_TIMEOUT_MS: Millis = 2_000;
 
@@ -8,6 +9,8 @@
   readonly database: string;
   readonly user: string;
   readonly applicationName: string;
+  /** CA of the instance; cleartext without. */
+  readonly trust?: TrustFile | undefined;
 }
 
 /**
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -7,6 +7,10 @@
 const id = z.string().regex(/^[a-z][a-z0-9-]{0,62}$/, 'lower-case letters, digits and hyphens');
 
 const file = z.string().min(1).optional();
+const flag = z
+  .enum(['true', 'false'])
+  .default('false')
+  .transform((text) => text === 'true');
 const PEER = /^([a-z][a-z0-9-]{0,62})@([a-z][a-z0-9-]{0,62})@([^@\s]+):(\d{1,5})$/;
 
 /** `id@zone@host:port,...` */
@@ -38,6 +42,16 @@
   tlsPeerCa: file,
   /** DNS name that the certificates of all peers carry. */
   tlsPeerName: z.string().min(1).default('shallotpick-peer'),
+  tlsCallerKey: file,
+  tlsCallerCert: file,
+  /** Refuses callers that do not ask for TLS. */
+  tlsCallerRequired: flag,
+  /** CA of the instances; with it, every connection to an instance uses TLS. */
+  tlsInstanceCa: file,
+  /** `USER:VERIFIER` lines; without it, callers are not asked for a password. */
+  usersFile: file,
+  callerAuth: z.enum(['scram', 'password']).default('scram'),
+  startupTimeoutMs: z.coerce.number().int().min(1).max(600_000).default(10_000),
   platformUrl: z.url(),
   instanceUser: z.string().min(1).default('shallotpick'),
   maxCallers: z.coerce.number().int().min(1).max(1_000_000).default(20_000),
@@ -52,7 +66,10 @@
 }
 
 /** Settings that only make sense together. */
-const TOGETHER = [['tlsPeerKey', 'tlsPeerCert', 'tlsPeerCa']] as const;
+const TOGETHER = [
+  ['tlsPeerKey', 'tlsPeerCert', 'tlsPeerCa'],
+  ['tlsCallerKey', 'tlsCallerCert'],
+] as const;
 
 const settingsSchema = settingsShape.superRefine((settings, context) => {
   TOGETHER.forEach((names) => {
@@ -61,6 +78,10 @@
     const message = `must be set together with ${names.map(toFlag).join(', ')}`;
     missing.forEach((name) => context.addIssue({ code: 'custom', path: [name], message }));
   });
+  if (settings.tlsCallerRequired && !settings.tlsCallerCert) {
+    const message = 'needs tls-caller-key and tls-caller-cert';
+    context.addIssue({ code: 'custom', path: ['tlsCallerRequired'], message });
+  }
 });
 
 /** Settings of one daemon; see docs/operators.md. */
--- a/packages/daemon/src/tls.ts
+++ b/packages/daemon/src/tls.ts
@@ -29,6 +29,41 @@
   readonly ca?: Buffer | undefined;
 }
 
+/** The CA of the instances, read again when the file changes. */
+export class TrustFile {
+  private context: SecureContext;
+
+  private current: Buffer;
+
+  /** @throws SettingError when the file cannot be used. */
+  constructor(
+    private readonly path: string,
+    private readonly log: Log,
+  ) {
+    try {
+      this.current = readFileSync(path); // eslint-disable-line n/no-sync
+      this.context = createSecureContext({ ca: this.current });
+    } catch (cause) {
+      throw new SettingError(`the CA file ${path} cannot be used`, { cause });
+    }
+    setInterval(() => {
+      this.load().catch((error: unknown) => log.warn('CA file', { error: String(error) }));
+    }, RELOAD_INTERVAL_MS).unref();
+  }
+
+  get secureContext(): SecureContext {
+    return this.context;
+  }
+
+  async load(): Promise<void> {
+    const read = await readFile(this.path);
+    if (read.equals(this.current)) return;
+    this.context = createSecureContext({ ca: read });
+    this.current = read;
+    this.log.info('CA file loaded', { path: this.path });
+  }
+}
+
 type Listener = (certificates: Certificates) => void;
 
 /** Blocks; used before the daemon serves anybody, so that a bad file stops the start. */
--- /dev/null
+++ b/packages/daemon/src/users.ts
@@ -0,0 +1,120 @@
+import { createHash, createHmac, pbkdf2, randomBytes } from 'node:crypto';
+import { readFileSync } from 'node:fs';
+import { readFile } from 'node:fs/promises';
+import { promisify } from 'node:util';
+import type { Millis } from '@shallotpick/core';
+import { SettingError } from './errors.js';
+import type { Log } from './log.js';
+
+const RELOAD_INTERVAL_MS: Millis = 1_000;
+const KEY_BYTES = 32;
+const SALT_BYTES = 16;
+/** RFC 7677 asks for at least this many. */
+const MIN_ITERATIONS = 4_096;
+/** More would let a file with one bad line hold up every login with that user. */
+const MAX_ITERATIONS = 1_000_000;
+const VERIFIER = /^SCRAM-SHA-256\$(\d{1,7}):([\w+/]+=*)\$([\w+/]+=*):([\w+/]+=*)$/;
+
+const derive = promisify(pbkdf2);
+
+export const computeHmac = (key: Buffer, text: string): Buffer =>
+  createHmac('sha256', key).update(text).digest();
+
+export const computeSha256 = (bytes: Buffer): Buffer => createHash('sha256').update(bytes).digest();
+
+/** What is kept of a password: enough to check it, not enough to log in elsewhere. */
+export interface Verifier {
+  readonly iterations: number;
+  readonly salt: Buffer;
+  readonly storedKey: Buffer;
+  readonly serverKey: Buffer;
+}
+
+/** Derives the keys of a password as in RFC 5802; the password is normalised as far as NFKC. */
+export async function computeVerifier(
+  password: string,
+  salt: Buffer,
+  iterations: number,
+): Promise<Verifier> {
+  const normalised = password.normalize('NFKC');
+  const salted = await derive(normalised, salt, iterations, KEY_BYTES, 'sha256');
+  const storedKey = computeSha256(computeHmac(salted, 'Client Key'));
+  return { iterations, salt, storedKey, serverKey: computeHmac(salted, 'Server Key') };
+}
+
+/** Creates the text of a verifier for a users file. */
+export async function createVerifier(password: string): Promise<string> {
+  const salt = randomBytes(SALT_BYTES);
+  const { storedKey, serverKey } = await computeVerifier(password, salt, MIN_ITERATIONS);
+  const keys = `${storedKey.toString('base64')}:${serverKey.toString('base64')}`;
+  return `SCRAM-SHA-256$${MIN_ITERATIONS}:${salt.toString('base64')}$${keys}`;
+}
+
+function parseLine(line: string, number: number): readonly [string, Verifier] {
+  const colon = line.indexOf(':');
+  const [, iterations = '0', ...encoded] = VERIFIER.exec(line.slice(colon + 1)) ?? [];
+  const [salt, storedKey, serverKey] = encoded.map((text) => Buffer.from(text, 'base64'));
+  const count = Number(iterations);
+  const isValid = colon > 0 && count >= MIN_ITERATIONS && count <= MAX_ITERATIONS;
+  if (!isValid || storedKey?.length !== KEY_BYTES || serverKey?.length !== KEY_BYTES || !salt) {
+    // The line itself is a secret and stays out of the message.
+    throw new SettingError(`line ${number} of the users file is not USER:SCRAM-SHA-256$...`);
+  }
+  return [line.slice(0, colon), { iterations: count, salt, storedKey, serverKey }];
+}
+
+/**
+ * Reads the text of a users file: `USER:VERIFIER` a line; `#` begins a comment line.
+ *
+ * @throws SettingError that names the line, not its content.
+ */
+export function parseUsers(text: string): ReadonlyMap<string, Verifier> {
+  const lines = text.split('\n').map((line) => line.trim());
+  return new Map(
+    lines.flatMap((line, index) =>
+      line === '' || line.startsWith('#') ? [] : [parseLine(line, index + 1)],
+    ),
+  );
+}
+
+/** The users who may log in, read again when the file changes. */
+export class UserFile {
+  private users: ReadonlyMap<string, Verifier>;
+
+  private text: string;
+
+  private readonly timer: NodeJS.Timeout;
+
+  /** @throws SettingError when the file cannot be read or has a bad line. */
+  constructor(
+    private readonly path: string,
+    private readonly log: Log,
+  ) {
+    try {
+      this.text = readFileSync(path, 'utf8'); // eslint-disable-line n/no-sync
+    } catch (cause) {
+      throw new SettingError('the users file cannot be read', { cause });
+    }
+    this.users = parseUsers(this.text);
+    this.timer = setInterval(() => {
+      this.load().catch((error: unknown) => log.warn('users file', { error: String(error) }));
+    }, RELOAD_INTERVAL_MS).unref();
+  }
+
+  find(user: string): Verifier | undefined {
+    return this.users.get(user);
+  }
+
+  /** Reads the file again; a bad file leaves the users as they are. */
+  async load(): Promise<void> {
+    const text = await readFile(this.path, 'utf8');
+    if (text === this.text) return;
+    this.users = parseUsers(text);
+    this.text = text;
+    this.log.info('users file loaded', { users: this.users.size });
+  }
+
+  stop(): void {
+    clearInterval(this.timer);
+  }
+}
--- a/packages/daemon/src/wiring.ts
+++ b/packages/daemon/src/wiring.ts
@@ -1,5 +1,5 @@
 import { randomInt, randomUUID } from 'node:crypto';
-import { createServer } from 'node:net';
+import { createServer, type Socket } from 'node:net';
 import {
   type Clock,
   type DatabaseGroup,
@@ -13,6 +13,7 @@
 import { ControlLink } from './control.js';
 import { Daemon } from './daemon.js';
 import { FailoverDriver } from './failover.js';
+import { CallerGate } from './gate.js';
 import { GroupServer } from './group.js';
 import { createHealthServer } from './health.js';
 import { LeavingFeature } from './leaving.js';
@@ -28,7 +29,8 @@
 import { ConnectionPool } from './pool.js';
 import type { Settings } from './settings.js';
 import { StatusBoard } from './status.js';
-import { CertificateFiles, createPeerCredentials } from './tls.js';
+import { CertificateFiles, createPeerCredentials, TrustFile } from './tls.js';
+import { UserFile } from './users.js';
 import { PlatformWatcher } from './watcher.js';
 
 interface PeeringParts {
@@ -126,6 +128,19 @@
   });
 }
 
+/** Creates what checks a caller's startup. */
+function createGates(settings: Settings, log: Log): (socket: Socket) => CallerGate {
+  const { tlsCallerKey: key, tlsCallerCert: cert, usersFile } = settings;
+  const options = {
+    timeoutMs: settings.startupTimeoutMs,
+    files: key && cert ? new CertificateFiles({ key, cert }, log) : undefined,
+    isTlsRequired: settings.tlsCallerRequired,
+    users: usersFile ? new UserFile(usersFile, log) : undefined,
+    method: settings.callerAuth,
+  };
+  return (socket) => new CallerGate(socket, options);
+}
+
 /** Constructs a daemon with its real adapters. */
 export function createDaemon(settings: Settings): Daemon {
   const { vm, zone, instanceUser } = settings;
@@ -135,15 +150,16 @@
   const platform = new HttpPlatform(settings.platformUrl, metrics);
   const applicationName = `shallotpick/${vm}/${zone}`;
 
+  const trust = settings.tlsInstanceCa ? new TrustFile(settings.tlsInstanceCa, log) : undefined;
   const createLinks = (group: DatabaseGroup): ReadonlyMap<string, ControlLink> =>
     new Map(
       group.instances.map((instance) => [
         instance.id,
-        new ControlLink({ instance, database: group.name, applicationName, clock }),
+        new ControlLink({ instance, database: group.name, applicationName, clock, trust }),
       ]),
     );
   const createPool = (instance: DatabaseInstance, database: string): ConnectionPool =>
-    new ConnectionPool({ instance, database, user: instanceUser, applicationName });
+    new ConnectionPool({ instance, database, user: instanceUser, applicationName, trust });
   const membership = createMembership(settings);
   const createGroup = (group: DatabaseGroup): GroupServer => {
     const links = createLinks(group);
@@ -185,6 +201,7 @@
     }),
     callerServer: createServer(),
     metricsServer: createHealthServer(metrics, () => daemon.isReady()),
+    createGate: createGates(settings, log),
     createGroup,
     startSources,
   });
--- a/packages/daemon/test/peers.spec.ts
+++ b/packages/daemon/test/peers.spec.ts
@@ -2,6 +2,7 @@
 import { copyFile } from 'node:fs/promises';
 import { ChannelCredentials } from '@grpc/grpc-js';
 import { ExchangeFeature, type Millis, type PeerExchange, type Vm } from '@shallotpick/core';
+import { type Authority, createAuthority } from '@shallotpick/standin';
 import { SystemClock } from '../src/clock.js';
 import { createLog } from '../src/log.js';
 import { Metrics } from '../src/metrics.js';
@@ -9,7 +10,6 @@
 import { PeerHub } from '../src/peers.js';
 import { PeerServer } from '../src/peerserver.js';
 import { CertificateFiles, type CertificatePaths, createPeerCredentials } from '../src/tls.js';
-import { type Authority, createAuthority } from './certificates.js';
 
 const PEER_NAME = 'shallotpick-peer';
 const NOTHING = { members: [], digest: 0 };
--- a/packages/daemon/test/certificates.ts
+++ b/packages/standin/src/authority.ts
@@ -2,14 +2,21 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { generate } from 'selfsigned';
-import type { CertificatePaths } from '../src/tls.js';
+
+/** PEM files of one certificate. */
+export interface IssuedFiles {
+  readonly key: string;
+  readonly cert: string;
+  readonly ca: string;
+}
 
 /** A certificate authority for tests, with its files in a temporary directory. */
 export interface Authority {
-  issue(file: string, dnsName: string): Promise<CertificatePaths & { readonly ca: string }>;
+  issue(file: string, dnsName: string): Promise<IssuedFiles>;
   remove(): Promise<void>;
 }
 
+/** Creates a certificate authority; `remove` deletes its files. */
 export async function createAuthority(): Promise<Authority> {
   const directory = await mkdtemp(join(tmpdir(), 'shallotpick-tls-'));
   const root = await generate([{ name: 'commonName', value: 'test authority' }], {
--- a/packages/standin/src/index.ts
+++ b/packages/standin/src/index.ts
@@ -1,3 +1,5 @@
+export { createAuthority } from './authority.js';
+export type { Authority, IssuedFiles } from './authority.js';
 export { StandinGroup } from './group.js';
 export type { GroupOptions } from './group.js';
 export { StandinInstance } from './instance.js';
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -48,3 +48,10 @@
   GrantMessage,
   PingMessage,
 } from './generated/peer_pb.js';
+export {
+  encodeAuthenticationSasl,
+  encodeSaslContinue,
+  encodeSaslFinal,
+  parsePassword,
+  parseSaslInitial,
+} from './auth.js';
