--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,8 +1,8 @@
 export { Clock, ManualClock } from './clock.js';
 export type { Millis } from './clock.js';
-export { findContract, DEFAULT_CONTRACT } from './contract.js';
+export { findContract, DEFAULT_CONTRACT, mergeContracts } from './contract.js';
 export type { Contract, ContractMatch, ContractSubject } from './contract.js';
-export { CoreError, InvalidNoteError, NotRunError } from './errors.js';
+export { CompactedError, CoreError, InvalidNoteError, NotRunError } from './errors.js';
 export { countMajority } from './group.js';
 export type {
   DatabaseGroup,
@@ -20,18 +20,21 @@
   parsePosition,
 } from './position.js';
 export type { LogPosition } from './position.js';
-export { classifyStatement } from './statement.js';
+export { classifyStatement, classifyStatements } from './statement.js';
 export type { Statement, StatementKind } from './statement.js';
 export { AdmissionQueue } from './admission.js';
 export type { AdmissionDecision, AdmissionOptions, Capacity, Work } from './admission.js';
-export { FailoverCoordinator, SUSPECT_AFTER_MS } from './failover.js';
+export { FailoverCoordinator } from './failover.js';
+export { FenceTally } from './tally.js';
 export type {
   FailoverAction,
   FailoverOptions,
   FenceAnswer,
-  PrimaryObservation,
+  WriteAction,
   WriteOutcome,
-} from './failover.js';
+} from './action.js';
+export { SUSPECT_AFTER_MS } from './monitor.js';
+export type { PrimaryObservation } from './monitor.js';
 export { MajorityTracker } from './majority.js';
 export type {
   MajorityDecision,
@@ -39,14 +42,27 @@
   PendingArrival,
   PendingCommit,
 } from './majority.js';
+export { NoteChain, parseNoteText } from './chain.js';
+export type { ChainDecision, NumberedNote } from './chain.js';
+export { compareConfigurations } from './difference.js';
+export type { ConfigurationChange, FieldChange } from './difference.js';
+export { loadChain, loadNotes, loadSnapshot, runSubmission, writeSnapshot } from './history.js';
 export {
   applyNote,
+  checkNote,
   EMPTY_CONFIGURATION,
   formatGroupKey,
   formatNoteKey,
+  formatPath,
+  MAX_VALUE_BYTES,
   noteSchema,
+  parseNote,
+  parseNoteKey,
 } from './note.js';
-export type { Configuration, ReleaseNote } from './note.js';
+export type { Configuration, NoteIssue, ParsedNote, ReleaseNote } from './note.js';
+export { createShards, formatShardKey, ShardCollector, SNAPSHOT_INTERVAL } from './snapshot.js';
+export type { SnapshotShard } from './snapshot.js';
+export { MAX_SPREAD_BYTES, Spread } from './spread.js';
 export { computeHash, rankVms } from './placement.js';
 export { Platform } from './platform.js';
 export type { PlatformListing, PlatformObject, PlatformWrite, VmListing } from './platform.js';
@@ -68,3 +84,9 @@
 export { compareMembers } from './member.js';
 export { Membership } from './membership.js';
 export type { MembershipMessage, MembershipOptions } from './membership.js';
+export { ALL_HOME_VMS, HomeTable, HOMES_PER_ZONE } from './home.js';
+export { SessionFloors } from './floor.js';
+export { createBackoff, RetryBudget } from './retry.js';
+export type { BackoffOptions, RetryBudgetOptions } from './retry.js';
+export { parseScript } from './scan.js';
+export type { ScannedStatement } from './scan.js';
--- a/packages/daemon/src/connection.ts
+++ b/packages/daemon/src/connection.ts
@@ -42,6 +42,12 @@
   /** Prepared statements that this connection has, by name. */
   readonly statements = new Map<string, string>();
 
+  /** Session parameters that were set on this connection: the statement that set each. */
+  readonly parameters = new Map<string, string>();
+
+  /** True once a cancel request was sent; a late one would hit a later statement. */
+  isCancelled = false;
+
   /** Transaction state after the last answer. */
   state: TransactionState = 'I';
 
@@ -49,11 +55,15 @@
 
   private exchange: Exchange | undefined;
 
+  private key: readonly [number, number] | undefined;
+
+  private cancelling: Promise<void> = Promise.resolve();
+
   private failure: Error | undefined;
 
   private constructor(
     private readonly socket: Socket,
-    readonly instance: string,
+    private readonly options: ConnectionOptions,
   ) {
     socket.setNoDelay(true);
     socket.on('data', (chunk) => this.handleData(chunk));
@@ -67,9 +77,8 @@
    * @throws InstanceError when the instance refuses or does not answer in time.
    */
   static async open(options: ConnectionOptions): Promise<InstanceConnection> {
-    const { id } = options.instance;
     const socket = await openSocket(options);
-    const connection = new InstanceConnection(socket, id);
+    const connection = new InstanceConnection(socket, options);
     const timer = setTimeout(() => {
       connection.fail(new InstanceError('no answer while connecting'));
     }, options.timeoutMs);
@@ -102,6 +111,29 @@
     });
   }
 
+  /** Sends more messages of the request that runs. */
+  send(bytes: Buffer): void {
+    this.socket.write(bytes);
+  }
+
+  /** True while a request runs. */
+  isBusy(): boolean {
+    return this.exchange !== undefined;
+  }
+
+  /** Asks the instance to interrupt the statement that runs. */
+  cancel(): void {
+    if (!this.key || !this.exchange) return;
+    const [processId, secret] = this.key;
+    this.isCancelled = true;
+    this.cancelling = this.sendCancel(serialize.cancel(processId, secret)).catch(() => undefined);
+  }
+
+  /** Waits until the instance has taken the last cancel request. */
+  async waitForCancel(): Promise<void> {
+    await this.cancelling;
+  }
+
   resume(): void {
     this.socket.resume();
   }
@@ -111,7 +143,22 @@
     this.fail(new InstanceError('connection closed by the proxy'));
   }
 
+  private async sendCancel(bytes: Buffer): Promise<void> {
+    const socket = await openSocket(this.options);
+    const timer = setTimeout(() => socket.destroy(), this.options.timeoutMs);
+    await new Promise<void>((resolve) => {
+      socket.once('close', () => {
+        clearTimeout(timer);
+        resolve();
+      });
+      socket.on('error', () => socket.destroy());
+      socket.end(bytes);
+      socket.resume();
+    });
+  }
+
   private handleStartup({ type, body }: Frame): void {
+    if (type === BACKEND.backendKeyData) this.key = [body.readInt32BE(0), body.readInt32BE(4)];
     if (type !== BACKEND.error) return;
     const fields = parseFields(body);
     const error = new InstanceError(fields.get('M') ?? 'refused', {
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,3 +1,4 @@
+import type { Server as HttpServer } from 'node:http';
 import type { AddressInfo, Server, Socket } from 'node:net';
 import type {
   Clock,
@@ -6,27 +7,33 @@
   GroupRecord,
   RecordUpdate,
 } from '@shallotpick/core';
-import { EMPTY_CONFIGURATION } from '@shallotpick/core';
+import { EMPTY_CONFIGURATION, RetryBudget } from '@shallotpick/core';
 import { CallerConnection } from './caller.js';
 import { type CallerGate, refuseSocket } from './gate.js';
 import type { GroupServer } from './group.js';
 import type { Log } from './log.js';
 import type { Metrics } from './metrics.js';
 import type { Peering } from './peering.js';
+import type { OperatorServer } from './operator.js';
 import { Session } from './session.js';
 import type { Settings } from './settings.js';
 import { SQLSTATE } from './sqlstate.js';
 
 const DRAIN_POLL_MS = 10;
+/** Retries add at most a fifth to the load; the reserve covers the start of a failover. */
+const RETRY_BUDGET = { ratio: 0.2, capacity: 500 };
 
 export interface DaemonParts {
   readonly settings: Settings;
   readonly clock: Clock;
   readonly log: Log;
   readonly metrics: Metrics;
+  /** Delay before the given retry of a request, counted from 1. */
+  readonly computeBackoff: (retry: number) => number;
   readonly callerServer: Server;
-  readonly metricsServer: Server;
   readonly createGate: (socket: Socket) => CallerGate;
+  readonly metricsServer: HttpServer;
+  readonly operatorServer: OperatorServer;
   readonly createGroup: (group: DatabaseGroup) => GroupServer;
   /** Starts and stops what feeds the daemon with configuration. */
   readonly startSources: (daemon: Daemon) => () => void;
@@ -47,6 +54,8 @@
 
   private readonly callers = new Set<CallerConnection>();
 
+  private readonly retries = new RetryBudget(RETRY_BUDGET);
+
   private configuration: Configuration = EMPTY_CONFIGURATION;
 
   /** Instances that the platform's VM list shows as leaving. */
@@ -69,6 +78,7 @@
       this.listen(metricsServer, settings.metricsPort),
       this.parts.peering.start(),
     ]);
+    await this.parts.operatorServer.start(this);
     this.stopSources = this.parts.startSources(this);
     const callerPort = this.readCallerPort();
     this.parts.log.info('daemon started', { callerPort, metricsPort: this.readMetricsPort() });
@@ -99,6 +109,18 @@
     return !this.draining && this.groups.size > 0;
   }
 
+  isDraining(): boolean {
+    return this.draining;
+  }
+
+  countCallers(): number {
+    return this.callers.size;
+  }
+
+  readOperatorPort(): number {
+    return this.parts.operatorServer.port;
+  }
+
   handleConfiguration(configuration: Configuration): void {
     if (configuration.number <= this.configuration.number) return;
     this.configuration = configuration;
@@ -163,6 +185,9 @@
     this.groups.clear();
     this.parts.callerServer.close();
     this.parts.metricsServer.close();
+    // Kept-alive connections of monitoring would hold the process for seconds.
+    this.parts.metricsServer.closeAllConnections();
+    this.parts.operatorServer.stop();
     this.parts.log.info('daemon stopped');
   }
 
@@ -196,7 +221,7 @@
   }
 
   private handleSocket(socket: Socket): void {
-    const caller = new CallerConnection(socket);
+    const caller = new CallerConnection(socket, (id, secret) => this.handleCancel(id, secret));
     if (this.callers.size >= this.parts.settings.maxCallers) {
       caller.refuse({ code: SQLSTATE.tooManyCallers, message: 'too many callers' });
       return;
@@ -206,7 +231,10 @@
       caller,
       clock,
       log,
+      metrics,
       queueDeadlineMs: settings.queueDeadlineMs,
+      retries: this.retries,
+      computeBackoff: this.parts.computeBackoff,
       findGroup: (name) => this.groups.get(name),
       readConfiguration: () => this.configuration,
     });
@@ -218,6 +246,11 @@
     });
   }
 
+  private handleCancel(processId: number, secret: number): void {
+    const caller = [...this.callers].find((one) => one.hasKey(processId, secret));
+    caller?.handler?.handleCancel();
+  }
+
   private updateGroup(group: DatabaseGroup): void {
     // An instance that leaves changes no connection of the others, so the server is kept.
     const definition = JSON.stringify(group, (key, value) =>
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -52,6 +52,11 @@
   usersFile: file,
   callerAuth: z.enum(['scram', 'password']).default('scram'),
   startupTimeoutMs: z.coerce.number().int().min(1).max(600_000).default(10_000),
+  /** Not set: no operator service. */
+  operatorPort: port.optional(),
+  tlsCaFile: z.string().min(1).optional(),
+  tlsCertFile: z.string().min(1).optional(),
+  tlsKeyFile: z.string().min(1).optional(),
   platformUrl: z.url(),
   instanceUser: z.string().min(1).default('shallotpick'),
   maxCallers: z.coerce.number().int().min(1).max(1_000_000).default(20_000),
--- a/packages/daemon/src/wiring.ts
+++ b/packages/daemon/src/wiring.ts
@@ -2,13 +2,16 @@
 import { createServer, type Socket } from 'node:net';
 import {
   type Clock,
+  createBackoff,
   type DatabaseGroup,
   type DatabaseInstance,
   type ExchangeFeature,
   Membership,
   type Platform,
+  Spread,
   type Vm,
 } from '@shallotpick/core';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { SystemClock } from './clock.js';
 import { ControlLink } from './control.js';
 import { Daemon } from './daemon.js';
@@ -25,6 +28,7 @@
 import { GrpcPeerLink } from './peerlink.js';
 import { PeerHub } from './peers.js';
 import { PeerServer } from './peerserver.js';
+import { OperatorServer } from './operator.js';
 import { HttpPlatform } from './platform.js';
 import { ConnectionPool } from './pool.js';
 import type { Settings } from './settings.js';
@@ -33,6 +37,9 @@
 import { UserFile } from './users.js';
 import { PlatformWatcher } from './watcher.js';
 
+const RETRY_BACKOFF = { baseMs: 10, maxMs: 200 };
+const MAX_SEED = 2 ** 31;
+
 interface PeeringParts {
   readonly settings: Settings;
   readonly membership: Membership;
@@ -147,7 +154,10 @@
   const clock = new SystemClock();
   const log = createLog(settings.logLevel, vm);
   const metrics = new Metrics();
-  const platform = new HttpPlatform(settings.platformUrl, metrics);
+  const platform = new HttpPlatform({
+    url: settings.platformUrl,
+    onCall: (call, outcome) => metrics.platformCalls.inc({ call, outcome }),
+  });
   const applicationName = `shallotpick/${vm}/${zone}`;
 
   const trust = settings.tlsInstanceCa ? new TrustFile(settings.tlsInstanceCa, log) : undefined;
@@ -175,32 +185,38 @@
         platform,
         membership,
         createAttempt: randomUUID,
+        random: Math.random,
       }),
     });
   };
-  const startSources = (daemon: Daemon): (() => void) => {
+  // The daemon's sources and peers need it before it exists; they call this only once started.
+  let daemon: Daemon;
+  const findDaemon = (): Daemon => daemon;
+  const spread = new Spread((configuration) => findDaemon().handleConfiguration(configuration));
+  const startSources = (target: Daemon): (() => void) => {
     const watcher = new PlatformWatcher({
       platform,
       log,
-      onConfiguration: (configuration) => daemon.handleConfiguration(configuration),
-      onRecord: (record, version) => daemon.handleRecord(record, version),
+      membership,
+      spread,
+      createRandom: Math.random,
+      onRecord: (record, version) => target.handleRecord(record, version),
     });
     watcher.start();
-    return () => watcher.stop();
+    return () => {
+      watcher.stop();
+      platform.close();
+    };
   };
 
   const shared = { settings, clock, log, metrics };
-  const daemon: Daemon = new Daemon({
+  daemon = new Daemon({
     ...shared,
-    peering: createPeering({
-      ...shared,
-      membership,
-      platform,
-      features: [],
-      findDaemon: () => daemon,
-    }),
+    peering: createPeering({ ...shared, membership, platform, features: [spread], findDaemon }),
+    computeBackoff: createBackoff(RETRY_BACKOFF, xoroshiro128plus(randomInt(MAX_SEED))),
     callerServer: createServer(),
     metricsServer: createHealthServer(metrics, () => daemon.isReady()),
+    operatorServer: new OperatorServer({ settings, clock, log }),
     createGate: createGates(settings, log),
     createGroup,
     startSources,
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -55,3 +55,11 @@
   parsePassword,
   parseSaslInitial,
 } from './auth.js';
+export { createOperatorCalls, OPERATOR_SERVICE, OperatorClient } from './operator.js';
+export type { OperatorHandlers } from './operator.js';
+export type {
+  ExplainResponse,
+  GroupStatus,
+  InstanceState,
+  StatusResponse,
+} from './generated/operator/operator_pb.js';
