--- a/packages/daemon/src/caller.ts
+++ b/packages/daemon/src/caller.ts
@@ -27,6 +27,8 @@
   FRONTEND.copyDone,
   FRONTEND.copyFail,
 ]);
+/** How long a refused caller may take to read the error. */
+const REFUSE_TIMEOUT_MS = 2_000;
 const MAX_KEY = 2 ** 31 - 1;
 
 /** The session layer behind a caller connection. */
@@ -65,6 +67,9 @@
 
   private closed = false;
 
+  /** True once the last error was sent; what the caller still sends is dropped. */
+  private refused = false;
+
   constructor(
     private readonly socket: Socket,
     private readonly onCancel: (processId: number, secret: number) => void,
@@ -102,7 +107,11 @@
 
   /** Sends an error and closes the connection. */
   refuse(fields: Omit<ErrorFields, 'severity'>): void {
-    if (!this.closed) this.socket.end(encodeError({ severity: 'FATAL', ...fields }));
+    if (this.closed || this.refused) return;
+    this.refused = true;
+    this.socket.end(encodeError({ severity: 'FATAL', ...fields }));
+    // A caller that goes on sending and never closes must not hold the socket.
+    setTimeout(() => this.socket.destroy(), REFUSE_TIMEOUT_MS).unref();
   }
 
   close(): void {
@@ -110,6 +119,7 @@
   }
 
   private handleData(chunk: Buffer): void {
+    if (this.refused) return;
     this.reader.add(chunk);
     try {
       for (let frame = this.reader.read(); frame; frame = this.reader.read()) {
--- a/packages/daemon/src/gate.ts
+++ b/packages/daemon/src/gate.ts
@@ -47,13 +47,14 @@
 }
 
 /** How long a refused caller may take to read the error. */
-const REFUSE_TIMEOUT_MS: Millis = 5_000;
+const REFUSE_TIMEOUT_MS: Millis = 2_000;
 
 /** Sends an error to a caller that is not let in, and closes. */
 export function refuseSocket(socket: Socket, fields: Omit<ErrorFields, 'severity'>): void {
   socket.on('error', () => socket.destroy());
   socket.end(encodeError({ severity: 'FATAL', ...fields }));
-  socket.setTimeout(REFUSE_TIMEOUT_MS, () => socket.destroy());
+  // Not an idle time-out: a caller that goes on sending must not hold the socket.
+  setTimeout(() => socket.destroy(), REFUSE_TIMEOUT_MS).unref();
   socket.resume();
 }
 
--- a/packages/daemon/test/peers.spec.ts
+++ b/packages/daemon/test/peers.spec.ts
@@ -1,5 +1,7 @@
 import { expect } from 'earl';
+import fc from 'fast-check';
 import { copyFile } from 'node:fs/promises';
+import { connect } from 'node:net';
 import { ChannelCredentials } from '@grpc/grpc-js';
 import { ExchangeFeature, type Millis, type PeerExchange, type Vm } from '@shallotpick/core';
 import { type Authority, createAuthority } from '@shallotpick/standin';
@@ -146,6 +148,27 @@
     }
   });
 
+  // Guards against bytes on the peer port that stop the server for everybody.
+  it('goes on serving peers after any bytes on its port', async () => {
+    const a = await start('vm-a', undefined);
+    const preface = Buffer.from('PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n');
+    const send = async (sent: Buffer): Promise<void> =>
+      new Promise((resolve) => {
+        const socket = connect(a.vm.peerPort, '127.0.0.1', () => socket.end(sent));
+        socket.on('error', () => undefined).resume();
+        socket.on('close', () => resolve());
+      });
+    await fc.assert(
+      fc.asyncProperty(fc.boolean(), fc.uint8Array({ maxLength: 200 }), async (isHttp, bytes) => {
+        await send(Buffer.concat([isHttp ? preface : Buffer.alloc(0), bytes]));
+      }),
+      { seed: 20_261_204, numRuns: 100 },
+    );
+    const link = createStranger(a.vm, ChannelCredentials.createInsecure());
+    expect((await link.ping(NOTHING)).members).toEqual([]);
+    link.close();
+  });
+
   // Guards against a daemon that must restart when its certificates are replaced.
   it('takes over replaced certificate files', async () => {
     const served = await authority.issue('served', PEER_NAME);
