--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -2,6 +2,7 @@
 import type { AddressInfo, Server, Socket } from 'node:net';
 import { type Clock, type Configuration, type GroupRecord, RetryBudget } from '@shallotpick/core';
 import { CallerConnection } from './caller.js';
+import { type CallerGate, refuseSocket } from './gate.js';
 import type { GroupServer } from './group.js';
 import type { GroupHost } from './host.js';
 import type { Log } from './log.js';
@@ -24,6 +25,7 @@
   /** Delay before the given retry of a request, counted from 1. */
   readonly computeBackoff: (retry: number) => number;
   readonly callerServer: Server;
+  readonly createGate: (socket: Socket) => CallerGate;
   readonly metricsServer: HttpServer;
   readonly operatorServer: OperatorServer;
   /** The groups that this daemon serves. */
@@ -36,6 +38,9 @@
 
 /** One proxy: its callers and the groups that it serves. */
 export class Daemon {
+  /** Sockets whose startup is not complete. */
+  private readonly gates = new Set<Socket>();
+
   private readonly callers = new Set<CallerConnection>();
 
   private readonly retries = new RetryBudget(RETRY_BUDGET);
@@ -49,7 +54,9 @@
   /** Opens the ports and starts to follow the configuration. */
   async start(): Promise<void> {
     const { callerServer, metricsServer, settings } = this.parts;
-    callerServer.on('connection', (socket: Socket) => this.handleSocket(socket));
+    callerServer.on('connection', (socket: Socket) => {
+      this.openGate(socket).catch(() => socket.destroy());
+    });
     await Promise.all([
       this.listen(callerServer, settings.callerPort),
       this.listen(metricsServer, settings.metricsPort),
@@ -132,6 +139,7 @@
   stop(): void {
     this.stopSources();
     this.parts.peering.stop();
+    this.gates.forEach((socket) => socket.destroy());
     this.callers.forEach((caller) => caller.close());
     this.parts.host.stop();
     this.parts.callerServer.close();
@@ -157,6 +165,20 @@
     });
   }
 
+  /** Lets a caller in once its startup, TLS and authentication are done. */
+  private async openGate(socket: Socket): Promise<void> {
+    if (this.callers.size + this.gates.size >= this.parts.settings.maxCallers) {
+      refuseSocket(socket, { code: SQLSTATE.tooManyCallers, message: 'too many callers' });
+      return;
+    }
+    this.gates.add(socket);
+    const ready = await this.parts.createGate(socket).open();
+    this.gates.delete(socket);
+    if (!ready || ready.destroyed) return;
+    this.handleSocket(ready);
+    ready.resume();
+  }
+
   private handleSocket(socket: Socket): void {
     const caller = new CallerConnection(socket, (id, secret) => this.handleCancel(id, secret));
     if (this.callers.size >= this.parts.settings.maxCallers) {
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -48,6 +48,13 @@
   GrantMessage,
   PingMessage,
 } from './generated/peer_pb.js';
+export {
+  encodeAuthenticationSasl,
+  encodeSaslContinue,
+  encodeSaslFinal,
+  parsePassword,
+  parseSaslInitial,
+} from './auth.js';
 export { createOperatorCalls, OPERATOR_SERVICE, OperatorClient } from './operator.js';
 export type { OperatorHandlers } from './operator.js';
 export type {
--- a/packages/wire/src/message.ts
+++ b/packages/wire/src/message.ts
@@ -56,6 +56,10 @@
 const GSS_REQUEST = 80_877_104;
 const CANCEL_REQUEST = 80_877_102;
 const TEXT_OID = 25;
+const COUNT_BYTES = 2;
+const LENGTH_BYTES = 4;
+/** Bytes of a RowDescription's column behind its name. */
+const COLUMN_BYTES = 18;
 const ROWS_WRITER_BYTES = 1024;
 
 export type Startup =
@@ -148,22 +152,41 @@
   return fields;
 }
 
+/** Reads a count of entries that each take at least `entryBytes` of the message. */
+function readCount(body: Buffer, entryBytes: number): number {
+  const count = body.length < COUNT_BYTES ? -1 : body.readInt16BE(0);
+  if (count < 0 || COUNT_BYTES + count * entryBytes > body.length) {
+    throw new ProtocolError('the message is too short for its count');
+  }
+  return count;
+}
+
 /** Decodes a DataRow in text format. */
 export function parseRow(body: Buffer): readonly (string | null)[] {
-  const reader = createReader(body);
-  return Array.from({ length: reader.int16() }, () => {
-    const length = reader.int32();
-    return length < 0 ? null : reader.string(length);
+  const count = readCount(body, LENGTH_BYTES);
+  let at = COUNT_BYTES;
+  return Array.from({ length: count }, () => {
+    if (at + LENGTH_BYTES > body.length) throw new ProtocolError('a value is cut short');
+    const length = body.readInt32BE(at);
+    const from = at + LENGTH_BYTES;
+    if (length < 0) {
+      at = from;
+      return null;
+    }
+    at = from + length;
+    if (at > body.length) throw new ProtocolError('a value is cut short');
+    return body.toString('utf8', from, at);
   });
 }
 
 /** Decodes the column names of a RowDescription. */
 export function parseColumns(body: Buffer): readonly string[] {
-  const reader = createReader(body);
-  return Array.from({ length: reader.int16() }, () => {
-    const name = reader.cstring();
-    reader.bytes(18);
-    return name;
+  const count = readCount(body, 1 + COLUMN_BYTES);
+  let at = COUNT_BYTES;
+  return Array.from({ length: count }, () => {
+    const { text, end } = readCString(body, at);
+    at = end + COLUMN_BYTES;
+    return text;
   });
 }
 
