Require a known age of the primary for stated-age reads

Change: the fallback needs a known age as replicas do. The runs have slow networks, blind primaries, old primaries that come back during a failover, and readers that stay.

--- a/packages/bench/src/harness/checks.ts
+++ b/packages/bench/src/harness/checks.ts
@@ -1,3 +1,4 @@
+import type { GroupRecord } from '@shallotpick/core';
 import type { Entry, FakeInstance } from './instance.js';
 
 /** Guarantees that the runs check; the first broken one is reported. */
@@ -5,6 +6,7 @@
   | 'nothing acknowledged is lost'
   | 'no acknowledgement by a replaced primary'
   | 'at most one primary per term'
+  | 'one attempt per term'
   | 'read-your-writes'
   | 'stated age'
   | 'writes go on after faults end';
@@ -49,6 +51,15 @@
     this.acknowledged.forEach(({ entry }) => this.checkKept(entry, promotion));
   }
 
+  /** The record moves to a later term, or from a claim to the naming of the same attempt. */
+  handleRecord(before: GroupRecord | undefined, after: GroupRecord): void {
+    if (!before || after.term > before.term) return;
+    const isNaming = after.attempt === before.attempt && after.phase === 'named';
+    if (isNaming && before.phase === 'fencing') return;
+    const detail = `attempt ${after.attempt} of term ${after.term} after ${before.attempt} of ${before.term}`;
+    this.report('one attempt per term', detail);
+  }
+
   handleAcknowledgement(entry: Entry): void {
     this.acknowledged.push({ entry, at: this.readNow() });
     this.promotions.forEach((promotion) => {
--- a/packages/bench/src/harness/instance.ts
+++ b/packages/bench/src/harness/instance.ts
@@ -6,6 +6,8 @@
 } from '@shallotpick/core';
 import type { Endpoint, World } from './world.js';
 
+const MAX_TRANSACTION = 5;
+
 /** One committed transaction in the log of a fake instance. */
 export interface Entry {
   readonly id: number;
@@ -78,6 +80,9 @@
 
   commit(id: number): Entry | undefined {
     if (this.role !== 'primary' || this.readDurable().term < this.fenceTerm) return undefined;
+    // Transactions differ in length, so that a branch with fewer of them may be the longer one.
+    const length = Math.floor(this.world.random() * MAX_TRANSACTION);
+    for (let part = 0; part < length; part++) this.append(0);
     return this.append(id);
   }
 
@@ -129,8 +134,9 @@
       return;
     }
     const entries = this.entries.slice(length);
-    if (entries.length > 0)
-      { this.world.send(this, replica, () => replica.receive(id, term, entries)); }
+    if (entries.length > 0) {
+      this.world.send(this, replica, () => replica.receive(id, term, entries));
+    }
   }
 
   /** A message of a stream of another term belongs to a connection that is closed. */
--- a/packages/bench/src/harness/platform.ts
+++ b/packages/bench/src/harness/platform.ts
@@ -1,4 +1,5 @@
 import type { GroupRecord, WriteOutcome } from '@shallotpick/core';
+import type { Checks } from './checks.js';
 import type { Endpoint, World } from './world.js';
 
 /** The record of one group in a platform with conditional updates. */
@@ -23,11 +24,13 @@
   constructor(
     private readonly world: World,
     private readonly checksVersions: boolean,
+    private readonly checks: Checks,
   ) {}
 
   write(record: GroupRecord, expectedVersion: number): WriteOutcome {
     const isExpected = expectedVersion === this.version;
     if (!isExpected && this.checksVersions) return { kind: 'conflict' };
+    this.checks.handleRecord(this.record, record);
     this.version += 1;
     this.record = record;
     if (this.world.now < this.losesAnswersUntil) return { kind: 'lost' };
--- a/packages/bench/src/harness/scenario.ts
+++ b/packages/bench/src/harness/scenario.ts
@@ -15,6 +15,10 @@
   'pausePrimary',
   'isolatePrimary',
   'isolatePrimary',
+  'cutPrimaryFromDaemons',
+  'cutPrimaryFromDaemons',
+  'isolatePrimaryThenCrash',
+  'isolatePrimaryThenCrash',
   'crashInstance',
   'pauseInstance',
   'cutInstances',
@@ -58,6 +62,11 @@
 export const scenarioArbitrary: fc.Arbitrary<Scenario> = fc.record({
   seed: fc.integer(),
   zones: fc.constantFrom(3, 4),
-  chaos: fc.record({ lost: rate, doubled: rate, late: rate }),
+  chaos: fc.record({
+    lost: rate,
+    doubled: rate,
+    late: rate,
+    slowness: fc.constantFrom(1, 1, 5, 15),
+  }),
   faults: fc.array(fault, { minLength: 1, maxLength: 10, size: 'max' }),
 });
--- a/packages/bench/src/harness/session.ts
+++ b/packages/bench/src/harness/session.ts
@@ -6,6 +6,8 @@
 
 const ROUTE_RETRY_MS = 10;
 const REQUEST_LIMIT_MS = 3_000;
+/** A reader gives up early, since messages into a cut are lost without a sign. */
+const READ_LIMIT_MS = 200;
 const STATED_AGES_MS = [0, 60, 300, 1_500];
 
 export interface SessionOptions {
@@ -14,6 +16,8 @@
   readonly instances: readonly FakeInstance[];
   readonly listDaemons: () => readonly FakeDaemon[];
   readonly createId: () => number;
+  /** A session that only reads through this daemon, with its first floor; the others roam. */
+  readonly readsAt: number | undefined;
 }
 
 const createContract = (maxAgeMs: number): Contract => ({
@@ -38,12 +42,13 @@
   constructor(private readonly options: SessionOptions) {}
 
   start(): void {
-    this.place = Math.floor(this.options.world.random() * this.options.listDaemons().length);
+    const { world, listDaemons, readsAt } = this.options;
+    this.place = readsAt ?? Math.floor(world.random() * listDaemons().length);
     this.runNext();
   }
 
   private runNext(): void {
-    const { world } = this.options;
+    const { world, readsAt } = this.options;
     this.request += 1;
     const { request } = this;
     const finish = (): void => {
@@ -51,12 +56,12 @@
       this.request += 1;
       world.schedule(2 + world.random() * 25, () => this.runNext());
     };
-    world.schedule(REQUEST_LIMIT_MS, finish);
-    if (world.random() < 0.4) this.move();
+    world.schedule(readsAt === undefined ? REQUEST_LIMIT_MS : READ_LIMIT_MS, finish);
+    if (readsAt === undefined && world.random() < 0.4) this.move();
     const daemon = this.options.listDaemons()[this.place];
-    if (!daemon || daemon.isDown) this.move();
+    if (!daemon || daemon.isDown) finish();
     else if (!this.floor) this.arrive(daemon, request, finish);
-    else if (world.random() < 0.5) this.write(daemon, request, finish);
+    else if (readsAt === undefined && world.random() < 0.5) this.write(daemon, request, finish);
     else this.read(daemon, world.choose(STATED_AGES_MS), request, finish);
   }
 
@@ -112,10 +117,11 @@
         isSent = true;
         const entry = instance.commit(id);
         if (!entry) world.send(instance, daemon, finish);
-        else
-          { world.send(instance, daemon, () =>
+        else {
+          world.send(instance, daemon, () =>
             this.waitForVerdict(daemon, instance, entry, term, request, finish),
-          ); }
+          );
+        }
       });
     });
   }
--- a/packages/bench/src/harness/simulation.ts
+++ b/packages/bench/src/harness/simulation.ts
@@ -1,4 +1,4 @@
-import type { DatabaseGroup } from '@shallotpick/core';
+import { DAMPING_MS, type DatabaseGroup } from '@shallotpick/core';
 import { match } from 'ts-pattern';
 import { Checks, type Violation } from './checks.js';
 import { FakeDaemon } from './daemon.js';
@@ -46,7 +46,7 @@
     const { seed, zones, chaos } = scenario;
     this.world = new World(seed, chaos, FAULTS_END_MS);
     this.zones = Array.from({ length: zones }, (_, index) => `zone-${index}`);
-    this.platform = new FakePlatform(this.world, rules.checksVersions);
+    this.platform = new FakePlatform(this.world, rules.checksVersions, this.checks);
     this.instances = Array.from({ length: INSTANCES }, (_, index) =>
       rules.createInstance(`db-${index}`, this.zones[index] ?? '', this.world, (instance, term) =>
         this.checks.handlePromotion(instance, term),
@@ -64,6 +64,7 @@
     const hasFailed = (): boolean => checks.violation !== undefined;
     this.scenario.faults.forEach((fault) => world.schedule(fault.at, () => this.runFault(fault)));
     Array.from({ length: SESSIONS }, () => this.createSession().start());
+    this.daemons.forEach((_, index) => this.createSession(index).start());
     world.run(FAULTS_END_MS, hasFailed);
     this.daemons.forEach((daemon) => this.probeWrite(daemon));
     const isDone = (): boolean => hasFailed() || this.recovered.size === DAEMONS;
@@ -114,7 +115,7 @@
     daemon.start(() => this.daemons.filter(({ isDown }) => !isDown));
   }
 
-  private createSession(): FakeSession {
+  private createSession(readsAt?: number): FakeSession {
     const { world, checks, instances } = this;
     return new FakeSession({
       world,
@@ -122,6 +123,7 @@
       instances,
       listDaemons: () => this.daemons,
       createId: () => this.createId(),
+      readsAt,
     });
   }
 
@@ -166,7 +168,7 @@
     const { world, platform, instances, daemons, zones } = this;
     const { kind, a, b, duration } = fault;
     const until = Math.min(world.now + duration, FAULTS_END_MS);
-    const instance = kind.endsWith('Primary')
+    const instance = kind.includes('Primary')
       ? this.findPrimary()
       : (instances[a % INSTANCES] as FakeInstance);
     const daemon = daemons[a % DAEMONS] as FakeDaemon;
@@ -176,6 +178,8 @@
         instance.pausedUntil = until;
       })
       .with('isolatePrimary', () => this.isolate(instance, until))
+      .with('cutPrimaryFromDaemons', () => this.cutDaemons(instance, until))
+      .with('isolatePrimaryThenCrash', () => this.isolateThenCrash(instance, fault))
       .with('cutInstances', () => {
         const other = instances[(a + 1 + (b % (INSTANCES - 1))) % INSTANCES];
         world.cut(instance.id, other?.id ?? '', until);
@@ -201,12 +205,13 @@
       .exhaustive();
   }
 
-  /** A zone is cut from one other zone, or, when both numbers agree, from all of them. */
+  /** A zone is cut from one other zone, or, when both numbers agree, from all and the platform. */
   private cutZones(a: number, b: number, until: number): void {
     const { zones, world } = this;
     const zone = zones[a % zones.length] ?? '';
     const others = zones.filter((other) => other !== zone);
-    const cut = a === b ? others : others.filter((_, index) => index === b % others.length);
+    const all = [...others, this.platform.zone];
+    const cut = a === b ? all : others.filter((_, index) => index === b % others.length);
     cut.forEach((other) => world.cut(zone, other, until));
   }
 
@@ -215,11 +220,26 @@
     this.instances
       .filter((other) => other !== instance)
       .forEach((other) => this.world.cut(instance.id, other.id, until));
+    this.cutDaemons(instance, until);
+  }
+
+  /** The primary keeps its replicas, and the daemons of its zone, but loses all other daemons. */
+  private cutDaemons(instance: FakeInstance, until: number): void {
     this.daemons
       .filter(({ zone }) => zone !== instance.zone)
       .forEach(({ id }) => this.world.cut(instance.id, id, until));
   }
 
+  /** The old primary comes back with a branch of its own just when the new one is lost. */
+  private isolateThenCrash(instance: FakeInstance, { duration, b }: Fault): void {
+    const { world } = this;
+    const backAt = Math.min(world.now + DAMPING_MS + duration, FAULTS_END_MS - RESTART_MS);
+    this.isolate(instance, backAt);
+    world.schedule(Math.max(0, backAt - world.now) + 10 * b, () =>
+      this.crash(this.findPrimary(), FAULTS_END_MS),
+    );
+  }
+
   private crash(instance: FakeInstance, until: number): void {
     const target = instance;
     target.isDown = true;
--- a/packages/bench/src/harness/world.ts
+++ b/packages/bench/src/harness/world.ts
@@ -17,6 +17,8 @@
   readonly lost: number;
   readonly doubled: number;
   readonly late: number;
+  /** Factor of the delay of every message. */
+  readonly slowness: number;
 }
 
 interface Event {
@@ -87,14 +89,14 @@
 
   /** Delivers a message once, or not at all, or twice, or late. */
   send(from: Endpoint, to: Endpoint, deliver: () => void): void {
-    const { lost, doubled, late } = this.chaos;
+    const { lost, doubled, late, slowness } = this.chaos;
     const isFaulty = this.now < this.faultsEndAt;
     if (isFaulty && this.random() < lost) return;
     const copies = isFaulty && this.random() < doubled ? 2 : 1;
     const { epoch } = to;
     for (let copy = 0; copy < copies; copy++) {
       const isLate = isFaulty && this.random() < late;
-      const delay = 0.3 + this.random() * (isLate ? MAX_LATE_MS : 2);
+      const delay = 0.3 + this.random() * (isLate ? MAX_LATE_MS : 2 * (isFaulty ? slowness : 1));
       this.schedule(delay, () => {
         if (!this.isCut(from, to)) this.deliver(to, epoch, deliver);
       });
--- /dev/null
+++ b/packages/bench/test/mutants/acknowledge.ts
@@ -0,0 +1,36 @@
+import {
+  type InstanceStatus,
+  type LogPosition,
+  type MajorityDecision,
+  MajorityTracker,
+  type PendingCommit,
+} from '@shallotpick/core';
+
+export class PrimaryAloneTracker extends MajorityTracker {
+  protected override hasHolders(): boolean {
+    return true;
+  }
+}
+
+export class LaterTermTracker extends MajorityTracker {
+  protected override holds(durable: LogPosition, target: LogPosition): boolean {
+    return durable.term >= target.term && durable.offset >= target.offset;
+  }
+
+  protected override decideCommit(
+    commit: PendingCommit,
+    status: InstanceStatus,
+  ): MajorityDecision | undefined {
+    const { durable } = status;
+    const term = status.instance === commit.primary ? durable.term : commit.term;
+    return super.decideCommit(commit, { ...status, durable: { ...durable, term } });
+  }
+}
+
+export class EarlyPositionTracker extends MajorityTracker {
+  override addCommit(commit: PendingCommit): void {
+    super.addCommit({ ...commit, completedAt: commit.completedAt - 60 });
+    const status = this.latest.get(commit.primary);
+    if (status) this.decideCommit(commit, { ...status, requestedAt: commit.completedAt });
+  }
+}
--- /dev/null
+++ b/packages/bench/test/mutants/reading.ts
@@ -0,0 +1,45 @@
+import {
+  chooseLater,
+  hasPosition,
+  type InstanceStatus,
+  LOG_START,
+  type MajorityDecision,
+  type MajorityReading,
+  MajorityTracker,
+} from '@shallotpick/core';
+
+export class OldReadingTracker extends MajorityTracker {
+  protected override isReadingFor(): boolean {
+    return true;
+  }
+}
+
+export class PrimaryAgeTracker extends MajorityTracker {
+  private readonly primaryReadings: MajorityReading[] = [];
+
+  override handleStatus(status: InstanceStatus): readonly MajorityDecision[] {
+    const { role, requestedAt: startedAt, durable: position } = status;
+    if (role === 'primary') this.primaryReadings.push({ startedAt, position });
+    return super.handleStatus(status);
+  }
+
+  override findAge(instance: string, now: number): number | undefined {
+    const { applied } = this.latest.get(instance) ?? {};
+    const reading = this.primaryReadings.findLast(
+      ({ position }) => applied && hasPosition(applied, position),
+    );
+    return reading && now - reading.startedAt;
+  }
+}
+
+export class OneAnswerReadingTracker extends MajorityTracker {
+  protected override updateReadings(): void {
+    const statuses = [...this.latest.values()].sort((a, b) => b.requestedAt - a.requestedAt);
+    const startedAt = statuses[0]?.requestedAt ?? 0;
+    if (startedAt <= (this.readings.at(-1)?.startedAt ?? 0)) return;
+    const position = statuses
+      .filter(({ requestedAt }) => requestedAt >= startedAt)
+      .reduce((bound, { durable }) => chooseLater(bound, durable), LOG_START);
+    this.readings.push({ startedAt, position });
+  }
+}
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -24,7 +24,7 @@
 export type { Statement, StatementKind } from './statement.js';
 export { AdmissionQueue } from './admission.js';
 export type { AdmissionDecision, AdmissionOptions, Capacity, Work } from './admission.js';
-export { FailoverCoordinator } from './failover.js';
+export { DAMPING_MS, FailoverCoordinator } from './failover.js';
 export { FenceTally } from './tally.js';
 export type {
   FailoverAction,
--- a/packages/core/src/router.ts
+++ b/packages/core/src/router.ts
@@ -48,8 +48,12 @@
       return this.routeToPrimary(request, view, primary);
     }
     const replicas = this.findFreshReplicas(request, view, primary, now);
-    const instances =
-      primary && this.hasFloor(view, primary, request.floor) ? [...replicas, primary] : replicas;
+    // A primary that was replaced without this proxy's knowledge is as stale as any replica.
+    const hasFallback =
+      primary !== undefined &&
+      this.hasFloor(view, primary, request.floor) &&
+      this.hasAge(view, primary, request, now);
+    const instances = hasFallback ? [...replicas, primary] : replicas;
     if (instances.length === 0) return { kind: 'wait', reason: 'no instance is fresh enough' };
     return { kind: 'instances', instances, reason: replicas.length > 0 ? 'replica' : 'fallback' };
   }
@@ -71,6 +75,11 @@
     return status !== undefined && hasPosition(status.applied, floor);
   }
 
+  private hasAge(view: GroupView, instance: string, request: RouteRequest, now: Millis): boolean {
+    const age = view.findAge(instance, now);
+    return age !== undefined && age <= request.contract.maxAgeMs;
+  }
+
   private findFreshReplicas(
     request: RouteRequest,
     view: GroupView,
@@ -80,10 +89,7 @@
     return view.group.instances
       .filter(({ id, leaving }) => id !== primary && !leaving)
       .filter(({ id }) => this.hasFloor(view, id, request.floor))
-      .filter(({ id }) => {
-        const age = view.findAge(id, now);
-        return age !== undefined && age <= request.contract.maxAgeMs;
-      })
+      .filter(({ id }) => this.hasAge(view, id, request, now))
       .sort((a, b) => this.compareInstances(a, b, view))
       .map(({ id }) => id);
   }
