--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,31 +1,42 @@
+import type { Server as HttpServer } from 'node:http';
 import type { AddressInfo, Server, Socket } from 'node:net';
-import type { Clock, Configuration, DatabaseGroup, GroupRecord } from '@shallotpick/core';
-import { EMPTY_CONFIGURATION } from '@shallotpick/core';
+import type {
+  Clock,
+  Configuration,
+  DatabaseGroup,
+  GroupRecord,
+  RecordUpdate,
+} from '@shallotpick/core';
+import { EMPTY_CONFIGURATION, RetryBudget } from '@shallotpick/core';
 import { CallerConnection } from './caller.js';
 import type { GroupServer } from './group.js';
 import type { Log } from './log.js';
 import type { Metrics } from './metrics.js';
+import type { Peering } from './peering.js';
+import type { OperatorServer } from './operator.js';
 import { Session } from './session.js';
 import type { Settings } from './settings.js';
 import { SQLSTATE } from './sqlstate.js';
 
 const DRAIN_POLL_MS = 10;
+/** Retries add at most a fifth to the load; the reserve covers the start of a failover. */
+const RETRY_BUDGET = { ratio: 0.2, capacity: 500 };
 
 export interface DaemonParts {
   readonly settings: Settings;
   readonly clock: Clock;
   readonly log: Log;
   readonly metrics: Metrics;
+  /** Delay before the given retry of a request, counted from 1. */
+  readonly computeBackoff: (retry: number) => number;
   readonly callerServer: Server;
-  readonly metricsServer: Server;
+  readonly metricsServer: HttpServer;
+  readonly operatorServer: OperatorServer;
   readonly createGroup: (group: DatabaseGroup) => GroupServer;
   /** Starts and stops what feeds the daemon with configuration. */
   readonly startSources: (daemon: Daemon) => () => void;
-}
-
-interface VersionedRecord {
-  readonly record: GroupRecord;
-  readonly version: number;
+  /** The traffic with other daemons; none for a daemon that works alone. */
+  readonly peering?: Peering | undefined;
 }
 
 /** One proxy: its callers and the groups that it serves. */
@@ -34,10 +45,12 @@
 
   private readonly definitions = new Map<string, string>();
 
-  private readonly records = new Map<string, VersionedRecord>();
+  private readonly records = new Map<string, RecordUpdate>();
 
   private readonly callers = new Set<CallerConnection>();
 
+  private readonly retries = new RetryBudget(RETRY_BUDGET);
+
   private configuration: Configuration = EMPTY_CONFIGURATION;
 
   private stopSources = (): void => {};
@@ -53,7 +66,9 @@
     await Promise.all([
       this.listen(callerServer, settings.callerPort),
       this.listen(metricsServer, settings.metricsPort),
+      this.parts.peering?.start(),
     ]);
+    await this.parts.operatorServer.start(this);
     this.stopSources = this.parts.startSources(this);
     const callerPort = this.readCallerPort();
     this.parts.log.info('daemon started', { callerPort, metricsPort: this.readMetricsPort() });
@@ -67,6 +82,10 @@
     return (this.parts.metricsServer.address() as AddressInfo).port;
   }
 
+  get peering(): Peering | undefined {
+    return this.parts.peering;
+  }
+
   readConfiguration(): Configuration {
     return this.configuration;
   }
@@ -80,6 +99,18 @@
     return !this.draining && this.groups.size > 0;
   }
 
+  isDraining(): boolean {
+    return this.draining;
+  }
+
+  countCallers(): number {
+    return this.callers.size;
+  }
+
+  readOperatorPort(): number {
+    return this.parts.operatorServer.port;
+  }
+
   handleConfiguration(configuration: Configuration): void {
     if (configuration.number <= this.configuration.number) return;
     this.configuration = configuration;
@@ -90,7 +121,14 @@
     configuration.groups.forEach((group) => this.updateGroup(group));
   }
 
+  /** The newest records known, for peers. */
+  listRecords(): readonly RecordUpdate[] {
+    return [...this.records.values()];
+  }
+
+  /** Takes in a record from the platform or a peer; an older version changes nothing. */
   handleRecord(record: GroupRecord, version: number): void {
+    if (version <= (this.records.get(record.group)?.version ?? -1)) return;
     this.records.set(record.group, { record, version });
     this.groups.get(record.group)?.handleRecord(record, version);
   }
@@ -114,11 +152,15 @@
 
   stop(): void {
     this.stopSources();
+    this.parts.peering?.stop();
     this.callers.forEach((caller) => caller.close());
     this.groups.forEach((group) => group.stop());
     this.groups.clear();
     this.parts.callerServer.close();
     this.parts.metricsServer.close();
+    // Kept-alive connections of monitoring would hold the process for seconds.
+    this.parts.metricsServer.closeAllConnections();
+    this.parts.operatorServer.stop();
     this.parts.log.info('daemon stopped');
   }
 
@@ -138,7 +180,7 @@
   }
 
   private handleSocket(socket: Socket): void {
-    const caller = new CallerConnection(socket);
+    const caller = new CallerConnection(socket, (id, secret) => this.handleCancel(id, secret));
     if (this.callers.size >= this.parts.settings.maxCallers) {
       caller.refuse({ code: SQLSTATE.tooManyCallers, message: 'too many callers' });
       return;
@@ -148,7 +190,10 @@
       caller,
       clock,
       log,
+      metrics,
       queueDeadlineMs: settings.queueDeadlineMs,
+      retries: this.retries,
+      computeBackoff: this.parts.computeBackoff,
       findGroup: (name) => this.groups.get(name),
       readConfiguration: () => this.configuration,
     });
@@ -160,6 +205,11 @@
     });
   }
 
+  private handleCancel(processId: number, secret: number): void {
+    const caller = [...this.callers].find((one) => one.hasKey(processId, secret));
+    caller?.handler?.handleCancel();
+  }
+
   private updateGroup(group: DatabaseGroup): void {
     const definition = JSON.stringify(group);
     if (this.definitions.get(group.name) === definition) return;
