Add the operators' command line

Cause: notes could only be written into the platform by hand, and no binary ran from the workspace. Both binaries run from dist or, without a build, from the sources. A daemon whose start fails now exits: its open ports kept it alive. The operator server lets the answer to a drain finish.

--- a/packages/bench/src/quickstart.ts
+++ b/packages/bench/src/quickstart.ts
@@ -32,12 +32,14 @@
   readonly vm: string;
   readonly callerPort: number;
   readonly metricsPort: number;
+  readonly operatorPort: number;
   readonly process: ChildProcess;
 }
 
 async function startDaemon(vm: string, zone: string, platformUrl: string): Promise<RunningDaemon> {
   const callerPort = await findFreePort();
   const metricsPort = await findFreePort();
+  const operatorPort = await findFreePort();
   const child = spawn(process.execPath, ['--conditions=development', '--import', 'tsx', DAEMON], {
     stdio: ['ignore', 'ignore', process.env.QUICKSTART_LOGS ? 'inherit' : 'ignore'],
     env: {
@@ -47,9 +49,10 @@
       SHALLOTPICK_PLATFORM_URL: platformUrl,
       SHALLOTPICK_CALLER_PORT: String(callerPort),
       SHALLOTPICK_METRICS_PORT: String(metricsPort),
+      SHALLOTPICK_OPERATOR_PORT: String(operatorPort),
     },
   });
-  return { vm, callerPort, metricsPort, process: child };
+  return { vm, callerPort, metricsPort, operatorPort, process: child };
 }
 
 async function waitUntilReady({ vm, metricsPort }: RunningDaemon): Promise<void> {
@@ -146,6 +149,10 @@
   if (group) await runTour(daemons, group);
   if (process.argv.includes('--stay')) {
     print(`connect: psql -h 127.0.0.1 -p ${daemons[0]?.callerPort} -U guest booking-2`);
+    const operators = daemons.map((one) => `127.0.0.1:${one.operatorPort}`).join(',');
+    print(`export SHALLOTPICK_PLATFORM_URL=${platformUrl}`);
+    print(`export SHALLOTPICK_DAEMONS=${operators}`);
+    print(`metrics and health: http://127.0.0.1:${daemons[0]?.metricsPort}/metrics`);
     await new Promise((resolve) => {
       process.once('SIGINT', resolve);
     });
--- /dev/null
+++ b/packages/client/bin/commands.js
@@ -0,0 +1,3 @@
+import { loadEntry } from './load.js';
+
+export const { COMMANDS } = await loadEntry('commands');
--- /dev/null
+++ b/packages/client/src/commands/validate.ts
@@ -0,0 +1,27 @@
+import { Args, Flags } from '@oclif/core';
+import { checkNote, loadChain } from '@shallotpick/core';
+import { OperatorCommand } from '../base.js';
+import { loadNoteFile } from '../document.js';
+
+/** Checks a note and writes nothing. */
+export class Validate extends OperatorCommand {
+  static override description = 'Check a release note against its base, or with --offline its form';
+
+  static override args = { file: Args.file({ required: true, description: 'YAML file' }) };
+
+  static override flags = {
+    offline: Flags.boolean({ description: 'check the form only, without the platform' }),
+  };
+
+  async run(): Promise<{ readonly valid: true; readonly offline: boolean }> {
+    const { args, flags } = await this.parse(Validate);
+    const file = await loadNoteFile(args.file);
+    if (!flags.offline) {
+      const { configuration } = await loadChain(this.openPlatform(flags));
+      const issues = checkNote(configuration, file.note);
+      if (issues.length > 0) throw file.createError(issues);
+    }
+    this.log(`${args.file} is valid`);
+    return { valid: true, offline: flags.offline };
+  }
+}
--- /dev/null
+++ b/packages/client/src/errors.ts
@@ -0,0 +1,27 @@
+/** Exit codes of the command line; documented in docs/operators.md. */
+export const EXIT = {
+  internal: 1,
+  usage: 2,
+  invalidNote: 3,
+  outdated: 4,
+  platform: 5,
+  daemon: 6,
+  notInForce: 7,
+} as const;
+
+/** A command failed; `code` names the reason in JSON output. */
+export class CommandError extends Error {
+  readonly exitCode: number;
+
+  readonly oclif: { readonly exit: number };
+
+  constructor(
+    readonly code: keyof typeof EXIT,
+    message: string,
+    readonly details: unknown = undefined,
+  ) {
+    super(message);
+    this.exitCode = EXIT[code];
+    this.oclif = { exit: this.exitCode };
+  }
+}
--- /dev/null
+++ b/packages/client/src/index.ts
@@ -0,0 +1,2 @@
+export { COMMANDS } from './commands.js';
+export { CommandError, EXIT } from './errors.js';
--- a/packages/core/src/history.ts
+++ b/packages/core/src/history.ts
@@ -1,5 +1,5 @@
 import { type ChainDecision, NoteChain } from './chain.js';
-import { CoreError } from './errors.js';
+import { CoreError, InvalidNoteError } from './errors.js';
 import {
   type Configuration,
   EMPTY_CONFIGURATION,
@@ -8,7 +8,13 @@
   type ReleaseNote,
 } from './note.js';
 import type { Platform, PlatformObject } from './platform.js';
-import { createShards, formatShardKey, ShardCollector, SNAPSHOT_HEAD_KEY } from './snapshot.js';
+import {
+  createShards,
+  formatShardKey,
+  ShardCollector,
+  SNAPSHOT_HEAD_KEY,
+  SNAPSHOT_INTERVAL,
+} from './snapshot.js';
 
 const MAX_STEPS = 10_000;
 /** Writes without an answer and without effect before a submission gives up. */
@@ -18,18 +24,23 @@
 
 type Verdict = Exclude<ChainDecision, { kind: 'read' | 'write' }>;
 
+/** Reads the shards of the snapshot of one number; the empty configuration when one is missing. */
+async function loadShards(platform: Platform, number: number): Promise<Configuration> {
+  const collector = new ShardCollector();
+  for (let shard = 0; shard < MAX_STEPS; shard++) {
+    const object = await platform.read(formatShardKey(number, shard));
+    if (!object) return EMPTY_CONFIGURATION;
+    const configuration = collector.add(object.value);
+    if (configuration) return configuration;
+  }
+  return EMPTY_CONFIGURATION;
+}
+
 /** Reads the newest snapshot; the empty configuration when there is none. */
 export async function loadSnapshot(platform: Platform): Promise<Configuration> {
   const head = await platform.read(SNAPSHOT_HEAD_KEY);
   if (!head) return EMPTY_CONFIGURATION;
-  const { number, shards } = JSON.parse(head.value) as { number: number; shards: number };
-  const collector = new ShardCollector();
-  let configuration: Configuration | undefined;
-  for (let shard = 0; shard < shards; shard++) {
-    const object = await platform.read(formatShardKey(number, shard));
-    if (object) configuration = collector.add(object.value);
-  }
-  return configuration ?? EMPTY_CONFIGURATION;
+  return loadShards(platform, (JSON.parse(head.value) as { number: number }).number);
 }
 
 /** The notes of a listing from number `first` on, in order. */
@@ -44,13 +55,14 @@
 }
 
 /**
- * Reads the notes after `number` in order, in listings of up to 100.
+ * Reads the notes after `number` in order, in listings of up to 100, at least up to `until`.
  * Returns the revision to watch from.
  */
 export async function loadNotes(
   platform: Platform,
   number: number,
-  onNote: (number: number, text: string) => void,
+  onNote: (number: number, text: string) => unknown,
+  until = Infinity,
 ): Promise<number> {
   let next = number + 1;
   for (let step = 0; step < MAX_STEPS; step++) {
@@ -60,7 +72,8 @@
     found.forEach(({ at, value }) => onNote(at, value));
     const last = found.at(-1)?.at;
     // A listing that ends before the last number of its batch ends with the newest note.
-    if (last === undefined || (last + 1) % 10 ** BATCH_DIGITS !== 0) return revision;
+    const isLast = last === undefined || (last + 1) % 10 ** BATCH_DIGITS !== 0;
+    if (isLast || last >= until) return revision;
     next = last + 1;
   }
   throw new RangeError('the chain of notes has no end');
@@ -73,6 +86,25 @@
   return chain;
 }
 
+/**
+ * Reads what was in force after note `number`, from the snapshot before it if there is one.
+ *
+ * @throws InvalidNoteError when there is no such note.
+ */
+export async function loadConfiguration(
+  platform: Platform,
+  number: number,
+): Promise<Configuration> {
+  const before = number - (number % SNAPSHOT_INTERVAL);
+  const start = before > 0 ? await loadShards(platform, before) : EMPTY_CONFIGURATION;
+  const chain = new NoteChain(start);
+  const add = (at: number, text: string): boolean => at <= number && chain.add(at, text);
+  if (start.number < number) await loadNotes(platform, start.number, add, number);
+  if (chain.configuration.number === number) return chain.configuration;
+  const newest = chain.configuration.number;
+  throw new InvalidNoteError(`there is no note ${number}; allowed: 0 to ${newest}`);
+}
+
 /**
  * Submits a note and settles lost answers and races by reading back.
  *
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -43,7 +43,14 @@
 export type { ChainDecision, NumberedNote } from './chain.js';
 export { compareConfigurations } from './difference.js';
 export type { ConfigurationChange, FieldChange } from './difference.js';
-export { loadChain, loadNotes, loadSnapshot, runSubmission, writeSnapshot } from './history.js';
+export {
+  loadChain,
+  loadConfiguration,
+  loadNotes,
+  loadSnapshot,
+  runSubmission,
+  writeSnapshot,
+} from './history.js';
 export {
   applyNote,
   checkNote,
--- /dev/null
+++ b/packages/daemon/bin/run.js
@@ -0,0 +1,4 @@
+#!/usr/bin/env node
+import { loadEntry } from './load.js';
+
+await loadEntry('main');
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -12,7 +12,11 @@
     });
   });
   process.once('SIGINT', () => daemon.stop());
-  await daemon.start();
+  // The ports that are open by now would keep the process alive after a failed start.
+  await daemon.start().catch((error: unknown) => {
+    daemon.stop();
+    throw error;
+  });
 }
 
 run().catch((error: unknown) => {
--- a/packages/daemon/src/operator.ts
+++ b/packages/daemon/src/operator.ts
@@ -88,8 +88,9 @@
     log.info('operator service started', { port: this.boundPort });
   }
 
+  /** Lets calls in progress finish, among them the one that asked for the drain. */
   stop(): void {
-    this.server.forceShutdown();
+    this.server.tryShutdown(() => undefined);
   }
 
   readStatus(): ReturnType<OperatorHandlers['readStatus']> {
