--- /dev/null
+++ b/packages/bench/src/schema.ts
@@ -0,0 +1,3 @@
+import { formatNoteSchema } from '@shallotpick/core';
+
+process.stdout.write(formatNoteSchema());
--- a/packages/client/test/client.spec.ts
+++ b/packages/client/test/client.spec.ts
@@ -2,7 +2,6 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
-import type { Command } from '@oclif/core';
 import { formatNoteKey } from '@shallotpick/core';
 import { createDaemon, type Daemon, loadSettings } from '@shallotpick/daemon';
 import { StandinPlatform } from '@shallotpick/standin';
@@ -35,7 +34,7 @@
     output = [];
     process.stdout.write = (text: string) => output.push(text) > 0;
     try {
-      await (COMMANDS[name] as typeof Command).run([...args, '--json'], ROOT);
+      await (COMMANDS[name] as unknown as typeof COMMANDS.status).run([...args, '--json'], ROOT);
     } finally {
       process.stdout.write = write;
     }
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -84,3 +84,4 @@
 } from './peer.js';
 export { FixedMembership, MembershipView } from './vm.js';
 export type { Vm } from './vm.js';
+export { formatNoteSchema } from './schema.js';
