--- /dev/null
+++ b/packages/bench/src/spread.ts
@@ -0,0 +1,177 @@
+import { parseArgs } from 'node:util';
+import { type Millis, type PeerExchange, rankVms, Spread } from '@shallotpick/core';
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+
+const DAEMONS = 50;
+const ZONES = 5;
+const RELAYS_PER_ZONE = 2;
+const NOTES = 20;
+const STEP_MS: Millis = 5;
+const EXCHANGE_INTERVAL_MS: Millis = 500;
+/** Peers that a daemon exchanges with in each interval. */
+const PEERS = 3;
+const LOSS = 0.1;
+/** Length of the platform's outages and of the times between them. */
+const OUTAGE_MS: Millis = 1_000;
+/** How long the platform holds a watch without a change. */
+const WATCH_MS: Millis = 5_000;
+const RETRY_MS: Millis = 200;
+const MAX_RETRY_MS: Millis = 5_000;
+const NOTE_GAP_MS: Millis = 500;
+const LIMIT_MS: Millis = 60_000;
+
+/** A relay's watch: when it answers without a change, or when it is tried again. */
+interface Watch {
+  nextAt: Millis;
+  failures: number;
+}
+
+interface Node {
+  readonly id: string;
+  readonly spread: Spread;
+  readonly heard: Map<string, PeerExchange>;
+  readonly watch: Watch | undefined;
+  nextExchangeAt: Millis;
+  platformCalls: number;
+  bytes: number;
+}
+
+const createText = (number: number): string =>
+  JSON.stringify({
+    id: `note-${number}`,
+    base: number - 1,
+    added: {
+      contracts: [
+        { name: `contract-${number}`, match: {}, maxAgeMs: 0, length: 'short', repeat: 'never' },
+      ],
+    },
+  });
+
+/** Spread cores that exchange messages in steps of virtual time. */
+class Run {
+  private readonly generator: ReturnType<typeof xoroshiro128plus>;
+
+  private readonly accepted: Millis[] = [];
+
+  /** For each note, when it was in force on each daemon. */
+  private readonly inForce: Millis[][] = [];
+
+  private readonly nodes: readonly Node[];
+
+  private now: Millis = 0;
+
+  constructor(private readonly seed: number) {
+    this.generator = xoroshiro128plus(seed);
+    this.nodes = Array.from({ length: DAEMONS }, (_, index) => this.createNode(index));
+  }
+
+  run(): object {
+    for (; this.now < LIMIT_MS; this.now += STEP_MS) {
+      if (this.accepted.length < NOTES && this.now >= this.accepted.length * NOTE_GAP_MS) {
+        this.accepted.push(this.now);
+        this.inForce.push([]);
+      }
+      this.nodes.forEach((node) => this.handleStep(node));
+      const last = this.inForce.at(-1)?.length;
+      if (this.accepted.length === NOTES && last === DAEMONS) break;
+    }
+    return this.report();
+  }
+
+  private createNode(index: number): Node {
+    const zoneOf = (at: number): string => `zone-${at % ZONES}`;
+    const vms = Array.from({ length: DAEMONS }, (_, at) => ({ id: `vm-${at}`, zone: zoneOf(at) }));
+    const zone = zoneOf(index);
+    const id = `vm-${index}`;
+    const zoneVms = vms.filter((vm) => vm.zone === zone).map((vm) => vm.id);
+    const isRelay = rankVms(`relay/${zone}`, zoneVms).slice(0, RELAYS_PER_ZONE).includes(id);
+    return {
+      id,
+      spread: new Spread(({ number }) => this.inForce[number - 1]?.push(this.now)),
+      heard: new Map(),
+      watch: isRelay ? { nextAt: this.draw() * RETRY_MS, failures: 0 } : undefined,
+      nextExchangeAt: this.draw() * EXCHANGE_INTERVAL_MS,
+      platformCalls: 0,
+      bytes: 0,
+    };
+  }
+
+  private draw(): number {
+    return uniformFloat64(this.generator);
+  }
+
+  private isPlatformUp(): boolean {
+    return Math.floor(this.now / OUTAGE_MS) % 2 === 1;
+  }
+
+  private handleStep(node: Node): void {
+    if (node.watch) this.handleWatch(node, node.watch);
+    if (this.now < node.nextExchangeAt) return;
+    Object.assign(node, { nextExchangeAt: this.now + EXCHANGE_INTERVAL_MS });
+    for (let count = 0; count < PEERS; count++) {
+      const peer = this.nodes[Math.floor(this.draw() * DAEMONS)];
+      if (peer && peer !== node && this.send(node, peer)) this.send(peer, node);
+    }
+  }
+
+  /** An outage cuts a waiting watch; the relay then tries again with the watcher's backoff. */
+  private handleWatch(node: Node, watch: Watch): void {
+    const newest = node.spread.configuration.number;
+    const hasNews = this.accepted.length > newest;
+    const isWaiting = watch.failures === 0;
+    if (this.now < watch.nextAt && !(isWaiting && (hasNews || !this.isPlatformUp()))) return;
+    const { platformCalls } = node;
+    Object.assign(node, { platformCalls: platformCalls + 1 });
+    if (!this.isPlatformUp()) {
+      const failures = watch.failures + 1;
+      const delay = Math.min(MAX_RETRY_MS, RETRY_MS * 2 ** (failures - 1));
+      Object.assign(watch, { failures, nextAt: this.now + delay * (0.5 + this.draw() / 2) });
+      return;
+    }
+    for (let number = newest + 1; number <= this.accepted.length; number++) {
+      node.spread.addNote(number, createText(number));
+    }
+    Object.assign(watch, { failures: 0, nextAt: this.now + WATCH_MS });
+  }
+
+  private send(from: Node, to: Node): boolean {
+    const part = from.spread.collect(to.id, from.heard.get(to.id), this.now);
+    const rest = { members: [], observations: [], records: [] };
+    const message = { from: from.id, noteNumber: 0, notes: [], ...rest, ...part };
+    Object.assign(from, { bytes: from.bytes + Buffer.byteLength(JSON.stringify(message)) });
+    if (this.draw() < LOSS) return false;
+    to.heard.set(from.id, message);
+    to.spread.handle(message);
+    return true;
+  }
+
+  private report(): object {
+    const times = this.inForce.map((at, index) => Math.max(...at) - (this.accepted[index] ?? 0));
+    const sorted = [...times].sort((a, b) => a - b);
+    const calls = this.nodes.map(({ platformCalls }) => platformCalls);
+    const bytes = this.nodes.map((node) => node.bytes);
+    const sum = (values: readonly number[]): number => values.reduce((a, b) => a + b, 0);
+    const seconds = this.now / 1_000;
+    return {
+      seed: this.seed,
+      daemons: DAEMONS,
+      notes: NOTES,
+      virtualSeconds: seconds,
+      lossShare: LOSS,
+      platformDownShare: 0.5,
+      inForceEverywhere: this.inForce.filter((at) => at.length === DAEMONS).length,
+      inForceMsMedian: sorted[Math.floor(sorted.length / 2)],
+      inForceMsMax: sorted.at(-1),
+      platformCallsPerDaemon: sum(calls) / DAEMONS,
+      platformCallsPerDaemonMax: Math.max(...calls),
+      bytesPerDaemonAndSecond: Math.round(sum(bytes) / DAEMONS / seconds),
+      bytesPerDaemonAndSecondMax: Math.round(Math.max(...bytes) / seconds),
+    };
+  }
+}
+
+const { values } = parseArgs({
+  options: { seed: { type: 'string', default: '1' }, json: { type: 'boolean' } },
+});
+process.stdout.write(`${JSON.stringify(new Run(Number(values.seed)).run())}\n`);
