--- a/packages/bench/src/spread.ts
+++ b/packages/bench/src/spread.ts
@@ -8,9 +8,10 @@
 const RELAYS_PER_ZONE = 2;
 const NOTES = 20;
 const STEP_MS: Millis = 5;
-const EXCHANGE_INTERVAL_MS: Millis = 500;
-/** Peers that a daemon exchanges with in each interval. */
-const PEERS = 3;
+/** As in a large fleet, see packages/daemon/src/peers.ts; a new note does not wait for it. */
+const EXCHANGE_INTERVAL_MS: Millis = 2_000;
+/** Partners of each daemon. */
+const PARTNERS = 5;
 const LOSS = 0.1;
 /** Length of the platform's outages and of the times between them. */
 const OUTAGE_MS: Millis = 1_000;
@@ -31,6 +32,7 @@
   readonly id: string;
   readonly spread: Spread;
   readonly heard: Map<string, PeerExchange>;
+  readonly partners: readonly number[];
   readonly watch: Watch | undefined;
   nextExchangeAt: Millis;
   platformCalls: number;
@@ -90,6 +92,7 @@
       id,
       spread: new Spread(({ number }) => this.inForce[number - 1]?.push(this.now)),
       heard: new Map(),
+      partners: this.choosePartners(index),
       watch: isRelay ? { nextAt: this.draw() * RETRY_MS, failures: 0 } : undefined,
       nextExchangeAt: this.draw() * EXCHANGE_INTERVAL_MS,
       platformCalls: 0,
@@ -97,6 +100,15 @@
     };
   }
 
+  private choosePartners(self: number): readonly number[] {
+    const chosen = new Set<number>();
+    while (chosen.size < PARTNERS) {
+      const at = Math.floor(this.draw() * DAEMONS);
+      if (at !== self) chosen.add(at);
+    }
+    return [...chosen];
+  }
+
   private draw(): number {
     return uniformFloat64(this.generator);
   }
@@ -107,12 +119,13 @@
 
   private handleStep(node: Node): void {
     if (node.watch) this.handleWatch(node, node.watch);
-    if (this.now < node.nextExchangeAt) return;
-    Object.assign(node, { nextExchangeAt: this.now + EXCHANGE_INTERVAL_MS });
-    for (let count = 0; count < PEERS; count++) {
-      const peer = this.nodes[Math.floor(this.draw() * DAEMONS)];
-      if (peer && peer !== node && this.send(node, peer)) this.send(peer, node);
-    }
+    const isRound = this.now >= node.nextExchangeAt;
+    if (!node.spread.hasNews() && !isRound) return;
+    if (isRound) Object.assign(node, { nextExchangeAt: this.now + EXCHANGE_INTERVAL_MS });
+    node.partners.forEach((at) => {
+      const peer = this.nodes[at];
+      if (peer && this.send(node, peer)) this.send(peer, node);
+    });
   }
 
   /** An outage cuts a waiting watch; the relay then tries again with the watcher's backoff. */
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,6 +1,6 @@
 export { Clock, ManualClock } from './clock.js';
 export type { Millis } from './clock.js';
-export { findContract, DEFAULT_CONTRACT } from './contract.js';
+export { findContract, DEFAULT_CONTRACT, mergeContracts } from './contract.js';
 export type { Contract, ContractMatch, ContractSubject } from './contract.js';
 export { CompactedError, CoreError, InvalidNoteError, NotRunError } from './errors.js';
 export { countMajority } from './group.js';
@@ -20,18 +20,21 @@
   parsePosition,
 } from './position.js';
 export type { LogPosition } from './position.js';
-export { classifyStatement } from './statement.js';
+export { classifyStatement, classifyStatements } from './statement.js';
 export type { Statement, StatementKind } from './statement.js';
 export { AdmissionQueue } from './admission.js';
 export type { AdmissionDecision, AdmissionOptions, Capacity, Work } from './admission.js';
-export { FailoverCoordinator, SUSPECT_AFTER_MS } from './failover.js';
+export { FailoverCoordinator } from './failover.js';
+export { FenceTally } from './tally.js';
 export type {
   FailoverAction,
   FailoverOptions,
   FenceAnswer,
-  PrimaryObservation,
+  WriteAction,
   WriteOutcome,
-} from './failover.js';
+} from './action.js';
+export { SUSPECT_AFTER_MS } from './monitor.js';
+export type { PrimaryObservation } from './monitor.js';
 export { MajorityTracker } from './majority.js';
 export type {
   MajorityDecision,
@@ -77,6 +80,7 @@
 export type {
   BorrowGrant,
   BorrowRequest,
+  LeavingInstance,
   MemberUpdate,
   NoteUpdate,
   PeerExchange,
@@ -85,3 +89,12 @@
 export { FixedMembership, MembershipView } from './vm.js';
 export type { Vm } from './vm.js';
 export { formatNoteSchema } from './schema.js';
+export { ALL_HOME_VMS, HomeTable, HOMES_PER_ZONE } from './home.js';
+export { SessionFloors } from './floor.js';
+export { createBackoff, RetryBudget } from './retry.js';
+export type { BackoffOptions, RetryBudgetOptions } from './retry.js';
+export { parseScript } from './scan.js';
+export type { ScannedStatement } from './scan.js';
+export { compareMembers } from './member.js';
+export { Membership } from './membership.js';
+export type { MembershipMessage, MembershipOptions } from './membership.js';
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,33 +1,42 @@
+import type { Server as HttpServer } from 'node:http';
 import type { AddressInfo, Server, Socket } from 'node:net';
-import type { Clock, Configuration, DatabaseGroup, GroupRecord } from '@shallotpick/core';
-import { EMPTY_CONFIGURATION } from '@shallotpick/core';
+import type {
+  Clock,
+  Configuration,
+  DatabaseGroup,
+  GroupRecord,
+  RecordUpdate,
+} from '@shallotpick/core';
+import { EMPTY_CONFIGURATION, RetryBudget } from '@shallotpick/core';
 import { CallerConnection } from './caller.js';
 import type { GroupServer } from './group.js';
 import type { Log } from './log.js';
 import type { Metrics } from './metrics.js';
+import type { Peering } from './peering.js';
 import type { OperatorServer } from './operator.js';
 import { Session } from './session.js';
 import type { Settings } from './settings.js';
 import { SQLSTATE } from './sqlstate.js';
 
 const DRAIN_POLL_MS = 10;
+/** Retries add at most a fifth to the load; the reserve covers the start of a failover. */
+const RETRY_BUDGET = { ratio: 0.2, capacity: 500 };
 
 export interface DaemonParts {
   readonly settings: Settings;
   readonly clock: Clock;
   readonly log: Log;
   readonly metrics: Metrics;
+  /** Delay before the given retry of a request, counted from 1. */
+  readonly computeBackoff: (retry: number) => number;
   readonly callerServer: Server;
-  readonly metricsServer: Server;
+  readonly metricsServer: HttpServer;
   readonly operatorServer: OperatorServer;
   readonly createGroup: (group: DatabaseGroup) => GroupServer;
   /** Starts and stops what feeds the daemon with configuration. */
   readonly startSources: (daemon: Daemon) => () => void;
-}
-
-interface VersionedRecord {
-  readonly record: GroupRecord;
-  readonly version: number;
+  /** The traffic with other daemons. */
+  readonly peering: Peering;
 }
 
 /** One proxy: its callers and the groups that it serves. */
@@ -36,12 +45,17 @@
 
   private readonly definitions = new Map<string, string>();
 
-  private readonly records = new Map<string, VersionedRecord>();
+  private readonly records = new Map<string, RecordUpdate>();
 
   private readonly callers = new Set<CallerConnection>();
 
+  private readonly retries = new RetryBudget(RETRY_BUDGET);
+
   private configuration: Configuration = EMPTY_CONFIGURATION;
 
+  /** Instances that the platform's VM list shows as leaving. */
+  private leaving: ReadonlySet<string> = new Set();
+
   private stopSources = (): void => {};
 
   private draining = false;
@@ -55,6 +69,7 @@
     await Promise.all([
       this.listen(callerServer, settings.callerPort),
       this.listen(metricsServer, settings.metricsPort),
+      this.parts.peering.start(),
     ]);
     await this.parts.operatorServer.start(this);
     this.stopSources = this.parts.startSources(this);
@@ -70,6 +85,10 @@
     return (this.parts.metricsServer.address() as AddressInfo).port;
   }
 
+  get peering(): Peering {
+    return this.parts.peering;
+  }
+
   readConfiguration(): Configuration {
     return this.configuration;
   }
@@ -105,16 +124,39 @@
     configuration.groups.forEach((group) => this.updateGroup(group));
   }
 
+  /** The newest records known, for peers. */
+  listRecords(): readonly RecordUpdate[] {
+    return [...this.records.values()];
+  }
+
+  /** Takes in a record from the platform or a peer; an older version changes nothing. */
   handleRecord(record: GroupRecord, version: number): void {
+    if (version <= (this.records.get(record.group)?.version ?? -1)) return;
     this.records.set(record.group, { record, version });
     this.groups.get(record.group)?.handleRecord(record, version);
   }
 
+  hasInstance(id: string): boolean {
+    return this.configuration.groups.some(({ instances }) =>
+      instances.some((one) => one.id === id),
+    );
+  }
+
+  /** Takes in the instances that the platform's VM list shows as leaving. */
+  updateLeaving(leaving: ReadonlySet<string>): void {
+    this.leaving = leaving;
+    this.parts.log.info('instances leaving', { instances: [...leaving] });
+    this.configuration.groups.forEach((group) => {
+      this.groups.get(group.name)?.updateLeaving(this.listLeaving(group));
+    });
+  }
+
   /** Takes no new sessions, lets requests finish up to the limit, and stops. */
   async drain(): Promise<void> {
     const { clock, settings, log } = this.parts;
     this.draining = true;
     log.info('draining', { callers: this.callers.size });
+    await this.parts.peering.leave();
     this.parts.callerServer.close();
     const deadline = clock.readNow() + settings.drainLimitMs;
     while (clock.readNow() < deadline) {
@@ -129,11 +171,14 @@
 
   stop(): void {
     this.stopSources();
+    this.parts.peering.stop();
     this.callers.forEach((caller) => caller.close());
     this.groups.forEach((group) => group.stop());
     this.groups.clear();
     this.parts.callerServer.close();
     this.parts.metricsServer.close();
+    // Kept-alive connections of monitoring would hold the process for seconds.
+    this.parts.metricsServer.closeAllConnections();
     this.parts.operatorServer.stop();
     this.parts.log.info('daemon stopped');
   }
@@ -154,7 +199,7 @@
   }
 
   private handleSocket(socket: Socket): void {
-    const caller = new CallerConnection(socket);
+    const caller = new CallerConnection(socket, (id, secret) => this.handleCancel(id, secret));
     if (this.callers.size >= this.parts.settings.maxCallers) {
       caller.refuse({ code: SQLSTATE.tooManyCallers, message: 'too many callers' });
       return;
@@ -164,7 +209,10 @@
       caller,
       clock,
       log,
+      metrics,
       queueDeadlineMs: settings.queueDeadlineMs,
+      retries: this.retries,
+      computeBackoff: this.parts.computeBackoff,
       findGroup: (name) => this.groups.get(name),
       readConfiguration: () => this.configuration,
     });
@@ -176,18 +224,36 @@
     });
   }
 
+  private handleCancel(processId: number, secret: number): void {
+    const caller = [...this.callers].find((one) => one.hasKey(processId, secret));
+    caller?.handler?.handleCancel();
+  }
+
   private updateGroup(group: DatabaseGroup): void {
-    const definition = JSON.stringify(group);
-    if (this.definitions.get(group.name) === definition) return;
+    // An instance that leaves changes no connection of the others, so the server is kept.
+    const definition = JSON.stringify(group, (key, value) =>
+      key === 'leaving' ? undefined : value,
+    );
+    if (this.definitions.get(group.name) === definition) {
+      this.groups.get(group.name)?.updateLeaving(this.listLeaving(group));
+      return;
+    }
     this.removeGroup(group.name);
     const server = this.parts.createGroup(group);
     this.groups.set(group.name, server);
     this.definitions.set(group.name, definition);
+    server.updateLeaving(this.listLeaving(group));
     server.start();
     const known = this.records.get(group.name);
     if (known) server.handleRecord(known.record, known.version);
   }
 
+  /** An instance leaves once the note or the VM list says so. */
+  private listLeaving({ instances }: DatabaseGroup): ReadonlySet<string> {
+    const ids = instances.filter(({ id, leaving }) => leaving || this.leaving.has(id));
+    return new Set(ids.map(({ id }) => id));
+  }
+
   private removeGroup(name: string): void {
     this.groups.get(name)?.stop();
     this.groups.delete(name);
--- a/packages/daemon/src/platform.ts
+++ b/packages/daemon/src/platform.ts
@@ -88,10 +88,17 @@
 
   private readonly watchPolicy = createBreaker();
 
+  private readonly closing = new AbortController();
+
   constructor(private readonly options: HttpPlatformOptions) {
     super();
   }
 
+  /** Ends the calls in progress; a waiting watch would hold the process. */
+  close(): void {
+    this.closing.abort();
+  }
+
   override async read(key: string): Promise<PlatformObject | undefined> {
     const response = await this.request('read', `/objects/${encodeURIComponent(key)}`);
     if (response.status === 404) return undefined;
@@ -147,7 +154,10 @@
 
   private async send(call: PlatformCall, path: string, init?: RequestInit): Promise<Response> {
     const { url, timeoutMs = CALL_TIMEOUT_MS, onCall } = this.options;
-    const signal = AbortSignal.timeout(call === 'watch' ? WATCH_TIMEOUT_MS : timeoutMs);
+    const signal = AbortSignal.any([
+      AbortSignal.timeout(call === 'watch' ? WATCH_TIMEOUT_MS : timeoutMs),
+      this.closing.signal,
+    ]);
     const response = await fetch(`${url}${path}`, { ...init, signal }).catch((cause: unknown) => {
       onCall?.(call, 'failed');
       throw new PlatformError('no answer', { cause });
--- a/packages/daemon/src/pool.ts
+++ b/packages/daemon/src/pool.ts
@@ -1,6 +1,8 @@
 import type { DatabaseInstance, Millis } from '@shallotpick/core';
 import { InstanceConnection } from './connection.js';
 
+/** A connection with more prepared statements is replaced, which bounds the instance's memory. */
+const MAX_STATEMENTS = 500;
 const CONNECT_TIMEOUT_MS: Millis = 2_000;
 
 export interface PoolOptions {
@@ -19,6 +21,8 @@
 
   private readonly open = new Set<InstanceConnection>();
 
+  private leaving = false;
+
   constructor(private readonly options: PoolOptions) {}
 
   /** Takes an idle connection or opens one. */
@@ -35,9 +39,22 @@
     return connection;
   }
 
+  /** While the instance is leaving, no connection is kept idle. */
+  updateLeaving(leaving: boolean): void {
+    this.leaving = leaving;
+    if (!leaving) return;
+    this.idle.splice(0).forEach((connection) => {
+      connection.close();
+      this.open.delete(connection);
+    });
+  }
+
   /** Takes a connection back; one that is in doubt is closed. */
   release(connection: InstanceConnection): void {
-    if (connection.isUsable() && connection.state === 'I') {
+    const { isCancelled, statements } = connection;
+    const isClean = connection.state === 'I' && !connection.isBusy() && !isCancelled;
+    const isKept = isClean && !this.leaving;
+    if (connection.isUsable() && isKept && statements.size <= MAX_STATEMENTS) {
       this.idle.push(connection);
       return;
     }
--- a/packages/daemon/src/wiring.ts
+++ b/packages/daemon/src/wiring.ts
@@ -1,26 +1,137 @@
-import { randomUUID } from 'node:crypto';
+import { randomInt, randomUUID } from 'node:crypto';
 import { createServer } from 'node:net';
 import {
+  type Clock,
+  createBackoff,
   type DatabaseGroup,
   type DatabaseInstance,
-  FixedMembership,
+  Membership,
+  type Platform,
   Spread,
+  type Vm,
 } from '@shallotpick/core';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { SystemClock } from './clock.js';
 import { ControlLink } from './control.js';
 import { Daemon } from './daemon.js';
 import { FailoverDriver } from './failover.js';
 import { GroupServer } from './group.js';
 import { createHealthServer } from './health.js';
-import { createLog } from './log.js';
+import { LeavingFeature } from './leaving.js';
+import { createLog, type Log } from './log.js';
+import { MembershipDriver } from './membership.js';
 import { Metrics } from './metrics.js';
+import { ObservationFeature } from './observations.js';
+import { Peering } from './peering.js';
+import { GrpcPeerLink } from './peerlink.js';
+import { PeerHub } from './peers.js';
+import { PeerServer } from './peerserver.js';
 import { OperatorServer } from './operator.js';
 import { HttpPlatform } from './platform.js';
 import { ConnectionPool } from './pool.js';
 import type { Settings } from './settings.js';
 import { StatusBoard } from './status.js';
+import { CertificateFiles, createPeerCredentials } from './tls.js';
 import { PlatformWatcher } from './watcher.js';
 
+const RETRY_BACKOFF = { baseMs: 10, maxMs: 200 };
+const MAX_SEED = 2 ** 31;
+
+interface PeeringParts {
+  readonly settings: Settings;
+  readonly membership: Membership;
+  readonly platform: Platform;
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly metrics: Metrics;
+  readonly findDaemon: () => Daemon;
+  readonly spread: Spread;
+}
+
+/** A new life of a VM has a greater incarnation than those before it. */
+function createMembership({ vm: id, zone, host, peerPort, peers: seeds }: Settings): Membership {
+  const self = { id, zone, host, peerPort: peerPort ?? 0 };
+  return new Membership({
+    self,
+    incarnation: Date.now(),
+    seeds,
+    chooseNumber: (below) => randomInt(below),
+  });
+}
+
+function createPeering(parts: PeeringParts): Peering {
+  const { settings, membership, clock, log, metrics, platform, findDaemon } = parts;
+  const { tlsPeerKey: key, tlsPeerCert: cert, tlsPeerCa: ca, host, vm: self } = settings;
+  const files = key && cert ? new CertificateFiles({ key, cert, ca }, log) : undefined;
+  if (!files && settings.peerPort !== undefined) {
+    log.warn('no TLS between daemons; anyone who reaches the peer port is a peer');
+  }
+  const peerName = files && settings.tlsPeerName;
+  const credentials = createPeerCredentials(files);
+  const observations = new ObservationFeature({
+    membership,
+    listGroups: () =>
+      findDaemon()
+        .listGroups()
+        .map(({ failover }) => failover),
+    listRecords: () => findDaemon().listRecords(),
+    handleRecord: (record, version) => findDaemon().handleRecord(record, version),
+  });
+  const leaving = new LeavingFeature({
+    isInstance: (id) => findDaemon().hasInstance(id),
+    onChange: (ids) => findDaemon().updateLeaving(ids),
+  });
+  const findVm = (id: string): Vm | undefined => membership.listLive().find((vm) => vm.id === id);
+  const listPartners = (): readonly Vm[] => {
+    const watchers = observations.listWatchers().flatMap((id) => findVm(id) ?? []);
+    return [
+      ...new Map([...membership.listPartners(), ...watchers].map((vm) => [vm.id, vm])).values(),
+    ];
+  };
+  const hub = new PeerHub({
+    self,
+    clock,
+    log,
+    features: [observations, leaving, parts.spread],
+    createLink: (vm) =>
+      new GrpcPeerLink({ self, vm, clock, metrics, credentials: credentials.channel, peerName }),
+    listPartners,
+    findVm,
+    readNoteNumber: () => findDaemon().readConfiguration().number,
+    hasNews: (now) =>
+      [observations, leaving, parts.spread].map((one) => one.hasNews(now)).includes(true),
+  });
+  const driver = new MembershipDriver({
+    membership,
+    platform,
+    clock,
+    log,
+    connect: (vm) => hub.connect(vm),
+    onListing: (listing, now) => leaving.handleListing(listing, now),
+  });
+  const server = new PeerServer({
+    self,
+    clock,
+    log,
+    credentials: credentials.server,
+    peerName,
+    handler: {
+      handlePing: (from, message) => driver.handlePing(from, message),
+      handleExchange: (message) => hub.handleExchange(message),
+      handleBorrow: (request) => hub.handleBorrow(request),
+    },
+  });
+  return new Peering({
+    membership,
+    hub,
+    driver,
+    server: settings.peerPort === undefined ? undefined : server,
+    host,
+    port: settings.peerPort ?? 0,
+    files,
+  });
+}
+
 /** Constructs a daemon with its real adapters. */
 export function createDaemon(settings: Settings): Daemon {
   const { vm, zone, instanceUser } = settings;
@@ -42,7 +153,7 @@
     );
   const createPool = (instance: DatabaseInstance, database: string): ConnectionPool =>
     new ConnectionPool({ instance, database, user: instanceUser, applicationName });
-  const membership = new FixedMembership({ id: vm, zone, host: settings.host, peerPort: 0 });
+  const membership = createMembership(settings);
   const createGroup = (group: DatabaseGroup): GroupServer => {
     const links = createLinks(group);
     const shared = { group, clock, log, metrics };
@@ -57,28 +168,41 @@
         platform,
         membership,
         createAttempt: randomUUID,
+        random: Math.random,
       }),
     });
   };
-  const startSources = (daemon: Daemon): (() => void) => {
-    const spread = new Spread((configuration) => daemon.handleConfiguration(configuration));
+  // The daemon's sources and peers need it before it exists; they call this only once started.
+  let daemon: Daemon;
+  const findDaemon = (): Daemon => daemon;
+  const spread = new Spread((configuration) => findDaemon().handleConfiguration(configuration));
+  const startSources = (target: Daemon): (() => void) => {
     const watcher = new PlatformWatcher({
       platform,
       log,
       membership,
       spread,
       createRandom: Math.random,
-      onRecord: (record, version) => daemon.handleRecord(record, version),
+      onRecord: (record, version) => target.handleRecord(record, version),
     });
     watcher.start();
-    return () => watcher.stop();
+    return () => {
+      watcher.stop();
+      platform.close();
+    };
   };
 
-  const daemon: Daemon = new Daemon({
-    settings,
-    clock,
-    log,
-    metrics,
+  const shared = { settings, clock, log, metrics };
+  daemon = new Daemon({
+    ...shared,
+    computeBackoff: createBackoff(RETRY_BACKOFF, xoroshiro128plus(randomInt(MAX_SEED))),
+    peering: createPeering({
+      ...shared,
+      membership,
+      platform,
+      spread,
+      findDaemon,
+    }),
     callerServer: createServer(),
     metricsServer: createHealthServer(metrics, () => daemon.isReady()),
     operatorServer: new OperatorServer({ settings, clock, log }),
