--- a/packages/client/test/client.spec.ts
+++ b/packages/client/test/client.spec.ts
@@ -64,7 +64,9 @@
       SHALLOTPICK_TLS_KEY_FILE: await writeNote('key.pem', pem.private),
     };
     const settings = loadSettings([], {
-      ...files,
+      SHALLOTPICK_TLS_OPERATOR_CA: files.SHALLOTPICK_TLS_CA_FILE,
+      SHALLOTPICK_TLS_OPERATOR_CERT: files.SHALLOTPICK_TLS_CERT_FILE,
+      SHALLOTPICK_TLS_OPERATOR_KEY: files.SHALLOTPICK_TLS_KEY_FILE,
       SHALLOTPICK_VM: 'vm-1',
       SHALLOTPICK_ZONE: 'nyali',
       SHALLOTPICK_PLATFORM_URL: url,
--- a/packages/daemon/src/operator.ts
+++ b/packages/daemon/src/operator.ts
@@ -1,4 +1,3 @@
-import { readFile } from 'node:fs/promises';
 import {
   type Clock,
   comparePositions,
@@ -10,12 +9,13 @@
   type LogPosition,
 } from '@shallotpick/core';
 import { createOperatorCalls, OPERATOR_SERVICE, type OperatorHandlers } from '@shallotpick/wire';
-import { Server, ServerCredentials, status as grpcStatus } from '@grpc/grpc-js';
+import { Server, status as grpcStatus } from '@grpc/grpc-js';
 import type { Daemon } from './daemon.js';
 import { DaemonError, SettingError } from './errors.js';
 import { findExplanation } from './explain.js';
 import type { Log } from './log.js';
 import type { Settings } from './settings.js';
+import { CertificateFiles, createPeerCredentials } from './tls.js';
 
 const LOOPBACK = /^(127\.\d+\.\d+\.\d+|::1|localhost)$/;
 
@@ -33,21 +33,13 @@
 }
 
 /** Mutual TLS when key files are set; otherwise only loopback may be listened on. */
-async function createCredentials(settings: Settings): Promise<ServerCredentials> {
-  const { tlsCaFile, tlsCertFile, tlsKeyFile, host } = settings;
-  if (tlsCaFile && tlsCertFile && tlsKeyFile) {
-    const files = [tlsCaFile, tlsCertFile, tlsKeyFile] as const;
-    const [ca, cert, key] = await Promise.all(files.map((file) => readFile(file)));
-    if (ca && cert && key) {
-      return ServerCredentials.createSsl(ca, [{ private_key: key, cert_chain: cert }], true);
-    }
-  }
-  if (!LOOPBACK.test(host)) {
-    throw new SettingError(
-      `--host (SHALLOTPICK_HOST) is "${host}": the operator port on it needs --tls-ca-file, --tls-cert-file and --tls-key-file; allowed without them: a loopback address`,
-    );
-  }
-  return ServerCredentials.createInsecure();
+function openFiles(settings: Settings, log: Log): CertificateFiles | undefined {
+  const { tlsOperatorCa: ca, tlsOperatorCert: cert, tlsOperatorKey: key, host } = settings;
+  if (key && cert) return new CertificateFiles({ key, cert, ca }, log);
+  if (LOOPBACK.test(host)) return undefined;
+  throw new SettingError(
+    `--host (SHALLOTPICK_HOST) is "${host}": the operator port on it needs --tls-operator-key, --tls-operator-cert and --tls-operator-ca; allowed without them: a loopback address`,
+  );
 }
 
 /** Distance in offsets; undefined across terms, where offsets cannot be compared. */
@@ -64,6 +56,8 @@
 
   private boundPort = 0;
 
+  private files: CertificateFiles | undefined;
+
   constructor(private readonly options: OperatorServerOptions) {}
 
   /** Port that is listened on; 0 before the start or when the service is off. */
@@ -78,7 +72,8 @@
     this.daemon = daemon;
     this.server.addService(OPERATOR_SERVICE, createOperatorCalls(this));
     const address = `${settings.host}:${settings.operatorPort}`;
-    const credentials = await createCredentials(settings);
+    this.files = openFiles(settings, log);
+    const credentials = createPeerCredentials(this.files).server;
     this.boundPort = await new Promise((resolve, reject) => {
       this.server.bindAsync(address, credentials, (error, port) => {
         if (error) reject(new DaemonError(`${address} cannot be used`, { cause: error }));
@@ -90,6 +85,7 @@
 
   /** Lets calls in progress finish, among them the one that asked for the drain. */
   stop(): void {
+    this.files?.stop();
     this.server.tryShutdown(() => undefined);
   }
 
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -40,9 +40,9 @@
   tlsPeerName: z.string().min(1).default('shallotpick-peer'),
   /** Not set: no operator service. */
   operatorPort: port.optional(),
-  tlsCaFile: z.string().min(1).optional(),
-  tlsCertFile: z.string().min(1).optional(),
-  tlsKeyFile: z.string().min(1).optional(),
+  tlsOperatorKey: file,
+  tlsOperatorCert: file,
+  tlsOperatorCa: file,
   platformUrl: z.url(),
   instanceUser: z.string().min(1).default('shallotpick'),
   maxCallers: z.coerce.number().int().min(1).max(1_000_000).default(20_000),
@@ -57,7 +57,10 @@
 }
 
 /** Settings that only make sense together. */
-const TOGETHER = [['tlsPeerKey', 'tlsPeerCert', 'tlsPeerCa']] as const;
+const TOGETHER = [
+  ['tlsPeerKey', 'tlsPeerCert', 'tlsPeerCa'],
+  ['tlsOperatorKey', 'tlsOperatorCert', 'tlsOperatorCa'],
+] as const;
 
 const settingsSchema = settingsShape.superRefine((settings, context) => {
   TOGETHER.forEach((names) => {
