Stop the quickstart after a daemon was drained

Cause: it waited for the exit of a daemon that had exited before, so Ctrl-C never ended it. Change: an exited daemon is not waited for.

--- a/packages/bench/src/quickstart.ts
+++ b/packages/bench/src/quickstart.ts
@@ -69,6 +69,8 @@
 }
 
 async function stopDaemon(daemon: RunningDaemon): Promise<number | null> {
+  // An operator may have drained it already.
+  if (daemon.process.exitCode !== null) return daemon.process.exitCode;
   const exited = new Promise<number | null>((resolve) => {
     daemon.process.once('exit', resolve);
   });
