--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -46,7 +46,14 @@
 export type { ChainDecision, NumberedNote } from './chain.js';
 export { compareConfigurations } from './difference.js';
 export type { ConfigurationChange, FieldChange } from './difference.js';
-export { loadChain, loadNotes, loadSnapshot, runSubmission, writeSnapshot } from './history.js';
+export {
+  loadChain,
+  loadConfiguration,
+  loadNotes,
+  loadSnapshot,
+  runSubmission,
+  writeSnapshot,
+} from './history.js';
 export {
   applyNote,
   checkNote,
@@ -81,6 +88,7 @@
 } from './peer.js';
 export { FixedMembership, MembershipView } from './vm.js';
 export type { Vm } from './vm.js';
+export { formatNoteSchema } from './schema.js';
 export { ALL_HOME_VMS, HomeTable, HOMES_PER_ZONE } from './home.js';
 export { SessionFloors } from './floor.js';
 export { createBackoff, RetryBudget } from './retry.js';
--- a/packages/core/src/spread.ts
+++ b/packages/core/src/spread.ts
@@ -37,6 +37,9 @@
 
   private shards: readonly SnapshotShard[] | undefined;
 
+  /** Number that was in force when the exchange last asked for news. */
+  private toldNumber = 0;
+
   constructor(private readonly onConfiguration: (configuration: Configuration) => void) {
     super();
   }
@@ -64,6 +67,14 @@
     return true;
   }
 
+  /** True once after each change, so that a note does not wait for the next round. */
+  hasNews(): boolean {
+    const { number } = this.configuration;
+    const isNew = number > this.toldNumber;
+    this.toldNumber = number;
+    return isNew;
+  }
+
   override collect(
     peer: string,
     heard: PeerExchange | undefined,
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -54,9 +54,9 @@
   startupTimeoutMs: z.coerce.number().int().min(1).max(600_000).default(10_000),
   /** Not set: no operator service. */
   operatorPort: port.optional(),
-  tlsCaFile: z.string().min(1).optional(),
-  tlsCertFile: z.string().min(1).optional(),
-  tlsKeyFile: z.string().min(1).optional(),
+  tlsOperatorKey: file,
+  tlsOperatorCert: file,
+  tlsOperatorCa: file,
   platformUrl: z.url(),
   instanceUser: z.string().min(1).default('shallotpick'),
   maxCallers: z.coerce.number().int().min(1).max(1_000_000).default(20_000),
@@ -74,6 +74,7 @@
 const TOGETHER = [
   ['tlsPeerKey', 'tlsPeerCert', 'tlsPeerCa'],
   ['tlsCallerKey', 'tlsCallerCert'],
+  ['tlsOperatorKey', 'tlsOperatorCert', 'tlsOperatorCa'],
 ] as const;
 
 const settingsSchema = settingsShape.superRefine((settings, context) => {
--- a/packages/daemon/src/wiring.ts
+++ b/packages/daemon/src/wiring.ts
@@ -5,7 +5,6 @@
   createBackoff,
   type DatabaseGroup,
   type DatabaseInstance,
-  type ExchangeFeature,
   Membership,
   type Platform,
   Spread,
@@ -49,8 +48,7 @@
   readonly log: Log;
   readonly metrics: Metrics;
   readonly host: GroupHost;
-  /** More subjects of the exchange than the observations. */
-  readonly features: readonly ExchangeFeature[];
+  readonly spread: Spread;
 }
 
 /** A new life of a VM has a greater incarnation than those before it. */
@@ -94,13 +92,14 @@
     self,
     clock,
     log,
-    features: [observations, leaving, ...parts.features],
+    features: [observations, leaving, parts.spread],
     createLink: (vm) =>
       new GrpcPeerLink({ self, vm, clock, metrics, credentials: credentials.channel, peerName }),
     listPartners,
     findVm,
     readNoteNumber: () => groups.readConfiguration().number,
-    hasNews: (now) => [observations, leaving].map((one) => one.hasNews(now)).includes(true),
+    hasNews: (now) =>
+      [observations, leaving, parts.spread].map((one) => one.hasNews(now)).includes(true),
   });
   const driver = new MembershipDriver({
     membership,
@@ -214,7 +213,7 @@
       ...shared,
       membership,
       platform,
-      features: [spread],
+      spread,
       host,
     }),
     callerServer: createServer(),
