--- a/packages/bench/test/limits.spec.ts
+++ b/packages/bench/test/limits.spec.ts
@@ -53,7 +53,12 @@
     const chunk = Buffer.alloc(65_536);
     const socket = connect({ port, host: '127.0.0.1', allowHalfOpen: true });
     socket.on('error', () => undefined).resume();
-    socket.write(Buffer.concat([startup, OVERSIZED]));
+    socket.write(startup);
+    // The answer to the startup comes first, so that nothing else closes the connection.
+    await new Promise((resolve) => {
+      socket.once('data', resolve);
+    });
+    socket.write(OVERSIZED);
     const timer = setInterval(() => socket.write(chunk), 5);
     await new Promise((resolve) => {
       socket.once('close', resolve);
--- a/packages/core/src/membership.ts
+++ b/packages/core/src/membership.ts
@@ -49,7 +49,7 @@
  * series of pings is suspect and loses its duties, and later dead. A VM contradicts with a higher
  * incarnation. Changes ride on pings, and a changed VM list of the platform counts as a message.
  *
- * Cost: at most two pings a VM and direction every half second, and token buckets for changes;
+ * Cost: each VM pings two others and is pinged by two every half second; token buckets limit changes;
  * docs/membership.md has the arithmetic for 2,400 nodes.
  */
 export class Membership extends MembershipView {
--- a/packages/core/src/monitors.ts
+++ b/packages/core/src/monitors.ts
@@ -1,101 +1,99 @@
 import type { MemberUpdate } from './peer.js';
 import { computeHash } from './placement.js';
 
+/** Two rings in independent orders keep every VM within a few steps of every other. */
+const RINGS = 2;
+
 interface Ranked {
   readonly id: string;
   readonly weight: number;
 }
 
 const compareRanked = (a: Ranked, b: Ranked): number =>
-  b.weight - a.weight || (a.id < b.id ? -1 : 1);
-
-/**
- * Which VMs ping which: the first `count` of each target's rendezvous ranking. A change of one VM
- * costs one hash for each target, not a ranking of the fleet for each.
- */
-export class MonitorTable {
-  private readonly monitors = new Set<string>();
+  b.weight - a.weight || Number(a.id > b.id) - Number(a.id < b.id);
 
-  private readonly ranked = new Map<string, readonly Ranked[]>();
+/** VMs in the order of one rendezvous ranking, closed to a ring. A change costs one hash. */
+export class PingRing {
+  private readonly entries: Ranked[] = [];
 
-  constructor(private readonly count: number) {}
-
-  addTarget(target: string): void {
-    if (!this.ranked.has(target)) this.ranked.set(target, this.rankAll(target));
-  }
-
-  removeTarget(target: string): void {
-    this.ranked.delete(target);
-  }
+  constructor(private readonly duty: string) {}
 
-  addMonitor(id: string): void {
-    if (this.monitors.has(id)) return;
-    this.monitors.add(id);
-    this.ranked.forEach((list, target) => {
-      if (target === id) return;
-      const entry = { id, weight: this.computeWeight(target, id) };
-      const last = list.at(-1);
-      if (list.length >= this.count && last && compareRanked(last, entry) < 0) return;
-      this.ranked.set(target, [...list, entry].sort(compareRanked).slice(0, this.count));
-    });
+  add(id: string): void {
+    const entry = this.rank(id);
+    const index = this.findIndex(entry);
+    if (this.entries[index]?.id !== id) this.entries.splice(index, 0, entry);
   }
 
-  removeMonitor(id: string): void {
-    if (!this.monitors.delete(id)) return;
-    this.ranked.forEach((list, target) => {
-      if (list.some((entry) => entry.id === id)) this.ranked.set(target, this.rankAll(target));
-    });
+  remove(id: string): void {
+    const index = this.findIndex(this.rank(id));
+    if (this.entries[index]?.id === id) this.entries.splice(index, 1);
   }
 
-  /** The targets that `monitor` pings. */
-  listTargets(monitor: string): readonly string[] {
-    return [...this.ranked]
-      .filter(([, list]) => list.some(({ id }) => id === monitor))
-      .map(([target]) => target);
+  /** The VMs behind `id`, up to and including the first that can ping others itself. */
+  listAfter(id: string, canPing: (other: string) => boolean): readonly string[] {
+    const from = this.findIndex(this.rank(id));
+    const found: string[] = [];
+    for (let step = 1; step < this.entries.length; step++) {
+      const next = this.entries[(from + step) % this.entries.length]?.id ?? '';
+      found.push(next);
+      if (canPing(next)) break;
+    }
+    return found;
   }
 
-  private rankAll(target: string): readonly Ranked[] {
-    return [...this.monitors]
-      .filter((id) => id !== target)
-      .map((id) => ({ id, weight: this.computeWeight(target, id) }))
-      .sort(compareRanked)
-      .slice(0, this.count);
+  private rank(id: string): Ranked {
+    return { id, weight: computeHash(`${this.duty}|${id}`) };
   }
 
-  private computeWeight(target: string, id: string): number {
-    return computeHash(`ping/${target}|${id}`);
+  /** Index of the first entry that does not come before `entry`. */
+  private findIndex(entry: Ranked): number {
+    let low = 0;
+    let high = this.entries.length;
+    while (low < high) {
+      const middle = (low + high) >>> 1;
+      const at = this.entries[middle];
+      if (at && compareRanked(at, entry) < 0) low = middle + 1;
+      else high = middle;
+    }
+    return low;
   }
 }
 
-const MONITORS_PER_VM = 2;
-
-/** The VMs that one VM pings: all others in a small fleet, else a few by rank. */
+/**
+ * The VMs that one VM pings: all others in a small fleet, else its successor in each ring, so that
+ * every VM pings two and is pinged by two.
+ */
 export class PingTargets {
-  private readonly table = new MonitorTable(MONITORS_PER_VM);
+  private readonly rings = Array.from(
+    { length: RINGS },
+    (_, index) => new PingRing(`ping/${index}`),
+  );
 
   private readonly others = new Set<string>();
 
+  private readonly suspects = new Set<string>();
+
   private cached: ReadonlySet<string> | undefined;
 
   constructor(
     private readonly self: string,
     private readonly smallFleet: number,
   ) {
-    this.table.addMonitor(self);
+    this.rings.forEach((ring) => ring.add(self));
   }
 
   /** A dead VM is not pinged; a suspect is pinged but not relied on to ping others. */
   handleChange({ vm: { id }, state }: MemberUpdate): void {
     this.cached = undefined;
+    if (state === 'suspect') this.suspects.add(id);
+    else this.suspects.delete(id);
     if (state === 'dead') {
       this.others.delete(id);
-      this.table.removeTarget(id);
+      this.rings.forEach((ring) => ring.remove(id));
     } else {
       this.others.add(id);
-      this.table.addTarget(id);
+      this.rings.forEach((ring) => ring.add(id));
     }
-    if (state === 'live' || state === 'leaving') this.table.addMonitor(id);
-    else this.table.removeMonitor(id);
   }
 
   isSmall(): boolean {
@@ -103,9 +101,11 @@
   }
 
   list(): ReadonlySet<string> {
-    this.cached ??= this.isSmall()
-      ? new Set(this.others)
-      : new Set(this.table.listTargets(this.self));
+    this.cached ??= new Set(this.isSmall() ? this.others : this.listSuccessors());
     return this.cached;
   }
+
+  private listSuccessors(): readonly string[] {
+    return this.rings.flatMap((ring) => ring.listAfter(this.self, (id) => !this.suspects.has(id)));
+  }
 }
--- a/packages/daemon/src/observations.ts
+++ b/packages/daemon/src/observations.ts
@@ -17,6 +17,8 @@
 const RECORD_NEWS_MS: Millis = 10_000;
 /** Bounds on one message; the rest follows in later rounds. */
 const MAX_RECORDS = 16;
+/** Records of the moving window in a large fleet; more would not fit into 6 KB a second. */
+const LARGE_WINDOW = 1;
 const MAX_OBSERVATIONS = 64;
 
 /** What the feature uses of a group's failover driver. */
@@ -119,8 +121,9 @@
   private listRecords(now: Millis): readonly RecordUpdate[] {
     const records = this.options.listRecords();
     const recent = records.filter((update) => this.isRecent(update, now)).slice(0, MAX_RECORDS);
+    const room = MAX_RECORDS - recent.length;
     const window = Array.from(
-      { length: Math.min(MAX_RECORDS - recent.length, records.length) },
+      { length: Math.min(this.isSmall() ? room : LARGE_WINDOW, room, records.length) },
       (_, index) => records[(this.cursor + index) % records.length],
     ).filter((update) => update !== undefined);
     this.cursor = records.length === 0 ? 0 : (this.cursor + window.length) % records.length;
