--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -24,7 +24,7 @@
 export type { Statement, StatementKind } from './statement.js';
 export { AdmissionQueue } from './admission.js';
 export type { AdmissionDecision, AdmissionOptions, Capacity, Work } from './admission.js';
-export { FailoverCoordinator } from './failover.js';
+export { DAMPING_MS, FailoverCoordinator } from './failover.js';
 export { FenceTally } from './tally.js';
 export type {
   FailoverAction,
@@ -81,12 +81,12 @@
 } from './peer.js';
 export { FixedMembership, MembershipView } from './vm.js';
 export type { Vm } from './vm.js';
-export { compareMembers } from './member.js';
-export { Membership } from './membership.js';
-export type { MembershipMessage, MembershipOptions } from './membership.js';
 export { ALL_HOME_VMS, HomeTable, HOMES_PER_ZONE } from './home.js';
 export { SessionFloors } from './floor.js';
 export { createBackoff, RetryBudget } from './retry.js';
 export type { BackoffOptions, RetryBudgetOptions } from './retry.js';
 export { parseScript } from './scan.js';
 export type { ScannedStatement } from './scan.js';
+export { compareMembers } from './member.js';
+export { Membership } from './membership.js';
+export type { MembershipMessage, MembershipOptions } from './membership.js';
--- a/packages/daemon/src/context.ts
+++ b/packages/daemon/src/context.ts
@@ -49,7 +49,8 @@
 
 /** What the parts of a session share: its identity, floor, transaction and connection. */
 export class SessionContext {
-  group: GroupServer | undefined;
+  /** The database that the caller named at its start. */
+  groupName = '';
 
   user = '';
 
@@ -79,8 +80,9 @@
 
   constructor(readonly options: SessionOptions) {}
 
-  get groupName(): string {
-    return this.group?.name ?? '';
+  /** The server of the group now; a release note may replace it between two requests. */
+  get group(): GroupServer | undefined {
+    return this.options.findGroup(this.groupName);
   }
 
   readState(): TransactionState {
@@ -110,9 +112,14 @@
     return view?.record?.primary === instance || view?.statuses.get(instance)?.role === 'primary';
   }
 
-  createRelay({ connection }: Lease, { replies }: EncodedRequest, holds: boolean): Relay {
+  createRelay(
+    { connection }: Lease,
+    { replies }: EncodedRequest,
+    holds: boolean,
+    isSeries = false,
+  ): Relay {
     const { caller } = this.options;
-    return new Relay({ caller, connection, prepared: this.prepared, replies, holds });
+    return new Relay({ caller, connection, prepared: this.prepared, replies, holds, isSeries });
   }
 
   encode(request: DecodedRequest, { connection }: Lease): EncodedRequest {
@@ -132,12 +139,15 @@
     const { connection } = lease;
     const failed = relay.errorCode !== undefined;
     if (!failed) this.parameters.add(plan.executed);
+    // SET stands in no request with these tags, so it belongs to the transaction that ended first.
+    const end = relay.tags.find((tag) => tag === 'COMMIT' || tag === 'ROLLBACK');
+    if (end) this.parameters.finish(end === 'COMMIT', connection);
     if (connection.state !== 'I') {
       this.transaction ??= { hasChanges: false, onceKeys: new Set() };
       this.transaction.hasChanges ||= plan.writes || plan.isUnsure;
       return;
     }
-    this.parameters.finish(!failed && !relay.tags.includes('ROLLBACK'), connection);
+    this.parameters.finish(!failed, connection);
     this.releaseLease();
   }
 
--- a/packages/daemon/src/pool.ts
+++ b/packages/daemon/src/pool.ts
@@ -55,9 +55,9 @@
   /** Takes a connection back; one that is in doubt is closed. */
   release(connection: InstanceConnection): void {
     const { isCancelled, statements } = connection;
-    const isClean =
-      !this.leaving && connection.state === 'I' && !connection.isBusy() && !isCancelled;
-    if (connection.isUsable() && isClean && statements.size <= MAX_STATEMENTS) {
+    const isClean = connection.state === 'I' && !connection.isBusy() && !isCancelled;
+    const isKept = isClean && !this.leaving;
+    if (connection.isUsable() && isKept && statements.size <= MAX_STATEMENTS) {
       this.idle.push(connection);
       return;
     }
--- a/packages/daemon/src/wiring.ts
+++ b/packages/daemon/src/wiring.ts
@@ -18,6 +18,7 @@
 import { FailoverDriver } from './failover.js';
 import { CallerGate } from './gate.js';
 import { GroupServer } from './group.js';
+import { GroupHost } from './host.js';
 import { createHealthServer } from './health.js';
 import { LeavingFeature } from './leaving.js';
 import { createLog, type Log } from './log.js';
@@ -47,7 +48,7 @@
   readonly clock: Clock;
   readonly log: Log;
   readonly metrics: Metrics;
-  readonly findDaemon: () => Daemon;
+  readonly host: GroupHost;
   /** More subjects of the exchange than the observations. */
   readonly features: readonly ExchangeFeature[];
 }
@@ -64,7 +65,7 @@
 }
 
 function createPeering(parts: PeeringParts): Peering {
-  const { settings, membership, clock, log, metrics, platform, findDaemon } = parts;
+  const { settings, membership, clock, log, metrics, platform, host: groups } = parts;
   const { tlsPeerKey: key, tlsPeerCert: cert, tlsPeerCa: ca, host, vm: self } = settings;
   const files = key && cert ? new CertificateFiles({ key, cert, ca }, log) : undefined;
   if (!files && settings.peerPort !== undefined) {
@@ -74,16 +75,13 @@
   const credentials = createPeerCredentials(files);
   const observations = new ObservationFeature({
     membership,
-    listGroups: () =>
-      findDaemon()
-        .listGroups()
-        .map(({ failover }) => failover),
-    listRecords: () => findDaemon().listRecords(),
-    handleRecord: (record, version) => findDaemon().handleRecord(record, version),
+    listGroups: () => groups.list().map(({ failover }) => failover),
+    listRecords: () => groups.listRecords(),
+    handleRecord: (record, version) => groups.handleRecord(record, version),
   });
   const leaving = new LeavingFeature({
-    isInstance: (id) => findDaemon().hasInstance(id),
-    onChange: (ids) => findDaemon().updateLeaving(ids),
+    isInstance: (id) => groups.hasInstance(id),
+    onChange: (ids) => groups.updateLeaving(ids),
   });
   const findVm = (id: string): Vm | undefined => membership.listLive().find((vm) => vm.id === id);
   const listPartners = (): readonly Vm[] => {
@@ -101,7 +99,7 @@
       new GrpcPeerLink({ self, vm, clock, metrics, credentials: credentials.channel, peerName }),
     listPartners,
     findVm,
-    readNoteNumber: () => findDaemon().readConfiguration().number,
+    readNoteNumber: () => groups.readConfiguration().number,
     hasNews: (now) => [observations, leaving].map((one) => one.hasNews(now)).includes(true),
   });
   const driver = new MembershipDriver({
@@ -189,10 +187,9 @@
       }),
     });
   };
-  // The daemon's sources and peers need it before it exists; they call this only once started.
-  let daemon: Daemon;
-  const findDaemon = (): Daemon => daemon;
-  const spread = new Spread((configuration) => findDaemon().handleConfiguration(configuration));
+  const { drainLimitMs } = settings;
+  const host = new GroupHost({ clock, log, membership, createGroup, drainLimitMs });
+  const spread = new Spread((configuration) => host.updateConfiguration(configuration));
   const startSources = (target: Daemon): (() => void) => {
     const watcher = new PlatformWatcher({
       platform,
@@ -210,15 +207,21 @@
   };
 
   const shared = { settings, clock, log, metrics };
-  daemon = new Daemon({
+  const daemon: Daemon = new Daemon({
     ...shared,
-    peering: createPeering({ ...shared, membership, platform, features: [spread], findDaemon }),
     computeBackoff: createBackoff(RETRY_BACKOFF, xoroshiro128plus(randomInt(MAX_SEED))),
+    peering: createPeering({
+      ...shared,
+      membership,
+      platform,
+      features: [spread],
+      host,
+    }),
     callerServer: createServer(),
     metricsServer: createHealthServer(metrics, () => daemon.isReady()),
     operatorServer: new OperatorServer({ settings, clock, log }),
     createGate: createGates(settings, log),
-    createGroup,
+    host,
     startSources,
   });
   return daemon;
