--- /dev/null
+++ b/packages/bench/src/failover.ts
@@ -0,0 +1,231 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import type { StandinGroup, StandinInstance } from '@shallotpick/standin';
+import { createCluster, type CreateDeployment, type Deployment } from './cluster.js';
+import { Guest } from './guest.js';
+import type { Profile } from './profile.js';
+import { createRandom } from './random.js';
+import { computeQuantile } from './stats.js';
+
+/** Losses of each group's primary; the groups run side by side, each cause equally often. */
+const ROUNDS = 12;
+const CAUSES = ['crash', 'cutOff', 'pause'] as const;
+const STATEMENT_COST_MS = 1;
+/** Pause between two writes of a caller. */
+const WRITE_PAUSE_MS = 4;
+/** Longer than the time for which a new primary is not replaced. */
+const SETTLE_MS = 1_300;
+const GIVE_UP_MS = 10_000;
+/** Time for which a healthy primary is cut off from a single zone. */
+const SINGLE_CUT_MS = 300;
+const WRITE = 'INSERT INTO items (key, value) VALUES ($1, $2)';
+
+/** What `measure --scenario failover` reports. */
+export interface FailoverFigures {
+  readonly gapMsMedian: number;
+  readonly gapMsMax: number;
+  readonly failovers: number;
+  readonly acknowledgedLost: number;
+  readonly acknowledgedByReplaced: number;
+  readonly needlessFailovers: number;
+}
+
+interface Acknowledged {
+  readonly key: string;
+  readonly startedAt: number;
+  readonly endedAt: number;
+}
+
+/** A caller that writes one row after the other through one proxy. */
+class Writer {
+  readonly acknowledged: Acknowledged[] = [];
+
+  byReplaced = 0;
+
+  private stopped = false;
+
+  private running: Promise<void> = Promise.resolve();
+
+  constructor(
+    private readonly guest: Guest,
+    private readonly proxy: number,
+    private readonly group: StandinGroup,
+  ) {}
+
+  start(): void {
+    this.running = this.run();
+  }
+
+  async stop(): Promise<void> {
+    this.stopped = true;
+    await this.running;
+    await this.guest.close();
+  }
+
+  /** When the first write that began at or after `time` was acknowledged. */
+  findFirst(time: number): number | undefined {
+    const from = this.acknowledged.findLastIndex(({ startedAt }) => startedAt < time) + 1;
+    return this.acknowledged[from]?.endedAt;
+  }
+
+  private async run(): Promise<void> {
+    for (let index = 0; !this.stopped; index++) {
+      if (this.guest.readProxy() < 0) await this.guest.connect(this.proxy);
+      const key = `${this.guest.name}-${index}`;
+      const startedAt = performance.now();
+      const outcome = await this.guest.run(WRITE, [key, 'paid']);
+      if (outcome.kind === 'done') {
+        this.acknowledged.push({ key, startedAt, endedAt: performance.now() });
+        // The primary of the highest term holds each write at its acknowledgement.
+        const isHeld = this.group.findPrimary()?.store.findRow('items', key) !== undefined;
+        if (!isHeld) this.byReplaced += 1;
+      }
+      if (outcome.kind === 'cut') await this.guest.close();
+      await sleep(WRITE_PAUSE_MS);
+    }
+  }
+}
+
+function cutOff(group: StandinGroup, lost: StandinInstance, zones: readonly string[]): void {
+  zones.filter((zone) => zone !== lost.options.zone).forEach((zone) => lost.cutZone(zone));
+  group.instances
+    .filter((instance) => instance !== lost)
+    .forEach((other) => group.cut(lost.options.id, other.options.id));
+}
+
+async function runLoss(
+  group: StandinGroup,
+  lost: StandinInstance,
+  cause: (typeof CAUSES)[number],
+  zones: readonly string[],
+): Promise<void> {
+  if (cause === 'crash') await lost.stop();
+  else if (cause === 'pause') lost.pause();
+  else cutOff(group, lost, zones);
+}
+
+async function repair(group: StandinGroup, lost: StandinInstance): Promise<void> {
+  lost.healZones();
+  group.heal();
+  lost.resume();
+  if (!lost.isUp()) await lost.start();
+}
+
+const readTerm = (group: StandinGroup): number => group.findPrimary()?.fenceTerm ?? 0;
+
+/** Cuts a healthy primary off from one zone, which must not replace it; counts replacements. */
+async function countNeedless(group: StandinGroup, zones: readonly string[]): Promise<number> {
+  const primary = group.findPrimary();
+  const zone = zones.find((other) => other !== primary?.options.zone) ?? '';
+  const term = readTerm(group);
+  primary?.cutZone(zone);
+  await sleep(SINGLE_CUT_MS);
+  primary?.healZones();
+  return readTerm(group) === term ? 0 : 1;
+}
+
+class GroupRun {
+  readonly gaps: { readonly cause: string; readonly gapMs: number }[] = [];
+
+  needless = 0;
+
+  private readonly writers: readonly Writer[];
+
+  constructor(
+    deployment: Deployment,
+    private readonly group: StandinGroup,
+    private readonly zones: readonly string[],
+    seed: number,
+  ) {
+    const { name } = group.options;
+    this.writers = deployment.daemons.map((_, proxy) => {
+      const guest = new Guest(deployment, `guest-${seed}-${proxy}`, name);
+      return new Writer(guest, proxy, group);
+    });
+  }
+
+  async run(first: number, random: () => number): Promise<void> {
+    this.writers.forEach((writer) => writer.start());
+    for (let round = 0; round < ROUNDS; round++) {
+      await sleep(SETTLE_MS + random() * 50);
+      await this.runRound(CAUSES[(first + round) % CAUSES.length] ?? 'crash');
+    }
+    await sleep(SETTLE_MS);
+    this.needless += await countNeedless(this.group, this.zones);
+    await Promise.all(this.writers.map((writer) => writer.stop()));
+  }
+
+  /** Writes that callers were told of and that the last primary does not hold. */
+  countLost(): number {
+    const store = this.group.findPrimary()?.store;
+    return this.writers
+      .flatMap(({ acknowledged }) => acknowledged)
+      .filter(({ key }) => store?.findRow('items', key) === undefined).length;
+  }
+
+  countByReplaced(): number {
+    return this.writers.reduce((sum, { byReplaced }) => sum + byReplaced, 0);
+  }
+
+  private async runRound(cause: (typeof CAUSES)[number]): Promise<void> {
+    const { group, zones, writers } = this;
+    const lost = group.findPrimary();
+    if (!lost) throw new Error('the group has no primary');
+    const term = readTerm(group);
+    const lostAt = performance.now();
+    await runLoss(group, lost, cause, zones);
+    const listGaps = (): readonly (number | undefined)[] =>
+      writers.map((writer) => writer.findFirst(lostAt));
+    while (listGaps().includes(undefined) && performance.now() - lostAt < GIVE_UP_MS) {
+      await sleep(1);
+    }
+    const last = Math.max(...listGaps().map((at) => at ?? performance.now()));
+    this.gaps.push({ cause, gapMs: last - lostAt });
+    const wasReplacedAgain = group.instances.filter(
+      ({ role, fenceTerm }) => role === 'primary' && fenceTerm > term,
+    ).length;
+    this.needless += Math.max(0, wasReplacedAgain - 1);
+    await repair(group, lost);
+  }
+}
+
+/** The runs of each group with their gaps by cause, for reports that go into detail. */
+export async function runFailovers(
+  profile: Profile,
+  seed: number,
+  create: CreateDeployment = createCluster,
+): Promise<readonly GroupRun[]> {
+  const deployment = await create({ profile, statementCostMs: STATEMENT_COST_MS });
+  const random = createRandom(seed);
+  const runs = deployment.groups.map(
+    (group) => new GroupRun(deployment, group, profile.zones, seed),
+  );
+  try {
+    await Promise.all(runs.map((run, index) => run.run(index, () => random.next())));
+    return runs;
+  } finally {
+    await deployment.stop();
+  }
+}
+
+/**
+ * Measures the time from the loss of a primary until writes through every proxy succeed again,
+ * over crashed, cut-off and paused primaries.
+ */
+export async function measureFailover(
+  profile: Profile,
+  seed: number,
+  create: CreateDeployment = createCluster,
+): Promise<FailoverFigures> {
+  const runs = await runFailovers(profile, seed, create);
+  const gaps = runs.flatMap((run) => run.gaps.map(({ gapMs }) => gapMs));
+  const sum = (count: (run: GroupRun) => number): number =>
+    runs.reduce((total, run) => total + count(run), 0);
+  return {
+    gapMsMedian: Math.round(computeQuantile(gaps, 0.5)),
+    gapMsMax: Math.round(Math.max(...gaps)),
+    failovers: gaps.length,
+    acknowledgedLost: sum((run) => run.countLost()),
+    acknowledgedByReplaced: sum((run) => run.countByReplaced()),
+    needlessFailovers: sum((run) => run.needless),
+  };
+}
--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -2,3 +2,5 @@
 export type { Cluster, ClusterOptions } from './cluster.js';
 export { createFirstNote, createGroupOptions, PROFILES } from './profile.js';
 export type { Profile, ProfileName } from './profile.js';
+export { measureFailover } from './failover.js';
+export type { FailoverFigures } from './failover.js';
--- /dev/null
+++ b/packages/core/test/failover.spec.ts
@@ -0,0 +1,124 @@
+import { expect } from 'earl';
+import {
+  FailoverCoordinator,
+  type FailoverAction,
+  type GroupRecord,
+  type InstanceStatus,
+  type WriteAction,
+} from '../src/index.js';
+
+const IDS = ['a', 'b', 'c'];
+
+const RECORD: GroupRecord = {
+  group: 'g',
+  term: 1,
+  phase: 'named',
+  primary: 'a',
+  attempt: 'created',
+  writer: 'platform',
+};
+
+const createStatus = (instance: string, requestedAt: number, term = 1): InstanceStatus => ({
+  instance,
+  role: instance === 'a' ? 'primary' : 'replica',
+  fenceTerm: term,
+  durable: { term, offset: 1 },
+  applied: { term, offset: 1 },
+  following: 'a',
+  connections: 0,
+  running: 0,
+  requestedAt,
+});
+
+/** Runs ticks and probes of the given instances up to `until`; returns what was asked for. */
+const runUntil = (
+  coordinator: FailoverCoordinator,
+  from: number,
+  until: number,
+  reachable: readonly string[],
+): readonly FailoverAction[] => {
+  const actions: FailoverAction[] = [];
+  for (let now = from; now <= until; now += 20) {
+    reachable.forEach((id) => coordinator.handleStatus(createStatus(id, now), now));
+    actions.push(...coordinator.handleTick(now));
+  }
+  return actions;
+};
+
+const isWrite = (action: FailoverAction): action is WriteAction => action.kind === 'writeRecord';
+
+describe('FailoverCoordinator', () => {
+  let coordinator: FailoverCoordinator;
+  let claim: WriteAction;
+
+  beforeEach(() => {
+    let attempts = 0;
+    const instances = IDS.map((id) => ({
+      id,
+      zone: id,
+      host: '',
+      port: 0,
+      slots: 1,
+      connectionLimit: 1,
+    }));
+    coordinator = new FailoverCoordinator({
+      vm: 'vm',
+      zone: 'a',
+      group: { name: 'g', instances },
+      createAttempt: () => {
+        attempts += 1;
+        return `attempt ${attempts}`;
+      },
+      random: () => 0.5,
+    });
+    coordinator.handleRecord(RECORD, 1, 0);
+    runUntil(coordinator, 0, 1_000, IDS);
+    [claim] = runUntil(coordinator, 1_020, 1_160, ['b', 'c']).filter(isWrite) as [WriteAction];
+  });
+
+  const fence = (instance: string, granted: boolean, now: number): readonly FailoverAction[] => {
+    const durable = { term: 1, offset: 1 };
+    return coordinator.handleFence({ instance, term: 2, granted, durable }, now);
+  };
+
+  // Guards against a claim that is read back for ever after its request was lost.
+  it('sends a write again when its answer was lost and the record is unchanged', () => {
+    coordinator.handleWrite(claim, { kind: 'lost' }, 1_170);
+    coordinator.handleRecord(RECORD, 1, 1_171);
+    const again = runUntil(coordinator, 1_180, 1_400, ['b', 'c']).filter(isWrite);
+    expect(again[0]).toEqual(claim);
+  });
+
+  // Guards against the promotion of an instance that the record does not name.
+  it('does not take a late answer to the claim for the answer to the naming', () => {
+    coordinator.handleRecord(claim.record, 2, 1_170);
+    fence('b', true, 1_171);
+    const [naming] = fence('c', true, 1_172).filter(isWrite);
+    expect(naming?.record).toEqual({ ...claim.record, phase: 'named', primary: 'b' });
+    expect(coordinator.handleWrite(claim, { kind: 'written', version: 2 }, 1_173)).toEqual([]);
+  });
+
+  // Guards against a term that can never be fenced because an answer was lost after the grant.
+  it('goes on to the next term when a majority can no longer grant this one', () => {
+    coordinator.handleRecord(claim.record, 2, 1_170);
+    fence('b', false, 1_300);
+    const [next] = fence('c', false, 1_301).filter(isWrite);
+    expect(next?.record.term).toEqual(3);
+    expect(next?.expectedVersion).toEqual(2);
+  });
+
+  // Guards against a process that was paused and takes its own silence for that of the primary.
+  it('claims nothing right after a pause', () => {
+    coordinator.handleRecord({ ...RECORD, term: 2, attempt: 'other' }, 2, 1_170);
+    runUntil(coordinator, 1_200, 4_000, IDS);
+    coordinator.handleStatus(createStatus('b', 9_000), 9_000);
+    coordinator.handleStatus(createStatus('c', 9_000), 9_000);
+    expect(coordinator.handleTick(9_001).filter(isWrite)).toEqual([]);
+  });
+
+  // Guards against work that waits for a primary whose term this VM does not know.
+  it('reads the record when an instance knows a later term', () => {
+    const actions = coordinator.handleStatus(createStatus('a', 1_200, 5), 1_200);
+    expect(actions).toEqual([{ kind: 'readRecord', group: 'g' }]);
+  });
+});
