--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -73,6 +73,7 @@
 export type {
   BorrowGrant,
   BorrowRequest,
+  LeavingInstance,
   MemberUpdate,
   NoteUpdate,
   PeerExchange,
@@ -86,3 +87,6 @@
 export type { BackoffOptions, RetryBudgetOptions } from './retry.js';
 export { parseScript } from './scan.js';
 export type { ScannedStatement } from './scan.js';
+export { compareMembers } from './member.js';
+export { Membership } from './membership.js';
+export type { MembershipMessage, MembershipOptions } from './membership.js';
--- a/packages/daemon/src/connection.ts
+++ b/packages/daemon/src/connection.ts
@@ -1,4 +1,4 @@
-import { connect, type Socket } from 'node:net';
+import type { Socket } from 'node:net';
 import type { DatabaseInstance } from '@shallotpick/core';
 import {
   BACKEND,
@@ -10,6 +10,8 @@
   type TransactionState,
 } from '@shallotpick/wire';
 import { InstanceError } from './errors.js';
+import { openSocket } from './secure.js';
+import type { TrustFile } from './tls.js';
 
 /** Receives the answer to a request, message by message. */
 export interface AnswerSink {
@@ -31,6 +33,8 @@
   /** `shallotpick/<vm>/<zone>`, for the instance's activity views. */
   readonly applicationName: string;
   readonly timeoutMs: number;
+  /** CA of the instance; cleartext without. */
+  readonly trust?: TrustFile | undefined;
 }
 
 /** One connection to a database instance. It carries one request at a time. */
@@ -73,8 +77,7 @@
    * @throws InstanceError when the instance refuses or does not answer in time.
    */
   static async open(options: ConnectionOptions): Promise<InstanceConnection> {
-    const { host, port } = options.instance;
-    const socket = connect({ host, port });
+    const socket = await openSocket(options);
     const connection = new InstanceConnection(socket, options);
     const timer = setTimeout(() => {
       connection.fail(new InstanceError('no answer while connecting'));
@@ -121,20 +124,9 @@
   /** Asks the instance to interrupt the statement that runs. */
   cancel(): void {
     if (!this.key || !this.exchange) return;
-    const { host, port } = this.options.instance;
     const [processId, secret] = this.key;
     this.isCancelled = true;
-    const socket = connect({ host, port });
-    const timer = setTimeout(() => socket.destroy(), this.options.timeoutMs);
-    this.cancelling = new Promise((resolve) => {
-      socket.once('close', () => {
-        clearTimeout(timer);
-        resolve();
-      });
-    });
-    socket.on('error', () => socket.destroy());
-    socket.end(serialize.cancel(processId, secret));
-    socket.resume();
+    this.cancelling = this.sendCancel(serialize.cancel(processId, secret)).catch(() => undefined);
   }
 
   /** Waits until the instance has taken the last cancel request. */
@@ -151,6 +143,20 @@
     this.fail(new InstanceError('connection closed by the proxy'));
   }
 
+  private async sendCancel(bytes: Buffer): Promise<void> {
+    const socket = await openSocket(this.options);
+    const timer = setTimeout(() => socket.destroy(), this.options.timeoutMs);
+    await new Promise<void>((resolve) => {
+      socket.once('close', () => {
+        clearTimeout(timer);
+        resolve();
+      });
+      socket.on('error', () => socket.destroy());
+      socket.end(bytes);
+      socket.resume();
+    });
+  }
+
   private handleStartup({ type, body }: Frame): void {
     if (type === BACKEND.backendKeyData) this.key = [body.readInt32BE(0), body.readInt32BE(4)];
     if (type !== BACKEND.error) return;
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -14,9 +14,16 @@
   RefusedError,
   SettingError,
 } from './errors.js';
+export { createVerifier } from './users.js';
 export { ConnectionPool } from './pool.js';
 export type { CallerRequest } from './request.js';
 export { loadSettings } from './settings.js';
 export type { Settings } from './settings.js';
 export { SQLSTATE } from './sqlstate.js';
 export { createDaemon } from './wiring.js';
+export { createLog } from './log.js';
+export { Metrics } from './metrics.js';
+export { GrpcPeerLink } from './peerlink.js';
+export { PeerHub } from './peers.js';
+export { PeerServer } from './peerserver.js';
+export { CertificateFiles, createPeerCredentials } from './tls.js';
--- a/packages/daemon/src/wiring.ts
+++ b/packages/daemon/src/wiring.ts
@@ -1,13 +1,13 @@
 import { randomInt, randomUUID } from 'node:crypto';
-import { createServer } from 'node:net';
+import { createServer, type Socket } from 'node:net';
 import {
   type Clock,
   createBackoff,
   type DatabaseGroup,
   type DatabaseInstance,
   type ExchangeFeature,
-  FixedMembership,
-  type MembershipView,
+  Membership,
+  type Platform,
   Spread,
   type Vm,
 } from '@shallotpick/core';
@@ -16,9 +16,13 @@
 import { ControlLink } from './control.js';
 import { Daemon } from './daemon.js';
 import { FailoverDriver } from './failover.js';
+import { CallerGate } from './gate.js';
 import { GroupServer } from './group.js';
+import { GroupHost } from './host.js';
 import { createHealthServer } from './health.js';
+import { LeavingFeature } from './leaving.js';
 import { createLog, type Log } from './log.js';
+import { MembershipDriver } from './membership.js';
 import { Metrics } from './metrics.js';
 import { ObservationFeature } from './observations.js';
 import { Peering } from './peering.js';
@@ -30,7 +34,8 @@
 import { ConnectionPool } from './pool.js';
 import type { Settings } from './settings.js';
 import { StatusBoard } from './status.js';
-import { CertificateFiles, createPeerCredentials } from './tls.js';
+import { CertificateFiles, createPeerCredentials, TrustFile } from './tls.js';
+import { UserFile } from './users.js';
 import { PlatformWatcher } from './watcher.js';
 
 const RETRY_BACKOFF = { baseMs: 10, maxMs: 200 };
@@ -38,45 +43,72 @@
 
 interface PeeringParts {
   readonly settings: Settings;
-  readonly membership: MembershipView;
+  readonly membership: Membership;
+  readonly platform: Platform;
   readonly clock: Clock;
   readonly log: Log;
   readonly metrics: Metrics;
-  readonly findDaemon: () => Daemon;
+  readonly host: GroupHost;
   /** More subjects of the exchange than the observations. */
   readonly features: readonly ExchangeFeature[];
 }
 
-function createPeering(parts: PeeringParts): Peering | undefined {
-  const { settings, membership, clock, log, metrics, findDaemon } = parts;
-  if (settings.peerPort === undefined) return undefined;
+/** A new life of a VM has a greater incarnation than those before it. */
+function createMembership({ vm: id, zone, host, peerPort, peers: seeds }: Settings): Membership {
+  const self = { id, zone, host, peerPort: peerPort ?? 0 };
+  return new Membership({
+    self,
+    incarnation: Date.now(),
+    seeds,
+    chooseNumber: (below) => randomInt(below),
+  });
+}
+
+function createPeering(parts: PeeringParts): Peering {
+  const { settings, membership, clock, log, metrics, platform, host: groups } = parts;
   const { tlsPeerKey: key, tlsPeerCert: cert, tlsPeerCa: ca, host, vm: self } = settings;
   const files = key && cert ? new CertificateFiles({ key, cert, ca }, log) : undefined;
-  if (!files) log.warn('no TLS between daemons; anyone who reaches the peer port is a peer');
+  if (!files && settings.peerPort !== undefined) {
+    log.warn('no TLS between daemons; anyone who reaches the peer port is a peer');
+  }
   const peerName = files && settings.tlsPeerName;
   const credentials = createPeerCredentials(files);
   const observations = new ObservationFeature({
     membership,
-    listGroups: () =>
-      findDaemon()
-        .listGroups()
-        .map(({ failover }) => failover),
-    listRecords: () => findDaemon().listRecords(),
-    handleRecord: (record, version) => findDaemon().handleRecord(record, version),
+    listGroups: () => groups.list().map(({ failover }) => failover),
+    listRecords: () => groups.listRecords(),
+    handleRecord: (record, version) => groups.handleRecord(record, version),
+  });
+  const leaving = new LeavingFeature({
+    isInstance: (id) => groups.hasInstance(id),
+    onChange: (ids) => groups.updateLeaving(ids),
   });
   const findVm = (id: string): Vm | undefined => membership.listLive().find((vm) => vm.id === id);
+  const listPartners = (): readonly Vm[] => {
+    const watchers = observations.listWatchers().flatMap((id) => findVm(id) ?? []);
+    return [
+      ...new Map([...membership.listPartners(), ...watchers].map((vm) => [vm.id, vm])).values(),
+    ];
+  };
   const hub = new PeerHub({
     self,
     clock,
     log,
-    features: [observations, ...parts.features],
+    features: [observations, leaving, ...parts.features],
     createLink: (vm) =>
       new GrpcPeerLink({ self, vm, clock, metrics, credentials: credentials.channel, peerName }),
-    listPartners: () => membership.listLive().filter(({ id }) => id !== self),
+    listPartners,
     findVm,
-    readNoteNumber: () => findDaemon().readConfiguration().number,
-    hasNews: (now) => observations.hasNews(now),
-    handlePing: () => [],
+    readNoteNumber: () => groups.readConfiguration().number,
+    hasNews: (now) => [observations, leaving].map((one) => one.hasNews(now)).includes(true),
+  });
+  const driver = new MembershipDriver({
+    membership,
+    platform,
+    clock,
+    log,
+    connect: (vm) => hub.connect(vm),
+    onListing: (listing, now) => leaving.handleListing(listing, now),
   });
   const server = new PeerServer({
     self,
@@ -84,9 +116,34 @@
     log,
     credentials: credentials.server,
     peerName,
-    handler: hub,
+    handler: {
+      handlePing: (from, message) => driver.handlePing(from, message),
+      handleExchange: (message) => hub.handleExchange(message),
+      handleBorrow: (request) => hub.handleBorrow(request),
+    },
+  });
+  return new Peering({
+    membership,
+    hub,
+    driver,
+    server: settings.peerPort === undefined ? undefined : server,
+    host,
+    port: settings.peerPort ?? 0,
+    files,
   });
-  return new Peering({ hub, server, host, port: settings.peerPort, files });
+}
+
+/** Creates what checks a caller's startup. */
+function createGates(settings: Settings, log: Log): (socket: Socket) => CallerGate {
+  const { tlsCallerKey: key, tlsCallerCert: cert, usersFile } = settings;
+  const options = {
+    timeoutMs: settings.startupTimeoutMs,
+    files: key && cert ? new CertificateFiles({ key, cert }, log) : undefined,
+    isTlsRequired: settings.tlsCallerRequired,
+    users: usersFile ? new UserFile(usersFile, log) : undefined,
+    method: settings.callerAuth,
+  };
+  return (socket) => new CallerGate(socket, options);
 }
 
 /** Constructs a daemon with its real adapters. */
@@ -101,17 +158,17 @@
   });
   const applicationName = `shallotpick/${vm}/${zone}`;
 
+  const trust = settings.tlsInstanceCa ? new TrustFile(settings.tlsInstanceCa, log) : undefined;
   const createLinks = (group: DatabaseGroup): ReadonlyMap<string, ControlLink> =>
     new Map(
       group.instances.map((instance) => [
         instance.id,
-        new ControlLink({ instance, database: group.name, applicationName, clock }),
+        new ControlLink({ instance, database: group.name, applicationName, clock, trust }),
       ]),
     );
   const createPool = (instance: DatabaseInstance, database: string): ConnectionPool =>
-    new ConnectionPool({ instance, database, user: instanceUser, applicationName });
-  const self: Vm = { id: vm, zone, host: settings.host, peerPort: settings.peerPort ?? 0 };
-  const membership = new FixedMembership(self, settings.peers);
+    new ConnectionPool({ instance, database, user: instanceUser, applicationName, trust });
+  const membership = createMembership(settings);
   const createGroup = (group: DatabaseGroup): GroupServer => {
     const links = createLinks(group);
     const shared = { group, clock, log, metrics };
@@ -130,10 +187,9 @@
       }),
     });
   };
-  // The daemon's sources and peers need it before it exists; they call this only once started.
-  let daemon: Daemon;
-  const findDaemon = (): Daemon => daemon;
-  const spread = new Spread((configuration) => findDaemon().handleConfiguration(configuration));
+  const { drainLimitMs } = settings;
+  const host = new GroupHost({ clock, log, membership, createGroup, drainLimitMs });
+  const spread = new Spread((configuration) => host.updateConfiguration(configuration));
   const startSources = (target: Daemon): (() => void) => {
     const watcher = new PlatformWatcher({
       platform,
@@ -151,14 +207,21 @@
   };
 
   const shared = { settings, clock, log, metrics };
-  daemon = new Daemon({
+  const daemon: Daemon = new Daemon({
     ...shared,
-    peering: createPeering({ ...shared, membership, features: [spread], findDaemon }),
     computeBackoff: createBackoff(RETRY_BACKOFF, xoroshiro128plus(randomInt(MAX_SEED))),
+    peering: createPeering({
+      ...shared,
+      membership,
+      platform,
+      features: [spread],
+      host,
+    }),
     callerServer: createServer(),
     metricsServer: createHealthServer(metrics, () => daemon.isReady()),
     operatorServer: new OperatorServer({ settings, clock, log }),
-    createGroup,
+    createGate: createGates(settings, log),
+    host,
     startSources,
   });
   return daemon;
--- /dev/null
+++ b/packages/daemon/test/parsers.spec.ts
@@ -0,0 +1,196 @@
+import { expect } from 'earl';
+import fc from 'fast-check';
+import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net';
+import {
+  decodeExchange,
+  decodePing,
+  FrameReader,
+  parseBind,
+  parseColumns,
+  parseFields,
+  parsePair,
+  parseParse,
+  parsePassword,
+  parseQuery,
+  parseReady,
+  parseRow,
+  parseSaslInitial,
+  parseStartup,
+  parseTarget,
+  PEER_SERVICE,
+} from '@shallotpick/wire';
+import { InstanceConnection } from '../src/connection.js';
+import { CallerGate, type GateOptions } from '../src/gate.js';
+
+const SEED = 20_261_204;
+const LIMIT = 1_000;
+
+const bytes = fc.uint8Array({ maxLength: 64 }).map((array) => Buffer.from(array));
+
+/** Messages with a right or wrong length, and bytes that are no message. */
+const stream = fc
+  .array(
+    fc.oneof(
+      bytes,
+      fc
+        .tuple(fc.constantFrom(...'RSKZETDCpQX12'), bytes, fc.integer({ min: -1, max: 5 }))
+        .map(([type, body, error]) => {
+          const header = Buffer.from([type.charCodeAt(0), 0, 0, 0, 0]);
+          header.writeInt32BE(body.length + 4 + (error === 5 ? 1 : 0), 1);
+          return Buffer.concat([header, body]);
+        }),
+      fc
+        .tuple(fc.constantFrom(196_608, 80_877_103, 80_877_104, 80_877_102), bytes)
+        .map(([code, body]) => {
+          const header = Buffer.alloc(8);
+          header.writeInt32BE(body.length + 8, 0);
+          header.writeInt32BE(code, 4);
+          return Buffer.concat([header, body]);
+        }),
+    ),
+    { maxLength: 8 },
+  )
+  .map((parts) => Buffer.concat(parts));
+
+const tryRun = (run: () => unknown): void => {
+  try {
+    run();
+  } catch (error) {
+    expect(error instanceof Error).toEqual(true);
+  }
+};
+
+describe('parsers', () => {
+  // Guards against a message that makes a parser loop for ever or fail with no error.
+  it('end on any bytes', () => {
+    const parsers = [
+      parseBind,
+      parseColumns,
+      parseFields,
+      parsePair,
+      parseParse,
+      parsePassword,
+      parseQuery,
+      parseReady,
+      parseRow,
+      parseSaslInitial,
+      parseStartup,
+      parseTarget,
+      (body: Buffer) => decodeExchange(PEER_SERVICE.exchange.requestDeserialize(body), 0),
+      (body: Buffer) => decodePing(PEER_SERVICE.ping.requestDeserialize(body)),
+      (body: Buffer) => PEER_SERVICE.borrow.requestDeserialize(body),
+    ];
+    fc.assert(
+      fc.property(bytes, (body) => parsers.forEach((parse) => tryRun(() => parse(body)))),
+      { seed: SEED, numRuns: 500 },
+    );
+  });
+
+  // Guards against messages that depend on how the network cuts them, and a buffer over its limit.
+  it('cut the same messages from any chunks, within the limit', () => {
+    const read = (typed: boolean, chunks: readonly Buffer[]): readonly string[] => {
+      const reader = new FrameReader(typed, LIMIT);
+      const frames: string[] = [];
+      tryRun(() =>
+        chunks.forEach((chunk) => {
+          reader.add(chunk);
+          for (let frame = reader.read(); frame; frame = reader.read()) {
+            frames.push(frame.raw.toString('hex'));
+          }
+        }),
+      );
+      return frames;
+    };
+    fc.assert(
+      fc.property(fc.boolean(), stream, fc.integer({ min: 1, max: 7 }), (typed, whole, size) => {
+        const count = Math.ceil(whole.length / size);
+        const chunks = Array.from({ length: count }, (_, index) =>
+          whole.subarray(index * size, (index + 1) * size),
+        );
+        expect(read(typed, chunks)).toEqual(read(typed, [whole]));
+      }),
+      { seed: SEED, numRuns: 2_000 },
+    );
+  });
+});
+
+describe('connections', () => {
+  const servers: Server[] = [];
+
+  afterEach(() => servers.splice(0).forEach((server) => server.close()));
+
+  const listen = async (onSocket: (socket: Socket) => void): Promise<number> => {
+    const server = createServer(onSocket);
+    servers.push(server);
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    return (server.address() as AddressInfo).port;
+  };
+
+  const options: GateOptions = {
+    timeoutMs: 50,
+    files: undefined,
+    isTlsRequired: false,
+    users: undefined,
+    method: 'scram',
+  };
+
+  /** Sends bytes to a gate and waits for its end; returns what came back. */
+  const sendToGate = async (port: number, sent: Buffer): Promise<Buffer> =>
+    new Promise((resolve) => {
+      const received: Buffer[] = [];
+      const socket = connect(port, '127.0.0.1', () => socket.write(sent));
+      socket.on('data', (chunk) => received.push(chunk)).on('error', () => undefined);
+      socket.on('close', () => resolve(Buffer.concat(received)));
+    });
+
+  // Guards against bytes of a caller that crash the daemon or hold a socket for ever.
+  it('of callers end on any bytes before the startup', async () => {
+    const port = await listen((socket) => {
+      new CallerGate(socket, options)
+        .open()
+        .then((ready) => ready?.destroy())
+        .catch(() => socket.destroy());
+    });
+    await fc.assert(
+      fc.asyncProperty(stream, async (sent) => {
+        await sendToGate(port, sent);
+      }),
+      { seed: SEED, numRuns: 100 },
+    );
+  });
+
+  // Guards against an oversized startup that is collected, or refused without a reason.
+  it('of callers are refused with a reason', async () => {
+    const port = await listen((socket) => {
+      new CallerGate(socket, options).open().catch(() => socket.destroy());
+    });
+    const oversized = await sendToGate(port, Buffer.from([0x7f, 0xff, 0xff, 0xff, 0, 3, 0, 0]));
+    expect(oversized.toString()).toMatchRegex(/C08P01.*outside 4 to 10000 bytes/s);
+    const silent = await sendToGate(port, Buffer.from([0]));
+    expect(silent.toString()).toMatchRegex(/no complete startup in time/);
+  });
+
+  // Guards against an instance whose bytes crash the daemon or leave a request without an end.
+  it('to instances end on any bytes', async () => {
+    let answer = Buffer.alloc(0);
+    const port = await listen((socket) => {
+      socket.on('error', () => undefined).resume();
+      socket.end(answer);
+    });
+    const slots = { slots: 1, connectionLimit: 1 };
+    const instance = { id: 'i', zone: 'z', host: '127.0.0.1', port, ...slots };
+    await fc.assert(
+      fc.asyncProperty(stream, async (sent) => {
+        answer = Buffer.from(sent);
+        const names = { database: 'd', user: 'u', applicationName: 'a' };
+        await InstanceConnection.open({ instance, ...names, timeoutMs: 500 }).then(
+          (connection) => connection.close(),
+          (error: unknown) => expect(error instanceof Error).toEqual(true),
+        );
+      }),
+      { seed: SEED, numRuns: 200 },
+    );
+  });
+});
--- a/packages/daemon/test/peers.spec.ts
+++ b/packages/daemon/test/peers.spec.ts
@@ -1,7 +1,10 @@
 import { expect } from 'earl';
+import fc from 'fast-check';
 import { copyFile } from 'node:fs/promises';
+import { connect } from 'node:net';
 import { ChannelCredentials } from '@grpc/grpc-js';
 import { ExchangeFeature, type Millis, type PeerExchange, type Vm } from '@shallotpick/core';
+import { type Authority, createAuthority } from '@shallotpick/standin';
 import { SystemClock } from '../src/clock.js';
 import { createLog } from '../src/log.js';
 import { Metrics } from '../src/metrics.js';
@@ -9,9 +12,9 @@
 import { PeerHub } from '../src/peers.js';
 import { PeerServer } from '../src/peerserver.js';
 import { CertificateFiles, type CertificatePaths, createPeerCredentials } from '../src/tls.js';
-import { type Authority, createAuthority } from './certificates.js';
 
 const PEER_NAME = 'shallotpick-peer';
+const NOTHING = { members: [], digest: 0 };
 const clock = new SystemClock();
 const metrics = new Metrics();
 const log = createLog('debug', 'test');
@@ -67,10 +70,14 @@
     findVm: () => undefined,
     readNoteNumber: () => 7,
     hasNews: () => false,
-    handlePing: () => [],
   });
   const credentials = serverCredentials;
-  const server = new PeerServer({ self: id, clock, log, credentials, peerName, handler: hub });
+  const handler = {
+    handlePing: () => NOTHING,
+    handleExchange: (message: PeerExchange) => hub.handleExchange(message),
+    handleBorrow: () => Promise.reject(new Error('not lent')),
+  };
+  const server = new PeerServer({ self: id, clock, log, credentials, peerName, handler });
   const peerPort = await server.start('127.0.0.1', 0);
   const stop = (): void => {
     hub.stop();
@@ -126,7 +133,7 @@
     const read = async (paths: CertificatePaths): Promise<ChannelCredentials> =>
       createPeerCredentials(new CertificateFiles(paths, log)).channel;
     const peer = createStranger(vm, await read(await authority.issue('peer', PEER_NAME)));
-    expect(await peer.ping([])).toEqual([]);
+    expect((await peer.ping(NOTHING)).members).toEqual([]);
     peer.close();
     const foreign = await other.issue('foreign', PEER_NAME);
     const { ca } = await authority.issue('unused', PEER_NAME);
@@ -136,11 +143,32 @@
       createStranger(vm, await read(await authority.issue('caller', 'callers'))),
     ];
     for (const link of links) {
-      await expect(link.ping([])).toBeRejectedWith('vm-a did not answer a ping');
+      await expect(link.ping(NOTHING)).toBeRejectedWith('vm-a did not answer a ping');
       link.close();
     }
   });
 
+  // Guards against bytes on the peer port that stop the server for everybody.
+  it('goes on serving peers after any bytes on its port', async () => {
+    const a = await start('vm-a', undefined);
+    const preface = Buffer.from('PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n');
+    const send = async (sent: Buffer): Promise<void> =>
+      new Promise((resolve) => {
+        const socket = connect(a.vm.peerPort, '127.0.0.1', () => socket.end(sent));
+        socket.on('error', () => undefined).resume();
+        socket.on('close', () => resolve());
+      });
+    await fc.assert(
+      fc.asyncProperty(fc.boolean(), fc.uint8Array({ maxLength: 200 }), async (isHttp, bytes) => {
+        await send(Buffer.concat([isHttp ? preface : Buffer.alloc(0), bytes]));
+      }),
+      { seed: 20_261_204, numRuns: 100 },
+    );
+    const link = createStranger(a.vm, ChannelCredentials.createInsecure());
+    expect((await link.ping(NOTHING)).members).toEqual([]);
+    link.close();
+  });
+
   // Guards against a daemon that must restart when its certificates are replaced.
   it('takes over replaced certificate files', async () => {
     const served = await authority.issue('served', PEER_NAME);
@@ -148,18 +176,18 @@
     const replacement = await other.issue('replacement', PEER_NAME);
     const { channel } = createPeerCredentials(new CertificateFiles(replacement, log));
     const early = createStranger(vm, channel);
-    await expect(early.ping([])).toBeRejected();
+    await expect(early.ping(NOTHING)).toBeRejected();
     early.close();
     await copyFile(replacement.key, served.key);
     await files?.load();
     const half = createStranger(vm, channel);
-    await expect(half.ping([])).toBeRejected();
+    await expect(half.ping(NOTHING)).toBeRejected();
     half.close();
     await copyFile(replacement.cert, served.cert);
     await copyFile(replacement.ca, served.ca);
     await files?.load();
     const late = createStranger(vm, channel);
-    expect(await late.ping([])).toEqual([]);
+    expect((await late.ping(NOTHING)).members).toEqual([]);
     late.close();
   });
 });
