Measure failover beside the naive version

Cause: the measure command had no failover scenario. Change: three rounds a group fit both versions in a minute; naive proxies have zones, so that partitions reach them too.

--- a/packages/bench/src/failover.ts
+++ b/packages/bench/src/failover.ts
@@ -143,9 +143,9 @@
     });
   }
 
-  async run(first: number, random: () => number): Promise<void> {
+  async run(first: number, rounds: number, random: () => number): Promise<void> {
     this.writers.forEach((writer) => writer.start());
-    for (let round = 0; round < ROUNDS; round++) {
+    for (let round = 0; round < rounds; round++) {
       await sleep(SETTLE_MS + random() * 50);
       await this.runRound(CAUSES[(first + round) % CAUSES.length] ?? 'crash');
     }
@@ -193,6 +193,7 @@
   profile: Profile,
   seed: number,
   create: CreateDeployment = createCluster,
+  rounds: number = ROUNDS,
 ): Promise<readonly GroupRun[]> {
   const deployment = await create({ profile, statementCostMs: STATEMENT_COST_MS });
   const random = createRandom(seed);
@@ -200,7 +201,7 @@
     (group) => new GroupRun(deployment, group, profile.zones, seed),
   );
   try {
-    await Promise.all(runs.map((run, index) => run.run(index, () => random.next())));
+    await Promise.all(runs.map((run, index) => run.run(index, rounds, () => random.next())));
     return runs;
   } finally {
     await deployment.stop();
@@ -215,8 +216,9 @@
   profile: Profile,
   seed: number,
   create: CreateDeployment = createCluster,
+  rounds: number = ROUNDS,
 ): Promise<FailoverFigures> {
-  const runs = await runFailovers(profile, seed, create);
+  const runs = await runFailovers(profile, seed, create, rounds);
   const gaps = runs.flatMap((run) => run.gaps.map(({ gapMs }) => gapMs));
   const sum = (count: (run: GroupRun) => number): number =>
     runs.reduce((total, run) => total + count(run), 0);
--- a/packages/bench/src/measure.ts
+++ b/packages/bench/src/measure.ts
@@ -2,6 +2,7 @@
 import { parseArgs } from 'node:util';
 import { z } from 'zod';
 import { createCluster, type CreateDeployment } from './cluster.js';
+import { measureFailover } from './failover.js';
 import { createNaive } from './naive.js';
 import { type Profile, PROFILES } from './profile.js';
 import { measureReads } from './reads.js';
@@ -10,7 +11,11 @@
 
 type Measure = (create: CreateDeployment, profile: Profile, seed: number) => Promise<object>;
 
+/** Rounds that fit both versions in a minute: each cause once in each group. */
+const FAILOVER_ROUNDS = 3;
+
 const SCENARIOS: Readonly<Record<string, Measure>> = {
+  failover: (create, profile, seed) => measureFailover(profile, seed, create, FAILOVER_ROUNDS),
   reads: measureReads,
   roaming: measureRoaming,
 };
--- a/packages/bench/src/naive.ts
+++ b/packages/bench/src/naive.ts
@@ -10,7 +10,7 @@
 } from '@shallotpick/daemon';
 import { encodeError, encodeReady, type ErrorFields, type Frame } from '@shallotpick/wire';
 import { type ClusterOptions, type Deployment, type Proxy, startGroups } from './cluster.js';
-import { NAIVE_APPLICATION, NaiveGroup } from './naivegroup.js';
+import { formatNaiveName, NaiveGroup } from './naivegroup.js';
 
 const DRAIN_POLL_MS: Millis = 10;
 
@@ -150,7 +150,11 @@
 
   private readonly pools = new Map<string, ConnectionPool>();
 
-  constructor(groups: readonly NaiveGroup[], share: number) {
+  constructor(
+    groups: readonly NaiveGroup[],
+    share: number,
+    private readonly zone: string,
+  ) {
     groups.forEach((group) => {
       const { name } = group.group.options;
       const findPool = (instance: DatabaseInstance): ConnectionPool =>
@@ -191,7 +195,7 @@
       instance,
       database,
       user: 'shallotpick',
-      applicationName: NAIVE_APPLICATION,
+      applicationName: formatNaiveName(this.zone),
     });
     this.pools.set(instance.id, pool);
     return pool;
@@ -208,11 +212,15 @@
 /** Starts stand-ins and naive proxies that share each primary's connections evenly. */
 export async function createNaive(options: ClusterOptions): Promise<Deployment> {
   const { profile, statementCostMs } = options;
+  const { zones } = profile;
   const groups = await startGroups(profile, statementCostMs);
-  const watched = groups.map((group) => new NaiveGroup(group));
+  const watched = groups.map((group) => new NaiveGroup(group, zones[0] ?? ''));
   const count = options.proxies ?? profile.proxies;
   const share = Math.max(1, Math.floor(profile.connectionLimit / count));
-  const daemons = Array.from({ length: count }, () => new NaiveProxy(watched, share));
+  const daemons = Array.from(
+    { length: count },
+    (_, index) => new NaiveProxy(watched, share, zones[index % zones.length] ?? ''),
+  );
   await Promise.all(daemons.map((daemon) => daemon.start()));
   const stop = async (): Promise<void> => {
     daemons.forEach((daemon) => daemon.stop());
--- a/packages/bench/src/naivegroup.ts
+++ b/packages/bench/src/naivegroup.ts
@@ -6,8 +6,10 @@
 const FAILOVER_TIMEOUT_MS: Millis = 5_000;
 const PROBE_INTERVAL_MS: Millis = 500;
 
-/** Application name of the naive version's connections. */
-export const NAIVE_APPLICATION = 'naive/naive/naive';
+/** Application name of a naive proxy's connections; its zone is subject to partitions. */
+export function formatNaiveName(zone: string): string {
+  return `naive/naive/${zone}`;
+}
 
 /** Watches one group's primary and promotes a replica after a fixed time-out, without a fence. */
 export class NaiveGroup {
@@ -21,7 +23,10 @@
 
   private readonly timer: NodeJS.Timeout;
 
-  constructor(readonly group: StandinGroup) {
+  constructor(
+    readonly group: StandinGroup,
+    zone: string,
+  ) {
     const { instances, name } = group.toDatabaseGroup();
     const [first] = instances;
     if (!first) throw new Error('a group needs an instance');
@@ -30,7 +35,12 @@
     this.links = new Map(
       instances.map((instance) => [
         instance.id,
-        new ControlLink({ instance, database: name, applicationName: NAIVE_APPLICATION, clock }),
+        new ControlLink({
+          instance,
+          database: name,
+          applicationName: formatNaiveName(zone),
+          clock,
+        }),
       ]),
     );
     this.timer = setInterval(() => {
