Measure failovers with the exchange between daemons

Cause: the daemons of the measurement exchanged no observations, so a cut of one zone replaced a primary that the others reached.

Change: createCluster connects its daemons as peers on request, and measureFailover does so; a primary that changes between rounds counts as a needless failover.

--- a/packages/bench/src/cluster.ts
+++ b/packages/bench/src/cluster.ts
@@ -1,3 +1,5 @@
+import { once } from 'node:events';
+import { type AddressInfo, createServer } from 'node:net';
 import { formatGroupKey, formatNoteKey } from '@shallotpick/core';
 import { createDaemon, type Daemon, loadSettings } from '@shallotpick/daemon';
 import { StandinGroup, StandinPlatform } from '@shallotpick/standin';
@@ -10,6 +12,8 @@
   /** Number of daemons; the profile's own by default. */
   readonly proxies?: number;
   readonly statementCostMs: number;
+  /** Whether the daemons exchange what they see, as those of a deployment do. */
+  readonly hasPeers?: boolean;
   /** More settings of each daemon, as environment variables. */
   readonly environment?: Readonly<Record<string, string>>;
 }
@@ -46,7 +50,33 @@
   }
 }
 
-function createProxy(options: ClusterOptions, platformUrl: string, index: number): Daemon {
+/** Ports that were free a moment ago. */
+async function findFreePorts(count: number): Promise<readonly number[]> {
+  const servers = Array.from({ length: count }, () => createServer().listen(0, '127.0.0.1'));
+  await Promise.all(servers.map((server) => once(server, 'listening')));
+  const ports = servers.map((server) => (server.address() as AddressInfo).port);
+  servers.forEach((server) => server.close());
+  return ports;
+}
+
+function listPeerSettings(
+  ports: readonly number[],
+  zones: readonly string[],
+  index: number,
+): Readonly<Record<string, string>> {
+  const peers = ports
+    .map((port, other) => `vm-${other + 1}@${zones[other % zones.length]}@127.0.0.1:${port}`)
+    .filter((_, other) => other !== index);
+  if (peers.length === 0) return {};
+  return { SHALLOTPICK_PEER_PORT: String(ports[index]), SHALLOTPICK_PEERS: peers.join(',') };
+}
+
+function createProxy(
+  options: ClusterOptions,
+  platformUrl: string,
+  ports: readonly number[],
+  index: number,
+): Daemon {
   const { zones } = options.profile;
   return createDaemon(
     loadSettings([], {
@@ -56,6 +86,7 @@
       SHALLOTPICK_CALLER_PORT: '0',
       SHALLOTPICK_METRICS_PORT: '0',
       SHALLOTPICK_LOG_LEVEL: 'error',
+      ...listPeerSettings(ports, zones, index),
       ...options.environment,
     }),
   );
@@ -84,8 +115,10 @@
   });
   const note = createFirstNote(groups.map((group) => group.toDatabaseGroup()));
   platform.set(formatNoteKey(1), JSON.stringify(note));
-  const daemons = Array.from({ length: options.proxies ?? profile.proxies }, (_, index) =>
-    createProxy(options, platformUrl, index),
+  const count = options.proxies ?? profile.proxies;
+  const ports = await findFreePorts(options.hasPeers ? count : 0);
+  const daemons = Array.from({ length: count }, (_, index) =>
+    createProxy(options, platformUrl, ports, index),
   );
   await Promise.all(daemons.map((daemon) => daemon.start()));
   await Promise.all(daemons.map(waitUntilReady));
--- a/packages/bench/src/failover.ts
+++ b/packages/bench/src/failover.ts
@@ -112,6 +112,13 @@
 
 const readTerm = (group: StandinGroup): number => group.findPrimary()?.fenceTerm ?? 0;
 
+async function waitForPrimary(group: StandinGroup): Promise<StandinInstance> {
+  for (let primary = group.findPrimary(); ; primary = group.findPrimary()) {
+    if (primary) return primary;
+    await sleep(1);
+  }
+}
+
 /** Cuts a healthy primary off from one zone, which must not replace it; counts replacements. */
 async function countNeedless(group: StandinGroup, zones: readonly string[]): Promise<number> {
   const primary = group.findPrimary();
@@ -128,6 +135,9 @@
 
   needless = 0;
 
+  /** Term of the primary that the last round ended with. */
+  private settledTerm = 0;
+
   private readonly writers: readonly Writer[];
 
   constructor(
@@ -168,9 +178,10 @@
 
   private async runRound(cause: (typeof CAUSES)[number]): Promise<void> {
     const { group, zones, writers } = this;
-    const lost = group.findPrimary();
-    if (!lost) throw new Error('the group has no primary');
+    const lost = await waitForPrimary(group);
     const term = readTerm(group);
+    // The primary changed since the last round, although nothing was wrong with it.
+    if (this.settledTerm > 0 && term !== this.settledTerm) this.needless += 1;
     const lostAt = performance.now();
     await runLoss(group, lost, cause, zones);
     const listGaps = (): readonly (number | undefined)[] =>
@@ -184,6 +195,7 @@
       ({ role, fenceTerm }) => role === 'primary' && fenceTerm > term,
     ).length;
     this.needless += Math.max(0, wasReplacedAgain - 1);
+    this.settledTerm = readTerm(group);
     await repair(group, lost);
   }
 }
@@ -194,7 +206,11 @@
   seed: number,
   create: CreateDeployment = createCluster,
 ): Promise<readonly GroupRun[]> {
-  const deployment = await create({ profile, statementCostMs: STATEMENT_COST_MS });
+  const deployment = await create({
+    profile,
+    statementCostMs: STATEMENT_COST_MS,
+    hasPeers: true,
+  });
   const random = createRandom(seed);
   const runs = deployment.groups.map(
     (group) => new GroupRun(deployment, group, profile.zones, seed),
