Lend connections, concurrency and long permits between daemons

Cause: each proxy used an instance's full slots and opened as many connections as it liked, so four proxies together passed the limits, long work could take every slot, and dispatch scanned the whole queue. Change: a lender per instance (rendezvous rank) divides connections, concurrency and long permits; holders keep their last grants. Requests echo the number of the last grant, so that a late or reordered message never lowers what the lender counts. Costs are learned per statement shape. The queue keeps lanes with callers in turn, refuses early, and lets idle transactions leave their slot. Connections are opened ahead and kept. The caller key is user and address instead of the connection.

--- a/packages/bench/src/slopes.ts
+++ b/packages/bench/src/slopes.ts
@@ -212,6 +212,7 @@
     statuses,
     findAge: () => 5,
     findExpectedWait: () => 1,
+    typicalCostMs: 1,
   };
   const router = new Router('zone-0');
   const contract = { ...DEFAULT_CONTRACT, maxAgeMs: 2_000 };
--- a/packages/core/src/admission.ts
+++ b/packages/core/src/admission.ts
@@ -1,20 +1,21 @@
 import type { Millis } from './clock.js';
+import { Lane, type Work } from './lane.js';
 import type { Route } from './router.js';
 
-/** A piece of work that waits for a slot of an instance. */
-export interface Work {
-  readonly id: number;
-  /** Work of different callers is admitted in turn. */
-  readonly caller: string;
-  readonly length: 'short' | 'long';
-  readonly deadline: Millis;
-}
+/** Heads of a lane that are tried in one dispatch before the lane counts as blocked. */
+const MAX_MISSES = 8;
+/** Part of the queue that long work may fill. */
+const LONG_QUEUE_SHARE = 0.25;
+/** Work is refused early only when the estimate passes its deadline by this factor. */
+const REFUSE_MARGIN = 1.2;
 
 /** How much of an instance this proxy may use now. */
 export interface Capacity {
-  /** Statements at the same time. */
+  /** Works that hold a connection at the same time. */
+  readonly connections: number;
+  /** Short statements at the same time. */
   readonly concurrency: number;
-  /** How many of them may be long. */
+  /** Long statements at the same time. */
   readonly longPermits: number;
 }
 
@@ -27,9 +28,11 @@
     }
   | { readonly kind: 'refuse'; readonly work: Work; readonly reason: string };
 
+/** Running statements by length, and connections held, idle transactions included. */
 interface Load {
   short: number;
   long: number;
+  connections: number;
 }
 
 export interface AdmissionOptions {
@@ -39,108 +42,225 @@
   readonly findRoute: (work: Work, now: Millis) => Route;
 }
 
-const NO_CAPACITY: Capacity = { concurrency: 0, longPermits: 0 };
+const NO_CAPACITY: Capacity = { connections: 0, concurrency: 0, longPermits: 0 };
 
 /** The bounded queue before the instances of one group, fair between callers. */
 export class AdmissionQueue {
-  private readonly queues = new Map<string, Work[]>();
+  private readonly lanes = new Map<string, Lane>();
 
   private readonly capacities = new Map<string, Capacity>();
 
   private readonly loads = new Map<string, Load>();
 
+  /** Virtual time of each caller with queued work: the turn of its last start. */
+  private readonly turns = new Map<string, number>();
+
+  private readonly waiting = new Map<string, number>();
+
+  private turn = 0;
+
   private queued = 0;
 
+  private longQueued = 0;
+
   constructor(private readonly options: AdmissionOptions) {}
 
   /** Number of works that wait. */
-  countQueued(): number {
-    return this.queued;
+  countQueued(length?: Work['length']): number {
+    if (length === undefined) return this.queued;
+    return length === 'long' ? this.longQueued : this.queued - this.longQueued;
   }
 
-  /** Number of works that run on the instance. */
-  countRunning(instance: string): number {
+  /** Number of statements that run on the instance. */
+  countRunning(instance: string, length?: Work['length']): number {
     const load = this.loads.get(instance);
-    return load ? load.short + load.long : 0;
+    if (!load) return 0;
+    return length ? load[length] : load.short + load.long;
+  }
+
+  /** Number of connections that work holds on the instance. */
+  countConnections(instance: string): number {
+    return this.loads.get(instance)?.connections ?? 0;
+  }
+
+  /** True when short work could start on the instance now. */
+  hasShortRoom(instance: string): boolean {
+    return this.hasRoom(instance, 'short');
   }
 
   updateCapacity(instance: string, capacity: Capacity, now: Millis): readonly AdmissionDecision[] {
+    const before = this.capacities.get(instance);
     this.capacities.set(instance, capacity);
-    return this.dispatch(now);
+    const isSame =
+      before?.connections === capacity.connections &&
+      before.concurrency === capacity.concurrency &&
+      before.longPermits === capacity.longPermits;
+    return isSame ? [] : this.dispatch(now);
   }
 
   add(work: Work, now: Millis): readonly AdmissionDecision[] {
-    if (this.queued >= this.options.maxQueued) {
-      return [{ kind: 'refuse', work, reason: 'the queue is full' }];
-    }
-    const queue = this.queues.get(work.caller);
-    if (queue) queue.push(work);
-    else this.queues.set(work.caller, [work]);
-    this.queued += 1;
-    return this.dispatch(now);
+    const lane = this.findLane(work);
+    const refusal = this.findRefusal(work, lane, now);
+    if (refusal) return [{ kind: 'refuse', work, reason: refusal }];
+    const evicted = this.queued >= this.options.maxQueued ? lane.findSurplus() : undefined;
+    if (evicted) this.remove(evicted);
+    if (!this.turns.has(work.caller)) this.turns.set(work.caller, this.turn);
+    lane.add(work);
+    this.count(work, 1);
+    const reason = 'the queue is full and the caller has most in it';
+    const refused = evicted ? [{ kind: 'refuse' as const, work: evicted, reason }] : [];
+    return [...refused, ...this.dispatch(now)];
   }
 
   /** Withdraws work that still waits; true when it had not started. */
   remove(work: Work): boolean {
-    const queue = this.queues.get(work.caller);
-    const index = queue?.indexOf(work) ?? -1;
-    if (!queue || index < 0) return false;
-    queue.splice(index, 1);
-    if (queue.length === 0) this.queues.delete(work.caller);
-    this.queued -= 1;
-    return true;
+    const isRemoved = this.findLane(work).remove(work);
+    if (isRemoved) this.count(work, -1);
+    return isRemoved;
+  }
+
+  /** The work gives up its connection. `isIdle` tells that its statement had ended before. */
+  handleDone(
+    instance: string,
+    work: Work,
+    now: Millis,
+    isIdle = false,
+  ): readonly AdmissionDecision[] {
+    const load = this.loads.get(instance);
+    if (load) {
+      load.connections -= 1;
+      if (!isIdle) load[work.length] -= 1;
+    }
+    return this.dispatch(now);
   }
 
-  handleDone(instance: string, work: Work, now: Millis): readonly AdmissionDecision[] {
+  /** A transaction keeps its connection and leaves its slot between statements. */
+  handleIdle(instance: string, work: Work, now: Millis): readonly AdmissionDecision[] {
     const load = this.loads.get(instance);
     if (load) load[work.length] -= 1;
     return this.dispatch(now);
   }
 
+  /** The next statement of a transaction runs at once, since others may wait for its locks. */
+  handleBusy(instance: string, work: Work): void {
+    const load = this.loads.get(instance);
+    if (load) load[work.length] += 1;
+  }
+
   handleTick(now: Millis): readonly AdmissionDecision[] {
-    const expired: AdmissionDecision[] = [];
-    for (const queue of [...this.queues.values()]) {
-      for (const work of queue.filter(({ deadline }) => deadline <= now)) {
-        this.remove(work);
-        expired.push({ kind: 'refuse', work, reason: 'the deadline passed in the queue' });
-      }
+    const expired = [...this.lanes.values()].flatMap((lane) => lane.listExpired(now));
+    expired.forEach((work) => this.remove(work));
+    this.lanes.forEach((lane, key) => {
+      // Lanes carry contract names, which change over the life of a daemon.
+      if (lane.countQueued() === 0) this.lanes.delete(key);
+    });
+    const reason = 'the deadline passed in the queue';
+    return [
+      ...expired.map((work) => ({ kind: 'refuse' as const, work, reason })),
+      ...this.dispatch(now),
+    ];
+  }
+
+  private findLane(work: Work): Lane {
+    const key = `${work.length}|${work.lane ?? ''}`;
+    const known = this.lanes.get(key);
+    if (known) return known;
+    const lane = new Lane();
+    this.lanes.set(key, lane);
+    return lane;
+  }
+
+  private count(work: Work, change: number): void {
+    this.queued += change;
+    if (work.length === 'long') this.longQueued += change;
+    const waiting = (this.waiting.get(work.caller) ?? 0) + change;
+    if (waiting > 0) {
+      this.waiting.set(work.caller, waiting);
+      return;
+    }
+    this.waiting.delete(work.caller);
+    this.turns.delete(work.caller);
+  }
+
+  private findRefusal(work: Work, lane: Lane, now: Millis): string | undefined {
+    const { maxQueued } = this.options;
+    if (work.length === 'long' && this.longQueued >= maxQueued * LONG_QUEUE_SHARE) {
+      return 'the queue is full of long work';
     }
-    return [...expired, ...this.dispatch(now)];
+    if (this.queued >= maxQueued) {
+      const fair = maxQueued / Math.max(1, this.waiting.size);
+      const isSurplus = (this.waiting.get(work.caller) ?? 0) >= fair;
+      if (isSurplus || lane.countQueued() === 0) return 'the queue is full';
+    }
+    const wait = lane.findExpectedWait(work.caller, now);
+    const isLate = wait !== undefined && wait > REFUSE_MARGIN * (work.deadline - now);
+    return isLate ? 'the expected wait passes the deadline' : undefined;
   }
 
   private dispatch(now: Millis): readonly AdmissionDecision[] {
     const started: AdmissionDecision[] = [];
-    for (const [caller, queue] of [...this.queues]) {
-      const decision = this.startFirst(queue, now);
-      if (!decision) continue;
-      started.push(decision);
-      // Moves the caller to the end, so that callers take turns.
-      this.queues.delete(caller);
-      if (queue.length > 0) this.queues.set(caller, queue);
+    const open = new Set([...this.lanes.values()].filter((lane) => lane.countQueued() > 0));
+    while (open.size > 0) {
+      const lane = this.chooseLane(open);
+      const decision = this.startNext(lane, now);
+      if (decision) started.push(decision);
+      if (!decision || lane.countQueued() === 0) open.delete(lane);
     }
-    return started.length > 0 ? [...started, ...this.dispatch(now)] : started;
+    return started;
+  }
+
+  /** The lane whose first caller has had the fewest turns. */
+  private chooseLane(open: ReadonlySet<Lane>): Lane {
+    const findTurn = (lane: Lane): number => this.turns.get(lane.findFirst()?.caller ?? '') ?? 0;
+    return [...open].reduce((best, next) => (findTurn(next) < findTurn(best) ? next : best));
   }
 
-  private startFirst(queue: Work[], now: Millis): AdmissionDecision | undefined {
-    for (const work of queue) {
+  private startNext(lane: Lane, now: Millis): AdmissionDecision | undefined {
+    const tries = Math.min(MAX_MISSES, lane.countCallers());
+    for (let miss = 0; miss < tries; miss++) {
+      const work = lane.findFirst();
+      if (!work) return undefined;
       const route = this.options.findRoute(work, now);
-      if (route.kind === 'wait') continue;
-      const instance = route.instances.find((id) => this.hasRoom(id, work));
-      if (!instance) continue;
-      queue.splice(queue.indexOf(work), 1);
-      this.queued -= 1;
-      const load = this.loads.get(instance) ?? { short: 0, long: 0 };
-      load[work.length] += 1;
-      this.loads.set(instance, load);
-      return { kind: 'start', work, instance, reason: route.reason };
+      const instance =
+        route.kind === 'instances'
+          ? route.instances.find((id) => this.hasRoom(id, work.length))
+          : undefined;
+      if (instance !== undefined) return this.startWork(lane, work, instance, route.reason, now);
+      // The lane goes on with the next caller at the next dispatch, so that none is passed over.
+      lane.rotate(work.caller);
     }
     return undefined;
   }
 
-  private hasRoom(instance: string, work: Work): boolean {
+  private startWork(
+    lane: Lane,
+    work: Work,
+    instance: string,
+    reason: string,
+    now: Millis,
+  ): AdmissionDecision {
+    lane.handleStart(now);
+    this.turn = Math.max(this.turn, this.turns.get(work.caller) ?? 0);
+    this.turns.set(work.caller, this.turn + 1);
+    lane.remove(work);
+    lane.rotate(work.caller);
+    this.count(work, -1);
+    const load = this.loads.get(instance) ?? { short: 0, long: 0, connections: 0 };
+    load[work.length] += 1;
+    load.connections += 1;
+    this.loads.set(instance, load);
+    return { kind: 'start', work, instance, reason };
+  }
+
+  private hasRoom(instance: string, length: Work['length']): boolean {
     const capacity = this.capacities.get(instance) ?? NO_CAPACITY;
-    const load = this.loads.get(instance) ?? { short: 0, long: 0 };
-    if (load.short + load.long >= capacity.concurrency) return false;
-    return work.length === 'short' || load.long < capacity.longPermits;
+    const load = this.loads.get(instance) ?? { short: 0, long: 0, connections: 0 };
+    if (length === 'short') {
+      return load.connections < capacity.connections && load.short < capacity.concurrency;
+    }
+    // Long work leaves one connection to short work, unless there is only one.
+    const connections = Math.max(1, capacity.connections - 1);
+    const hasConnection = capacity.connections > 0 && load.connections < connections;
+    return hasConnection && load.long < capacity.longPermits;
   }
 }
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -22,8 +22,15 @@
 export type { LogPosition } from './position.js';
 export { classifyStatement, classifyStatements } from './statement.js';
 export type { Statement, StatementKind } from './statement.js';
+export { computeCostKey, CostBook, formatShape } from './cost.js';
+export { computeLimits, PAUSE_MS, QuotaHolder, RECLAIM_MS, RENEW_WITHIN_MS } from './quota.js';
+export type { HolderOptions, QuotaLimits } from './quota.js';
+export { QuotaLender } from './lender.js';
+export { divideShares, EMPTY_SHARES, mapShares, SHARE_NAMES } from './share.js';
+export type { Claim, ShareName, Shares } from './share.js';
 export { AdmissionQueue } from './admission.js';
-export type { AdmissionDecision, AdmissionOptions, Capacity, Work } from './admission.js';
+export type { AdmissionDecision, AdmissionOptions, Capacity } from './admission.js';
+export type { Work } from './lane.js';
 export { FailoverCoordinator } from './failover.js';
 export { FenceTally } from './tally.js';
 export type {
--- a/packages/core/src/peer.ts
+++ b/packages/core/src/peer.ts
@@ -45,6 +45,8 @@
   readonly wantedConcurrency: number;
   readonly heldLongPermits: number;
   readonly wantedLongPermits: number;
+  /** Number of the last grant taken over from this lender; 0 when there is none. */
+  readonly echo: number;
 }
 
 /** The lender's answer; it replaces the grant before it. */
@@ -54,6 +56,8 @@
   readonly connections: number;
   readonly concurrency: number;
   readonly longPermits: number;
+  /** Rises with each grant of a lender. */
+  readonly number: number;
   /** The holder asks again within this time; the lender takes the share back much later. */
   readonly renewWithinMs: Millis;
 }
--- a/packages/core/src/router.ts
+++ b/packages/core/src/router.ts
@@ -11,8 +11,10 @@
   readonly statuses: ReadonlyMap<string, InstanceStatus>;
   /** Upper bound on the age of an instance's data; undefined when unknown. */
   findAge(instance: string, now: Millis): Millis | undefined;
-  /** Expected wait for a free slot of the instance. */
+  /** Expected wait for a free slot of the instance: learned cost times queue. */
   findExpectedWait(instance: string): Millis;
+  /** Cost of a typical statement; a read waits this long for a replica before it costs a write. */
+  readonly typicalCostMs: Millis;
 }
 
 export interface RouteRequest {
@@ -48,10 +50,27 @@
       return this.routeToPrimary(request, view, primary);
     }
     const replicas = this.findFreshReplicas(request, view, primary, now);
-    const instances =
-      primary && this.hasFloor(view, primary, request.floor) ? [...replicas, primary] : replicas;
-    if (instances.length === 0) return { kind: 'wait', reason: 'no instance is fresh enough' };
-    return { kind: 'instances', instances, reason: replicas.length > 0 ? 'replica' : 'fallback' };
+    const hasPrimary = primary !== undefined && this.hasFloor(view, primary, request.floor);
+    if (replicas.length === 0 && !hasPrimary) {
+      return { kind: 'wait', reason: 'no instance is fresh enough' };
+    }
+    if (!hasPrimary) return { kind: 'instances', instances: replicas, reason: 'replica' };
+    if (replicas.length === 0) {
+      return { kind: 'instances', instances: [primary], reason: 'no replica is fresh enough' };
+    }
+    const isSooner = this.findLeastWait(replicas, view) > this.findPrimaryWait(primary, view);
+    // Only writes need the primary, so a read takes it when no replica is expected as soon.
+    if (!isSooner) return { kind: 'instances', instances: replicas, reason: 'replica' };
+    const reason = 'replica, or the primary when it is free first';
+    return { kind: 'instances', instances: [...replicas, primary], reason };
+  }
+
+  private findLeastWait(instances: readonly string[], view: GroupView): Millis {
+    return Math.min(...instances.map((id) => view.findExpectedWait(id)));
+  }
+
+  private findPrimaryWait(primary: string, view: GroupView): Millis {
+    return view.findExpectedWait(primary) + view.typicalCostMs;
   }
 
   private routeToPrimary(
@@ -89,8 +108,10 @@
   }
 
   private compareInstances(a: DatabaseInstance, b: DatabaseInstance, view: GroupView): number {
-    const wait = view.findExpectedWait(a.id) - view.findExpectedWait(b.id);
     const near = Number(b.zone === this.zone) - Number(a.zone === this.zone);
-    return wait || near || a.id.localeCompare(b.id);
+    const wait = view.findExpectedWait(a.id) - view.findExpectedWait(b.id);
+    // Within one typical statement the distance decides.
+    const isClose = Math.abs(wait) < view.typicalCostMs;
+    return (isClose && near ? near : wait || near) || a.id.localeCompare(b.id);
   }
 }
--- a/packages/daemon/src/alone.ts
+++ b/packages/daemon/src/alone.ts
@@ -103,10 +103,11 @@
   ): Promise<Lease | undefined> {
     const { context, contract } = this;
     const { group, options } = context;
-    const caller = String(options.caller.processId);
+    // One user on one host counts as one caller, however many sessions it opens.
+    const caller = `${context.user}@${options.caller.address}`;
     if (!group || context.isClosed) return undefined;
     const admission = this.findFloor(group, deadline).then((floor) =>
-      group.admit({ kind, contract, floor, caller, deadline }),
+      group.admit({ kind, contract, floor, caller, deadline, statement: this.readStatement() }),
     );
     const interruption = new Promise<'cancelled' | 'closed'>((resolve) => {
       context.interrupt = resolve;
@@ -125,6 +126,12 @@
     return undefined;
   }
 
+  /** The text by which the cost is learned; a transaction has none before its end. */
+  private readStatement(): string | undefined {
+    const { begins, subjects } = this.plan;
+    return begins || subjects.length !== 1 ? undefined : subjects[0]?.text;
+  }
+
   private async findFloor(group: GroupServer, deadline: Millis): Promise<LogPosition> {
     const { floors, groupName } = this.context;
     const known = floors.findFloor(groupName);
--- a/packages/daemon/src/caller.ts
+++ b/packages/daemon/src/caller.ts
@@ -78,6 +78,11 @@
     });
   }
 
+  /** The caller's IP address. */
+  get address(): string {
+    return this.socket.remoteAddress ?? '';
+  }
+
   isClosed(): boolean {
     return this.closed;
   }
--- a/packages/daemon/src/connection.ts
+++ b/packages/daemon/src/connection.ts
@@ -47,6 +47,9 @@
   /** Transaction state after the last answer. */
   state: TransactionState = 'I';
 
+  /** Told when a request starts and ends. */
+  onBusy: ((isBusy: boolean) => void) | undefined;
+
   private readonly reader = new FrameReader(true);
 
   private exchange: Exchange | undefined;
@@ -102,6 +105,7 @@
   async run(bytes: Buffer, sink: AnswerSink): Promise<TransactionState> {
     if (this.failure) throw this.failure;
     if (this.exchange) throw new InstanceError('the connection is busy');
+    this.onBusy?.(true);
     return new Promise((resolve, reject) => {
       this.exchange = { sink, resolve, reject };
       this.socket.write(bytes);
@@ -183,6 +187,7 @@
     this.state = parseReady(frame.body);
     this.exchange = undefined;
     exchange.sink.flush();
+    this.onBusy?.(false);
     exchange.resolve(this.state);
   }
 
--- a/packages/daemon/src/group.ts
+++ b/packages/daemon/src/group.ts
@@ -1,20 +1,18 @@
 import {
-  type AdmissionDecision,
-  AdmissionQueue,
+  type BorrowGrant,
+  type BorrowRequest,
   type Clock,
-  type Contract,
   type DatabaseGroup,
   type GroupRecord,
   type GroupView,
   type InstanceStatus,
   type LogPosition,
   type Millis,
-  type RouteRequest,
   Router,
-  type Work,
 } from '@shallotpick/core';
+import { Admission, type AdmissionParts, type Slot, type WorkRequest } from './admission.js';
 import type { InstanceConnection } from './connection.js';
-import { RefusedError } from './errors.js';
+import { InstanceError, RefusedError } from './errors.js';
 import type { FailoverDriver } from './failover.js';
 import type { Log } from './log.js';
 import type { Metrics } from './metrics.js';
@@ -23,14 +21,8 @@
 
 const TICK_INTERVAL_MS: Millis = 20;
 const RECONNECT_DELAY_MS: Millis = 50;
-const MAX_QUEUED = 5_000;
-
-/** What a piece of work needs. */
-export interface WorkRequest extends RouteRequest {
-  readonly contract: Contract;
-  readonly caller: string;
-  readonly deadline: Millis;
-}
+/** The instance refused the connection, so the work did not run. */
+const TOO_MANY = '53300';
 
 /** A connection that is bound to one request or transaction. */
 export interface Lease {
@@ -48,28 +40,21 @@
   readonly log: Log;
   readonly metrics: Metrics;
   readonly pools: ReadonlyMap<string, ConnectionPool>;
+  readonly createQuota: AdmissionParts['createQuota'];
   readonly createBoard: (onStatus: StatusListener) => StatusBoard;
   readonly failover: FailoverDriver;
 }
 
 type StatusListener = (status: InstanceStatus, before: InstanceStatus | undefined) => void;
 
-interface Pending {
-  readonly request: WorkRequest;
-  readonly resolve: (instance: string) => void;
-  readonly reject: (error: Error) => void;
-}
-
 /** Serves one database group: its statuses, queue, connections and failover. */
 export class GroupServer {
   private readonly board: StatusBoard;
 
-  private readonly queue: AdmissionQueue;
+  private readonly admission: Admission;
 
   private readonly router: Router;
 
-  private readonly pending = new Map<number, Pending>();
-
   /** Leases of writes and transactions. */
   private readonly writing = new Set<Lease>();
 
@@ -79,16 +64,14 @@
   /** Highest term whose primary this proxy knows. */
   private servedTerm = 0;
 
-  private nextId = 1;
-
   private timer: NodeJS.Timeout | undefined;
 
   constructor(private readonly options: GroupServerOptions) {
     this.board = options.createBoard((status, before) => this.handleStatus(status, before));
     this.router = new Router(options.zone);
-    this.queue = new AdmissionQueue({
-      maxQueued: MAX_QUEUED,
-      findRoute: (work, now) => this.findRoute(work, now),
+    this.admission = new Admission({
+      ...options,
+      findRoute: (request, now) => this.router.route(request, this.readView(), now),
     });
   }
 
@@ -101,11 +84,6 @@
   }
 
   start(): void {
-    const now = this.options.clock.readNow();
-    this.options.group.instances.forEach(({ id, slots }) => {
-      const longPermits = Math.max(1, slots - 1);
-      this.queue.updateCapacity(id, { concurrency: slots, longPermits }, now);
-    });
     this.board.start();
     this.timer = setInterval(() => this.handleTick(), TICK_INTERVAL_MS);
   }
@@ -113,7 +91,9 @@
   stop(): void {
     clearInterval(this.timer);
     this.board.stop();
-    this.options.pools.forEach((pool) => pool.close());
+    this.admission.stop();
+    // Work that runs keeps its connection to the end.
+    this.options.pools.forEach((pool) => pool.drain());
   }
 
   /** What is known now, for routing and for operators. */
@@ -124,7 +104,8 @@
       record: this.failover.record,
       statuses: board.statuses,
       findAge: (instance, now) => board.findAge(instance, now),
-      findExpectedWait: (instance) => this.queue.countRunning(instance),
+      findExpectedWait: (instance) => this.admission.findExpectedWait(instance),
+      typicalCostMs: this.admission.readTypicalCost(),
     };
   }
 
@@ -138,20 +119,17 @@
    * @throws RefusedError when none comes before the deadline; nothing ran.
    */
   async admit(request: WorkRequest): Promise<Lease> {
-    const { caller, contract, deadline } = request;
-    const work: Work = { id: this.createId(), caller, length: contract.length, deadline };
-    const instance = await this.waitForSlot(work, request);
-    const release = (): void => {
-      this.runDecisions(this.queue.handleDone(instance, work, this.options.clock.readNow()));
-    };
+    const slot = await this.admission.admit(request);
     try {
-      return await this.openLease(instance, request.kind, release);
+      return await this.openLease(slot, request.kind);
     } catch (cause) {
-      release();
-      if (this.options.clock.readNow() >= deadline) {
+      slot.release();
+      if (this.options.clock.readNow() >= request.deadline) {
         throw new RefusedError('no connection could be opened', { cause });
       }
-      this.board.removeStatus(instance);
+      // An instance that has too many connections answers, so it stays in routing.
+      const isFull = cause instanceof InstanceError && 'code' in cause && cause.code === TOO_MANY;
+      if (!isFull) this.board.removeStatus(slot.instance);
       await new Promise((resolve) => {
         setTimeout(resolve, RECONNECT_DELAY_MS);
       });
@@ -173,29 +151,22 @@
     return this.board.findArrivalFloor(deadline);
   }
 
-  private createId(): number {
-    const id = this.nextId;
-    this.nextId += 1;
-    return id;
-  }
-
-  private async openLease(
-    instance: string,
-    kind: WorkRequest['kind'],
-    release: () => void,
-  ): Promise<Lease> {
+  private async openLease(slot: Slot, kind: WorkRequest['kind']): Promise<Lease> {
+    const { instance } = slot;
     const pool = this.options.pools.get(instance);
     if (!pool) throw new RefusedError(`instance ${instance} is not known`);
     const connection = await this.connect(pool, instance);
     const term = this.board.statuses.get(instance)?.durable.term ?? 0;
+    connection.onBusy = (isBusy) => slot.update(isBusy, connection.state !== 'I');
     const lease: Lease = {
       instance,
       connection,
       term,
       release: () => {
+        connection.onBusy = undefined;
         this.writing.delete(lease);
         pool.release(connection);
-        release();
+        slot.release();
       },
     };
     if (kind === 'write') this.writing.add(lease);
@@ -220,52 +191,10 @@
     }
   }
 
-  private async waitForSlot(work: Work, request: WorkRequest): Promise<string> {
-    return new Promise((resolve, reject) => {
-      this.pending.set(work.id, { request, resolve, reject });
-      this.runDecisions(this.queue.add(work, this.options.clock.readNow()));
-    });
-  }
-
-  private findRoute(work: Work, now: Millis): ReturnType<Router['route']> {
-    const request = this.pending.get(work.id)?.request;
-    if (!request) return { kind: 'wait', reason: 'withdrawn' };
-    return this.router.route(request, this.readView(), now);
-  }
-
-  private runDecisions(decisions: readonly AdmissionDecision[]): void {
-    decisions.forEach((decision) => {
-      const { work } = decision;
-      const pending = this.pending.get(work.id);
-      this.pending.delete(work.id);
-      if (!pending) return;
-      if (decision.kind === 'refuse') {
-        this.options.log.info('refused', { group: this.name, reason: decision.reason });
-        this.options.metrics.refusals.inc({ reason: decision.reason });
-        pending.reject(new RefusedError(decision.reason));
-        return;
-      }
-      this.logRoute(decision, pending.request);
-      pending.resolve(decision.instance);
-    });
-  }
-
-  private logRoute(decision: AdmissionDecision & { kind: 'start' }, request: WorkRequest): void {
-    const target = decision.reason === 'replica' ? 'replica' : 'primary';
-    this.options.metrics.statements.inc({ group: this.name, target });
-    this.options.log.info('route', {
-      group: this.name,
-      session: request.caller,
-      contract: request.contract.name,
-      instance: decision.instance,
-      reason: decision.reason,
-    });
-  }
-
   private handleTick(): void {
     const now = this.options.clock.readNow();
     this.board.handleTick(now);
-    this.runDecisions(this.queue.handleTick(now));
+    this.admission.handleTick();
     this.failover.handleTick(now);
     this.closeReplaced();
   }
@@ -288,8 +217,13 @@
   private handleStatus(status: InstanceStatus, before: InstanceStatus | undefined): void {
     const now = this.options.clock.readNow();
     this.failover.handleStatus(status, now);
-    if (this.queue.countQueued() > 0 && before?.applied.offset !== status.applied.offset) {
-      this.runDecisions(this.queue.handleTick(now));
-    }
+    const { quota } = this.admission;
+    quota.handleStatus(status.instance, status.role === 'primary', status.connections);
+    if (before?.applied.offset !== status.applied.offset) this.admission.wake();
+  }
+
+  /** Answers a holder of a quota of this group. */
+  handleBorrow(request: BorrowRequest): BorrowGrant | undefined {
+    return this.admission.quota.handleRequest(request);
   }
 }
--- a/packages/daemon/src/wiring.ts
+++ b/packages/daemon/src/wiring.ts
@@ -1,6 +1,8 @@
 import { randomInt, randomUUID } from 'node:crypto';
 import { createServer } from 'node:net';
 import {
+  type BorrowGrant,
+  type BorrowRequest,
   type Clock,
   createBackoff,
   type DatabaseGroup,
@@ -8,15 +10,18 @@
   type ExchangeFeature,
   FixedMembership,
   type MembershipView,
+  type PeerLink,
   type Vm,
 } from '@shallotpick/core';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { SystemClock } from './clock.js';
 import { ControlLink } from './control.js';
 import { Daemon } from './daemon.js';
+import { RefusedError } from './errors.js';
 import { FailoverDriver } from './failover.js';
 import { GroupServer } from './group.js';
 import { createHealthServer } from './health.js';
+import { QuotaDriver } from './lender.js';
 import { createLog, type Log } from './log.js';
 import { Metrics } from './metrics.js';
 import { ObservationFeature } from './observations.js';
@@ -45,6 +50,13 @@
   readonly features: readonly ExchangeFeature[];
 }
 
+async function handleBorrow(daemon: Daemon, request: BorrowRequest): Promise<BorrowGrant> {
+  const group = daemon.listGroups().find(({ name }) => name === request.group);
+  const grant = group?.handleBorrow(request);
+  if (!grant) throw new RefusedError(`instance ${request.instance} is not served here`);
+  return grant;
+}
+
 function createPeering(parts: PeeringParts): Peering | undefined {
   const { settings, membership, clock, log, metrics, findDaemon } = parts;
   if (settings.peerPort === undefined) return undefined;
@@ -76,6 +88,7 @@
     hasNews: (now) => observations.hasNews(now),
     handlePing: () => [],
   });
+  hub.borrowHandler = (request) => handleBorrow(findDaemon(), request);
   const server = new PeerServer({
     self,
     clock,
@@ -104,15 +117,18 @@
       ]),
     );
   const createPool = (instance: DatabaseInstance, database: string): ConnectionPool =>
-    new ConnectionPool({ instance, database, user: instanceUser, applicationName });
+    new ConnectionPool({ instance, database, user: instanceUser, applicationName, clock });
   const self: Vm = { id: vm, zone, host: settings.host, peerPort: settings.peerPort ?? 0 };
   const membership = new FixedMembership(self, settings.peers);
+  const source: { daemon?: Daemon } = {};
+  const findLink = (id: string): PeerLink | undefined => source.daemon?.peering?.hub.findLink(id);
   const createGroup = (group: DatabaseGroup): GroupServer => {
     const links = createLinks(group);
     const shared = { group, clock, log, metrics };
     return new GroupServer({
       ...shared,
       zone,
+      createQuota: (onGrant) => new QuotaDriver({ ...shared, membership, onGrant, findLink }),
       pools: new Map(group.instances.map((one) => [one.id, createPool(one, group.name)])),
       createBoard: (onStatus) => new StatusBoard({ ...shared, links, onStatus }),
       failover: new FailoverDriver({
@@ -146,5 +162,6 @@
     createGroup,
     startSources,
   });
+  source.daemon = daemon;
   return daemon;
 }
