--- a/packages/bench/src/cluster.ts
+++ b/packages/bench/src/cluster.ts
@@ -1,3 +1,5 @@
+import { once } from 'node:events';
+import { type AddressInfo, createServer } from 'node:net';
 import { formatGroupKey, formatNoteKey } from '@shallotpick/core';
 import { createDaemon, type Daemon, loadSettings } from '@shallotpick/daemon';
 import { StandinGroup, StandinPlatform } from '@shallotpick/standin';
@@ -46,8 +48,25 @@
   }
 }
 
-function createProxy(options: ClusterOptions, platformUrl: string, index: number): Daemon {
+/** Ports that were free a moment ago, since peers must know them before any daemon starts. */
+async function findFreePorts(count: number): Promise<readonly number[]> {
+  const servers = Array.from({ length: count }, () => createServer().listen(0, '127.0.0.1'));
+  await Promise.all(servers.map((server) => once(server, 'listening')));
+  const ports = servers.map((server) => (server.address() as AddressInfo).port);
+  await Promise.all(servers.map((server) => once(server.close(), 'close')));
+  return ports;
+}
+
+function createProxy(
+  options: ClusterOptions,
+  platformUrl: string,
+  index: number,
+  peerPorts: readonly number[],
+): Daemon {
   const { zones } = options.profile;
+  const peers = peerPorts.flatMap((port, peer) =>
+    peer === index ? [] : [`vm-${peer + 1}@${zones[peer % zones.length]}@127.0.0.1:${port}`],
+  );
   return createDaemon(
     loadSettings([], {
       SHALLOTPICK_VM: `vm-${index + 1}`,
@@ -55,6 +74,8 @@
       SHALLOTPICK_PLATFORM_URL: platformUrl,
       SHALLOTPICK_CALLER_PORT: '0',
       SHALLOTPICK_METRICS_PORT: '0',
+      SHALLOTPICK_PEER_PORT: String(peerPorts[index]),
+      SHALLOTPICK_PEERS: peers.join(','),
       SHALLOTPICK_LOG_LEVEL: 'error',
       ...options.environment,
     }),
@@ -84,9 +105,8 @@
   });
   const note = createFirstNote(groups.map((group) => group.toDatabaseGroup()));
   platform.set(formatNoteKey(1), JSON.stringify(note));
-  const daemons = Array.from({ length: options.proxies ?? profile.proxies }, (_, index) =>
-    createProxy(options, platformUrl, index),
-  );
+  const peerPorts = await findFreePorts(options.proxies ?? profile.proxies);
+  const daemons = peerPorts.map((_, index) => createProxy(options, platformUrl, index, peerPorts));
   await Promise.all(daemons.map((daemon) => daemon.start()));
   await Promise.all(daemons.map(waitUntilReady));
   const stop = async (): Promise<void> => {
--- /dev/null
+++ b/packages/bench/src/crest.ts
@@ -0,0 +1,208 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import { BenchClient } from './client.js';
+import type { CreateDeployment, Deployment } from './cluster.js';
+import type { Profile } from './profile.js';
+import { createRandom } from './random.js';
+import { computeFairness, formatNumber } from './stats.js';
+
+/** Long enough that this one process, with every proxy and stand-in, is not the bottleneck. */
+const STATEMENT_COST_MS = 60;
+const RUN_MS = 12_000;
+const WARM_UP_MS = 4_000;
+/** The offered load swings between these multiples of what the slots can serve. */
+const TROUGH_LOAD = 0.5;
+const CREST_LOAD = 4;
+const SWING_MS = 6_000;
+const DEADLINE_MS = 1_000;
+/** The proxies refuse in time for a caller to go elsewhere. */
+const QUEUE_DEADLINE_MS = 850;
+const CALLERS = 12;
+const SESSIONS_PER_CALLER = 32;
+/** One caller opens several times as many sessions as the others and offers as much more. */
+const GREEDY_FACTOR = 4;
+const WRITE_SHARE = 0.1;
+const NOT_RUN = 'SP001';
+
+export interface CrestResult {
+  /** Work done within its deadline as a share of what the slots could have done of it. */
+  readonly goodputShare: number;
+  readonly refused: number;
+  readonly refusedButRan: number;
+  /** Jain's index over the callers that offer the same. */
+  readonly fairness: number;
+}
+
+interface Arrival {
+  readonly at: number;
+  readonly caller: number;
+  readonly key: string;
+  readonly isWrite: boolean;
+}
+
+/** Offered work: the rate follows a square wave, and the callers are drawn by their weights. */
+function createArrivals(seed: number, slots: number): readonly Arrival[] {
+  const random = createRandom(seed);
+  const weights = CALLERS - 1 + GREEDY_FACTOR;
+  const arrivals: Arrival[] = [];
+  let at = 0;
+  while (at < RUN_MS) {
+    const load = Math.floor(at / (SWING_MS / 2)) % 2 === 0 ? TROUGH_LOAD : CREST_LOAD;
+    at += (-Math.log(1 - random.next()) * STATEMENT_COST_MS) / (slots * load);
+    const drawn = random.nextInt(weights);
+    const caller = drawn < CALLERS ? drawn : 0;
+    const isWrite = random.next() < WRITE_SHARE;
+    arrivals.push({ at, caller, key: `crest-${arrivals.length}`, isWrite });
+  }
+  return arrivals;
+}
+
+/**
+ * Counts what ideal slots would do within the deadlines: each slot always takes the earliest
+ * arrival that it can still finish in time, which is optimal for equal costs.
+ */
+export function countServable(
+  arrivals: readonly { readonly at: number }[],
+  slots: number,
+  costMs: number,
+  deadlineMs: number,
+): number {
+  const freeAt = Array.from({ length: slots }, () => 0);
+  return arrivals.reduce((count, { at }) => {
+    const slot = freeAt.indexOf(Math.min(...freeAt));
+    const end = Math.max(at, freeAt[slot] ?? 0) + costMs;
+    if (end > at + deadlineMs) return count;
+    freeAt[slot] = end;
+    return count + 1;
+  }, 0);
+}
+
+/** Outcomes as the callers saw them. */
+class Tally {
+  readonly done: number[] = [];
+
+  readonly refusedKeys = new Set<string>();
+
+  refused = 0;
+
+  readsDone = 0;
+
+  add({ caller, key, isWrite }: Arrival, code: string | undefined, isInTime: boolean): void {
+    if (code === undefined) {
+      if (!isWrite) this.readsDone += 1;
+      if (isInTime) this.done[caller] = (this.done[caller] ?? 0) + 1;
+    } else if (code === NOT_RUN) {
+      this.refused += 1;
+      if (isWrite) this.refusedKeys.add(key);
+    }
+  }
+}
+
+/** A caller's sessions, over all proxies; an arrival takes an idle one. */
+class Caller {
+  private readonly idle: BenchClient[] = [];
+
+  constructor(private readonly sessions: readonly BenchClient[]) {
+    this.idle.push(...sessions);
+  }
+
+  async run(text: string): Promise<string | undefined> {
+    const session = this.idle.shift();
+    if (!session) return 'busy';
+    const { code } = await session.run(text);
+    this.idle.push(session);
+    return code;
+  }
+
+  close(): void {
+    this.sessions.forEach((session) => session.close());
+  }
+}
+
+async function openCaller(
+  deployment: Deployment,
+  database: string,
+  index: number,
+): Promise<Caller> {
+  const { daemons } = deployment;
+  const count = SESSIONS_PER_CALLER * (index === 0 ? GREEDY_FACTOR : 1);
+  const sessions = Array.from({ length: count }, (_, session) => {
+    const port = daemons[(session + index) % daemons.length]?.readCallerPort() ?? 0;
+    return BenchClient.open(port, `caller-${index}`, database);
+  });
+  return new Caller(await Promise.all(sessions));
+}
+
+const formatWork = ({ key, isWrite }: Arrival): string =>
+  isWrite
+    ? `INSERT INTO items (key, value) VALUES ('${key}', 'x')`
+    : `/* shallotpick contract=availability */ SELECT value FROM items WHERE key = '${key}'`;
+
+async function runArrival(arrival: Arrival, caller: Caller, tally: Tally): Promise<void> {
+  const startedAt = performance.now();
+  const code = await caller.run(formatWork(arrival));
+  tally.add(arrival, code, performance.now() - startedAt <= DEADLINE_MS);
+}
+
+/** Offers the arrivals at their times, whether earlier ones are answered or not. */
+async function offer(
+  arrivals: readonly Arrival[],
+  callers: readonly Caller[],
+  tally: Tally,
+): Promise<void> {
+  const startedAt = performance.now();
+  const runs: Promise<void>[] = [];
+  for (const arrival of arrivals) {
+    const early = arrival.at - (performance.now() - startedAt);
+    if (early > 1) await sleep(early);
+    const caller = callers[arrival.caller];
+    if (caller) runs.push(runArrival(arrival, caller, tally));
+  }
+  await Promise.all(runs);
+}
+
+/** Brings the connections and the learned costs to the state of a running deployment. */
+async function warmUp(callers: readonly Caller[]): Promise<void> {
+  const end = performance.now() + WARM_UP_MS;
+  const text = formatWork({ at: 0, caller: 0, key: 'warm', isWrite: false });
+  while (performance.now() < end) {
+    await Promise.all(callers.map((caller) => caller.run(text)));
+  }
+}
+
+/** Measures service while the offered load swings to several times what the slots can serve. */
+export async function measureCrest(
+  create: CreateDeployment,
+  profile: Profile,
+  seed: number,
+): Promise<CrestResult> {
+  const [database = ''] = profile.groups;
+  const deployment = await create({
+    profile: { ...profile, groups: [database] },
+    statementCostMs: STATEMENT_COST_MS,
+    environment: { SHALLOTPICK_QUEUE_DEADLINE_MS: String(QUEUE_DEADLINE_MS) },
+  });
+  const instances = deployment.groups[0]?.instances ?? [];
+  const slots = profile.slots * instances.length;
+  const arrivals = createArrivals(seed, slots);
+  const callers = await Promise.all(
+    Array.from({ length: CALLERS }, (_, index) => openCaller(deployment, database, index)),
+  );
+  await warmUp(callers);
+  const readsBefore = instances.reduce((sum, { served }) => sum + served.reads, 0);
+  const tally = new Tally();
+  await offer(arrivals, callers, tally);
+  const reads = instances.reduce((sum, { served }) => sum + served.reads, 0) - readsBefore;
+  const hidden = [...tally.refusedKeys].filter((key) =>
+    instances.some(({ store }) => store.findRow('items', key) !== undefined),
+  ).length;
+  callers.forEach((caller) => caller.close());
+  await deployment.stop();
+  const servable = countServable(arrivals, slots, STATEMENT_COST_MS, DEADLINE_MS);
+  const done = Array.from({ length: CALLERS }, (_, index) => tally.done[index] ?? 0);
+  return {
+    goodputShare: formatNumber(done.reduce((sum, count) => sum + count, 0) / servable),
+    refused: tally.refused,
+    refusedButRan: hidden + Math.max(0, reads - tally.readsDone),
+    fairness: formatNumber(computeFairness(done.slice(1))),
+  };
+}
--- a/packages/bench/src/measure.ts
+++ b/packages/bench/src/measure.ts
@@ -2,6 +2,8 @@
 import { parseArgs } from 'node:util';
 import { z } from 'zod';
 import { createCluster, type CreateDeployment } from './cluster.js';
+import { measureCrest } from './crest.js';
+import { measureMixed } from './mixed.js';
 import { createNaive } from './naive.js';
 import { type Profile, PROFILES } from './profile.js';
 import { measureReads } from './reads.js';
@@ -13,6 +15,8 @@
 const SCENARIOS: Readonly<Record<string, Measure>> = {
   reads: measureReads,
   roaming: measureRoaming,
+  crest: measureCrest,
+  mixed: measureMixed,
 };
 
 const EXIT_BAD_OPTION = 2;
--- a/packages/core/src/admission.ts
+++ b/packages/core/src/admission.ts
@@ -7,7 +7,7 @@
 /** Part of the queue that long work may fill. */
 const LONG_QUEUE_SHARE = 0.25;
 /** Work is refused early only when the estimate passes its deadline by this factor. */
-const REFUSE_MARGIN = 1.2;
+const REFUSE_MARGIN = 1.5;
 
 /** How much of an instance this proxy may use now. */
 export interface Capacity {
@@ -52,7 +52,7 @@
 
   private readonly loads = new Map<string, Load>();
 
-  /** Virtual time of each caller with queued work: the turn of its last start. */
+  /** Virtual time up to which each caller has had its turns. */
   private readonly turns = new Map<string, number>();
 
   private readonly waiting = new Map<string, number>();
@@ -104,7 +104,7 @@
     if (refusal) return [{ kind: 'refuse', work, reason: refusal }];
     const evicted = this.queued >= this.options.maxQueued ? lane.findSurplus() : undefined;
     if (evicted) this.remove(evicted);
-    if (!this.turns.has(work.caller)) this.turns.set(work.caller, this.turn);
+    this.turns.set(work.caller, Math.max(this.turn, this.turns.get(work.caller) ?? 0));
     lane.add(work);
     this.count(work, 1);
     const reason = 'the queue is full and the caller has most in it';
@@ -154,6 +154,9 @@
       // Lanes carry contract names, which change over the life of a daemon.
       if (lane.countQueued() === 0) this.lanes.delete(key);
     });
+    this.turns.forEach((turn, caller) => {
+      if (turn <= this.turn && !this.waiting.has(caller)) this.turns.delete(caller);
+    });
     const reason = 'the deadline passed in the queue';
     return [
       ...expired.map((work) => ({ kind: 'refuse' as const, work, reason })),
@@ -165,7 +168,7 @@
     const key = `${work.length}|${work.lane ?? ''}`;
     const known = this.lanes.get(key);
     if (known) return known;
-    const lane = new Lane();
+    const lane = new Lane(work.length);
     this.lanes.set(key, lane);
     return lane;
   }
@@ -174,12 +177,8 @@
     this.queued += change;
     if (work.length === 'long') this.longQueued += change;
     const waiting = (this.waiting.get(work.caller) ?? 0) + change;
-    if (waiting > 0) {
-      this.waiting.set(work.caller, waiting);
-      return;
-    }
-    this.waiting.delete(work.caller);
-    this.turns.delete(work.caller);
+    if (waiting > 0) this.waiting.set(work.caller, waiting);
+    else this.waiting.delete(work.caller);
   }
 
   private findRefusal(work: Work, lane: Lane, now: Millis): string | undefined {
@@ -199,37 +198,51 @@
 
   private dispatch(now: Millis): readonly AdmissionDecision[] {
     const started: AdmissionDecision[] = [];
-    const open = new Set([...this.lanes.values()].filter((lane) => lane.countQueued() > 0));
-    while (open.size > 0) {
-      const lane = this.chooseLane(open);
-      const decision = this.startNext(lane, now);
+    const missed = new Map<Lane, Set<Work>>();
+    this.lanes.forEach((lane) => {
+      if (lane.countQueued() > 0) missed.set(lane, new Set());
+    });
+    while (missed.size > 0) {
+      missed.forEach((_, lane) => {
+        // At the crest most events find every instance taken.
+        if (!this.hasRoomAnywhere(lane.length)) missed.delete(lane);
+      });
+      const next = this.chooseNext(missed);
+      if (!next) break;
+      const { lane, work } = next;
+      const decision = this.startNext(lane, work, now);
       if (decision) started.push(decision);
-      if (!decision || lane.countQueued() === 0) open.delete(lane);
+      else {
+        // The lane goes on with the next caller at the next dispatch, so that none is passed over.
+        lane.rotate(work.caller);
+        missed.get(lane)?.add(work);
+      }
+      const misses = missed.get(lane)?.size ?? 0;
+      if (misses >= Math.min(MAX_MISSES, lane.countCallers())) missed.delete(lane);
     }
     return started;
   }
 
-  /** The lane whose first caller has had the fewest turns. */
-  private chooseLane(open: ReadonlySet<Lane>): Lane {
-    const findTurn = (lane: Lane): number => this.turns.get(lane.findFirst()?.caller ?? '') ?? 0;
-    return [...open].reduce((best, next) => (findTurn(next) < findTurn(best) ? next : best));
+  /** The work of the caller that has had the fewest turns, among the first ones of each lane. */
+  private chooseNext(
+    lanes: ReadonlyMap<Lane, ReadonlySet<Work>>,
+  ): { readonly lane: Lane; readonly work: Work } | undefined {
+    const heads = [...lanes].flatMap(([lane, missed]) =>
+      lane
+        .listFirst(MAX_MISSES)
+        .filter((work) => !missed.has(work))
+        .map((work) => ({ lane, work, turn: this.turns.get(work.caller) ?? 0 })),
+    );
+    const [first, ...rest] = heads;
+    return first && rest.reduce((best, next) => (next.turn < best.turn ? next : best), first);
   }
 
-  private startNext(lane: Lane, now: Millis): AdmissionDecision | undefined {
-    const tries = Math.min(MAX_MISSES, lane.countCallers());
-    for (let miss = 0; miss < tries; miss++) {
-      const work = lane.findFirst();
-      if (!work) return undefined;
-      const route = this.options.findRoute(work, now);
-      const instance =
-        route.kind === 'instances'
-          ? route.instances.find((id) => this.hasRoom(id, work.length))
-          : undefined;
-      if (instance !== undefined) return this.startWork(lane, work, instance, route.reason, now);
-      // The lane goes on with the next caller at the next dispatch, so that none is passed over.
-      lane.rotate(work.caller);
-    }
-    return undefined;
+  private startNext(lane: Lane, work: Work, now: Millis): AdmissionDecision | undefined {
+    const route = this.options.findRoute(work, now);
+    if (route.kind === 'wait') return undefined;
+    const instance = route.instances.find((id) => this.hasRoom(id, work.length));
+    if (instance === undefined) return undefined;
+    return this.startWork(lane, work, instance, route.reason, now);
   }
 
   private startWork(
@@ -240,8 +253,9 @@
     now: Millis,
   ): AdmissionDecision {
     lane.handleStart(now);
-    this.turn = Math.max(this.turn, this.turns.get(work.caller) ?? 0);
-    this.turns.set(work.caller, this.turn + 1);
+    const turn = this.turns.get(work.caller) ?? this.turn;
+    this.turn = Math.max(this.turn, turn);
+    this.turns.set(work.caller, turn + 1);
     lane.remove(work);
     lane.rotate(work.caller);
     this.count(work, -1);
@@ -252,6 +266,10 @@
     return { kind: 'start', work, instance, reason };
   }
 
+  private hasRoomAnywhere(length: Work['length']): boolean {
+    return [...this.capacities.keys()].some((instance) => this.hasRoom(instance, length));
+  }
+
   private hasRoom(instance: string, length: Work['length']): boolean {
     const capacity = this.capacities.get(instance) ?? NO_CAPACITY;
     const load = this.loads.get(instance) ?? { short: 0, long: 0, connections: 0 };
--- a/packages/core/src/lane.ts
+++ b/packages/core/src/lane.ts
@@ -30,6 +30,8 @@
 
   private startedAt: Millis | undefined;
 
+  constructor(readonly length: Work['length']) {}
+
   countQueued(): number {
     return this.queued;
   }
@@ -58,10 +60,15 @@
     return true;
   }
 
-  /** The work whose turn it is. */
-  findFirst(): Work | undefined {
-    const [works] = this.callers.values();
-    return works?.values().next().value;
+  /** The first works of the callers whose turn comes next. */
+  listFirst(count: number): readonly Work[] {
+    const first: Work[] = [];
+    const callers = this.callers.values();
+    for (let next = callers.next(); !next.done && first.length < count; next = callers.next()) {
+      const [work] = next.value;
+      if (work) first.push(work);
+    }
+    return first;
   }
 
   /** Works ahead, callers in turn, times the mean gap between starts; undefined when unknown. */
--- a/packages/core/src/router.ts
+++ b/packages/core/src/router.ts
@@ -14,7 +14,7 @@
   /** Expected wait for a free slot of the instance: learned cost times queue. */
   findExpectedWait(instance: string): Millis;
   /** Cost of a typical statement; a read waits this long for a replica before it costs a write. */
-  readonly typicalCostMs: Millis;
+  readonly typicalCostMs?: Millis;
 }
 
 export interface RouteRequest {
@@ -70,7 +70,7 @@
   }
 
   private findPrimaryWait(primary: string, view: GroupView): Millis {
-    return view.findExpectedWait(primary) + view.typicalCostMs;
+    return view.findExpectedWait(primary) + (view.typicalCostMs ?? 0);
   }
 
   private routeToPrimary(
@@ -111,7 +111,7 @@
     const near = Number(b.zone === this.zone) - Number(a.zone === this.zone);
     const wait = view.findExpectedWait(a.id) - view.findExpectedWait(b.id);
     // Within one typical statement the distance decides.
-    const isClose = Math.abs(wait) < view.typicalCostMs;
+    const isClose = Math.abs(wait) < (view.typicalCostMs ?? 0);
     return (isClose && near ? near : wait || near) || a.id.localeCompare(b.id);
   }
 }
--- a/packages/daemon/src/admission.ts
+++ b/packages/daemon/src/admission.ts
@@ -62,6 +62,8 @@
 
   private readonly pending = new Map<number, Pending>();
 
+  private readonly refusals = new Map<string, Error>();
+
   private nextId = 1;
 
   constructor(private readonly parts: AdmissionParts) {
@@ -232,7 +234,7 @@
       if (decision.kind === 'refuse') {
         log.info('refused', { group: group.name, caller: work.caller, reason });
         metrics.refusals.inc({ reason });
-        pending.reject(new RefusedError(reason));
+        pending.reject(this.createRefusal(reason));
         return;
       }
       this.logRoute(pending.request, work, decision.instance, reason);
@@ -240,6 +242,15 @@
     });
   }
 
+  /** One error per reason: at the crest, creating stack traces would cost more than the work. */
+  private createRefusal(reason: string): Error {
+    const known = this.refusals.get(reason);
+    if (known) return known;
+    const error = new RefusedError(reason);
+    this.refusals.set(reason, error);
+    return error;
+  }
+
   private logRoute(request: WorkRequest, work: Work, instance: string, reason: string): void {
     const { log, metrics, group } = this.parts;
     const { contract, caller } = request;
--- a/packages/daemon/src/wiring.ts
+++ b/packages/daemon/src/wiring.ts
@@ -11,6 +11,7 @@
   FixedMembership,
   type MembershipView,
   type PeerLink,
+  Spread,
   type Vm,
 } from '@shallotpick/core';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
@@ -29,6 +30,7 @@
 import { GrpcPeerLink } from './peerlink.js';
 import { PeerHub } from './peers.js';
 import { PeerServer } from './peerserver.js';
+import { OperatorServer } from './operator.js';
 import { HttpPlatform } from './platform.js';
 import { ConnectionPool } from './pool.js';
 import type { Settings } from './settings.js';
@@ -106,7 +108,10 @@
   const clock = new SystemClock();
   const log = createLog(settings.logLevel, vm);
   const metrics = new Metrics();
-  const platform = new HttpPlatform(settings.platformUrl, metrics);
+  const platform = new HttpPlatform({
+    url: settings.platformUrl,
+    onCall: (call, outcome) => metrics.platformCalls.inc({ call, outcome }),
+  });
   const applicationName = `shallotpick/${vm}/${zone}`;
 
   const createLinks = (group: DatabaseGroup): ReadonlyMap<string, ControlLink> =>
@@ -141,24 +146,34 @@
       }),
     });
   };
-  const startSources = (daemon: Daemon): (() => void) => {
+  // The daemon's sources and peers need it before it exists; they call this only once started.
+  let daemon: Daemon;
+  const findDaemon = (): Daemon => daemon;
+  const spread = new Spread((configuration) => findDaemon().handleConfiguration(configuration));
+  const startSources = (target: Daemon): (() => void) => {
     const watcher = new PlatformWatcher({
       platform,
       log,
-      onConfiguration: (configuration) => daemon.handleConfiguration(configuration),
-      onRecord: (record, version) => daemon.handleRecord(record, version),
+      membership,
+      spread,
+      createRandom: Math.random,
+      onRecord: (record, version) => target.handleRecord(record, version),
     });
     watcher.start();
-    return () => watcher.stop();
+    return () => {
+      watcher.stop();
+      platform.close();
+    };
   };
 
   const shared = { settings, clock, log, metrics };
-  const daemon: Daemon = new Daemon({
+  daemon = new Daemon({
     ...shared,
-    peering: createPeering({ ...shared, membership, features: [], findDaemon: () => daemon }),
+    peering: createPeering({ ...shared, membership, features: [spread], findDaemon }),
     computeBackoff: createBackoff(RETRY_BACKOFF, xoroshiro128plus(randomInt(MAX_SEED))),
     callerServer: createServer(),
     metricsServer: createHealthServer(metrics, () => daemon.isReady()),
+    operatorServer: new OperatorServer({ settings, clock, log }),
     createGroup,
     startSources,
   });
