Count a statement as long while it runs

Cause: unhinted long work held a short slot until it had ended once on each proxy; reads waited for half a second (p99 of reads 423 ms beside long). The crest scenario scales the cost with the slots, so that the one process that holds everything is not the bottleneck.

--- a/packages/bench/src/crest.ts
+++ b/packages/bench/src/crest.ts
@@ -6,7 +6,8 @@
 import { computeFairness, formatNumber } from './stats.js';
 
 /** Long enough that this one process, with every proxy and stand-in, is not the bottleneck. */
-const STATEMENT_COST_MS = 60;
+const COST_PER_SLOT_MS = 10;
+const INSTANCES = 3;
 const RUN_MS = 12_000;
 const WARM_UP_MS = 4_000;
 /** The offered load swings between these multiples of what the slots can serve. */
@@ -40,14 +41,14 @@
 }
 
 /** Offered work: the rate follows a square wave, and the callers are drawn by their weights. */
-function createArrivals(seed: number, slots: number): readonly Arrival[] {
+function createArrivals(seed: number, slots: number, costMs: number): readonly Arrival[] {
   const random = createRandom(seed);
   const weights = CALLERS - 1 + GREEDY_FACTOR;
   const arrivals: Arrival[] = [];
   let at = 0;
   while (at < RUN_MS) {
     const load = Math.floor(at / (SWING_MS / 2)) % 2 === 0 ? TROUGH_LOAD : CREST_LOAD;
-    at += (-Math.log(1 - random.next()) * STATEMENT_COST_MS) / (slots * load);
+    at += (-Math.log(1 - random.next()) * costMs) / (slots * load);
     const drawn = random.nextInt(weights);
     const caller = drawn < CALLERS ? drawn : 0;
     const isWrite = random.next() < WRITE_SHARE;
@@ -176,14 +177,15 @@
   seed: number,
 ): Promise<CrestResult> {
   const [database = ''] = profile.groups;
+  const slots = profile.slots * INSTANCES;
+  const costMs = COST_PER_SLOT_MS * slots;
   const deployment = await create({
     profile: { ...profile, groups: [database] },
-    statementCostMs: STATEMENT_COST_MS,
+    statementCostMs: costMs,
     environment: { SHALLOTPICK_QUEUE_DEADLINE_MS: String(QUEUE_DEADLINE_MS) },
   });
   const instances = deployment.groups[0]?.instances ?? [];
-  const slots = profile.slots * instances.length;
-  const arrivals = createArrivals(seed, slots);
+  const arrivals = createArrivals(seed, slots, costMs);
   const callers = await Promise.all(
     Array.from({ length: CALLERS }, (_, index) => openCaller(deployment, database, index)),
   );
@@ -197,7 +199,7 @@
   ).length;
   callers.forEach((caller) => caller.close());
   await deployment.stop();
-  const servable = countServable(arrivals, slots, STATEMENT_COST_MS, DEADLINE_MS);
+  const servable = countServable(arrivals, slots, costMs, DEADLINE_MS);
   const done = Array.from({ length: CALLERS }, (_, index) => tally.done[index] ?? 0);
   return {
     goodputShare: formatNumber(done.reduce((sum, count) => sum + count, 0) / servable),
--- a/packages/core/src/admission.ts
+++ b/packages/core/src/admission.ts
@@ -147,6 +147,16 @@
     if (load) load[work.length] += 1;
   }
 
+  /** Short work that turns out long while it runs no longer counts against short work. */
+  updateLength(instance: string, work: Work): Work {
+    const load = this.loads.get(instance);
+    if (load && work.length === 'short') {
+      load.short -= 1;
+      load.long += 1;
+    }
+    return { ...work, length: 'long' };
+  }
+
   handleTick(now: Millis): readonly AdmissionDecision[] {
     const expired = [...this.lanes.values()].flatMap((lane) => lane.listExpired(now));
     expired.forEach((work) => this.remove(work));
--- a/packages/core/src/cost.ts
+++ b/packages/core/src/cost.ts
@@ -68,11 +68,16 @@
     return this.learned.get(key)?.isLong ?? false;
   }
 
+  /** Time from which on a statement counts as long. */
+  readLongBound(): Millis {
+    return Math.max(LONG_MIN_MS, LONG_RATIO * this.typicalMs);
+  }
+
   /** Records how long one run of the statement took on an instance. */
   add(key: string, tookMs: Millis): void {
     const known = this.learned.get(key);
     const costMs = known ? this.mergeSample(known.costMs, tookMs) : tookMs;
-    const bound = Math.max(LONG_MIN_MS, LONG_RATIO * this.typicalMs);
+    const bound = this.readLongBound();
     const isLong = costMs >= (known?.isLong ? bound / 2 : bound);
     this.learned.delete(key);
     this.learned.set(key, { costMs, isLong });
--- a/packages/core/test/admission.spec.ts
+++ b/packages/core/test/admission.spec.ts
@@ -180,6 +180,18 @@
     expect(queue.countConnections('a')).toEqual(4);
   });
 
+  // Guards against unhinted long work that keeps a short slot until it has ended once.
+  it('counts work that turns out long as long while it runs', () => {
+    const queue = createQueue();
+    const works = [0, 1, 2].map((id) => createWork(id, 'x'));
+    works.forEach((work) => queue.add(work, 0));
+    const long = queue.updateLength('a', works[0] ?? createWork(-1, ''));
+    expect(listStarts(queue.handleTick(1))).toEqual(['x']);
+    expect([queue.countRunning('a', 'long'), queue.countRunning('a', 'short')]).toEqual([1, 2]);
+    queue.handleDone('a', long, 2);
+    expect(queue.countRunning('a')).toEqual(2);
+  });
+
   // Guards against dispatch that tries every waiting work after every event.
   it('tries few works for each event, however many wait', () => {
     let tried = 0;
--- a/packages/daemon/src/admission.ts
+++ b/packages/daemon/src/admission.ts
@@ -62,6 +62,9 @@
 
   private readonly pending = new Map<number, Pending>();
 
+  /** Checks of the running work for its length. */
+  private readonly checks = new Set<(now: Millis) => void>();
+
   private readonly refusals = new Map<string, Error>();
 
   private nextId = 1;
@@ -123,12 +126,14 @@
   }
 
   handleTick(): void {
+    const now = this.parts.clock.readNow();
+    this.checks.forEach((check) => check(now));
     this.quota.handleTick((instance) => this.findDemand(instance));
     this.parts.group.instances.forEach(({ id, leaving }) => {
       this.updateCapacity(id);
       if (!leaving) this.parts.pools.get(id)?.openAhead(this.quota.findWantedConnections(id));
     });
-    this.runDecisions(this.queue.handleTick(this.parts.clock.readNow()));
+    this.runDecisions(this.queue.handleTick(now));
   }
 
   /** Refuses what still waits. */
@@ -142,10 +147,19 @@
     return this.parts.group.instances.find((instance) => instance.id === id);
   }
 
-  private createSlot(work: Work, instance: string, key: string | undefined): Slot {
+  private createSlot(admitted: Work, instance: string, key: string | undefined): Slot {
     const { clock } = this.parts;
     let state: 'running' | 'idle' | 'released' = 'running';
     let startedAt = clock.readNow();
+    let work = admitted;
+    // Only a statement whose cost is learned may change its length while it runs.
+    const check = (now: Millis): void => {
+      const isOver = state === 'running' && now - startedAt > this.costs.readLongBound();
+      if (key === undefined || work.length === 'long' || !isOver) return;
+      work = this.queue.updateLength(instance, work);
+      this.costs.add(key, now - startedAt);
+    };
+    this.checks.add(check);
     return {
       instance,
       update: (isBusy, isOpen) => {
@@ -167,6 +181,7 @@
         if (state === 'released') return;
         const isIdle = state === 'idle';
         state = 'released';
+        this.checks.delete(check);
         this.releaseWork(work, instance, isIdle);
       },
     };
