Learn the typical cost from all statements

Cause: the typical cost followed short statements only, so where all work took 90 ms all of it counted as long and ran under the few long permits.

--- a/packages/core/src/cost.ts
+++ b/packages/core/src/cost.ts
@@ -14,7 +14,8 @@
 const RISE_WEIGHT = 0.1;
 /** One outlier (a paused instance) raises a known cost at most by this factor times its weight. */
 const MAX_SAMPLE_RATIO = 10;
-const TYPICAL_WEIGHT = 0.05;
+/** Steps of this factor towards each sample lead to the median of all statements. */
+const TYPICAL_STEP = 1.05;
 const FIRST_TYPICAL_MS: Millis = 5;
 
 interface Learned {
@@ -81,7 +82,8 @@
     const isLong = costMs >= (known?.isLong ? bound / 2 : bound);
     this.learned.delete(key);
     this.learned.set(key, { costMs, isLong });
-    if (!isLong) this.typicalMs += TYPICAL_WEIGHT * (costMs - this.typicalMs);
+    // Long statements count too: where most take 100 ms, 100 ms is not long.
+    this.typicalMs *= tookMs > this.typicalMs ? TYPICAL_STEP : 1 / TYPICAL_STEP;
     if (this.learned.size <= this.maxShapes) return;
     const [oldest] = this.learned.keys();
     if (oldest !== undefined) this.learned.delete(oldest);
--- a/packages/core/test/cost.spec.ts
+++ b/packages/core/test/cost.spec.ts
@@ -34,6 +34,13 @@
     expect(book.isLong('k')).toEqual(false);
   });
 
+  // Guards against a deployment of slow statements whose whole work counts as long.
+  it('learns what is typical from all statements', () => {
+    const book = new CostBook();
+    for (let run = 0; run < 200; run++) book.add(`k${run % 5}`, 150);
+    expect([book.isLong('k0'), book.readTypicalCost() > 100]).toEqual([false, true]);
+  });
+
   // Guards against generated texts that fill the memory or push out what is in use.
   it('keeps a bounded number of shapes, the used ones first', () => {
     const book = new CostBook(100);
