--- /dev/null
+++ b/packages/bench/src/client.ts
@@ -0,0 +1,60 @@
+import { connect, type Socket } from 'node:net';
+import { BACKEND, FrameReader, parseFields, serialize } from '@shallotpick/wire';
+
+/** End of one request: the SQLSTATE of its error, if any. */
+export interface Answer {
+  readonly code: string | undefined;
+  readonly tookMs: number;
+}
+
+/** One session over a raw socket, without the cost of a driver. */
+export class BenchClient {
+  private readonly reader = new FrameReader(true);
+
+  private code: string | undefined;
+
+  private finish: ((code: string | undefined) => void) | undefined;
+
+  private constructor(private readonly socket: Socket) {
+    socket.setNoDelay(true);
+    socket.on('error', () => undefined);
+    socket.on('close', () => this.finish?.('closed'));
+    socket.on('data', (chunk) => this.handleData(chunk));
+  }
+
+  static async open(port: number, user: string, database: string): Promise<BenchClient> {
+    const client = new BenchClient(connect({ host: '127.0.0.1', port }));
+    await client.send(serialize.startup({ user, database }));
+    return client;
+  }
+
+  /** Runs one statement; one at a time. */
+  async run(text: string): Promise<Answer> {
+    const startedAt = performance.now();
+    const code = await this.send(serialize.query(text));
+    return { code, tookMs: performance.now() - startedAt };
+  }
+
+  close(): void {
+    this.socket.destroy();
+  }
+
+  private async send(bytes: Buffer): Promise<string | undefined> {
+    this.code = undefined;
+    return new Promise((resolve) => {
+      this.finish = resolve;
+      this.socket.write(bytes);
+    });
+  }
+
+  private handleData(chunk: Buffer): void {
+    this.reader.add(chunk);
+    for (let frame = this.reader.read(); frame; frame = this.reader.read()) {
+      if (frame.type === BACKEND.error) this.code ??= parseFields(frame.body).get('C');
+      if (frame.type !== BACKEND.readyForQuery) continue;
+      const { finish } = this;
+      this.finish = undefined;
+      finish?.(this.code);
+    }
+  }
+}
--- a/packages/bench/src/cluster.ts
+++ b/packages/bench/src/cluster.ts
@@ -12,8 +12,6 @@
   /** Number of daemons; the profile's own by default. */
   readonly proxies?: number;
   readonly statementCostMs: number;
-  /** Whether the daemons exchange what they see, as those of a deployment do. */
-  readonly hasPeers?: boolean;
   /** More settings of each daemon, as environment variables. */
   readonly environment?: Readonly<Record<string, string>>;
 }
@@ -50,34 +48,25 @@
   }
 }
 
-/** Ports that were free a moment ago. */
+/** Ports that were free a moment ago, since peers must know them before any daemon starts. */
 async function findFreePorts(count: number): Promise<readonly number[]> {
   const servers = Array.from({ length: count }, () => createServer().listen(0, '127.0.0.1'));
   await Promise.all(servers.map((server) => once(server, 'listening')));
   const ports = servers.map((server) => (server.address() as AddressInfo).port);
-  servers.forEach((server) => server.close());
+  await Promise.all(servers.map((server) => once(server.close(), 'close')));
   return ports;
 }
 
-function listPeerSettings(
-  ports: readonly number[],
-  zones: readonly string[],
-  index: number,
-): Readonly<Record<string, string>> {
-  const peers = ports
-    .map((port, other) => `vm-${other + 1}@${zones[other % zones.length]}@127.0.0.1:${port}`)
-    .filter((_, other) => other !== index);
-  if (peers.length === 0) return {};
-  return { SHALLOTPICK_PEER_PORT: String(ports[index]), SHALLOTPICK_PEERS: peers.join(',') };
-}
-
 function createProxy(
   options: ClusterOptions,
   platformUrl: string,
-  ports: readonly number[],
   index: number,
+  peerPorts: readonly number[],
 ): Daemon {
   const { zones } = options.profile;
+  const peers = peerPorts.flatMap((port, peer) =>
+    peer === index ? [] : [`vm-${peer + 1}@${zones[peer % zones.length]}@127.0.0.1:${port}`],
+  );
   return createDaemon(
     loadSettings([], {
       SHALLOTPICK_VM: `vm-${index + 1}`,
@@ -85,8 +74,9 @@
       SHALLOTPICK_PLATFORM_URL: platformUrl,
       SHALLOTPICK_CALLER_PORT: '0',
       SHALLOTPICK_METRICS_PORT: '0',
+      SHALLOTPICK_PEER_PORT: String(peerPorts[index]),
+      SHALLOTPICK_PEERS: peers.join(','),
       SHALLOTPICK_LOG_LEVEL: 'error',
-      ...listPeerSettings(ports, zones, index),
       ...options.environment,
     }),
   );
@@ -115,11 +105,8 @@
   });
   const note = createFirstNote(groups.map((group) => group.toDatabaseGroup()));
   platform.set(formatNoteKey(1), JSON.stringify(note));
-  const count = options.proxies ?? profile.proxies;
-  const ports = await findFreePorts(options.hasPeers ? count : 0);
-  const daemons = Array.from({ length: count }, (_, index) =>
-    createProxy(options, platformUrl, ports, index),
-  );
+  const peerPorts = await findFreePorts(options.proxies ?? profile.proxies);
+  const daemons = peerPorts.map((_, index) => createProxy(options, platformUrl, index, peerPorts));
   await Promise.all(daemons.map((daemon) => daemon.start()));
   await Promise.all(daemons.map(waitUntilReady));
   const stop = async (): Promise<void> => {
--- a/packages/bench/src/failover.ts
+++ b/packages/bench/src/failover.ts
@@ -210,7 +210,6 @@
   const deployment = await create({
     profile,
     statementCostMs: STATEMENT_COST_MS,
-    hasPeers: true,
   });
   const random = createRandom(seed);
   const runs = deployment.groups.map(
--- a/packages/bench/src/measure.ts
+++ b/packages/bench/src/measure.ts
@@ -3,6 +3,8 @@
 import { z } from 'zod';
 import { createCluster, type CreateDeployment } from './cluster.js';
 import { measureFailover } from './failover.js';
+import { measureCrest } from './crest.js';
+import { measureMixed } from './mixed.js';
 import { createNaive } from './naive.js';
 import { type Profile, PROFILES } from './profile.js';
 import { measureReads } from './reads.js';
@@ -18,6 +20,8 @@
   failover: (create, profile, seed) => measureFailover(profile, seed, create, FAILOVER_ROUNDS),
   reads: measureReads,
   roaming: measureRoaming,
+  crest: measureCrest,
+  mixed: measureMixed,
 };
 
 const EXIT_BAD_OPTION = 2;
--- /dev/null
+++ b/packages/bench/src/mixed.ts
@@ -0,0 +1,101 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import { BenchClient } from './client.js';
+import type { CreateDeployment, Deployment } from './cluster.js';
+import type { Profile } from './profile.js';
+import { createRandom, type Random } from './random.js';
+import { computeQuantile, formatNumber } from './stats.js';
+
+const SHORT_COST_MS = 5;
+const LONG_SECONDS = 0.5;
+const WARM_UP_MS = 4_000;
+const PHASE_MS = 7_000;
+const SHORT_CALLERS = 12;
+const SHORT_THINK_MS = 50;
+const WRITE_SHARE = 0.1;
+/** Callers that each offer the next long statement as soon as one has ended. */
+const LONG_CALLERS = 8;
+
+export interface MixedResult {
+  readonly shortP99Ms: number;
+  readonly shortP99AloneMs: number;
+  readonly longCompleted: number;
+}
+
+/** Long work without a hint, which has to be learned, and long work with a contract. */
+const LONG_TEXTS = [
+  `/* shallotpick contract=report */ SELECT pg_sleep(${LONG_SECONDS})`,
+  `/* shallotpick contract=availability */ SELECT pg_sleep(${LONG_SECONDS})`,
+];
+
+async function runShort(client: BenchClient, random: Random, end: number): Promise<number[]> {
+  const latencies: number[] = [];
+  while (performance.now() < end) {
+    const key = `key-${random.nextInt(1_000)}`;
+    const text =
+      random.next() < WRITE_SHARE
+        ? `INSERT INTO items (key, value) VALUES ('${key}', 'x')`
+        : `/* shallotpick contract=availability */ SELECT value FROM items WHERE key = '${key}'`;
+    latencies.push((await client.run(text)).tookMs);
+    await sleep(random.next() * 2 * SHORT_THINK_MS);
+  }
+  return latencies;
+}
+
+async function runLong(client: BenchClient, text: string, end: number): Promise<number> {
+  let completed = 0;
+  while (performance.now() < end) {
+    if ((await client.run(text)).code === undefined) completed += 1;
+    else await sleep(SHORT_THINK_MS);
+  }
+  return completed;
+}
+
+async function openAll(
+  deployment: Deployment,
+  database: string,
+  kind: string,
+  count: number,
+): Promise<readonly BenchClient[]> {
+  const { daemons } = deployment;
+  return Promise.all(
+    Array.from({ length: count }, (_, index) => {
+      const port = daemons[index % daemons.length]?.readCallerPort() ?? 0;
+      return BenchClient.open(port, `${kind}-${index}`, database);
+    }),
+  );
+}
+
+/** Measures short work alone and beside a steady offer of much longer work. */
+export async function measureMixed(
+  create: CreateDeployment,
+  profile: Profile,
+  seed: number,
+): Promise<MixedResult> {
+  const [database = ''] = profile.groups;
+  const deployment = await create({
+    profile: { ...profile, groups: [database] },
+    statementCostMs: SHORT_COST_MS,
+  });
+  const random = createRandom(seed);
+  const short = await openAll(deployment, database, 'clerk', SHORT_CALLERS);
+  const long = await openAll(deployment, database, 'office', LONG_CALLERS);
+  const runShorts = async (durationMs: number): Promise<readonly number[]> => {
+    const end = performance.now() + durationMs;
+    return (await Promise.all(short.map((client) => runShort(client, random, end)))).flat();
+  };
+  await runShorts(WARM_UP_MS);
+  const alone = await runShorts(PHASE_MS);
+  const end = performance.now() + PHASE_MS;
+  const longs = long.map((client, index) =>
+    runLong(client, LONG_TEXTS[index % LONG_TEXTS.length] ?? '', end),
+  );
+  const beside = await runShorts(PHASE_MS);
+  const completed = await Promise.all(longs);
+  [...short, ...long].forEach((client) => client.close());
+  await deployment.stop();
+  return {
+    shortP99Ms: formatNumber(computeQuantile(beside, 0.99)),
+    shortP99AloneMs: formatNumber(computeQuantile(alone, 0.99)),
+    longCompleted: completed.reduce((sum, count) => sum + count, 0),
+  };
+}
--- a/packages/daemon/src/wiring.ts
+++ b/packages/daemon/src/wiring.ts
@@ -1,11 +1,14 @@
 import { randomInt, randomUUID } from 'node:crypto';
 import { createServer, type Socket } from 'node:net';
 import {
+  type BorrowGrant,
+  type BorrowRequest,
   type Clock,
   createBackoff,
   type DatabaseGroup,
   type DatabaseInstance,
   Membership,
+  type PeerLink,
   type Platform,
   Spread,
   type Vm,
@@ -14,12 +17,14 @@
 import { SystemClock } from './clock.js';
 import { ControlLink } from './control.js';
 import { Daemon } from './daemon.js';
+import { RefusedError } from './errors.js';
 import { FailoverDriver } from './failover.js';
 import { CallerGate } from './gate.js';
 import { GroupServer } from './group.js';
 import { GroupHost } from './host.js';
 import { createHealthServer } from './health.js';
 import { LeavingFeature } from './leaving.js';
+import { QuotaDriver } from './lender.js';
 import { createLog, type Log } from './log.js';
 import { MembershipDriver } from './membership.js';
 import { Metrics } from './metrics.js';
@@ -62,6 +67,12 @@
   });
 }
 
+async function handleBorrow(host: GroupHost, request: BorrowRequest): Promise<BorrowGrant> {
+  const grant = host.find(request.group)?.handleBorrow(request);
+  if (!grant) throw new RefusedError(`instance ${request.instance} is not served here`);
+  return grant;
+}
+
 function createPeering(parts: PeeringParts): Peering {
   const { settings, membership, clock, log, metrics, platform, host: groups } = parts;
   const { tlsPeerKey: key, tlsPeerCert: cert, tlsPeerCa: ca, host, vm: self } = settings;
@@ -109,6 +120,7 @@
     connect: (vm) => hub.connect(vm),
     onListing: (listing, now) => leaving.handleListing(listing, now),
   });
+  hub.borrowHandler = (request) => handleBorrow(groups, request);
   const server = new PeerServer({
     self,
     clock,
@@ -166,14 +178,17 @@
       ]),
     );
   const createPool = (instance: DatabaseInstance, database: string): ConnectionPool =>
-    new ConnectionPool({ instance, database, user: instanceUser, applicationName, trust });
+    new ConnectionPool({ instance, database, user: instanceUser, applicationName, trust, clock });
   const membership = createMembership(settings);
+  const source: { daemon?: Daemon } = {};
+  const findLink = (id: string): PeerLink | undefined => source.daemon?.peering.hub.findLink(id);
   const createGroup = (group: DatabaseGroup): GroupServer => {
     const links = createLinks(group);
     const shared = { group, clock, log, metrics };
     return new GroupServer({
       ...shared,
       zone,
+      createQuota: (onGrant) => new QuotaDriver({ ...shared, membership, onGrant, findLink }),
       pools: new Map(group.instances.map((one) => [one.id, createPool(one, group.name)])),
       createBoard: (onStatus) => new StatusBoard({ ...shared, links, onStatus }),
       failover: new FailoverDriver({
@@ -223,5 +238,6 @@
     host,
     startSources,
   });
+  source.daemon = daemon;
   return daemon;
 }
