Ask instances for their status only when the answer may settle a wait

Cause: while any commit waited, every instance was asked every millisecond, a refusing one too; in a process with four daemons this took 3,600 requests a second and held up everything else. Change: only the primary is asked until its position is known, then the replicas that lack it; an instance that does not answer is asked and dialled ahead less often.

--- a/packages/core/src/majority.ts
+++ b/packages/core/src/majority.ts
@@ -70,6 +70,22 @@
     return this.commits.size > 0 || this.arrivals.size > 0;
   }
 
+  /**
+   * True when an answer of the instance may settle a wait: of the primary while its position after
+   * a commit is unknown, of a replica once that position is known and not held by it, and of any
+   * instance that has not been asked since the arrival of a session.
+   */
+  isUrgent(instance: string): boolean {
+    const status = this.latest.get(instance);
+    const asked = status?.requestedAt ?? Number.NEGATIVE_INFINITY;
+    const isAwaited = [...this.arrivals.values()].some(({ arrivedAt }) => asked < arrivedAt);
+    if (isAwaited) return true;
+    return [...this.commits.values()].some(({ primary, target }) => {
+      if (!target) return instance === primary;
+      return instance !== primary && (!status || status.durable.offset < target.offset);
+    });
+  }
+
   /** Takes in one answer and returns the verdicts that follow from it. */
   handleStatus(status: InstanceStatus): readonly MajorityDecision[] {
     const known = this.latest.get(status.instance);
--- a/packages/core/test/majority.spec.ts
+++ b/packages/core/test/majority.spec.ts
@@ -62,6 +62,22 @@
     ]);
   });
 
+  // Asking every instance all the time costs more than the statements themselves.
+  it('asks only instances whose answer may settle a wait', () => {
+    const tracker = new MajorityTracker(['a', 'b', 'c']);
+    const listUrgent = (): readonly string[] => ['a', 'b', 'c'].filter((i) => tracker.isUrgent(i));
+    ['a', 'b', 'c'].forEach((instance) => tracker.handleStatus(createStatus(instance, 1, 6, 5)));
+    expect(listUrgent()).toEqual([]);
+    tracker.addCommit({ id: 1, primary: 'a', term: 1, completedAt: 10, deadline: 100 });
+    expect(listUrgent()).toEqual(['a']);
+    tracker.handleStatus(createStatus('a', 1, 7, 11));
+    expect(listUrgent()).toEqual(['b', 'c']);
+    tracker.handleStatus(createStatus('b', 1, 7, 12));
+    expect(listUrgent()).toEqual([]);
+    tracker.addArrival({ id: 2, arrivedAt: 12, deadline: 100 });
+    expect(listUrgent()).toEqual(['a', 'c']);
+  });
+
   it('knows the age of an instance only from majority readings', () => {
     const tracker = new MajorityTracker(['a', 'b', 'c']);
     tracker.handleStatus(createStatus('b', 1, 5, 10));
--- a/packages/daemon/src/pool.ts
+++ b/packages/daemon/src/pool.ts
@@ -5,6 +5,8 @@
 const CONNECT_TIMEOUT_MS: Millis = 2_000;
 /** A connection with more prepared statements is replaced, which bounds the instance's memory. */
 const MAX_STATEMENTS = 500;
+/** A lost instance refuses at once; it is not dialled ahead of demand more often than this. */
+const OPEN_PAUSE_MS: Millis = 500;
 /** A crest returns within minutes; a connection costs 10 to 30 ms, an idle one almost nothing. */
 const IDLE_CLOSE_MS: Millis = 120_000;
 
@@ -41,6 +43,9 @@
 
   private isDraining = false;
 
+  /** When a connection opened ahead of demand last failed. */
+  private failedAt = Number.NEGATIVE_INFINITY;
+
   constructor(private readonly options: PoolOptions) {}
 
   /** Connections that are open or being opened. */
@@ -89,14 +94,18 @@
     });
   }
 
-  /** Opens connections ahead of demand until `count` are open. */
+  /** Opens connections ahead of demand until `count` are open, unless one has just failed. */
   openAhead(count: number): void {
+    const now = this.options.clock?.readNow() ?? 0;
+    if (now - this.failedAt < OPEN_PAUSE_MS) return;
     const missing = Math.min(count, this.limit) - this.countOpen();
     for (let index = 0; index < missing && !this.isDraining && !this.leaving; index++) {
       this.openConnection().then(
         (connection) => this.release(connection),
         // Work that needs the connection meets and reports the failure itself.
-        () => undefined,
+        () => {
+          this.failedAt = this.options.clock?.readNow() ?? 0;
+        },
       );
     }
   }
--- a/packages/daemon/src/status.ts
+++ b/packages/daemon/src/status.ts
@@ -71,7 +71,7 @@
 
   stop(): void {
     this.stopped = true;
-    this.wakeProbes();
+    this.wakers.forEach((wake) => wake());
     this.options.links.forEach((link) => link.close());
   }
 
@@ -98,7 +98,7 @@
       this.commits.set(id, resolve);
     });
     this.tracker.addCommit({ id, primary, term, completedAt: now, deadline });
-    this.wakeProbes();
+    this.wakeUrgent();
     const outcome = await verdict;
     this.options.metrics.acknowledgement.observe((this.options.clock.readNow() - now) / 1_000);
     return outcome;
@@ -115,7 +115,7 @@
       this.arrivals.set(id, { resolve, reject });
     });
     this.tracker.addArrival({ id, arrivedAt: this.options.clock.readNow(), deadline });
-    this.wakeProbes();
+    this.wakeUrgent();
     return floor;
   }
 
@@ -141,19 +141,23 @@
   private async runProbes(instance: string): Promise<void> {
     const link = this.options.links.get(instance);
     while (!this.stopped && link) {
-      try {
-        this.handleStatus(await link.readStatus());
-      } catch {
-        // The missing answer is what the failover coordinator acts on.
-      }
-      await this.waitForProbe(instance);
+      // The missing answer is what the failover coordinator acts on.
+      const status = await link.readStatus().catch(() => undefined);
+      if (status) this.handleStatus(status);
+      await this.waitForProbe(instance, status !== undefined);
     }
   }
 
-  private async waitForProbe(instance: string): Promise<void> {
-    const delay = this.tracker.hasPending() ? URGENT_INTERVAL_MS : PROBE_INTERVAL_MS;
+  /**
+   * An instance that refuses connections answers at once; without the pause, waiting commits
+   * would have it dialled a thousand times a second.
+   */
+  private async waitForProbe(instance: string, hasAnswered: boolean): Promise<void> {
+    const isUrgent = hasAnswered && this.tracker.isUrgent(instance);
+    const delay = isUrgent ? URGENT_INTERVAL_MS : PROBE_INTERVAL_MS;
     await new Promise<void>((resolve) => {
       const timer = setTimeout(resolve, delay);
+      if (!hasAnswered) return;
       this.wakers.set(instance, () => {
         clearTimeout(timer);
         resolve();
@@ -162,8 +166,11 @@
     this.wakers.delete(instance);
   }
 
-  private wakeProbes(): void {
-    this.wakers.forEach((wake) => wake());
+  /** Asks at once the instances whose answer may settle a wait, and no others. */
+  private wakeUrgent(): void {
+    this.wakers.forEach((wake, instance) => {
+      if (this.tracker.isUrgent(instance)) wake();
+    });
   }
 
   private handleStatus(status: InstanceStatus): void {
@@ -172,6 +179,8 @@
     this.latest.set(status.instance, status);
     this.heardAt.set(status.instance, now);
     this.runVerdicts(this.tracker.handleStatus(status));
+    // The primary's position makes the replicas' answers worth asking for.
+    this.wakeUrgent();
     this.options.onStatus(status, before);
   }
 
