--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -14,6 +14,7 @@
   RefusedError,
   SettingError,
 } from './errors.js';
+export { createVerifier } from './users.js';
 export { ConnectionPool } from './pool.js';
 export type { CallerRequest } from './request.js';
 export { loadSettings } from './settings.js';
--- a/packages/daemon/src/pool.ts
+++ b/packages/daemon/src/pool.ts
@@ -1,5 +1,6 @@
 import type { DatabaseInstance, Millis } from '@shallotpick/core';
 import { InstanceConnection } from './connection.js';
+import type { TrustFile } from './tls.js';
 
 /** A connection with more prepared statements is replaced, which bounds the instance's memory. */
 const MAX_STATEMENTS = 500;
@@ -10,6 +11,8 @@
   readonly database: string;
   readonly user: string;
   readonly applicationName: string;
+  /** CA of the instance; cleartext without. */
+  readonly trust?: TrustFile | undefined;
 }
 
 /**
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -7,6 +7,10 @@
 const id = z.string().regex(/^[a-z][a-z0-9-]{0,62}$/, 'lower-case letters, digits and hyphens');
 
 const file = z.string().min(1).optional();
+const flag = z
+  .enum(['true', 'false'])
+  .default('false')
+  .transform((text) => text === 'true');
 const PEER = /^([a-z][a-z0-9-]{0,62})@([a-z][a-z0-9-]{0,62})@([^@\s]+):(\d{1,5})$/;
 
 /** `id@zone@host:port,...` */
@@ -38,6 +42,16 @@
   tlsPeerCa: file,
   /** DNS name that the certificates of all peers carry. */
   tlsPeerName: z.string().min(1).default('shallotpick-peer'),
+  tlsCallerKey: file,
+  tlsCallerCert: file,
+  /** Refuses callers that do not ask for TLS. */
+  tlsCallerRequired: flag,
+  /** CA of the instances; with it, every connection to an instance uses TLS. */
+  tlsInstanceCa: file,
+  /** `USER:VERIFIER` lines; without it, callers are not asked for a password. */
+  usersFile: file,
+  callerAuth: z.enum(['scram', 'password']).default('scram'),
+  startupTimeoutMs: z.coerce.number().int().min(1).max(600_000).default(10_000),
   /** Not set: no operator service. */
   operatorPort: port.optional(),
   tlsOperatorKey: file,
@@ -60,6 +74,7 @@
 const TOGETHER = [
   ['tlsPeerKey', 'tlsPeerCert', 'tlsPeerCa'],
   ['tlsOperatorKey', 'tlsOperatorCert', 'tlsOperatorCa'],
+  ['tlsCallerKey', 'tlsCallerCert'],
 ] as const;
 
 const settingsSchema = settingsShape.superRefine((settings, context) => {
@@ -69,6 +84,10 @@
     const message = `must be set together with ${names.map(toFlag).join(', ')}`;
     missing.forEach((name) => context.addIssue({ code: 'custom', path: [name], message }));
   });
+  if (settings.tlsCallerRequired && !settings.tlsCallerCert) {
+    const message = 'needs tls-caller-key and tls-caller-cert';
+    context.addIssue({ code: 'custom', path: ['tlsCallerRequired'], message });
+  }
 });
 
 /** Settings of one daemon; see docs/operators.md. */
--- a/packages/daemon/src/wiring.ts
+++ b/packages/daemon/src/wiring.ts
@@ -1,5 +1,5 @@
 import { randomInt, randomUUID } from 'node:crypto';
-import { createServer } from 'node:net';
+import { createServer, type Socket } from 'node:net';
 import {
   type Clock,
   createBackoff,
@@ -15,7 +15,9 @@
 import { ControlLink } from './control.js';
 import { Daemon } from './daemon.js';
 import { FailoverDriver } from './failover.js';
+import { CallerGate } from './gate.js';
 import { GroupServer } from './group.js';
+import { GroupHost } from './host.js';
 import { createHealthServer } from './health.js';
 import { LeavingFeature } from './leaving.js';
 import { createLog, type Log } from './log.js';
@@ -31,7 +33,8 @@
 import { ConnectionPool } from './pool.js';
 import type { Settings } from './settings.js';
 import { StatusBoard } from './status.js';
-import { CertificateFiles, createPeerCredentials } from './tls.js';
+import { CertificateFiles, createPeerCredentials, TrustFile } from './tls.js';
+import { UserFile } from './users.js';
 import { PlatformWatcher } from './watcher.js';
 
 const RETRY_BACKOFF = { baseMs: 10, maxMs: 200 };
@@ -44,7 +47,7 @@
   readonly clock: Clock;
   readonly log: Log;
   readonly metrics: Metrics;
-  readonly findDaemon: () => Daemon;
+  readonly host: GroupHost;
   readonly spread: Spread;
 }
 
@@ -60,7 +63,7 @@
 }
 
 function createPeering(parts: PeeringParts): Peering {
-  const { settings, membership, clock, log, metrics, platform, findDaemon } = parts;
+  const { settings, membership, clock, log, metrics, platform, host: groups } = parts;
   const { tlsPeerKey: key, tlsPeerCert: cert, tlsPeerCa: ca, host, vm: self } = settings;
   const files = key && cert ? new CertificateFiles({ key, cert, ca }, log) : undefined;
   if (!files && settings.peerPort !== undefined) {
@@ -70,16 +73,13 @@
   const credentials = createPeerCredentials(files);
   const observations = new ObservationFeature({
     membership,
-    listGroups: () =>
-      findDaemon()
-        .listGroups()
-        .map(({ failover }) => failover),
-    listRecords: () => findDaemon().listRecords(),
-    handleRecord: (record, version) => findDaemon().handleRecord(record, version),
+    listGroups: () => groups.list().map(({ failover }) => failover),
+    listRecords: () => groups.listRecords(),
+    handleRecord: (record, version) => groups.handleRecord(record, version),
   });
   const leaving = new LeavingFeature({
-    isInstance: (id) => findDaemon().hasInstance(id),
-    onChange: (ids) => findDaemon().updateLeaving(ids),
+    isInstance: (id) => groups.hasInstance(id),
+    onChange: (ids) => groups.updateLeaving(ids),
   });
   const findVm = (id: string): Vm | undefined => membership.listLive().find((vm) => vm.id === id);
   const listPartners = (): readonly Vm[] => {
@@ -97,7 +97,7 @@
       new GrpcPeerLink({ self, vm, clock, metrics, credentials: credentials.channel, peerName }),
     listPartners,
     findVm,
-    readNoteNumber: () => findDaemon().readConfiguration().number,
+    readNoteNumber: () => groups.readConfiguration().number,
     hasNews: (now) =>
       [observations, leaving, parts.spread].map((one) => one.hasNews(now)).includes(true),
   });
@@ -132,6 +132,19 @@
   });
 }
 
+/** Creates what checks a caller's startup. */
+function createGates(settings: Settings, log: Log): (socket: Socket) => CallerGate {
+  const { tlsCallerKey: key, tlsCallerCert: cert, usersFile } = settings;
+  const options = {
+    timeoutMs: settings.startupTimeoutMs,
+    files: key && cert ? new CertificateFiles({ key, cert }, log) : undefined,
+    isTlsRequired: settings.tlsCallerRequired,
+    users: usersFile ? new UserFile(usersFile, log) : undefined,
+    method: settings.callerAuth,
+  };
+  return (socket) => new CallerGate(socket, options);
+}
+
 /** Constructs a daemon with its real adapters. */
 export function createDaemon(settings: Settings): Daemon {
   const { vm, zone, instanceUser } = settings;
@@ -144,15 +157,16 @@
   });
   const applicationName = `shallotpick/${vm}/${zone}`;
 
+  const trust = settings.tlsInstanceCa ? new TrustFile(settings.tlsInstanceCa, log) : undefined;
   const createLinks = (group: DatabaseGroup): ReadonlyMap<string, ControlLink> =>
     new Map(
       group.instances.map((instance) => [
         instance.id,
-        new ControlLink({ instance, database: group.name, applicationName, clock }),
+        new ControlLink({ instance, database: group.name, applicationName, clock, trust }),
       ]),
     );
   const createPool = (instance: DatabaseInstance, database: string): ConnectionPool =>
-    new ConnectionPool({ instance, database, user: instanceUser, applicationName });
+    new ConnectionPool({ instance, database, user: instanceUser, applicationName, trust });
   const membership = createMembership(settings);
   const createGroup = (group: DatabaseGroup): GroupServer => {
     const links = createLinks(group);
@@ -172,10 +186,9 @@
       }),
     });
   };
-  // The daemon's sources and peers need it before it exists; they call this only once started.
-  let daemon: Daemon;
-  const findDaemon = (): Daemon => daemon;
-  const spread = new Spread((configuration) => findDaemon().handleConfiguration(configuration));
+  const { drainLimitMs } = settings;
+  const host = new GroupHost({ clock, log, membership, createGroup, drainLimitMs });
+  const spread = new Spread((configuration) => host.updateConfiguration(configuration));
   const startSources = (target: Daemon): (() => void) => {
     const watcher = new PlatformWatcher({
       platform,
@@ -193,7 +206,7 @@
   };
 
   const shared = { settings, clock, log, metrics };
-  daemon = new Daemon({
+  const daemon: Daemon = new Daemon({
     ...shared,
     computeBackoff: createBackoff(RETRY_BACKOFF, xoroshiro128plus(randomInt(MAX_SEED))),
     peering: createPeering({
@@ -201,12 +214,13 @@
       membership,
       platform,
       spread,
-      findDaemon,
+      host,
     }),
     callerServer: createServer(),
     metricsServer: createHealthServer(metrics, () => daemon.isReady()),
     operatorServer: new OperatorServer({ settings, clock, log }),
-    createGroup,
+    createGate: createGates(settings, log),
+    host,
     startSources,
   });
   return daemon;
