--- a/packages/bench/src/failover.ts
+++ b/packages/bench/src/failover.ts
@@ -67,6 +67,20 @@
     return this.acknowledged[from]?.endedAt;
   }
 
+  /** Counts the write and reports what every instance holds, for the search for its cause. */
+  private addReplaced(key: string): void {
+    this.byReplaced += 1;
+    const instances = this.group.instances.map((one) => ({
+      id: one.options.id,
+      role: one.role,
+      isUp: one.isUp(),
+      fenceTerm: one.fenceTerm,
+      durable: one.store.readDurable(),
+      holds: one.store.findRow('items', key) !== undefined,
+    }));
+    process.stderr.write(`${JSON.stringify({ acknowledged: key, instances })}\n`);
+  }
+
   private async run(): Promise<void> {
     for (let index = 0; !this.stopped; index++) {
       if (this.guest.readProxy() < 0) await this.guest.connect(this.proxy);
@@ -77,7 +91,7 @@
         this.acknowledged.push({ key, startedAt, endedAt: performance.now() });
         // The primary of the highest term holds each write at its acknowledgement.
         const isHeld = this.group.findPrimary()?.store.findRow('items', key) !== undefined;
-        if (!isHeld) this.byReplaced += 1;
+        if (!isHeld) this.addReplaced(key);
       }
       if (outcome.kind === 'cut') await this.guest.close();
       await sleep(WRITE_PAUSE_MS);
