Refresh what is known of replicas that a session's floor rules out

Cause: a replica's position was up to 50 ms old, so reads after a write went to the primary for longer than the lag; a naive caller without a verdict held up the failover measurement.

--- a/packages/bench/src/failover.ts
+++ b/packages/bench/src/failover.ts
@@ -57,7 +57,13 @@
 
   async stop(): Promise<void> {
     this.stopped = true;
+    const timer = setTimeout(() => {
+      // A write without any verdict would otherwise hold up the whole measurement.
+      process.stderr.write(`${this.guest.name}: no answer for ${GIVE_UP_MS} ms\n`);
+      this.guest.breakConnection();
+    }, GIVE_UP_MS);
     await this.running;
+    clearTimeout(timer);
     await this.guest.close();
   }
 
--- a/packages/daemon/src/group.ts
+++ b/packages/daemon/src/group.ts
@@ -78,7 +78,12 @@
     this.router = new Router(options.zone);
     this.admission = new Admission({
       ...options,
-      findRoute: (request, now) => this.router.route(request, this.readView(), now),
+      findRoute: (request, now) => {
+        const route = this.router.route(request, this.readView(), now);
+        // What is known of the replicas may be older than the session's floor.
+        if (route.reason !== 'replica') this.board.refresh(request.floor, now);
+        return route;
+      },
     });
   }
 
--- a/packages/daemon/src/status.ts
+++ b/packages/daemon/src/status.ts
@@ -1,6 +1,7 @@
 import {
   type Clock,
   type DatabaseGroup,
+  hasPosition,
   type InstanceLink,
   type InstanceStatus,
   type LogPosition,
@@ -17,6 +18,8 @@
 const PROBE_INTERVAL_MS: Millis = 50;
 /** Gap between status requests while commits or sessions wait for a majority. */
 const URGENT_INTERVAL_MS: Millis = 1;
+/** Shortest gap between status requests for reads that no replica may serve yet. */
+const REFRESH_INTERVAL_MS: Millis = 10;
 const ACKNOWLEDGE_TIMEOUT_MS: Millis = 5_000;
 
 /** The end of the wait for a majority after a commit. */
@@ -119,6 +122,15 @@
     return floor;
   }
 
+  /** Asks again the instances that were behind `floor` when they last answered. */
+  refresh(floor: LogPosition, now: Millis): void {
+    this.wakers.forEach((wake, instance) => {
+      const status = this.latest.get(instance);
+      if (!status || now - status.requestedAt < REFRESH_INTERVAL_MS) return;
+      if (!hasPosition(status.applied, floor)) wake();
+    });
+  }
+
   /** Gives commits of replaced primaries their verdict, once `term` has a primary. */
   handleTerm(term: number): void {
     this.runVerdicts(this.tracker.handleTerm(term));
