--- a/packages/wire/src/operator.ts
+++ b/packages/wire/src/operator.ts
@@ -1,10 +1,8 @@
 import {
   create,
   type DescMessage,
-  fromBinary,
   type MessageInitShape,
   type MessageShape,
-  toBinary,
 } from '@bufbuild/protobuf';
 import {
   type ChannelCredentials,
@@ -25,30 +23,17 @@
   type StatusResponse,
   StatusResponseSchema,
 } from './generated/operator/operator_pb.js';
+import { createMethod } from './method.js';
 
 const CALL_TIMEOUT_MS = 5_000;
 
-function createMethod<I extends DescMessage, O extends DescMessage>(
-  name: string,
-  input: I,
-  output: O,
-): MethodDefinition<MessageShape<I>, MessageShape<O>> {
-  return {
-    path: `/shallotpick.operator.v1.OperatorService/${name}`,
-    requestStream: false,
-    responseStream: false,
-    requestSerialize: (message) => Buffer.from(toBinary(input, message)),
-    requestDeserialize: (bytes) => fromBinary(input, bytes),
-    responseSerialize: (message) => Buffer.from(toBinary(output, message)),
-    responseDeserialize: (bytes) => fromBinary(output, bytes),
-  };
-}
+const SERVICE = '/shallotpick.operator.v1.OperatorService';
 
 /** The operators' calls as gRPC methods; see proto/operator.proto. */
 export const OPERATOR_SERVICE = {
-  status: createMethod('Status', StatusRequestSchema, StatusResponseSchema),
-  explain: createMethod('Explain', ExplainRequestSchema, ExplainResponseSchema),
-  drain: createMethod('Drain', DrainRequestSchema, DrainResponseSchema),
+  status: createMethod(`${SERVICE}/Status`, StatusRequestSchema, StatusResponseSchema),
+  explain: createMethod(`${SERVICE}/Explain`, ExplainRequestSchema, ExplainResponseSchema),
+  drain: createMethod(`${SERVICE}/Drain`, DrainRequestSchema, DrainResponseSchema),
 };
 
 /** What a daemon does for operators. Errors with a gRPC `code` keep it. */
