Learn a statement as long only when its last runs all were

Cause: short statements that long work had blocked for 450 ms were learned as long, and then waited seconds for the permits of long work. Change: a known statement becomes long only when its last eight runs all took long.

--- a/packages/core/src/cost.ts
+++ b/packages/core/src/cost.ts
@@ -18,9 +18,14 @@
 const TYPICAL_STEP = 1.05;
 const FIRST_TYPICAL_MS: Millis = 5;
 
+/** A statement is long only when its last runs all were; a short one is not blocked that often. */
+const RECENT_RUNS = 8;
+
 interface Learned {
   costMs: Millis;
   isLong: boolean;
+  /** How long the last runs took. */
+  readonly recent: readonly Millis[];
 }
 
 /** The text with literals replaced and white space folded, so that equal work has equal shape. */
@@ -79,9 +84,10 @@
     const known = this.learned.get(key);
     const costMs = known ? this.mergeSample(known.costMs, tookMs) : tookMs;
     const bound = this.readLongBound();
-    const isLong = costMs >= (known?.isLong ? bound / 2 : bound);
+    const recent = [...(known?.recent ?? []), tookMs].slice(-RECENT_RUNS);
+    const isLong = Math.min(costMs, ...recent) >= (known?.isLong ? bound / 2 : bound);
     this.learned.delete(key);
-    this.learned.set(key, { costMs, isLong });
+    this.learned.set(key, { costMs, isLong, recent });
     // Long statements count too: where most take 100 ms, 100 ms is not long.
     this.typicalMs *= tookMs > this.typicalMs ? TYPICAL_STEP : 1 / TYPICAL_STEP;
     if (this.learned.size <= this.maxShapes) return;
--- a/packages/core/test/cost.spec.ts
+++ b/packages/core/test/cost.spec.ts
@@ -34,6 +34,14 @@
     expect(book.isLong('k')).toEqual(false);
   });
 
+  // Guards against short work that was blocked by long work and then waits like long work.
+  it('is not misled by several short runs that were blocked at once', () => {
+    const book = new CostBook();
+    for (let run = 0; run < 20; run++) book.add('k', 5);
+    for (let run = 0; run < 6; run++) book.add('k', 450);
+    expect(book.isLong('k')).toEqual(false);
+  });
+
   // Guards against a deployment of slow statements whose whole work counts as long.
   it('learns what is typical from all statements', () => {
     const book = new CostBook();
