Look for free ports in one place, and drop an unused method

Cause: three files of packages/bench searched for free ports with the same code, and Daemon.handleConfiguration had no caller since the group host takes in configurations. Change: findFreePorts stands in ports.ts; the method is gone. No behaviour changes.

--- a/packages/bench/src/cluster.ts
+++ b/packages/bench/src/cluster.ts
@@ -1,9 +1,8 @@
-import { once } from 'node:events';
-import { type AddressInfo, createServer } from 'node:net';
 import { formatGroupKey, formatNoteKey } from '@shallotpick/core';
 import { createDaemon, type Daemon, loadSettings } from '@shallotpick/daemon';
 import { StandinGroup, StandinPlatform } from '@shallotpick/standin';
 import { createFirstNote, createGroupOptions, type Profile } from './profile.js';
+import { findFreePorts } from './ports.js';
 
 const READY_POLL_MS = 5;
 
@@ -48,15 +47,6 @@
   }
 }
 
-/** Ports that were free a moment ago, since peers must know them before any daemon starts. */
-async function findFreePorts(count: number): Promise<readonly number[]> {
-  const servers = Array.from({ length: count }, () => createServer().listen(0, '127.0.0.1'));
-  await Promise.all(servers.map((server) => once(server, 'listening')));
-  const ports = servers.map((server) => (server.address() as AddressInfo).port);
-  await Promise.all(servers.map((server) => once(server.close(), 'close')));
-  return ports;
-}
-
 function createProxy(
   options: ClusterOptions,
   platformUrl: string,
--- a/packages/bench/src/large.ts
+++ b/packages/bench/src/large.ts
@@ -1,12 +1,13 @@
 import { type ChildProcess, spawn } from 'node:child_process';
 import { readFile } from 'node:fs/promises';
-import { connect, createServer, type Socket } from 'node:net';
+import { connect, type Socket } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { fileURLToPath } from 'node:url';
 import { formatGroupKey, formatNoteKey } from '@shallotpick/core';
 import { StandinGroup, StandinPlatform } from '@shallotpick/standin';
 import { FrameReader, serialize } from '@shallotpick/wire';
 import { createFirstNote, createGroupOptions, PROFILES } from './profile.js';
+import { findFreePorts } from './ports.js';
 
 /** Measures the daemon's memory while a slow caller reads answers of 50 MB and 200 MB. */
 const DAEMON = fileURLToPath(new URL('../../daemon/src/main.ts', import.meta.url));
@@ -18,18 +19,6 @@
 const READY_TIMEOUT_MS = 20_000;
 const MEGABYTE = 1_000_000;
 
-async function findFreePort(): Promise<number> {
-  const server = createServer();
-  await new Promise<void>((resolve) => {
-    server.listen(0, '127.0.0.1', resolve);
-  });
-  const address = server.address();
-  await new Promise((resolve) => {
-    server.close(resolve);
-  });
-  return address && typeof address === 'object' ? address.port : 0;
-}
-
 /** Resident memory of a child process in bytes. */
 async function measureMemory({ pid }: ChildProcess): Promise<number> {
   const status = await readFile(`/proc/${pid}/status`, 'utf8');
@@ -113,7 +102,7 @@
   await group.start();
   platform.set(formatGroupKey(name), JSON.stringify(group.toGroupRecord()));
   platform.set(formatNoteKey(1), JSON.stringify(createFirstNote([group.toDatabaseGroup()])));
-  const [callerPort, metricsPort] = [await findFreePort(), await findFreePort()];
+  const [callerPort = 0, metricsPort = 0] = await findFreePorts(2);
   const child = spawn(process.execPath, ['--conditions=development', '--import', 'tsx', DAEMON], {
     stdio: 'ignore',
     env: {
--- a/packages/bench/src/quickstart.ts
+++ b/packages/bench/src/quickstart.ts
@@ -1,11 +1,11 @@
 import { type ChildProcess, spawn } from 'node:child_process';
-import { createServer } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { fileURLToPath } from 'node:url';
 import { formatGroupKey, formatNoteKey } from '@shallotpick/core';
 import { StandinGroup, StandinPlatform } from '@shallotpick/standin';
 import pg from 'pg';
 import { createFirstNote, createGroupOptions, PROFILES } from './profile.js';
+import { findFreePorts } from './ports.js';
 
 const DAEMON = fileURLToPath(new URL('../../daemon/src/main.ts', import.meta.url));
 const STATEMENT_COST_MS = 1;
@@ -16,18 +16,6 @@
   process.stdout.write(`${line}\n`);
 };
 
-async function findFreePort(): Promise<number> {
-  const server = createServer();
-  await new Promise<void>((resolve) => {
-    server.listen(0, '127.0.0.1', resolve);
-  });
-  const address = server.address();
-  await new Promise((resolve) => {
-    server.close(resolve);
-  });
-  return address && typeof address === 'object' ? address.port : 0;
-}
-
 interface RunningDaemon {
   readonly vm: string;
   readonly callerPort: number;
@@ -37,9 +25,7 @@
 }
 
 async function startDaemon(vm: string, zone: string, platformUrl: string): Promise<RunningDaemon> {
-  const callerPort = await findFreePort();
-  const metricsPort = await findFreePort();
-  const operatorPort = await findFreePort();
+  const [callerPort = 0, metricsPort = 0, operatorPort = 0] = await findFreePorts(3);
   const child = spawn(process.execPath, ['--conditions=development', '--import', 'tsx', DAEMON], {
     stdio: ['ignore', 'ignore', process.env.QUICKSTART_LOGS ? 'inherit' : 'ignore'],
     env: {
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -110,10 +110,6 @@
     return this.parts.operatorServer.port;
   }
 
-  handleConfiguration(configuration: Configuration): void {
-    this.parts.host.updateConfiguration(configuration);
-  }
-
   handleRecord(record: GroupRecord, version: number): void {
     this.parts.host.handleRecord(record, version);
   }
