--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -27,7 +27,7 @@
 );
 
 export default [
-  { ignores: ['**/dist/**', '**/generated/**', '**/node_modules/**'] },
+  { ignores: ['**/dist/**', 'target/**', 'journal/**', '**/generated/**', '**/node_modules/**'] },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
--- a/packages/bench/src/harness/daemon.ts
+++ b/packages/bench/src/harness/daemon.ts
@@ -11,6 +11,7 @@
   type Route,
   Router,
   type RouteRequest,
+  StatusView,
   SUSPECT_AFTER_MS,
 } from '@shallotpick/core';
 import { match } from 'ts-pattern';
@@ -114,7 +115,7 @@
       findAge: (instance, now) => this.tracker.findAge(instance, now),
       findExpectedWait: () => this.options.world.random(),
     };
-    return this.router.route(request, view, this.readNow());
+    return this.router.route(request, new StatusView(view), this.readNow());
   }
 
   /** Waits until a majority holds what the primary has committed up to now. */
--- a/packages/bench/src/naive.ts
+++ b/packages/bench/src/naive.ts
@@ -7,6 +7,7 @@
   type CallerRequest,
   ConnectionPool,
   type InstanceConnection,
+  SystemClock,
 } from '@shallotpick/daemon';
 import { encodeError, encodeReady, type ErrorFields, type Frame } from '@shallotpick/wire';
 import { type ClusterOptions, type Deployment, type Proxy, startGroups } from './cluster.js';
@@ -196,6 +197,7 @@
       database,
       user: 'shallotpick',
       applicationName: formatNaiveName(this.zone),
+      clock: new SystemClock(),
     });
     this.pools.set(instance.id, pool);
     return pool;
--- a/packages/bench/src/slopes.ts
+++ b/packages/bench/src/slopes.ts
@@ -6,11 +6,11 @@
   EMPTY_CONFIGURATION,
   FailoverCoordinator,
   type GroupRecord,
-  type GroupView,
   type InstanceStatus,
   MajorityTracker,
   rankVms,
   Router,
+  StatusView,
 } from '@shallotpick/core';
 import { ControlLink, SystemClock } from '@shallotpick/daemon';
 import { StandinGroup } from '@shallotpick/standin';
@@ -206,13 +206,13 @@
     group.instances.map(({ id }, order) => [id, createStatus(id, order === 0, 1)]),
   );
   const record = { term: 1, phase: 'named', primary: 'group-0-a' } as GroupRecord;
-  const view: GroupView = {
+  const view = new StatusView({
     group,
     record,
     statuses,
     findAge: () => 5,
     findExpectedWait: () => 1,
-  };
+  });
   const router = new Router('zone-0');
   const contract = { ...DEFAULT_CONTRACT, maxAgeMs: 2_000 };
   const points = measureSizes(CALL_SIZES, (size) => {
--- a/packages/core/src/admission.ts
+++ b/packages/core/src/admission.ts
@@ -233,7 +233,7 @@
     return started;
   }
 
-  /** The work of the caller that has had the fewest turns, among the first ones of each lane. */
+  /** By priority, then the caller that has had the fewest turns, among the first of each lane. */
   private chooseNext(
     lanes: ReadonlyMap<Lane, ReadonlySet<Work>>,
   ): { readonly lane: Lane; readonly work: Work } | undefined {
@@ -244,7 +244,9 @@
         .map((work) => ({ lane, work, turn: this.turns.get(work.caller) ?? 0 })),
     );
     const [first, ...rest] = heads;
-    return first && rest.reduce((best, next) => (next.turn < best.turn ? next : best), first);
+    const isBefore = (a: (typeof heads)[number], b: (typeof heads)[number]): boolean =>
+      ((a.work.priority ?? 0) - (b.work.priority ?? 0) || a.turn - b.turn) < 0;
+    return first && rest.reduce((best, next) => (isBefore(next, best) ? next : best), first);
   }
 
   private startNext(lane: Lane, work: Work, now: Millis): AdmissionDecision | undefined {
--- a/packages/core/src/backoff.ts
+++ b/packages/core/src/backoff.ts
@@ -24,6 +24,11 @@
     this.nextAt = now + delay * (0.5 + this.random() / 2);
   }
 
+  /** Time until the next attempt is due. */
+  findDelay(now: Millis): Millis {
+    return Math.max(0, this.nextAt - now);
+  }
+
   /** Forgets the failed attempts after a success. */
   release(): void {
     this.attempts = 0;
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -80,7 +80,7 @@
 export { computeHash, rankVms } from './placement.js';
 export { Platform } from './platform.js';
 export type { PlatformListing, PlatformObject, PlatformWrite, VmListing } from './platform.js';
-export { findPrimary, Router } from './router.js';
+export { findPrimary, Router, RoutingView, StatusView } from './router.js';
 export type { GroupView, Route, RouteRequest } from './router.js';
 export { InstanceLink } from './link.js';
 export { ExchangeFeature, PeerLink } from './peer.js';
@@ -105,3 +105,16 @@
 export { compareMembers } from './member.js';
 export { Membership } from './membership.js';
 export type { MembershipMessage, MembershipOptions } from './membership.js';
+export { PositionSamples } from './samples.js';
+export type { PositionSample } from './samples.js';
+export { InstanceRoster } from './roster.js';
+export type { RegisteredInstance } from './roster.js';
+export { SILENCE_MS, TakeoverCoordinator } from './takeover.js';
+export type {
+  FenceReport,
+  InstanceView,
+  PromotionAnswer,
+  PromotionRecord,
+  TakeoverAction,
+} from './takeover.js';
+export { Backoff } from './backoff.js';
--- a/packages/core/src/lane.ts
+++ b/packages/core/src/lane.ts
@@ -11,6 +11,8 @@
   readonly caller: string;
   readonly length: 'short' | 'long';
   readonly deadline: Millis;
+  /** Work of a lower number starts first; 0 without. */
+  readonly priority?: number;
   /** Works with the same lane are routed alike but for their floors. */
   readonly lane?: string;
 }
--- a/packages/core/src/router.ts
+++ b/packages/core/src/router.ts
@@ -17,6 +17,27 @@
   readonly typicalCostMs?: Millis;
 }
 
+/** What the router asks about a group; how freshness is known depends on the kind of group. */
+export abstract class RoutingView {
+  /** Instances that are not leaving, the primary included. */
+  abstract listInstances(): readonly DatabaseInstance[];
+
+  /** The instance that may take writes. */
+  abstract findPrimary(): string | undefined;
+
+  /** True when the instance is expected to hold everything that the request must see. */
+  abstract isFresh(instance: string, request: RouteRequest, now: Millis): boolean;
+
+  /** True when the primary holds everything that the session has seen. */
+  abstract hasFloor(instance: string, request: RouteRequest): boolean;
+
+  /** Expected wait for a free slot of the instance: learned cost times queue. */
+  abstract findExpectedWait(instance: string): Millis;
+
+  /** Cost of a typical statement; a read waits this long for a replica before it costs a write. */
+  abstract readTypicalCost(): Millis;
+}
+
 export interface RouteRequest {
   readonly kind: 'read' | 'write';
   readonly contract: Contract;
@@ -39,22 +60,53 @@
   return leads ? record.primary : undefined;
 }
 
+/** Freshness as known from the statuses that instances report. */
+export class StatusView extends RoutingView {
+  constructor(private readonly view: GroupView) {
+    super();
+  }
+
+  override listInstances(): readonly DatabaseInstance[] {
+    return this.view.group.instances.filter(({ leaving }) => !leaving);
+  }
+
+  override findPrimary(): string | undefined {
+    return findPrimary(this.view);
+  }
+
+  override isFresh(instance: string, request: RouteRequest, now: Millis): boolean {
+    const age = this.view.findAge(instance, now);
+    const isYoung = age !== undefined && age <= request.contract.maxAgeMs;
+    return isYoung && this.hasFloor(instance, request);
+  }
+
+  override hasFloor(instance: string, { floor }: RouteRequest): boolean {
+    const status = this.view.statuses.get(instance);
+    return status !== undefined && hasPosition(status.applied, floor);
+  }
+
+  override findExpectedWait(instance: string): Millis {
+    return this.view.findExpectedWait(instance);
+  }
+
+  override readTypicalCost(): Millis {
+    return this.view.typicalCostMs ?? 0;
+  }
+}
+
 /** Chooses the instances for each statement. */
 export class Router {
   constructor(private readonly zone: string) {}
 
   /** Routes one statement; the caller of this method retries a `wait` until its deadline. */
-  route(request: RouteRequest, view: GroupView, now: Millis): Route {
-    const primary = findPrimary(view);
+  route(request: RouteRequest, view: RoutingView, now: Millis): Route {
+    const primary = view.findPrimary();
     if (request.kind === 'write' || request.contract.maxAgeMs <= 0) {
       return this.routeToPrimary(request, view, primary);
     }
     const replicas = this.findFreshReplicas(request, view, primary, now);
     // A primary that was replaced without this proxy's knowledge is as stale as any replica.
-    const hasPrimary =
-      primary !== undefined &&
-      this.hasFloor(view, primary, request.floor) &&
-      this.hasAge(view, primary, request, now);
+    const hasPrimary = primary !== undefined && view.isFresh(primary, request, now);
     if (replicas.length === 0 && !hasPrimary) {
       return { kind: 'wait', reason: 'no instance is fresh enough' };
     }
@@ -62,62 +114,48 @@
     if (replicas.length === 0) {
       return { kind: 'instances', instances: [primary], reason: 'no replica is fresh enough' };
     }
-    const isSooner = this.findLeastWait(replicas, view) > this.findPrimaryWait(primary, view);
+    const primaryWait = view.findExpectedWait(primary) + view.readTypicalCost();
+    const isSooner = this.findLeastWait(replicas, view) > primaryWait;
     // Only writes need the primary, so a read takes it when no replica is expected as soon.
     if (!isSooner) return { kind: 'instances', instances: replicas, reason: 'replica' };
     const reason = 'replica, or the primary when it is free first';
     return { kind: 'instances', instances: [...replicas, primary], reason };
   }
 
-  private findLeastWait(instances: readonly string[], view: GroupView): Millis {
+  private findLeastWait(instances: readonly string[], view: RoutingView): Millis {
     return Math.min(...instances.map((id) => view.findExpectedWait(id)));
   }
 
-  private findPrimaryWait(primary: string, view: GroupView): Millis {
-    return view.findExpectedWait(primary) + (view.typicalCostMs ?? 0);
-  }
-
   private routeToPrimary(
     request: RouteRequest,
-    view: GroupView,
+    view: RoutingView,
     primary: string | undefined,
   ): Route {
     if (!primary) return { kind: 'wait', reason: 'no primary' };
-    if (!this.hasFloor(view, primary, request.floor)) {
+    if (!view.hasFloor(primary, request)) {
       return { kind: 'wait', reason: 'the primary is behind the session' };
     }
     return { kind: 'instances', instances: [primary], reason: 'primary' };
   }
 
-  private hasFloor(view: GroupView, instance: string, floor: LogPosition): boolean {
-    const status = view.statuses.get(instance);
-    return status !== undefined && hasPosition(status.applied, floor);
-  }
-
-  private hasAge(view: GroupView, instance: string, request: RouteRequest, now: Millis): boolean {
-    const age = view.findAge(instance, now);
-    return age !== undefined && age <= request.contract.maxAgeMs;
-  }
-
   private findFreshReplicas(
     request: RouteRequest,
-    view: GroupView,
+    view: RoutingView,
     primary: string | undefined,
     now: Millis,
   ): readonly string[] {
-    return view.group.instances
-      .filter(({ id, leaving }) => id !== primary && !leaving)
-      .filter(({ id }) => this.hasFloor(view, id, request.floor))
-      .filter(({ id }) => this.hasAge(view, id, request, now))
+    return view
+      .listInstances()
+      .filter(({ id }) => id !== primary && view.isFresh(id, request, now))
       .sort((a, b) => this.compareInstances(a, b, view))
       .map(({ id }) => id);
   }
 
-  private compareInstances(a: DatabaseInstance, b: DatabaseInstance, view: GroupView): number {
+  private compareInstances(a: DatabaseInstance, b: DatabaseInstance, view: RoutingView): number {
     const near = Number(b.zone === this.zone) - Number(a.zone === this.zone);
     const wait = view.findExpectedWait(a.id) - view.findExpectedWait(b.id);
     // Within one typical statement the distance decides.
-    const isClose = Math.abs(wait) < (view.typicalCostMs ?? 0);
+    const isClose = Math.abs(wait) < view.readTypicalCost();
     return (isClose && near ? near : wait || near) || a.id.localeCompare(b.id);
   }
 }
--- /dev/null
+++ b/packages/core/src/takeover.ts
@@ -0,0 +1,496 @@
+import type { Millis } from './clock.js';
+import { comparePositions, hasPosition, type LogPosition } from './position.js';
+
+/** A probe that stays without answer for this long counts as silence. */
+export const SILENCE_MS: Millis = 500;
+/** A leader that refuses connections for this long is down. */
+const REFUSED_MS: Millis = 150;
+/** A group whose instances all answer and none leads waits this long for a change in progress. */
+const LEADERLESS_MS: Millis = 400;
+/** Each later rank waits this much longer before it acts. */
+const RANK_STAGGER_MS: Millis = 300;
+/** An attempt of another VM is left alone for this long. */
+const ATTEMPT_MS: Millis = 2_500;
+/** Gap between repeated orders to an instance that has not answered. */
+const REPEAT_MS: Millis = 150;
+/** A planned handover that cannot fence the other replicas in this time becomes a takeover. */
+const HANDOVER_MS: Millis = 1_000;
+/** A promotion call without an answer for this long is superseded by a newer generation. */
+const ANSWER_MS: Millis = 400;
+/** A promoted instance that does not lead after this long is given up. */
+const LEAD_MS: Millis = 2_000;
+/** A claim that is not found in the store after this long is made anew. */
+const CLAIM_MS: Millis = 800;
+/** A replica this far behind the leader may still be paused by a late order. */
+const STUCK_LAG_MS: Millis = 1_500;
+/** Gap between attempts to resume replicas that seem stuck. */
+const STUCK_REPEAT_MS: Millis = 4_000;
+/** Without the former leader, one fenced log alone does not show what the others hold. */
+const MIN_FENCED = 2;
+
+/** The group's object in the platform's store: who may order a promotion, and under which number. */
+export interface PromotionRecord {
+  readonly group: string;
+  /** Rises with each attempt; sent as the fencing token of the promotion. */
+  readonly generation: number;
+  /** The VM that holds this generation. */
+  readonly holder: string;
+  /** Identifies the write, so that a lost answer is settled by reading back. */
+  readonly attempt: string;
+  /** `open`: orders under this generation may be on their way. */
+  readonly phase: 'open' | 'settled';
+}
+
+/** What one VM knows of an instance. */
+export interface InstanceView {
+  readonly id: string;
+  readonly leaving: boolean;
+  /** Registered as primary, by its own report. */
+  readonly reportsPrimary: boolean;
+  readonly health: 'answering' | 'refusing' | 'silent' | 'unknown';
+  /** Since when `health` has been what it is. */
+  readonly since: Millis;
+  /** The last answer proved that the instance leads. */
+  readonly leads: boolean;
+  /** Last known position of the log. */
+  readonly position: LogPosition | undefined;
+  /** How far the log is behind the leader's. */
+  readonly lagMs: Millis | undefined;
+}
+
+/** What an instance answered to an order to stop receiving, or to a status request. */
+export interface FenceReport {
+  readonly role: 'primary' | 'replica';
+  /** Newest term that the instance knows. */
+  readonly term: number;
+  /** End of the received log. */
+  readonly received: LogPosition;
+  /** Term up to which the instance receives nothing; 0 when it receives. */
+  readonly heldTerm: number;
+}
+
+export type TakeoverAction =
+  | { readonly kind: 'write'; readonly record: PromotionRecord; readonly expectedVersion: number }
+  | { readonly kind: 'read' }
+  | { readonly kind: 'pause'; readonly instance: string; readonly term: number }
+  | { readonly kind: 'stepDown'; readonly instance: string; readonly term: number }
+  | { readonly kind: 'status'; readonly instance: string }
+  | { readonly kind: 'resume'; readonly instance: string }
+  | { readonly kind: 'promote'; readonly instance: string; readonly generation: number };
+
+type Actions = readonly TakeoverAction[];
+
+/** `takeover`: the leader is lost. `handover`: it is leaving. `raise`: only outdates old orders. */
+type Plan = 'takeover' | 'handover' | 'raise';
+
+type Step =
+  | { readonly kind: 'watching' }
+  | {
+      readonly kind: 'claiming';
+      readonly plan: Plan;
+      readonly record: PromotionRecord;
+      readonly sentAt: Millis;
+    }
+  | { readonly kind: 'fencing'; readonly plan: Plan; readonly since: Millis }
+  | {
+      readonly kind: 'promoting';
+      readonly candidate: string;
+      readonly sentAt: Millis;
+      readonly answer: PromotionAnswer | undefined;
+    }
+  | { readonly kind: 'settling'; readonly since: Millis };
+
+/** `unknown`: no answer came, the order may still be carried out. */
+export type PromotionAnswer = 'accepted' | 'refused' | 'unknown';
+
+export interface TakeoverOptions {
+  readonly group: string;
+  readonly vm: string;
+  readonly createAttempt: () => string;
+}
+
+const WATCHING: Step = { kind: 'watching' };
+
+/**
+ * Replaces the leader of a group whose commits are acknowledged by one synchronous replica. An
+ * acknowledged commit is on the leader and on at least one replica, so a candidate is safe when
+ * every replica that may have acknowledged has stopped receiving and told its position, or when
+ * the former leader has stepped down and told its own. docs/failover.md has the argument.
+ */
+export class TakeoverCoordinator {
+  private record: PromotionRecord | undefined;
+
+  private version = 0;
+
+  private isKnown = false;
+
+  private recordSeenAt: Millis = 0;
+
+  private step: Step = WATCHING;
+
+  private rank = 0;
+
+  /** The instance that was last seen leading. */
+  private leader: string | undefined;
+
+  /** Instances whose log may hold an acknowledged commit that no other replica holds. */
+  private readonly holders = new Set<string>();
+
+  private readonly reports = new Map<string, FenceReport>();
+
+  /** Instances that have been ordered to stop and not yet been resumed. */
+  private readonly stopped = new Set<string>();
+
+  private readonly sentAt = new Map<string, Millis>();
+
+  private newestTerm = 0;
+
+  private stuckAt: Millis = Number.NEGATIVE_INFINITY;
+
+  private needSince: { readonly plan: Plan; readonly at: Millis } | undefined;
+
+  constructor(private readonly options: TakeoverOptions) {}
+
+  /** The step in progress, for logs and operators. */
+  readStep(): string {
+    return this.step.kind;
+  }
+
+  /** True while a change of the leader is under way here or, as far as known, elsewhere. */
+  isChanging(now: Millis): boolean {
+    const isOpen = this.record?.phase === 'open' && now - this.recordSeenAt < ATTEMPT_MS;
+    return isOpen || this.step.kind !== 'watching';
+  }
+
+  /** This VM's place among the live VMs; 0 acts first. */
+  updateRank(rank: number): void {
+    this.rank = rank;
+  }
+
+  /** Takes in the record, or its absence (version 0). */
+  handleRecord(record: PromotionRecord | undefined, version: number, now: Millis): Actions {
+    if (this.isKnown && version <= this.version) return [];
+    this.isKnown = true;
+    this.version = version;
+    this.record = record;
+    this.recordSeenAt = now;
+    const { step } = this;
+    if (step.kind === 'watching') return [];
+    if (step.kind === 'claiming' && record?.attempt === step.record.attempt) {
+      return this.startAttempt(step.plan, now);
+    }
+    // A newer generation of another VM ends what this one does.
+    if (record?.holder !== this.options.vm) this.updateStep(WATCHING);
+    return [];
+  }
+
+  /** The write had no effect (`conflict`) or an unknown one; the record is read back. */
+  handleWriteFailure(): Actions {
+    return [{ kind: 'read' }];
+  }
+
+  handleReport(instance: string, report: FenceReport): void {
+    this.newestTerm = Math.max(this.newestTerm, report.term, report.received.term);
+    this.reports.set(instance, report);
+  }
+
+  handleResumed(instance: string): void {
+    this.stopped.delete(instance);
+  }
+
+  handlePromotion(generation: number, answer: PromotionAnswer): void {
+    const { step } = this;
+    if (step.kind !== 'promoting' || generation !== this.record?.generation) return;
+    this.step = { ...step, answer };
+  }
+
+  /** Decides what to do now, from what is known of the instances. */
+  handleTick(instances: readonly InstanceView[], now: Millis): Actions {
+    this.updateHolders(instances);
+    const { step } = this;
+    if (!this.isKnown) return this.isDue('read', now) ? [{ kind: 'read' }] : [];
+    switch (step.kind) {
+      case 'claiming':
+        return this.followClaim(step, now);
+      case 'fencing':
+        return this.fence(step, instances, now);
+      case 'promoting':
+        return this.followPromotion(step, instances, now);
+      case 'settling':
+        return this.settle(step.since, now);
+      default:
+        return this.watch(instances, now);
+    }
+  }
+
+  private updateStep(step: Step): void {
+    this.step = step;
+    this.sentAt.clear();
+  }
+
+  private isDue(order: string, now: Millis): boolean {
+    if (now - (this.sentAt.get(order) ?? Number.NEGATIVE_INFINITY) < REPEAT_MS) return false;
+    this.sentAt.set(order, now);
+    return true;
+  }
+
+  /** Forgets an instance that is gone once another replica holds all that it may have held. */
+  private updateHolders(instances: readonly InstanceView[]): void {
+    const leader = instances.find(({ leads }) => leads);
+    if (leader) this.leader = leader.id;
+    instances.forEach(({ id, position }) => {
+      this.holders.add(id);
+      this.newestTerm = Math.max(this.newestTerm, position?.term ?? 0);
+    });
+    const end = leader?.position;
+    if (!end) return;
+    const isCovered = instances.some(
+      ({ id, leaving, position }) =>
+        id !== leader.id && !leaving && position !== undefined && hasPosition(position, end),
+    );
+    if (!isCovered) return;
+    const listed = new Set(instances.map(({ id }) => id));
+    this.holders.forEach((id) => {
+      if (!listed.has(id)) this.holders.delete(id);
+    });
+  }
+
+  private watch(instances: readonly InstanceView[], now: Millis): Actions {
+    const plan = this.findNeed(instances, now);
+    if (plan !== this.needSince?.plan) this.needSince = plan && { plan, at: now };
+    if (!plan || !this.needSince) return [];
+    if (now - this.needSince.at < this.rank * RANK_STAGGER_MS) return [];
+    // Another VM is at work.
+    const isOpen = this.record?.phase === 'open' && this.record.holder !== this.options.vm;
+    if (isOpen && now - this.recordSeenAt < ATTEMPT_MS) return [];
+    if (plan === 'raise') this.stuckAt = now;
+    return this.claim(plan, now);
+  }
+
+  private findNeed(instances: readonly InstanceView[], now: Millis): Plan | undefined {
+    const leader = instances.find(({ leads }) => leads);
+    const candidates = instances.filter(
+      ({ id, leaving, health }) => !leaving && health === 'answering' && id !== leader?.id,
+    );
+    if (leader && leader.health === 'answering') {
+      if (leader.leaving) return candidates.length > 0 ? 'handover' : undefined;
+      const isOpen = this.record?.phase === 'open' && now - this.recordSeenAt >= ATTEMPT_MS;
+      const isStuck = candidates.some(({ lagMs }) => (lagMs ?? 0) > STUCK_LAG_MS);
+      const mayRaise = now - this.stuckAt >= STUCK_REPEAT_MS;
+      return mayRaise && (isOpen || isStuck) ? 'raise' : undefined;
+    }
+    if (candidates.length === 0) return undefined;
+    const suspect = this.findSuspect(instances);
+    if (!suspect) {
+      const since = Math.max(...candidates.map((one) => one.since));
+      return now - since >= LEADERLESS_MS ? 'takeover' : undefined;
+    }
+    const elapsed = now - suspect.since;
+    if (suspect.health === 'silent') return 'takeover';
+    if (suspect.health === 'refusing') return elapsed >= REFUSED_MS ? 'takeover' : undefined;
+    return elapsed >= LEADERLESS_MS ? 'takeover' : undefined;
+  }
+
+  /** The instance that led last, or that says so of itself. */
+  private findSuspect(instances: readonly InstanceView[]): InstanceView | undefined {
+    return (
+      instances.find(({ id }) => id === this.leader) ??
+      instances.find(({ reportsPrimary }) => reportsPrimary)
+    );
+  }
+
+  private claim(plan: Plan, now: Millis): Actions {
+    const { group, vm, createAttempt } = this.options;
+    const record: PromotionRecord = {
+      group,
+      generation: (this.record?.generation ?? 0) + 1,
+      holder: vm,
+      attempt: createAttempt(),
+      phase: 'open',
+    };
+    this.updateStep({ kind: 'claiming', plan, record, sentAt: now });
+    this.isDue('claim', now);
+    return [{ kind: 'write', record, expectedVersion: this.version }];
+  }
+
+  private followClaim(step: Step & { readonly kind: 'claiming' }, now: Millis): Actions {
+    // A write that is carried out late fails its condition or is found by the next claim.
+    if (now - step.sentAt >= CLAIM_MS) return this.restart(now);
+    return this.isDue('claim', now) ? [{ kind: 'read' }] : [];
+  }
+
+  private startAttempt(plan: Plan, now: Millis): Actions {
+    this.reports.clear();
+    this.updateStep({ kind: 'fencing', plan, since: now });
+    return [];
+  }
+
+  private fence(
+    step: Step & { readonly kind: 'fencing' },
+    instances: readonly InstanceView[],
+    now: Millis,
+  ): Actions {
+    const leader = instances.find(({ leads, health }) => leads && health === 'answering');
+    if (step.plan === 'raise') {
+      if (!leader) return this.startSettling(now);
+      instances.forEach(({ id }) => id !== leader.id && this.stopped.add(id));
+      return this.promote(leader.id, now);
+    }
+    if (step.plan === 'handover') return this.fenceForHandover(step, instances, leader, now);
+    const suspect = this.findSuspect(instances)?.id;
+    if (leader && !leader.leaving && !this.hasSteppedDown(leader.id)) {
+      return this.startSettling(now);
+    }
+    const candidate = this.chooseSuccessor(instances, suspect);
+    if (candidate) return this.promote(candidate, now);
+    const term = this.newestTerm + 1;
+    return instances
+      .filter(({ id }) => !this.reports.has(id) && this.isDue(`fence ${id}`, now))
+      .map(({ id }) => {
+        this.stopped.add(id);
+        if (id === suspect) return { kind: 'stepDown', instance: id, term };
+        return { kind: 'pause', instance: id, term };
+      });
+  }
+
+  private hasSteppedDown(id: string): boolean {
+    return this.reports.get(id)?.role === 'replica';
+  }
+
+  /**
+   * The furthest log of those that have stopped, when that covers every acknowledged commit;
+   * instances that stay come before those that leave.
+   */
+  private chooseSuccessor(
+    instances: readonly InstanceView[],
+    suspect: string | undefined,
+  ): string | undefined {
+    const fenced = instances
+      .flatMap(({ id, leaving }) => {
+        const report = this.reports.get(id);
+        return report?.role === 'replica' ? [{ id, leaving, received: report.received }] : [];
+      })
+      .sort(
+        (a, b) =>
+          comparePositions(b.received, a.received) ||
+          Number(a.leaving) - Number(b.leaving) ||
+          a.id.localeCompare(b.id),
+      );
+    const [best] = fenced;
+    if (!best) return undefined;
+    if (suspect !== undefined && this.hasSteppedDown(suspect)) {
+      const end = this.reports.get(suspect)?.received;
+      const next = fenced.find(
+        ({ id, received }) => id !== suspect && end !== undefined && hasPosition(received, end),
+      );
+      if (next) return next.id;
+    }
+    const others = [...this.holders].filter((id) => id !== suspect);
+    const isComplete = others.every((id) => this.hasSteppedDown(id));
+    const isEnough = suspect !== undefined || fenced.length >= MIN_FENCED;
+    return isComplete && isEnough ? best.id : undefined;
+  }
+
+  /** Lets only the candidate acknowledge, so that it holds all at the moment of the change. */
+  private fenceForHandover(
+    step: Step & { readonly kind: 'fencing' },
+    instances: readonly InstanceView[],
+    leader: InstanceView | undefined,
+    now: Millis,
+  ): Actions {
+    const candidate = this.chooseHeir(instances, leader);
+    if (!leader || !candidate || now - step.since >= HANDOVER_MS) {
+      this.updateStep({ kind: 'fencing', plan: 'takeover', since: now });
+      this.reports.clear();
+      return [];
+    }
+    const others = instances.filter(({ id }) => id !== leader.id && id !== candidate);
+    const missing = others.filter(({ id }) => (this.reports.get(id)?.heldTerm ?? 0) === 0);
+    if (missing.length > 0) {
+      this.reports.delete(candidate);
+      const term = this.newestTerm + 1;
+      return missing
+        .filter(({ id }) => this.isDue(`pause ${id}`, now))
+        .map(({ id }) => {
+          this.stopped.add(id);
+          return { kind: 'pause', instance: id, term };
+        });
+    }
+    // The candidate's position counts only when it was told after the others had stopped.
+    const report = this.reports.get(candidate);
+    const isAhead =
+      report &&
+      others.every(({ id }) => {
+        const held = this.reports.get(id);
+        return held !== undefined && hasPosition(report.received, held.received);
+      });
+    if (isAhead && report.heldTerm === 0) return this.promote(candidate, now);
+    return this.isDue(`status ${candidate}`, now) ? [{ kind: 'status', instance: candidate }] : [];
+  }
+
+  private chooseHeir(
+    instances: readonly InstanceView[],
+    leader: InstanceView | undefined,
+  ): string | undefined {
+    const [heir] = instances
+      .filter(({ id, leaving, health }) => id !== leader?.id && !leaving && health === 'answering')
+      .sort((a, b) => (a.lagMs ?? Infinity) - (b.lagMs ?? Infinity) || a.id.localeCompare(b.id));
+    return heir?.id;
+  }
+
+  private promote(candidate: string, now: Millis): Actions {
+    const generation = this.record?.generation ?? 0;
+    this.updateStep({ kind: 'promoting', candidate, sentAt: now, answer: undefined });
+    return [{ kind: 'promote', instance: candidate, generation }];
+  }
+
+  private followPromotion(
+    step: Step & { readonly kind: 'promoting' },
+    instances: readonly InstanceView[],
+    now: Millis,
+  ): Actions {
+    const elapsed = now - step.sentAt;
+    const candidate = instances.find(({ id }) => id === step.candidate);
+    if (step.answer === 'accepted') {
+      if (candidate?.leads) return this.startSettling(now);
+      return elapsed >= LEAD_MS ? this.claim('takeover', now) : [];
+    }
+    if (step.answer === 'refused') return this.restart(now);
+    // An order that may still come is outdated by a newer generation before anything goes on.
+    if (elapsed < ANSWER_MS) return [];
+    const leader = instances.find(({ leads, health }) => leads && health === 'answering');
+    return this.claim(leader ? 'raise' : 'takeover', now);
+  }
+
+  /** Reads the record again: another VM has a newer generation, or the candidate is gone. */
+  private restart(now: Millis): Actions {
+    this.updateStep(WATCHING);
+    this.needSince = undefined;
+    this.isDue('read', now);
+    this.isKnown = false;
+    return [{ kind: 'read' }];
+  }
+
+  private startSettling(now: Millis): Actions {
+    this.updateStep({ kind: 'settling', since: now });
+    return this.settle(now, now);
+  }
+
+  /** Resumes what was stopped, then notes that no order of this generation is on its way. */
+  private settle(since: Millis, now: Millis): Actions {
+    const waiting = [...this.stopped];
+    if (waiting.length > 0 && now - since < ATTEMPT_MS) {
+      return waiting
+        .filter((id) => this.isDue(`resume ${id}`, now))
+        .map((instance) => ({ kind: 'resume', instance }));
+    }
+    this.stopped.clear();
+    const { record } = this;
+    this.updateStep(WATCHING);
+    this.needSince = undefined;
+    if (!record) return [];
+    const attempt = this.options.createAttempt();
+    const settled: PromotionRecord = { ...record, attempt, phase: 'settled' };
+    return [{ kind: 'write', record: settled, expectedVersion: this.version }];
+  }
+}
--- a/packages/core/test/router.spec.ts
+++ b/packages/core/test/router.spec.ts
@@ -1,5 +1,11 @@
 import { expect } from 'earl';
-import { DEFAULT_CONTRACT, type GroupView, type InstanceStatus, Router } from '../src/index.js';
+import {
+  DEFAULT_CONTRACT,
+  type GroupView,
+  type InstanceStatus,
+  Router,
+  StatusView,
+} from '../src/index.js';
 
 interface Instance {
   readonly applied?: number;
@@ -41,7 +47,7 @@
 const routeRead = (instances: Readonly<Record<string, Instance>>): readonly string[] => {
   const contract = { ...DEFAULT_CONTRACT, maxAgeMs: 100 };
   const request = { kind: 'read' as const, contract, floor: { term: 1, offset: 9 } };
-  const route = new Router('r1').route(request, createView(instances), 0);
+  const route = new Router('r1').route(request, new StatusView(createView(instances)), 0);
   return route.kind === 'instances' ? route.instances : [];
 };
 
--- a/packages/daemon/src/connection.ts
+++ b/packages/daemon/src/connection.ts
@@ -1,5 +1,6 @@
 import type { Socket } from 'node:net';
 import type { DatabaseInstance } from '@shallotpick/core';
+import type { PooledConnection } from '@shallotpick/engine';
 import {
   BACKEND,
   type Frame,
@@ -37,8 +38,11 @@
   readonly trust?: TrustFile | undefined;
 }
 
+/** A connection with more prepared statements is replaced, which bounds the instance's memory. */
+const MAX_STATEMENTS = 500;
+
 /** One connection to a database instance. It carries one request at a time. */
-export class InstanceConnection {
+export class InstanceConnection implements PooledConnection {
   /** Prepared statements that this connection has, by name. */
   readonly statements = new Map<string, string>();
 
@@ -120,6 +124,12 @@
     this.socket.write(bytes);
   }
 
+  /** True when another request may use the connection. */
+  isClean(): boolean {
+    const isIdle = this.state === 'I' && !this.isBusy() && !this.isCancelled;
+    return isIdle && this.statements.size <= MAX_STATEMENTS;
+  }
+
   /** True while a request runs. */
   isBusy(): boolean {
     return this.exchange !== undefined;
--- a/packages/daemon/src/explain.ts
+++ b/packages/daemon/src/explain.ts
@@ -7,6 +7,7 @@
   type Millis,
   type Route,
   Router,
+  StatusView,
 } from '@shallotpick/core';
 
 /** Whether an instance would serve the work now, and why. */
@@ -53,7 +54,11 @@
   zone: string,
   now: Millis,
 ): Explanation {
-  const route = new Router(zone).route({ kind, contract, floor: LOG_START }, view, now);
+  const route = new Router(zone).route(
+    { kind, contract, floor: LOG_START },
+    new StatusView(view),
+    now,
+  );
   const chosen = route.kind === 'instances' ? route.instances : [];
   const candidates = view.group.instances.map((instance) => ({
     instance: instance.id,
--- a/packages/daemon/src/group.ts
+++ b/packages/daemon/src/group.ts
@@ -9,6 +9,7 @@
   type LogPosition,
   type Millis,
   Router,
+  StatusView,
 } from '@shallotpick/core';
 import { Admission, type AdmissionParts, type Slot, type WorkRequest } from './admission.js';
 import type { InstanceConnection } from './connection.js';
@@ -79,7 +80,7 @@
     this.admission = new Admission({
       ...options,
       findRoute: (request, now) => {
-        const route = this.router.route(request, this.readView(), now);
+        const route = this.router.route(request, new StatusView(this.readView()), now);
         // What is known of the replicas may be older than the session's floor.
         if (route.reason !== 'replica') this.board.refresh(request.floor, now);
         return route;
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,6 +1,6 @@
 export { CallerConnection } from './caller.js';
 export type { CallerHandler } from './caller.js';
-export { SystemClock } from './clock.js';
+export { SystemClock } from '@shallotpick/engine';
 export { InstanceConnection } from './connection.js';
 export type { AnswerSink } from './connection.js';
 export { ControlLink } from './control.js';
--- a/packages/daemon/src/wiring.ts
+++ b/packages/daemon/src/wiring.ts
@@ -13,8 +13,8 @@
   Spread,
   type Vm,
 } from '@shallotpick/core';
+import { SystemClock } from '@shallotpick/engine';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
-import { SystemClock } from './clock.js';
 import { ControlLink } from './control.js';
 import { Daemon } from './daemon.js';
 import { RefusedError } from './errors.js';
--- a/packages/daemon/test/peers.spec.ts
+++ b/packages/daemon/test/peers.spec.ts
@@ -5,7 +5,7 @@
 import { ChannelCredentials } from '@grpc/grpc-js';
 import { ExchangeFeature, type Millis, type PeerExchange, type Vm } from '@shallotpick/core';
 import { type Authority, createAuthority } from '@shallotpick/standin';
-import { SystemClock } from '../src/clock.js';
+import { SystemClock } from '@shallotpick/engine';
 import { createLog } from '../src/log.js';
 import { Metrics } from '../src/metrics.js';
 import { GrpcPeerLink } from '../src/peerlink.js';
--- /dev/null
+++ b/packages/engine/src/fleet.ts
@@ -0,0 +1,117 @@
+import { type Clock, type Millis, rankVms } from '@shallotpick/core';
+import type { Log } from './log.js';
+import type { ObjectStore, StoredObject } from './store.js';
+import { wait } from './timing.js';
+
+/** Kind of the objects by which VMs tell that they run. */
+export const VMS_KIND = 'proxies';
+
+const HEARTBEAT_MS: Millis = 4_000;
+/** Until a new VM is known to the others it must not count on connections for long. */
+const FIRST_READS_MS: Millis = 1_000;
+const EXPIRE_MS: Millis = 13_000;
+
+interface VmSpec {
+  readonly beat: number;
+  readonly startedAt: number;
+}
+
+export interface FleetOptions {
+  readonly vm: string;
+  readonly store: ObjectStore;
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly startedAt: number;
+  readonly onChange: () => void;
+}
+
+interface Seen {
+  readonly beat: string;
+  readonly at: Millis;
+}
+
+/**
+ * The VMs that run now, from the heartbeats that each writes to the store. It only sizes shares
+ * and orders who acts first; nothing unsafe follows from a wrong view.
+ */
+export class Fleet {
+  private readonly seen = new Map<string, Seen>();
+
+  private live: readonly string[];
+
+  private beat = 0;
+
+  private revision = 0;
+
+  private isStopped = false;
+
+  constructor(private readonly options: FleetOptions) {
+    this.live = [options.vm];
+  }
+
+  start(): void {
+    this.run().catch((error: unknown) => {
+      this.options.log.error('heartbeat ended', { error: String(error) });
+    });
+  }
+
+  /** Tells the others that this VM leaves. */
+  stop(): void {
+    this.isStopped = true;
+  }
+
+  countLive(): number {
+    return this.live.length;
+  }
+
+  /** This VM's place for a duty; 0 acts first. */
+  findRank(duty: string): number {
+    return rankVms(duty, this.live).indexOf(this.options.vm);
+  }
+
+  private async run(): Promise<void> {
+    for (let round = 0; !this.isStopped; round++) {
+      try {
+        await this.writeBeat();
+        await this.readOthers();
+      } catch (error) {
+        this.options.log.debug('heartbeat failed', { error: String(error) });
+      }
+      await wait(round < 2 ? FIRST_READS_MS : HEARTBEAT_MS);
+    }
+  }
+
+  private async writeBeat(): Promise<void> {
+    const { store, vm, startedAt } = this.options;
+    this.beat += 1;
+    const spec: VmSpec = { beat: this.beat, startedAt };
+    const outcome = await store.write(VMS_KIND, vm, spec, this.revision);
+    if (outcome.kind === 'written') {
+      this.revision = outcome.revision;
+    } else {
+      const known = await store.find(VMS_KIND, vm);
+      this.revision = known?.revision ?? 0;
+    }
+  }
+
+  private async readOthers(): Promise<void> {
+    const { store, clock, vm, log, onChange } = this.options;
+    const { objects } = await store.list(VMS_KIND, true);
+    const now = clock.readNow();
+    objects.forEach((object) => this.handleBeat(object, now));
+    const live = [...this.seen].filter(([, { at }]) => now - at < EXPIRE_MS).map(([name]) => name);
+    const next = [...new Set([vm, ...live])].sort();
+    if (next.join() === this.live.join()) return;
+    log.info('live VMs', { vms: next, before: this.live });
+    this.live = next;
+    onChange();
+  }
+
+  private handleBeat({ name, spec }: StoredObject, now: Millis): void {
+    const { beat, startedAt } = spec as Partial<VmSpec>;
+    const text = `${startedAt}/${beat}`;
+    const known = this.seen.get(name);
+    if (known?.beat === text) return;
+    this.seen.set(name, { beat: text, at: now });
+  }
+}
--- /dev/null
+++ b/packages/engine/src/index.ts
@@ -0,0 +1,44 @@
+export { SuspendAwareClock, SystemClock } from './clock.js';
+export { ConfigurationHolder } from './configuration.js';
+export type { DatabaseRoute, GroupSettings, ServiceConfiguration } from './configuration.js';
+export { InstanceConnection, InstanceConnector } from './connection.js';
+export {
+  ConnectionError,
+  ConnectionLimitError,
+  EngineError,
+  HistoryGoneError,
+  NotRunError,
+  StoreError,
+  WrongInstanceError,
+} from './errors.js';
+export { VMS_KIND } from './fleet.js';
+export { KindFollower } from './follower.js';
+export type { FollowerOptions } from './follower.js';
+export { GroupService } from './group.js';
+export type { Lease, WorkRequest } from './group.js';
+export { createEngineLog } from './log.js';
+export type { Log } from './log.js';
+export { Metrics } from './metrics.js';
+export { ConnectionPool } from './pool.js';
+export type { PooledConnection } from './pool.js';
+export { Proxy } from './proxy.js';
+export type { CallerHandle } from './proxy.js';
+export { Session } from './session.js';
+export type {
+  Access,
+  Answer,
+  CallerRequest,
+  Command,
+  Failure,
+  Operation,
+  Reply,
+  Statement,
+  TransactionState,
+  Verdict,
+} from './statement.js';
+export { ObjectStore, PromotionService } from './store.js';
+export type { StoreChange, StoreChanges, StoredObject, StoreListing, StoreWrite } from './store.js';
+export { PROMOTIONS_KIND } from './takeover.js';
+export { wait, waitAtMost } from './timing.js';
+export { createProxy } from './wiring.js';
+export type { ProxyParts } from './wiring.js';
--- /dev/null
+++ b/packages/engine/src/log.ts
@@ -0,0 +1,116 @@
+import { write as writeFile, writeSync } from 'node:fs';
+import { Writable } from 'node:stream';
+import type { Millis } from '@shallotpick/core';
+import { createLogger, format, type Logger, transports } from 'winston';
+
+export type Log = Logger;
+
+const STDOUT = 1;
+const FLUSH_MS: Millis = 250;
+/** Lines beyond this wait for a slow reader no longer; they are counted and dropped. */
+const MAX_BUFFERED_BYTES = 256 * 1024;
+/** Lines of one message in a second; the rest is counted. */
+const MAX_LINES_PER_SECOND = 50;
+const SECOND_MS: Millis = 1_000;
+
+/** Collects lines and writes them together, without waiting for the reader. */
+class BufferedOutput extends Writable {
+  private lines: string[] = [];
+
+  private bytes = 0;
+
+  private dropped = 0;
+
+  private isWriting = false;
+
+  constructor() {
+    super({ decodeStrings: false });
+    setInterval(() => this.flush(), FLUSH_MS).unref();
+    process.once('exit', () => this.flushNow());
+  }
+
+  override _write(chunk: string | Buffer, _: BufferEncoding, done: () => void): void {
+    const line = chunk.toString();
+    if (this.bytes + line.length > MAX_BUFFERED_BYTES) {
+      this.dropped += 1;
+    } else {
+      this.lines.push(line);
+      this.bytes += line.length;
+    }
+    done();
+  }
+
+  private takeText(): string {
+    if (this.dropped > 0) {
+      this.lines.push(`${JSON.stringify({ message: 'log lines dropped', count: this.dropped })}\n`);
+    }
+    const text = this.lines.join('');
+    this.lines = [];
+    this.bytes = 0;
+    this.dropped = 0;
+    return text;
+  }
+
+  private flush(): void {
+    if (this.isWriting || this.lines.length === 0) return;
+    this.isWriting = true;
+    this.writeAll(Buffer.from(this.takeText()));
+  }
+
+  private writeAll(rest: Buffer): void {
+    writeFile(STDOUT, rest, (error, written) => {
+      if (!error && written < rest.length) {
+        this.writeAll(rest.subarray(written));
+        return;
+      }
+      this.isWriting = false;
+    });
+  }
+
+  private flushNow(): void {
+    if (this.lines.length === 0) return;
+    try {
+      // The process ends, so nothing is held up.
+      // eslint-disable-next-line n/no-sync
+      writeSync(STDOUT, this.takeText());
+    } catch {
+      // The reader of the log is gone, and so is the place to report it.
+    }
+  }
+}
+
+/** Drops lines above a rate per message, and reports each second how many. */
+function createLimiter(): ReturnType<ReturnType<typeof format>> {
+  const counts = new Map<string, number>();
+  let startedAt = 0;
+  return format((info) => {
+    const now = performance.now();
+    const message = String(info.message);
+    if (now - startedAt >= SECOND_MS) {
+      const suppressed = [...counts].filter(([, count]) => count > MAX_LINES_PER_SECOND);
+      startedAt = now;
+      counts.clear();
+      if (suppressed.length > 0) {
+        const list = suppressed.map(([name, count]) => [name, count - MAX_LINES_PER_SECOND]);
+        Object.assign(info, { suppressedBefore: Object.fromEntries(list) as unknown });
+      }
+    }
+    const count = (counts.get(message) ?? 0) + 1;
+    counts.set(message, count);
+    const isKept = count <= MAX_LINES_PER_SECOND || info.level === 'error';
+    return isKept ? info : false;
+  })();
+}
+
+/**
+ * Creates the log of a proxy process: one JSON object a line on standard output, written in
+ * batches, limited in rate and never blocking.
+ */
+export function createEngineLog(level: string, vm: string): Log {
+  return createLogger({
+    level,
+    defaultMeta: { vm },
+    format: format.combine(createLimiter(), format.timestamp(), format.json()),
+    transports: [new transports.Stream({ stream: new BufferedOutput() })],
+  });
+}
--- /dev/null
+++ b/packages/engine/src/proxy.ts
@@ -0,0 +1,176 @@
+import { type Clock, InstanceRoster, type Millis, RetryBudget } from '@shallotpick/core';
+import type { ConfigurationHolder, ServiceConfiguration } from './configuration.js';
+import type { Fleet } from './fleet.js';
+import type { GroupService } from './group.js';
+import type { Log } from './log.js';
+import type { Metrics } from './metrics.js';
+import { Session } from './session.js';
+import { wait } from './timing.js';
+
+const TICK_MS: Millis = 25;
+const SESSION_TICK_MS: Millis = 250;
+/** Retries add at most this much to the load; the reserve covers a change of the leader. */
+const RETRY_BUDGET = { ratio: 0.3, capacity: 200 };
+/** The balancer goes on sending callers until it has noticed that this VM is not ready. */
+const BALANCER_MS: Millis = 2_300;
+/** Time left before the platform ends the process, for the last answers to leave. */
+const EXIT_MARGIN_MS: Millis = 500;
+const DRAIN_POLL_MS: Millis = 20;
+
+/** A caller's connection as the proxy sees it. */
+export interface CallerHandle {
+  readonly session: Session;
+  /** True when no request is being answered. */
+  isWaiting(): boolean;
+  close(): void;
+}
+
+export interface ProxyOptions {
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly metrics: Metrics;
+  readonly configuration: ConfigurationHolder;
+  readonly fleet: Fleet;
+  readonly createGroup: (name: string) => GroupService;
+  /** True while the registry of instances answers. */
+  readonly isRegistryReachable: () => boolean;
+}
+
+/** One proxy process: its sessions and the groups that they use. */
+export class Proxy {
+  readonly roster: InstanceRoster;
+
+  private readonly groups = new Map<string, GroupService>();
+
+  private readonly callers = new Set<CallerHandle>();
+
+  private readonly retries = new RetryBudget(RETRY_BUDGET);
+
+  private readonly timers: NodeJS.Timeout[] = [];
+
+  private draining = false;
+
+  private isRosterChanged = false;
+
+  constructor(private readonly options: ProxyOptions) {
+    this.roster = new InstanceRoster(() => {
+      this.isRosterChanged = true;
+    });
+    options.configuration.addListener((next) => this.handleConfiguration(next));
+  }
+
+  start(): void {
+    this.timers.push(
+      setInterval(() => this.handleTick(), TICK_MS),
+      setInterval(() => this.handleSessionTick(), SESSION_TICK_MS),
+    );
+  }
+
+  /** True when the balancer may send callers here. */
+  isReady(): boolean {
+    if (this.draining || !this.options.configuration.read()) return false;
+    return [...this.groups.values()].some((group) =>
+      group.listMembers().some((member) => member.isUsable()),
+    );
+  }
+
+  isDraining(): boolean {
+    return this.draining;
+  }
+
+  findGroup(name: string): GroupService | undefined {
+    return this.groups.get(name);
+  }
+
+  listGroups(): readonly GroupService[] {
+    return [...this.groups.values()];
+  }
+
+  createSession(database: string, caller: string): Session {
+    const { clock, log, metrics, configuration } = this.options;
+    return new Session({
+      ...{ database, caller, clock, log, metrics, configuration },
+      findGroup: (name) => this.findGroup(name),
+      retries: this.retries,
+    });
+  }
+
+  addCaller(caller: CallerHandle): void {
+    this.callers.add(caller);
+    this.options.metrics.callers.set(this.callers.size);
+  }
+
+  removeCaller(caller: CallerHandle): void {
+    this.callers.delete(caller);
+    this.options.metrics.callers.set(this.callers.size);
+  }
+
+  /**
+   * Ends the work: not ready at once, idle sessions closed, requests in flight answered, open
+   * transactions given the first half of `graceMs`.
+   */
+  async drain(graceMs: Millis): Promise<void> {
+    const { clock, log } = this.options;
+    this.draining = true;
+    const startedAt = clock.readNow();
+    log.info('draining', { callers: this.callers.size, graceMs });
+    for (;;) {
+      const elapsed = clock.readNow() - startedAt;
+      this.callers.forEach((caller) => this.drainCaller(caller, elapsed >= graceMs / 2));
+      const isDone = this.callers.size === 0 && elapsed >= BALANCER_MS;
+      if (isDone || elapsed >= graceMs - EXIT_MARGIN_MS) break;
+      await wait(DRAIN_POLL_MS);
+    }
+    this.stop();
+  }
+
+  stop(): void {
+    this.timers.forEach((timer) => clearInterval(timer));
+    this.options.fleet.stop();
+    this.callers.forEach((caller) => caller.close());
+    this.groups.forEach((group) => group.stop());
+    this.options.log.info('stopped', { callers: this.callers.size });
+  }
+
+  private drainCaller(caller: CallerHandle, isLate: boolean): void {
+    if (!caller.isWaiting()) return;
+    if (caller.session.isIdle()) caller.close();
+    else if (isLate) caller.session.abort('the proxy is shutting down');
+  }
+
+  private handleConfiguration(next: ServiceConfiguration): void {
+    const { log, metrics, createGroup } = this.options;
+    const { version, routes } = next;
+    log.info('configuration in force', { version, routes: routes.size });
+    metrics.configurationVersion.set(version);
+    next.groups.forEach((settings, name) => {
+      const group = this.groups.get(name) ?? createGroup(name);
+      group.updateSettings(settings);
+      this.groups.set(name, group);
+    });
+    this.groups.forEach((group, name) => {
+      if (next.groups.has(name)) return;
+      group.stop();
+      this.groups.delete(name);
+    });
+    this.isRosterChanged = true;
+  }
+
+  private handleTick(): void {
+    const { clock, fleet, isRegistryReachable } = this.options;
+    this.roster.handleTick(clock.readNow(), isRegistryReachable());
+    if (this.isRosterChanged) {
+      this.isRosterChanged = false;
+      this.groups.forEach((group, name) => group.updateInstances(this.roster.listGroup(name)));
+    }
+    this.groups.forEach((group, name) => {
+      group.takeover.updateRank(fleet.findRank(name));
+      group.handleTick();
+    });
+  }
+
+  private handleSessionTick(): void {
+    const now = this.options.clock.readNow();
+    this.callers.forEach((caller) => caller.session.handleTick(now));
+  }
+}
--- /dev/null
+++ b/packages/engine/src/session.ts
@@ -0,0 +1,148 @@
+import type { Millis } from '@shallotpick/core';
+import { match } from 'ts-pattern';
+import type { DatabaseRoute } from './configuration.js';
+import { createLocalAnswer, SessionContext, type SessionOptions } from './context.js';
+import type { DataStatement } from './run.js';
+import { SingleRunner } from './single.js';
+import type { Answer, CallerRequest, Failure, TransactionState } from './statement.js';
+import { Transaction } from './transaction.js';
+
+/** One caller's session: its values, prepared statements, floor and transaction. */
+export class Session {
+  private readonly context: SessionContext;
+
+  private transaction: Transaction | undefined;
+
+  constructor(options: SessionOptions) {
+    this.context = new SessionContext(options);
+  }
+
+  /** True outside transactions. */
+  isIdle(): boolean {
+    return this.transaction === undefined;
+  }
+
+  /** Runs one request; the caller of this method runs them one after the other. */
+  async run(request: CallerRequest): Promise<Answer> {
+    const { log, metrics, clock, database } = this.context.options;
+    const startedAt = clock.readNow();
+    const answer = await this.runStatement(request);
+    const tookMs = clock.readNow() - startedAt;
+    metrics.latency.observe({ kind: request.statement.kind }, tookMs / 1_000);
+    if (answer.failure) {
+      const { verdict, reason } = answer.failure;
+      metrics.failures.inc({ verdict });
+      const facts = { request: request.id, database, kind: request.statement.kind };
+      log.info('request failed', { ...facts, verdict, reason, tookMs: Math.round(tookMs) });
+    }
+    return answer;
+  }
+
+  /** Rolls back a transaction that has rested for too long. */
+  handleTick(now: Millis): void {
+    const limit = this.context.options.configuration.read()?.transactionIdleMs;
+    if (limit !== undefined) this.transaction?.handleTick(now, limit);
+  }
+
+  /** Ends the open transaction, as at shutdown; its next statement is told so. */
+  abort(reason: string): void {
+    this.transaction?.abort(reason);
+  }
+
+  /** The caller is gone. */
+  close(): void {
+    this.context.isClosed = true;
+    this.transaction?.abort('the caller has left');
+    this.transaction = undefined;
+  }
+
+  private async runStatement(request: CallerRequest): Promise<Answer> {
+    const { statement } = request;
+    const { transaction, context } = this;
+    if (transaction?.isFailed() && statement.kind !== 'rollback' && statement.kind !== 'commit') {
+      return this.refuse({ verdict: 'malformed', reason: 'the transaction has failed' });
+    }
+    return match(statement)
+      .with({ kind: 'set' }, ({ name, value }) => {
+        context.values.set(name, value);
+        return this.confirm();
+      })
+      .with({ kind: 'prepare' }, ({ name, access, shape }) => {
+        context.statements.set(name, { access, shape });
+        return this.confirm();
+      })
+      .with({ kind: 'deallocate' }, ({ name }) => {
+        const reason = `no prepared statement "${name}"`;
+        if (context.statements.delete(name)) return this.confirm();
+        return this.refuse({ verdict: 'unknownStatement', reason });
+      })
+      .with({ kind: 'begin' }, ({ isReadOnly }) => this.begin(isReadOnly))
+      .with({ kind: 'commit' }, () => this.commit(request))
+      .with({ kind: 'rollback' }, () => this.rollBack())
+      .with({ kind: 'unknown' }, () =>
+        this.refuse({ verdict: 'malformed', reason: 'the statement is not known' }),
+      )
+      .otherwise((data) => this.runData(request, data));
+  }
+
+  private readState(): TransactionState {
+    if (!this.transaction) return 'idle';
+    return this.transaction.isFailed() ? 'failed' : 'open';
+  }
+
+  private confirm(): Answer {
+    return createLocalAnswer(this.readState());
+  }
+
+  private refuse(failure: Failure): Answer {
+    return createLocalAnswer(this.readState(), failure);
+  }
+
+  private findRoute(): DatabaseRoute | undefined {
+    const { configuration, database } = this.context.options;
+    return configuration.findRoute(database);
+  }
+
+  private begin(isReadOnly: boolean): Answer {
+    if (this.transaction) {
+      return this.refuse({ verdict: 'malformed', reason: 'a transaction is open' });
+    }
+    const route = this.findRoute();
+    if (!route) return this.refuseUnknown();
+    this.transaction = new Transaction(this.context, route, isReadOnly);
+    return this.confirm();
+  }
+
+  private async commit(request: CallerRequest): Promise<Answer> {
+    const { transaction } = this;
+    if (!transaction) {
+      return this.refuse({ verdict: 'malformed', reason: 'no transaction is open' });
+    }
+    const answer = await transaction.commit(request.id);
+    this.transaction = undefined;
+    return answer;
+  }
+
+  private rollBack(): Answer {
+    this.transaction?.abort('rolled back');
+    this.transaction = undefined;
+    return this.confirm();
+  }
+
+  private refuseUnknown(): Answer {
+    const { database } = this.context.options;
+    return this.refuse({ verdict: 'unknownDatabase', reason: `no route for "${database}"` });
+  }
+
+  private async runData({ id }: CallerRequest, statement: DataStatement): Promise<Answer> {
+    if (this.context.isWrite(statement) === undefined) {
+      const reason = 'no prepared statement of this name';
+      return this.refuse({ verdict: 'unknownStatement', reason });
+    }
+    if (this.transaction) return this.transaction.run(id, statement);
+    const route = this.findRoute();
+    return route
+      ? new SingleRunner(this.context, route, id, statement).run()
+      : this.refuseUnknown();
+  }
+}
--- /dev/null
+++ b/packages/engine/src/single.ts
@@ -0,0 +1,140 @@
+import { Attempts, isLease } from './attempt.js';
+import type { DatabaseRoute } from './configuration.js';
+import { ConnectionError } from './errors.js';
+import type { Lease } from './group.js';
+import { type DataStatement, rollBack, runCommand, runStatement, sendSetup } from './run.js';
+import { createLocalAnswer, type SessionContext } from './context.js';
+import type { Answer, Failure, Reply } from './statement.js';
+
+/** The end of one attempt. */
+type Outcome =
+  | { readonly kind: 'answered'; readonly answer: Answer }
+  /** The attempt may be repeated; `failure` is told when there is no time for that. */
+  | { readonly kind: 'repeat'; readonly failure: Failure }
+  | { readonly kind: 'refused'; readonly failure: Failure };
+
+const LOST: Failure = { verdict: 'failed', reason: 'the instance gave no whole answer' };
+const NOT_SENT: Failure = { verdict: 'overloaded', reason: 'the connection broke before' };
+
+/** Runs one statement outside transactions. */
+export class SingleRunner {
+  private readonly attempts: Attempts;
+
+  private readonly isWrite: boolean;
+
+  constructor(
+    private readonly context: SessionContext,
+    private readonly route: DatabaseRoute,
+    private readonly id: string,
+    private readonly statement: DataStatement,
+  ) {
+    this.isWrite = context.isWrite(statement) === true;
+    this.attempts = new Attempts(context, route, id, this.isWrite ? 'write' : 'read');
+  }
+
+  async run(): Promise<Answer> {
+    for (;;) {
+      const lease = await this.attempts.admit();
+      if (!isLease(lease)) return createLocalAnswer('idle', lease);
+      const outcome = await this.runOn(lease);
+      if (outcome.kind === 'answered') return outcome.answer;
+      const { failure } = outcome;
+      const mayRepeat =
+        outcome.kind === 'repeat'
+          ? await this.attempts.requestRetry(lease, failure.verdict)
+          : await this.attempts.mayRetry(lease, failure);
+      if (!mayRepeat) return createLocalAnswer('idle', failure);
+    }
+  }
+
+  private async runOn(lease: Lease): Promise<Outcome> {
+    if (!lease.connection.isUsable()) {
+      lease.release();
+      return { kind: 'repeat', failure: NOT_SENT };
+    }
+    if (this.isWrite) return this.write(lease);
+    return lease.after ? this.readAfter(lease) : this.readFromLeader(lease);
+  }
+
+  private async write(lease: Lease): Promise<Outcome> {
+    const { attempts, context, statement, id } = this;
+    const startedAt = context.readNow();
+    try {
+      const remaining = attempts.readRemaining();
+      const reply = await runStatement(lease.connection, context, statement, { id }, remaining);
+      attempts.addLatency(lease, startedAt);
+      lease.release();
+      if (!reply.failure) attempts.handleCommit(reply.position);
+      return this.createOutcome(reply);
+    } catch (error) {
+      lease.release();
+      if (!(error instanceof ConnectionError)) throw error;
+      const reason = `no whole answer to a write: ${error.message}`;
+      return {
+        kind: 'answered',
+        answer: createLocalAnswer('idle', { verdict: 'unknownOutcome', reason }),
+      };
+    }
+  }
+
+  /** The instance itself checks that its log holds the position. */
+  private async readAfter(lease: Lease): Promise<Outcome> {
+    const { attempts, context, statement, id } = this;
+    const startedAt = context.readNow();
+    try {
+      const command = { id, after: lease.after };
+      const limit = attempts.findStallLimit(lease);
+      const reply = await runStatement(lease.connection, context, statement, command, limit);
+      attempts.addLatency(lease, startedAt);
+      lease.release();
+      return this.createOutcome(reply);
+    } catch (error) {
+      lease.release();
+      if (!(error instanceof ConnectionError)) throw error;
+      attempts.addLatency(lease, startedAt);
+      return { kind: 'repeat', failure: LOST };
+    }
+  }
+
+  /**
+   * Reads inside a plain transaction, whose statements an instance that has lost the lead refuses.
+   * The statement is sent only once the transaction is open, since behind a refused one it would
+   * run outside.
+   */
+  private async readFromLeader(lease: Lease): Promise<Outcome> {
+    const { attempts, context, statement, id } = this;
+    const { connection } = lease;
+    const startedAt = context.readNow();
+    const limit = attempts.findStallLimit(lease);
+    try {
+      sendSetup(connection, context, statement);
+      const begin = { operation: { kind: 'begin', isReadOnly: false } } as const;
+      const opened = await runCommand(connection, begin, limit);
+      if (opened.failure) {
+        lease.release();
+        return { kind: 'refused', failure: opened.failure };
+      }
+      const answer = runStatement(connection, context, statement, { id }, limit);
+      const end = rollBack(connection, limit);
+      const reply = await answer;
+      attempts.addLatency(lease, startedAt);
+      // The caller need not wait for the end of the transaction.
+      end.finally(() => lease.release()).catch(() => undefined);
+      return this.createOutcome(reply);
+    } catch (error) {
+      lease.release();
+      if (!(error instanceof ConnectionError)) throw error;
+      return { kind: 'repeat', failure: LOST };
+    }
+  }
+
+  private createOutcome({ rows, digest, failure, position }: Reply): Outcome {
+    if (!failure) {
+      const answer = { rows, digest, failure, state: 'idle', position } as const;
+      return { kind: 'answered', answer };
+    }
+    // A read that has failed may run again; a write may have had effect.
+    const isRepeatable = !this.isWrite && failure.verdict === 'failed';
+    return { kind: isRepeatable ? 'repeat' : 'refused', failure };
+  }
+}
--- /dev/null
+++ b/packages/engine/src/takeover.ts
@@ -0,0 +1,157 @@
+import {
+  type Clock,
+  type InstanceView,
+  type Millis,
+  type PromotionRecord,
+  type TakeoverAction,
+  TakeoverCoordinator,
+} from '@shallotpick/core';
+import { match } from 'ts-pattern';
+import type { InstanceConnector } from './connection.js';
+import type { GroupService } from './group.js';
+import type { Log } from './log.js';
+import type { Member } from './member.js';
+import type { Metrics } from './metrics.js';
+import type { Operation } from './statement.js';
+import type { ObjectStore, PromotionService, StoredObject } from './store.js';
+
+/** Kind of the objects that hold promotion records. */
+export const PROMOTIONS_KIND = 'promotions';
+
+const ORDER_TIMEOUT_MS: Millis = 400;
+
+export interface TakeoverDriverOptions {
+  readonly vm: string;
+  readonly clock: Clock;
+  readonly ageClock: Clock;
+  readonly log: Log;
+  readonly metrics: Metrics;
+  readonly store: ObjectStore;
+  readonly promotions: PromotionService;
+  readonly connector: InstanceConnector;
+  readonly createAttempt: () => string;
+}
+
+/** Carries out what the takeover coordinator of a group decides. */
+export class TakeoverDriver {
+  private readonly coordinator: TakeoverCoordinator;
+
+  constructor(
+    private readonly group: GroupService,
+    private readonly options: TakeoverDriverOptions,
+  ) {
+    const { vm, createAttempt } = options;
+    this.coordinator = new TakeoverCoordinator({ group: group.name, vm, createAttempt });
+  }
+
+  isChanging(now: Millis): boolean {
+    return this.coordinator.isChanging(now);
+  }
+
+  updateRank(rank: number): void {
+    this.coordinator.updateRank(rank);
+  }
+
+  /** Takes in the group's record from the store; undefined when there is none. */
+  handleObject(object: StoredObject | undefined): void {
+    const record = object?.spec as PromotionRecord | undefined;
+    const now = this.options.clock.readNow();
+    if (record) {
+      const { generation, holder, phase } = record;
+      this.options.log.info('promotion record', {
+        group: this.group.name,
+        ...{ generation, holder, phase, revision: object?.revision },
+      });
+    }
+    this.runActions(this.coordinator.handleRecord(record, object?.revision ?? 0, now));
+  }
+
+  handleTick(now: Millis): void {
+    const age = this.options.ageClock.readNow();
+    const views = this.group.listMembers().map((member) => this.createView(member, age));
+    this.runActions(this.coordinator.handleTick(views, now));
+  }
+
+  private createView({ instance, probe }: Member, age: Millis): InstanceView {
+    const { position } = probe;
+    return {
+      id: instance.id,
+      leaving: instance.leaving === true,
+      reportsPrimary: instance.role === 'primary',
+      health: probe.health,
+      since: probe.since,
+      leads: probe.leads,
+      position,
+      lagMs: position && this.group.samples.findLag(position, age),
+    };
+  }
+
+  private runActions(actions: readonly TakeoverAction[]): void {
+    const { log, metrics } = this.options;
+    actions.forEach((action) => {
+      metrics.takeovers.inc({ action: action.kind });
+      log.info('takeover step', { group: this.group.name, ...action });
+      this.runAction(action).catch((error: unknown) => {
+        log.warn('takeover step failed', { action: action.kind, error: String(error) });
+      });
+    });
+  }
+
+  private async runAction(action: TakeoverAction): Promise<void> {
+    await match(action)
+      .with({ kind: 'read' }, () => this.readRecord())
+      .with({ kind: 'write' }, ({ record, expectedVersion }) =>
+        this.writeRecord(record, expectedVersion),
+      )
+      .with({ kind: 'promote' }, ({ instance, generation }) => this.promote(instance, generation))
+      .with({ kind: 'resume' }, async ({ instance }) => {
+        const reply = await this.send(instance, { kind: 'resume' });
+        if (!reply.failure) this.coordinator.handleResumed(instance);
+      })
+      .with({ kind: 'pause' }, ({ instance, term }) =>
+        this.order(instance, { kind: 'pause', term }),
+      )
+      .with({ kind: 'stepDown' }, ({ instance, term }) =>
+        this.order(instance, { kind: 'stepDown', term }),
+      )
+      .with({ kind: 'status' }, ({ instance }) => this.order(instance, { kind: 'status' }))
+      .exhaustive();
+  }
+
+  private async send(instance: string, operation: Operation) {
+    const member = this.group.listMembers().find(({ id }) => id === instance);
+    if (!member) throw new Error('the instance is gone');
+    return member.probe.send(operation, ORDER_TIMEOUT_MS);
+  }
+
+  private async order(instance: string, operation: Operation): Promise<void> {
+    const { log, connector } = this.options;
+    const reply = await this.send(instance, operation);
+    const report = connector.parseReport(reply);
+    log.info('fence report', { instance, order: operation.kind, ...report, ...reply.failure });
+    if (report) this.coordinator.handleReport(instance, report);
+  }
+
+  private async promote(instance: string, generation: number): Promise<void> {
+    const { promotions, log } = this.options;
+    const answer = await promotions.promote(this.group.name, instance, generation);
+    log.info('promotion answered', { group: this.group.name, instance, generation, answer });
+    this.coordinator.handlePromotion(generation, answer);
+  }
+
+  private async readRecord(): Promise<void> {
+    this.handleObject(await this.options.store.find(PROMOTIONS_KIND, this.group.name));
+  }
+
+  private async writeRecord(record: PromotionRecord, expectedVersion: number): Promise<void> {
+    const { store, log, clock } = this.options;
+    const outcome = await store.write(PROMOTIONS_KIND, record.group, record, expectedVersion);
+    log.info('promotion record written', { group: record.group, outcome: outcome.kind });
+    if (outcome.kind === 'written') {
+      const now = clock.readNow();
+      this.runActions(this.coordinator.handleRecord(record, outcome.revision, now));
+    } else {
+      this.runActions(this.coordinator.handleWriteFailure());
+    }
+  }
+}
--- /dev/null
+++ b/packages/engine/src/transaction.ts
@@ -0,0 +1,179 @@
+import type { Millis } from '@shallotpick/core';
+import { Attempts, isLease } from './attempt.js';
+import type { DatabaseRoute } from './configuration.js';
+import { ConnectionError } from './errors.js';
+import type { Lease } from './group.js';
+import { type DataStatement, rollBack, runCommand, runStatement, sendSetup } from './run.js';
+import { createLocalAnswer, type SessionContext } from './context.js';
+import type { Answer, Failure, Reply } from './statement.js';
+import { wait } from './timing.js';
+
+const ROLLBACK_TIMEOUT_MS: Millis = 1_000;
+/** Gap before a COMMIT that was refused for want of a slot is sent again. */
+const COMMIT_RETRY_MS: Millis = 10;
+/** Part of a statement's time-out after which a transaction that waits for a reply is given up. */
+const GIVE_UP_PART = 0.75;
+
+/**
+ * One transaction of a caller. It takes a connection at its first statement, so that pauses
+ * before it cost nothing, and keeps that connection to its end.
+ */
+export class Transaction {
+  private lease: Lease | undefined;
+
+  private failure: Failure | undefined;
+
+  /** The caller has been told that the transaction has failed. */
+  private isReported = false;
+
+  private isRunning = false;
+
+  private usedAt: Millis;
+
+  constructor(
+    private readonly context: SessionContext,
+    private readonly route: DatabaseRoute,
+    private readonly isReadOnly: boolean,
+  ) {
+    this.usedAt = context.readNow();
+  }
+
+  isFailed(): boolean {
+    return this.isReported;
+  }
+
+  /** Rolls back after the caller has rested for `limit`. */
+  handleTick(now: Millis, limit: Millis): void {
+    if (!this.lease || this.isRunning || now - this.usedAt < limit) return;
+    this.abort('the transaction was idle for too long');
+  }
+
+  /** Rolls back without waiting for the instance. */
+  abort(reason: string): void {
+    this.failure ??= { verdict: 'aborted', reason };
+    const { lease } = this;
+    this.lease = undefined;
+    if (!lease) return;
+    if (this.isRunning || this.context.isClosed) lease.connection.close();
+    rollBack(lease.connection, ROLLBACK_TIMEOUT_MS)
+      .finally(() => lease.release())
+      .catch(() => undefined);
+  }
+
+  async run(id: string, statement: DataStatement): Promise<Answer> {
+    const answer = await this.runWithLease(id, (lease) => {
+      const limit = this.route.timeoutMs * GIVE_UP_PART;
+      return runStatement(lease.connection, this.context, statement, { id }, limit);
+    });
+    if (!answer.failure) return answer;
+    return this.fail(answer.failure);
+  }
+
+  /** Commits; afterwards the transaction has ended, whatever the answer. */
+  async commit(id: string): Promise<Answer> {
+    if (this.isReported || this.failure) {
+      const failure = this.failure ?? { verdict: 'aborted', reason: 'the transaction has failed' };
+      this.abort(failure.reason);
+      return createLocalAnswer('idle', { ...failure, verdict: 'aborted' });
+    }
+    let isSent = false;
+    const answer = await this.runWithLease(id, (lease) => {
+      isSent = true;
+      return this.sendCommit(id, lease);
+    });
+    const { lease } = this;
+    if (!answer.failure && lease) {
+      this.lease = undefined;
+      lease.release();
+      if (answer.position) {
+        this.context.floor = { position: answer.position, at: this.context.readNow() };
+      }
+      return { ...answer, state: 'idle' };
+    }
+    const failure = answer.failure ?? { verdict: 'aborted', reason: 'the connection is gone' };
+    this.abort(failure.reason);
+    // Nothing is known of a COMMIT whose reply did not come.
+    const isUnknown = isSent && failure.verdict === 'aborted';
+    return createLocalAnswer(
+      'idle',
+      isUnknown ? { ...failure, verdict: 'unknownOutcome' } : failure,
+    );
+  }
+
+  private fail(failure: Failure): Answer {
+    this.abort(failure.reason);
+    this.isReported = true;
+    return createLocalAnswer('failed', failure);
+  }
+
+  private async sendCommit(id: string, lease: Lease): Promise<Reply> {
+    const deadline = this.context.readNow() + this.route.timeoutMs;
+    for (;;) {
+      const remaining = Math.max(1, deadline - this.context.readNow());
+      const command = { id, operation: { kind: 'commit' } } as const;
+      const reply = await runCommand(lease.connection, command, remaining);
+      const isRefused = reply.failure?.verdict === 'overloaded' && reply.state === 'open';
+      if (!isRefused || remaining <= COMMIT_RETRY_MS) return reply;
+      await wait(COMMIT_RETRY_MS);
+    }
+  }
+
+  private async runWithLease(id: string, run: (lease: Lease) => Promise<Reply>): Promise<Answer> {
+    if (this.failure) return createLocalAnswer('failed', this.failure);
+    this.isRunning = true;
+    try {
+      const failure = this.lease ? undefined : await this.open(id);
+      const { lease } = this;
+      if (failure || !lease) {
+        return createLocalAnswer('failed', failure ?? { verdict: 'aborted', reason: 'ended' });
+      }
+      lease.update(true);
+      const reply = await run(lease);
+      lease.update(false);
+      return { ...reply, state: 'open' };
+    } catch (error) {
+      if (!(error instanceof ConnectionError)) throw error;
+      return createLocalAnswer('failed', { verdict: 'aborted', reason: error.message });
+    } finally {
+      this.isRunning = false;
+      this.usedAt = this.context.readNow();
+    }
+  }
+
+  /** Opens the transaction on an instance; the failure when none takes it. */
+  private async open(id: string): Promise<Failure | undefined> {
+    const { context, route, isReadOnly } = this;
+    const mayBeOld = isReadOnly && route.contract.maxAgeMs > 0;
+    const attempts = new Attempts(context, route, id, mayBeOld ? 'read' : 'write');
+    for (;;) {
+      const lease = await attempts.admit();
+      if (!isLease(lease)) return lease;
+      const failure = await this.openOn(lease, attempts);
+      if (!failure && context.isClosed) {
+        lease.connection.close();
+        lease.release();
+        return { verdict: 'aborted', reason: 'the caller has left' };
+      }
+      if (!failure) {
+        this.lease = lease;
+        return undefined;
+      }
+      lease.release();
+      if (!(await attempts.mayRetry(lease, failure))) return failure;
+    }
+  }
+
+  private async openOn(lease: Lease, attempts: Attempts): Promise<Failure | undefined> {
+    const { connection, after } = lease;
+    try {
+      sendSetup(connection, this.context, { kind: 'commit' });
+      // Only a plain transaction proves the lead.
+      const operation = { kind: 'begin', isReadOnly: after !== undefined } as const;
+      const limit = attempts.findStallLimit(lease);
+      return (await runCommand(connection, { operation, after }, limit)).failure;
+    } catch (error) {
+      if (!(error instanceof ConnectionError)) throw error;
+      return { verdict: 'overloaded', reason: error.message };
+    }
+  }
+}
--- /dev/null
+++ b/packages/engine/src/wiring.ts
@@ -0,0 +1,131 @@
+import { randomUUID } from 'node:crypto';
+import type { Clock, Millis, RegisteredInstance } from '@shallotpick/core';
+import { SuspendAwareClock, SystemClock } from './clock.js';
+import { ConfigurationHolder, type ServiceConfiguration } from './configuration.js';
+import type { InstanceConnector } from './connection.js';
+import { Fleet } from './fleet.js';
+import { KindFollower } from './follower.js';
+import { GroupService } from './group.js';
+import type { Log } from './log.js';
+import type { Metrics } from './metrics.js';
+import { Proxy } from './proxy.js';
+import type { ObjectStore, PromotionService, StoredObject } from './store.js';
+import { PROMOTIONS_KIND, TakeoverDriver } from './takeover.js';
+
+/** What a protocol adapter brings. */
+export interface ProxyParts {
+  readonly vm: string;
+  readonly zone: string;
+  readonly log: Log;
+  readonly metrics: Metrics;
+  readonly store: ObjectStore;
+  readonly promotions: PromotionService;
+  readonly connector: InstanceConnector;
+  /** How long a leaving instance may be sent work. */
+  readonly drainMs: Millis;
+  /** Kinds of the objects that the operator and the instances write. */
+  readonly configurationKind: string;
+  readonly instancesKind: string;
+  /** Decodes a configuration; undefined when the object is not one. */
+  readonly decodeConfiguration: (object: StoredObject) => ServiceConfiguration | undefined;
+  /** Decodes an instance's entry; undefined when it names no instance to use. */
+  readonly decodeInstance: (object: StoredObject) => RegisteredInstance | undefined;
+}
+
+interface Shared {
+  readonly clock: Clock;
+  readonly ageClock: Clock;
+}
+
+/** Starts and stops a proxy with what feeds it. */
+export interface RunningProxy {
+  readonly proxy: Proxy;
+  readonly configuration: ConfigurationHolder;
+  start(): void;
+  stopSources(): void;
+}
+
+function createGroup(name: string, parts: ProxyParts, shared: Shared, fleet: Fleet): GroupService {
+  const { vm, zone, log, metrics, store, promotions, connector, drainMs } = parts;
+  const common = { ...shared, log, metrics, connector };
+  return new GroupService({
+    ...common,
+    ...{ name, zone, drainMs },
+    countVms: () => fleet.countLive(),
+    createTakeover: (group) =>
+      new TakeoverDriver(group, {
+        ...common,
+        ...{ vm, store, promotions, createAttempt: randomUUID },
+      }),
+  });
+}
+
+/** Constructs a proxy from the parts of a protocol adapter. */
+export function createProxy(parts: ProxyParts): RunningProxy {
+  const { vm, log, metrics, store } = parts;
+  const clock = new SystemClock();
+  const shared: Shared = { clock, ageClock: new SuspendAwareClock() };
+  const configuration = new ConfigurationHolder();
+  const fleet = new Fleet({
+    ...{ vm, store, clock, log },
+    startedAt: Date.now(),
+    onChange: () => undefined,
+  });
+  const follow = (
+    kind: string,
+    onListing: (objects: readonly StoredObject[]) => void,
+    onChange: (object: StoredObject, isDeleted: boolean) => void,
+  ): KindFollower =>
+    new KindFollower({ kind, store, clock, log, random: Math.random, onListing, onChange });
+
+  const handleConfiguration = (object: StoredObject): void => {
+    const decoded = parts.decodeConfiguration(object);
+    if (decoded) configuration.update(decoded);
+  };
+  const configurations = follow(
+    parts.configurationKind,
+    (objects) => objects.forEach(handleConfiguration),
+    (object, isDeleted) => {
+      if (!isDeleted) handleConfiguration(object);
+    },
+  );
+  const source: { proxy?: Proxy } = {};
+  const instances = follow(
+    parts.instancesKind,
+    (objects) => {
+      const decoded = objects.flatMap((object) => parts.decodeInstance(object) ?? []);
+      source.proxy?.roster.updateAll(decoded, clock.readNow());
+    },
+    (object, isDeleted) => {
+      const decoded = isDeleted ? undefined : parts.decodeInstance(object);
+      if (decoded) source.proxy?.roster.update(decoded);
+      else source.proxy?.roster.remove(object.name, clock.readNow());
+    },
+  );
+  const handlePromotion = (object: StoredObject): void =>
+    source.proxy?.findGroup(object.name)?.takeover.handleObject(object);
+  const promotions = follow(
+    PROMOTIONS_KIND,
+    (objects) => objects.forEach(handlePromotion),
+    (object, isDeleted) => {
+      if (!isDeleted) handlePromotion(object);
+    },
+  );
+  const proxy = new Proxy({
+    ...{ clock, log, metrics, configuration, fleet },
+    createGroup: (name) => createGroup(name, parts, shared, fleet),
+    isRegistryReachable: () => instances.isReachable(),
+  });
+  source.proxy = proxy;
+  const followers = [configurations, instances, promotions];
+  return {
+    proxy,
+    configuration,
+    start: () => {
+      proxy.start();
+      followers.forEach((follower) => follower.start());
+      fleet.start();
+    },
+    stopSources: () => followers.forEach((follower) => follower.stop()),
+  };
+}
