--- a/packages/core/src/takeover.ts
+++ b/packages/core/src/takeover.ts
@@ -11,6 +11,8 @@
 const RANK_STAGGER_MS: Millis = 300;
 /** An attempt of another VM is left alone for this long. */
 const ATTEMPT_MS: Millis = 2_500;
+/** A holder that has not ordered the promotion after this long claims the record anew. */
+const HOLD_MS: Millis = 1_500;
 /** Gap between repeated orders to an instance that has not answered. */
 const REPEAT_MS: Millis = 150;
 /** A planned handover that cannot fence the other replicas in this time becomes a takeover. */
@@ -19,12 +21,22 @@
 const ANSWER_MS: Millis = 400;
 /** A promoted instance that does not lead after this long is given up. */
 const LEAD_MS: Millis = 2_000;
+/** Two VMs do not order promotions of a group by turns within this time, set by the platform. */
+const LEASE_MS: Millis = 3_000;
+/** Allows for the time that an order travels. */
+const LEASE_SLACK_MS: Millis = 400;
+/** Instances that have answered for this long show that this VM itself is not cut off. */
+const CONNECTED_MS: Millis = 600;
+/** A claim whose answer took longer rests on an old view and is given up. */
+const FRESH_CLAIM_MS: Millis = 400;
 /** A claim that is not found in the store after this long is made anew. */
 const CLAIM_MS: Millis = 800;
 /** A replica this far behind the leader may still be paused by a late order. */
 const STUCK_LAG_MS: Millis = 1_500;
-/** Gap between attempts to resume replicas that seem stuck. */
-const STUCK_REPEAT_MS: Millis = 4_000;
+/** Gap between status requests to a replica that seems stuck. */
+const STUCK_REPEAT_MS: Millis = 1_000;
+/** Gap between reads of a record that could not be read. */
+const READ_REPEAT_MS: Millis = 500;
 /** Without the former leader, one fenced log alone does not show what the others hold. */
 const MIN_FENCED = 2;
 
@@ -145,7 +157,11 @@
 
   private newestTerm = 0;
 
-  private stuckAt: Millis = Number.NEGATIVE_INFINITY;
+  /** When this VM last ordered a promotion. */
+  private orderedAt: Millis = Number.NEGATIVE_INFINITY;
+
+  /** Another VM has taken over the record since. */
+  private isSuperseded = false;
 
   private needSince: { readonly plan: Plan; readonly at: Millis } | undefined;
 
@@ -174,10 +190,11 @@
     this.version = version;
     this.record = record;
     this.recordSeenAt = now;
+    if (record && record.holder !== this.options.vm) this.isSuperseded = true;
     const { step } = this;
     if (step.kind === 'watching') return [];
     if (step.kind === 'claiming' && record?.attempt === step.record.attempt) {
-      return this.startAttempt(step.plan, now);
+      return this.startAttempt(step, now);
     }
     // A newer generation of another VM ends what this one does.
     if (record?.holder !== this.options.vm) this.updateStep(WATCHING);
@@ -208,7 +225,7 @@
   handleTick(instances: readonly InstanceView[], now: Millis): Actions {
     this.updateHolders(instances);
     const { step } = this;
-    if (!this.isKnown) return this.isDue('read', now) ? [{ kind: 'read' }] : [];
+    if (!this.isKnown) return this.isDue('read', now, READ_REPEAT_MS) ? [{ kind: 'read' }] : [];
     switch (step.kind) {
       case 'claiming':
         return this.followClaim(step, now);
@@ -228,8 +245,8 @@
     this.sentAt.clear();
   }
 
-  private isDue(order: string, now: Millis): boolean {
-    if (now - (this.sentAt.get(order) ?? Number.NEGATIVE_INFINITY) < REPEAT_MS) return false;
+  private isDue(order: string, now: Millis, gap = REPEAT_MS): boolean {
+    if (now - (this.sentAt.get(order) ?? Number.NEGATIVE_INFINITY) < gap) return false;
     this.sentAt.set(order, now);
     return true;
   }
@@ -256,6 +273,8 @@
   }
 
   private watch(instances: readonly InstanceView[], now: Millis): Actions {
+    const stuck = this.checkStuck(instances, now);
+    if (stuck.length > 0) return stuck;
     const plan = this.findNeed(instances, now);
     if (plan !== this.needSince?.plan) this.needSince = plan && { plan, at: now };
     if (!plan || !this.needSince) return [];
@@ -263,10 +282,21 @@
     // Another VM is at work.
     const isOpen = this.record?.phase === 'open' && this.record.holder !== this.options.vm;
     if (isOpen && now - this.recordSeenAt < ATTEMPT_MS) return [];
-    if (plan === 'raise') this.stuckAt = now;
+    if (this.isSuperseded && now - this.orderedAt < LEASE_MS + LEASE_SLACK_MS) return [];
     return this.claim(plan, now);
   }
 
+  /** Asks a replica that falls behind whether it is still stopped by an order that came late. */
+  private checkStuck(instances: readonly InstanceView[], now: Millis): Actions {
+    if (this.rank !== 0 || this.record === undefined) return [];
+    return instances
+      .filter(({ leads, health, lagMs }) => {
+        return !leads && health === 'answering' && (lagMs ?? 0) > STUCK_LAG_MS;
+      })
+      .filter(({ id }) => this.isDue(`stuck ${id}`, now, STUCK_REPEAT_MS))
+      .map(({ id }) => ({ kind: 'status', instance: id }));
+  }
+
   private findNeed(instances: readonly InstanceView[], now: Millis): Plan | undefined {
     const leader = instances.find(({ leads }) => leads);
     const candidates = instances.filter(
@@ -275,11 +305,10 @@
     if (leader && leader.health === 'answering') {
       if (leader.leaving) return candidates.length > 0 ? 'handover' : undefined;
       const isOpen = this.record?.phase === 'open' && now - this.recordSeenAt >= ATTEMPT_MS;
-      const isStuck = candidates.some(({ lagMs }) => (lagMs ?? 0) > STUCK_LAG_MS);
-      const mayRaise = now - this.stuckAt >= STUCK_REPEAT_MS;
-      return mayRaise && (isOpen || isStuck) ? 'raise' : undefined;
+      const isStuck = candidates.some(({ id }) => (this.reports.get(id)?.heldTerm ?? 0) > 0);
+      return isOpen || isStuck ? 'raise' : undefined;
     }
-    if (candidates.length === 0) return undefined;
+    if (!candidates.some(({ since }) => now - since >= CONNECTED_MS)) return undefined;
     const suspect = this.findSuspect(instances);
     if (!suspect) {
       const since = Math.max(...candidates.map((one) => one.since));
@@ -316,11 +345,15 @@
   private followClaim(step: Step & { readonly kind: 'claiming' }, now: Millis): Actions {
     // A write that is carried out late fails its condition or is found by the next claim.
     if (now - step.sentAt >= CLAIM_MS) return this.restart(now);
-    return this.isDue('claim', now) ? [{ kind: 'read' }] : [];
+    return this.isDue('claim', now, READ_REPEAT_MS) ? [{ kind: 'read' }] : [];
   }
 
-  private startAttempt(plan: Plan, now: Millis): Actions {
+  private startAttempt(
+    { plan, sentAt }: Step & { readonly kind: 'claiming' },
+    now: Millis,
+  ): Actions {
     this.reports.clear();
+    if (now - sentAt >= FRESH_CLAIM_MS) return this.startSettling(now);
     this.updateStep({ kind: 'fencing', plan, since: now });
     return [];
   }
@@ -440,6 +473,10 @@
 
   private promote(candidate: string, now: Millis): Actions {
     const generation = this.record?.generation ?? 0;
+    // A record as old as this may have been taken over by now.
+    if (now - this.recordSeenAt >= HOLD_MS) return this.claim('takeover', now);
+    this.orderedAt = now;
+    this.isSuperseded = false;
     this.updateStep({ kind: 'promoting', candidate, sentAt: now, answer: undefined });
     return [{ kind: 'promote', instance: candidate, generation }];
   }
@@ -485,6 +522,7 @@
         .map((instance) => ({ kind: 'resume', instance }));
     }
     this.stopped.clear();
+    this.reports.clear();
     const { record } = this;
     this.updateStep(WATCHING);
     this.needSince = undefined;
--- a/packages/engine/src/fleet.ts
+++ b/packages/engine/src/fleet.ts
@@ -39,6 +39,8 @@
 
   private live: readonly string[];
 
+  private isKnown = false;
+
   private beat = 0;
 
   private revision = 0;
@@ -60,8 +62,9 @@
     this.isStopped = true;
   }
 
-  countLive(): number {
-    return this.live.length;
+  /** Live VMs; undefined until the store has told. */
+  countLive(): number | undefined {
+    return this.isKnown ? this.live.length : undefined;
   }
 
   /** This VM's place for a duty; 0 acts first. */
@@ -101,6 +104,7 @@
     objects.forEach((object) => this.handleBeat(object, now));
     const live = [...this.seen].filter(([, { at }]) => now - at < EXPIRE_MS).map(([name]) => name);
     const next = [...new Set([vm, ...live])].sort();
+    this.isKnown = true;
     if (next.join() === this.live.join()) return;
     log.info('live VMs', { vms: next, before: this.live });
     this.live = next;
--- a/packages/engine/src/group.ts
+++ b/packages/engine/src/group.ts
@@ -30,6 +30,8 @@
 const EXTRA_CONCURRENCY = 1;
 /** Part of the allowed age that is left to the time a read waits and travels. */
 const AGE_MARGIN = 0.15;
+/** Connections to an instance until it is known how many VMs share them. */
+const FIRST_SHARE = 2;
 const RECONNECT_DELAY_MS: Millis = 20;
 /** Usual time from the loss of a leader until the next one takes writes. */
 const FAILOVER_MS: Millis = 1_500;
@@ -74,7 +76,7 @@
   readonly connector: InstanceConnector;
   readonly createTakeover: (group: GroupService) => TakeoverDriver;
   /** VMs that share the connections of an instance. */
-  readonly countVms: () => number;
+  readonly countVms: () => number | undefined;
   /** How long a leaving instance may be sent work. */
   readonly drainMs: Millis;
 }
@@ -196,6 +198,11 @@
     this.runDecisions(this.queue.handleTick(now));
   }
 
+  /** True when instances of the group answer this VM. */
+  countAnswering(): number {
+    return this.listMembers().filter(({ probe }) => probe.health === 'answering').length;
+  }
+
   stop(): void {
     this.members.forEach((member) => this.removeMember(member));
     this.pending.forEach(({ reject }) => reject(new NotRunError('the proxy stops')));
@@ -204,8 +211,9 @@
 
   /** This proxy's part of an instance's connections, less the one of the probe. */
   private findShare(): number {
-    const share = Math.floor(this.settings.connectionLimit / Math.max(1, this.options.countVms()));
-    return Math.max(1, share - 1);
+    const vms = this.options.countVms();
+    if (vms === undefined) return FIRST_SHARE;
+    return Math.max(1, Math.floor(this.settings.connectionLimit / vms) - 1);
   }
 
   /** Refuses at once what no instance is expected to serve in time. */
--- a/packages/engine/src/proxy.ts
+++ b/packages/engine/src/proxy.ts
@@ -15,6 +15,8 @@
 const BALANCER_MS: Millis = 2_300;
 /** Time left before the platform ends the process, for the last answers to leave. */
 const EXIT_MARGIN_MS: Millis = 500;
+/** Most instances silent for this long: callers are better served elsewhere. */
+const ISOLATED_MS: Millis = 400;
 const DRAIN_POLL_MS: Millis = 20;
 
 /** A caller's connection as the proxy sees it. */
@@ -52,6 +54,9 @@
 
   private isRosterChanged = false;
 
+  /** Since when most instances have not answered; other VMs may reach them. */
+  private isolatedSince: Millis | undefined = Number.NEGATIVE_INFINITY;
+
   constructor(private readonly options: ProxyOptions) {
     this.roster = new InstanceRoster(() => {
       this.isRosterChanged = true;
@@ -69,9 +74,8 @@
   /** True when the balancer may send callers here. */
   isReady(): boolean {
     if (this.draining || !this.options.configuration.read()) return false;
-    return [...this.groups.values()].some((group) =>
-      group.listMembers().some((member) => member.isUsable()),
-    );
+    const now = this.options.clock.readNow();
+    return this.isolatedSince === undefined || now - this.isolatedSince < ISOLATED_MS;
   }
 
   isDraining(): boolean {
@@ -106,8 +110,8 @@
   }
 
   /**
-   * Ends the work: not ready at once, idle sessions closed, requests in flight answered, open
-   * transactions given the first half of `graceMs`.
+   * Ends the work: not ready at once, sessions closed as they become idle, requests in flight
+   * answered, open transactions given the first half of `graceMs`.
    */
   async drain(graceMs: Millis): Promise<void> {
     const { clock, log } = this.options;
@@ -116,7 +120,7 @@
     log.info('draining', { callers: this.callers.size, graceMs });
     for (;;) {
       const elapsed = clock.readNow() - startedAt;
-      this.callers.forEach((caller) => this.drainCaller(caller, elapsed >= graceMs / 2));
+      this.callers.forEach((caller) => this.drainCaller(caller, elapsed, graceMs));
       const isDone = this.callers.size === 0 && elapsed >= BALANCER_MS;
       if (isDone || elapsed >= graceMs - EXIT_MARGIN_MS) break;
       await wait(DRAIN_POLL_MS);
@@ -132,10 +136,15 @@
     this.options.log.info('stopped', { callers: this.callers.size });
   }
 
-  private drainCaller(caller: CallerHandle, isLate: boolean): void {
+  /**
+   * Busy sessions are closed right behind an answer, when no request can be on its way; those that
+   * stay idle are closed once the balancer sends no new ones.
+   */
+  private drainCaller(caller: CallerHandle, elapsed: Millis, graceMs: Millis): void {
     if (!caller.isWaiting()) return;
-    if (caller.session.isIdle()) caller.close();
-    else if (isLate) caller.session.abort('the proxy is shutting down');
+    if (!caller.session.isIdle()) {
+      if (elapsed >= graceMs / 2) caller.session.abort('the proxy is shutting down');
+    } else if (elapsed >= BALANCER_MS) caller.close();
   }
 
   private handleConfiguration(next: ServiceConfiguration): void {
@@ -163,14 +172,34 @@
       this.isRosterChanged = false;
       this.groups.forEach((group, name) => group.updateInstances(this.roster.listGroup(name)));
     }
+    this.updateIsolation();
     this.groups.forEach((group, name) => {
       group.takeover.updateRank(fleet.findRank(name));
       group.handleTick();
     });
   }
 
+  private updateIsolation(): void {
+    const { clock, log } = this.options;
+    const groups = this.listGroups();
+    const total = groups.reduce((sum, group) => sum + group.listMembers().length, 0);
+    const answering = groups.reduce((sum, group) => sum + group.countAnswering(), 0);
+    const isIsolated = answering * 2 <= total;
+    const wasIsolated = this.isolatedSince !== undefined;
+    if (isIsolated === wasIsolated) return;
+    log.info(isIsolated ? 'instances out of reach' : 'instances in reach', { total, answering });
+    this.isolatedSince = isIsolated ? clock.readNow() : undefined;
+  }
+
   private handleSessionTick(): void {
     const now = this.options.clock.readNow();
+    const { isolatedSince } = this;
+    // By now the balancer sends them to a VM that reaches the instances.
+    if (isolatedSince !== undefined && now - isolatedSince >= ISOLATED_MS + BALANCER_MS) {
+      this.callers.forEach((caller) => {
+        if (caller.isWaiting() && caller.session.isIdle()) caller.close();
+      });
+    }
     this.callers.forEach((caller) => caller.session.handleTick(now));
   }
 }
