--- a/packages/core/src/takeover.ts
+++ b/packages/core/src/takeover.ts
@@ -5,6 +5,8 @@
 export const SILENCE_MS: Millis = 500;
 /** A leader that refuses connections for this long is down. */
 const REFUSED_MS: Millis = 150;
+/** An instance that this VM has not yet reached since it started counts as lost after this long. */
+const UNKNOWN_MS: Millis = 1_500;
 /** A group whose instances all answer and none leads waits this long for a change in progress. */
 const LEADERLESS_MS: Millis = 400;
 /** Each later rank waits this much longer before it acts. */
@@ -59,7 +61,8 @@
   readonly leaving: boolean;
   /** Registered as primary, by its own report. */
   readonly reportsPrimary: boolean;
-  readonly health: 'answering' | 'refusing' | 'silent' | 'unknown';
+  /** `full`: it lives, and has no room for another connection. */
+  readonly health: 'answering' | 'refusing' | 'silent' | 'full' | 'unknown';
   /** Since when `health` has been what it is. */
   readonly since: Millis;
   /** The last answer proved that the instance leads. */
@@ -315,7 +318,9 @@
       return now - since >= LEADERLESS_MS ? 'takeover' : undefined;
     }
     const elapsed = now - suspect.since;
+    if (suspect.health === 'full') return undefined;
     if (suspect.health === 'silent') return 'takeover';
+    if (suspect.health === 'unknown') return elapsed >= UNKNOWN_MS ? 'takeover' : undefined;
     if (suspect.health === 'refusing') return elapsed >= REFUSED_MS ? 'takeover' : undefined;
     return elapsed >= LEADERLESS_MS ? 'takeover' : undefined;
   }
--- a/packages/engine/src/configuration.ts
+++ b/packages/engine/src/configuration.ts
@@ -50,6 +50,18 @@
     return this.current?.routes.get(database);
   }
 
+  /** Waits for the first configuration, up to `limitMs`. */
+  async waitUntilKnown(limitMs: Millis): Promise<void> {
+    if (this.current) return;
+    await new Promise<void>((resolve) => {
+      const timer = setTimeout(resolve, limitMs);
+      this.addListener(() => {
+        clearTimeout(timer);
+        resolve();
+      });
+    });
+  }
+
   addListener(listener: Listener): void {
     this.listeners.push(listener);
   }
--- a/packages/engine/src/group.ts
+++ b/packages/engine/src/group.ts
@@ -16,7 +16,7 @@
 import type { InstanceConnection, InstanceConnector } from './connection.js';
 import { NotRunError } from './errors.js';
 import type { Log } from './log.js';
-import { InstancePool, Member } from './member.js';
+import { InstancePool, Member, WARM_CONNECTIONS } from './member.js';
 import type { Metrics } from './metrics.js';
 import { InstanceProbe } from './probe.js';
 import type { TakeoverDriver } from './takeover.js';
@@ -24,8 +24,6 @@
 import { type SessionFloor, VerifiedView } from './view.js';
 
 const MAX_QUEUED = 2_000;
-/** Connections that are kept open to each instance before there is work for them. */
-const WARM_CONNECTIONS = 2;
 /** Statements beyond the slots keep an instance busy while replies travel. */
 const EXTRA_CONCURRENCY = 1;
 /** Part of the allowed age that is left to the time a read waits and travels. */
@@ -35,6 +33,8 @@
 const RECONNECT_DELAY_MS: Millis = 20;
 /** Usual time from the loss of a leader until the next one takes writes. */
 const FAILOVER_MS: Millis = 1_500;
+/** Usual time from the start of a process until it reaches the instances. */
+const START_MS: Millis = 600;
 /** A leaving leader is asked for nothing new in the last part of its time. */
 const LEAVING_MARGIN_MS: Millis = 2_000;
 
@@ -113,7 +113,7 @@
     const { name, zone, clock } = options;
     this.settings = { name, connectionLimit: 1, synchronousReplicas: 0 };
     this.router = new Router(zone);
-    this.leaderLostAt = clock.readNow();
+    this.leaderLostAt = clock.readNow() - FAILOVER_MS + START_MS;
     this.queue = new AdmissionQueue({
       maxQueued: MAX_QUEUED,
       findRoute: (work, now) => this.findRoute(work, now),
--- a/packages/engine/src/member.ts
+++ b/packages/engine/src/member.ts
@@ -4,6 +4,13 @@
 import { ConnectionPool } from './pool.js';
 import type { InstanceProbe } from './probe.js';
 
+/** Connections that are kept open to each instance before there is work for them. */
+export const WARM_CONNECTIONS = 1;
+/**
+ * Connections of a VM that lost power count at the instance for seconds. Unused ones are closed,
+ * so that its next process finds room.
+ */
+const TRIM = { idleCloseMs: 1_000, keep: WARM_CONNECTIONS };
 const CONNECT_TIMEOUT_MS: Millis = 400;
 const FIRST_LATENCY_MS: Millis = 10;
 const LATENCY_WEIGHT = 0.15;
@@ -19,7 +26,7 @@
     private readonly instance: RegisteredInstance,
     clock: Clock,
   ) {
-    super(clock);
+    super(clock, TRIM);
   }
 
   protected override async openConnection(): Promise<InstanceConnection> {
--- a/packages/engine/src/pool.ts
+++ b/packages/engine/src/pool.ts
@@ -5,6 +5,13 @@
 /** A crest returns within minutes; a connection costs 10 to 30 ms, an idle one almost nothing. */
 const IDLE_CLOSE_MS: Millis = 120_000;
 
+export interface PoolTrim {
+  /** An unused connection is closed after this long. */
+  readonly idleCloseMs: Millis;
+  /** Connections that are kept open all the same. */
+  readonly keep: number;
+}
+
 /** A connection to an instance that a pool can keep. */
 export interface PooledConnection {
   /** False once the connection is closed or broken. */
@@ -39,7 +46,10 @@
   /** When a connection opened ahead of demand last failed. */
   private failedAt = Number.NEGATIVE_INFINITY;
 
-  constructor(private readonly clock: Clock) {}
+  constructor(
+    private readonly clock: Clock,
+    private readonly trim: PoolTrim = { idleCloseMs: IDLE_CLOSE_MS, keep: 0 },
+  ) {}
 
   /** Opens a connection to the instance, with a time-out of its own. */
   protected abstract openConnection(): Promise<C>;
@@ -88,9 +98,10 @@
   /** Closes idle connections above `limit`, and those that have been idle for long. */
   updateLimit(limit: number): void {
     this.limit = limit;
-    const oldest = this.clock.readNow() - IDLE_CLOSE_MS;
+    const oldest = this.clock.readNow() - this.trim.idleCloseMs;
     this.idle = this.idle.filter(({ connection, since }) => {
-      const isKept = connection.isUsable() && since > oldest && this.countOpen() <= limit;
+      const isRecent = since > oldest || this.countOpen() <= this.trim.keep;
+      const isKept = connection.isUsable() && isRecent && this.countOpen() <= limit;
       if (!isKept) this.closeOne(connection);
       return isKept;
     });
--- a/packages/engine/src/probe.ts
+++ b/packages/engine/src/probe.ts
@@ -160,8 +160,11 @@
   private handleFailure(error: unknown, tookMs: Millis): void {
     this.connection?.close();
     this.connection = undefined;
-    // A refused connection for want of room shows that the instance lives.
-    if (error instanceof ConnectionLimitError || this.isStopped) return;
+    if (this.isStopped) return;
+    if (error instanceof ConnectionLimitError) {
+      this.updateHealth('full');
+      return;
+    }
     const isSilent = tookMs >= PROBE_TIMEOUT_MS;
     // A probe without an answer may be the connection's fault; a new one tells.
     if (isSilent && this.health === 'answering' && !this.isSuspect) {
--- /dev/null
+++ b/packages/engine/test/fake.ts
@@ -0,0 +1,185 @@
+import { comparePositions, type FenceReport, type RegisteredInstance } from '@shallotpick/core';
+import {
+  type Command,
+  ConnectionError,
+  InstanceConnection,
+  InstanceConnector,
+  ObjectStore,
+  PromotionService,
+  type Reply,
+  type StoreChanges,
+  type StoredObject,
+  type StoreListing,
+  type StoreWrite,
+  type TransactionState,
+  type Verdict,
+  wait,
+} from '../src/index.js';
+
+/** One instance of a fake group: its log is a position, and it records what it ran. */
+export class FakeInstance {
+  isLeader = false;
+
+  isDown = false;
+
+  position = { term: 1, offset: 100 };
+
+  /** Every command as `id kind text`, in order of arrival. */
+  readonly ran: string[] = [];
+
+  readonly connections = new Set<FakeConnection>();
+
+  /** Decides the fate of a command before the instance looks at it. */
+  intercept: (command: Command) => Verdict | 'lose' | undefined = () => undefined;
+
+  constructor(readonly id: string) {}
+
+  /** Breaks all connections. */
+  breakConnections(): void {
+    this.connections.forEach((connection) => connection.close());
+  }
+}
+
+function formatCommand({ id = '-', operation, after }: Command): string {
+  const floor = after ? ` after ${after.term}.${after.offset}` : '';
+  const { kind, ...rest } = operation;
+  return `${id} ${kind}${floor} ${Object.values(rest).join(' ')}`.trim();
+}
+
+export class FakeConnection extends InstanceConnection {
+  state: TransactionState = 'idle';
+
+  private isOpen = true;
+
+  private isPlain = false;
+
+  constructor(private readonly target: FakeInstance) {
+    super();
+    target.connections.add(this);
+  }
+
+  override async run(command: Command): Promise<Reply> {
+    await wait(1);
+    if (!this.isOpen || this.target.isDown) throw new ConnectionError('down');
+    const fate = this.target.intercept(command);
+    const isStatement = !['begin', 'rollback', 'status'].includes(command.operation.kind);
+    if (isStatement || command.id !== undefined) this.target.ran.push(formatCommand(command));
+    if (fate === 'lose') {
+      this.close();
+      throw new ConnectionError('lost');
+    }
+    return this.reply(command, fate ?? this.findVerdict(command));
+  }
+
+  override countPending(): number {
+    return 0;
+  }
+
+  override isUsable(): boolean {
+    return this.isOpen;
+  }
+
+  override close(): void {
+    this.isOpen = false;
+    this.target.connections.delete(this);
+  }
+
+  private findVerdict({ operation, after }: Command): Verdict | undefined {
+    const { isLeader, position } = this.target;
+    const { kind } = operation;
+    if (after && comparePositions(position, after) < 0) return 'lagging';
+    const isPlainBegin = kind === 'begin' && !operation.isReadOnly;
+    if (!isLeader && (isPlainBegin || kind === 'write')) return 'readOnly';
+    return !isLeader && this.isPlain && this.state === 'open' && kind !== 'rollback'
+      ? 'readOnly'
+      : undefined;
+  }
+
+  private reply({ operation }: Command, verdict: Verdict | undefined): Reply {
+    const { kind } = operation;
+    const { target } = this;
+    if (verdict) {
+      if (this.state === 'open') this.state = 'failed';
+      const failure = { verdict, reason: target.id };
+      return { rows: [], digest: undefined, failure, state: this.state, position: target.position };
+    }
+    if (kind === 'begin') {
+      this.state = 'open';
+      this.isPlain = !operation.isReadOnly;
+    }
+    if (kind === 'commit' || kind === 'rollback') this.state = 'idle';
+    const isCommit = kind === 'commit' || (kind === 'write' && this.state === 'idle');
+    if (isCommit) target.position = { ...target.position, offset: target.position.offset + 1 };
+    const rows = kind === 'read' ? [`row of ${target.id}`] : [];
+    const digest = `digest of ${target.id}`;
+    return { rows, digest, failure: undefined, state: this.state, position: target.position };
+  }
+}
+
+export class FakeConnector extends InstanceConnector {
+  constructor(private readonly instances: ReadonlyMap<string, FakeInstance>) {
+    super();
+  }
+
+  override async open({ id }: RegisteredInstance): Promise<InstanceConnection> {
+    await wait(1);
+    const instance = this.instances.get(id);
+    if (!instance || instance.isDown) throw new ConnectionError('refused');
+    return new FakeConnection(instance);
+  }
+
+  override parseReport(): FenceReport | undefined {
+    return undefined;
+  }
+}
+
+/** A store in memory; watches answer after a moment. */
+export class FakeStore extends ObjectStore {
+  private readonly kinds = new Map<string, Map<string, StoredObject>>();
+
+  private revision = 1;
+
+  put(kind: string, name: string, spec: unknown): number {
+    this.revision += 1;
+    const objects = this.kinds.get(kind) ?? new Map<string, StoredObject>();
+    objects.set(name, { name, revision: this.revision, spec });
+    this.kinds.set(kind, objects);
+    return this.revision;
+  }
+
+  override async find(kind: string, name: string): Promise<StoredObject | undefined> {
+    return this.kinds.get(kind)?.get(name);
+  }
+
+  override async list(kind: string): Promise<StoreListing> {
+    return { objects: [...(this.kinds.get(kind)?.values() ?? [])], revision: this.revision };
+  }
+
+  override async watch(kind: string, revision: number): Promise<StoreChanges> {
+    await wait(10);
+    const { objects } = await this.list(kind);
+    const changed = objects.filter((object) => object.revision > revision);
+    return {
+      changes: changed.map((object) => ({ object, isDeleted: false })),
+      revision: this.revision,
+    };
+  }
+
+  override async write(
+    kind: string,
+    name: string,
+    spec: unknown,
+    revision: number,
+  ): Promise<StoreWrite> {
+    const known = this.kinds.get(kind)?.get(name)?.revision ?? 0;
+    if (known !== revision) return { kind: 'conflict' };
+    return { kind: 'written', revision: this.put(kind, name, spec) };
+  }
+}
+
+/** Promotes nothing. */
+export class FakePromotions extends PromotionService {
+  override async promote(): Promise<'unknown'> {
+    return 'unknown';
+  }
+}
