--- a/packages/core/src/takeover.ts
+++ b/packages/core/src/takeover.ts
@@ -293,9 +293,7 @@
   private checkStuck(instances: readonly InstanceView[], now: Millis): Actions {
     if (this.rank !== 0 || this.record === undefined) return [];
     return instances
-      .filter(({ leads, health, lagMs }) => {
-        return !leads && health === 'answering' && (lagMs ?? 0) > STUCK_LAG_MS;
-      })
+      .filter(({ leads, health, lagMs }) => !leads && health === 'answering' && (lagMs ?? 0) > STUCK_LAG_MS)
       .filter(({ id }) => this.isDue(`stuck ${id}`, now, STUCK_REPEAT_MS))
       .map(({ id }) => ({ kind: 'status', instance: id }));
   }
--- a/packages/engine/test/session.spec.ts
+++ b/packages/engine/test/session.spec.ts
@@ -9,7 +9,8 @@
   type Statement,
   wait,
 } from '../src/index.js';
-import { FakeConnector, FakeInstance, FakePromotions, FakeStore } from './fake.js';
+import { FakeConnector, FakeInstance } from './fake.js';
+import { FakePromotions, FakeStore } from './store.js';
 
 const ROUTE = {
   ...{ group: 'g', readsOwnWrites: true, timeoutMs: 600, targetLatencyMs: 100, priority: 1 },
