--- a/packages/bench/src/invariants.ts
+++ b/packages/bench/src/invariants.ts
@@ -4,6 +4,7 @@
 import { RULES, type Rules } from './harness/rules.js';
 import { type Scenario, scenarioArbitrary } from './harness/scenario.js';
 import { Simulation } from './harness/simulation.js';
+import { runTakeovers } from './takeover/invariants.js';
 
 const SHRINK_LIMIT_MS = 30_000;
 
@@ -58,25 +59,48 @@
   return { seed, runs: details.numRuns, acknowledged, promotions, failure };
 }
 
+/** Takeover runs cover tens of virtual seconds each, so fewer are made. */
+const TAKEOVER_PART = 0.25;
+
+function reportViolation(
+  seed: number,
+  runs: number,
+  { scenario, violation }: { readonly scenario: unknown; readonly violation: Violation },
+): void {
+  const { guarantee, at, detail } = violation;
+  process.stdout.write(
+    `seed ${seed}: broken after ${runs} runs: ${guarantee}\n` +
+      `at ${Math.round(at)} ms: ${detail}\n` +
+      `counterexample: ${JSON.stringify(scenario)}\n`,
+  );
+  process.exitCode = 1;
+}
+
+function checkTakeovers(seed: number, runs: number): void {
+  const report = runTakeovers(seed, runs);
+  if (report.failure) {
+    reportViolation(seed, report.runs, report.failure);
+    return;
+  }
+  process.stdout.write(
+    `seed ${seed}: ${report.runs} takeover runs, ${report.acknowledged} acknowledged writes, ${report.promotions} promotions, no violation\n`,
+  );
+}
+
 function runCommand(): void {
   const { values } = parseArgs({
     options: { seed: { type: 'string', default: '1' }, runs: { type: 'string', default: '200' } },
   });
   const report = runInvariants(Number(values.seed), Number(values.runs), RULES, true);
   const { seed, runs, acknowledged, promotions, failure } = report;
-  if (!failure) {
+  if (failure) {
+    reportViolation(seed, runs, failure);
+  } else {
     process.stdout.write(
       `seed ${seed}: ${runs} runs, ${acknowledged} acknowledged writes, ${promotions} promotions, no violation\n`,
     );
-    return;
   }
-  const { guarantee, at, detail } = failure.violation;
-  process.stdout.write(
-    `seed ${seed}: broken after ${runs} runs: ${guarantee}\n` +
-      `at ${Math.round(at)} ms: ${detail}\n` +
-      `counterexample: ${JSON.stringify(failure.scenario)}\n`,
-  );
-  process.exitCode = 1;
+  checkTakeovers(seed, Math.ceil(Number(values.runs) * TAKEOVER_PART));
 }
 
 if (process.argv[1]?.endsWith('invariants.ts')) runCommand();
--- /dev/null
+++ b/packages/bench/src/takeover/invariants.ts
@@ -0,0 +1,36 @@
+import * as fc from 'fast-check';
+import type { TakeoverViolation } from './group.js';
+import { takeoverArbitrary, type TakeoverScenario } from './scenario.js';
+import { TAKEOVER_RULES, type TakeoverRules, TakeoverSimulation } from './simulation.js';
+
+/** The result of a number of runs of the takeover simulation. */
+export interface TakeoverReport {
+  readonly runs: number;
+  readonly acknowledged: number;
+  readonly promotions: number;
+  /** Undefined when every guarantee held. */
+  readonly failure:
+    { readonly scenario: TakeoverScenario; readonly violation: TakeoverViolation } | undefined;
+}
+
+/** Runs random scenarios of a group with a synchronous replica until one breaks a guarantee. */
+export function runTakeovers(
+  seed: number,
+  runs: number,
+  rules: TakeoverRules = TAKEOVER_RULES,
+): TakeoverReport {
+  let acknowledged = 0;
+  let promotions = 0;
+  let failure: TakeoverReport['failure'];
+  const property = fc.property(takeoverArbitrary, (scenario) => {
+    const simulation = new TakeoverSimulation(scenario, rules);
+    const violation = simulation.run();
+    acknowledged += simulation.group.acknowledged.length;
+    promotions += simulation.group.promotions;
+    if (violation) failure = { scenario, violation };
+    return violation === undefined;
+  });
+  const details = fc.check(property, { seed, numRuns: runs, endOnFailure: true });
+  if (details.failed && !failure) throw details.errorInstance ?? new Error('a run ended in error');
+  return { runs: details.numRuns, acknowledged, promotions, failure };
+}
--- /dev/null
+++ b/packages/bench/src/takeover/simulation.ts
@@ -0,0 +1,162 @@
+import { FenceLedger } from '@shallotpick/core';
+import { match } from 'ts-pattern';
+import { createRandom, type Random } from '../random.js';
+import { SyncGroup, type SyncInstance, type TakeoverViolation } from './group.js';
+import { type SimulatedRules, SimulatedPlatform } from './platform.js';
+import { FAULTS_END_MS, type TakeoverFault, type TakeoverScenario } from './scenario.js';
+import { Timeline } from './timeline.js';
+import { SimulatedVm } from './vm.js';
+
+const STEP_MS = 10;
+const VM_TICK_MS = 30;
+const VMS = 3;
+const RESTART_MS = 500;
+/** After the faults a group has one leader and receiving replicas within this time. */
+const SETTLE_MS = 15_000;
+
+/** The parts whose rules a run checks. Specs put broken ones in their place. */
+export interface TakeoverRules extends SimulatedRules {
+  readonly createLedger: () => FenceLedger;
+}
+
+export const TAKEOVER_RULES: TakeoverRules = {
+  checksVersions: true,
+  checksFence: true,
+  createLedger: () => new FenceLedger(),
+};
+
+/** A group with a synchronous replica, three VMs and faults in virtual time. */
+export class TakeoverSimulation {
+  readonly group: SyncGroup;
+
+  private readonly timeline = new Timeline();
+
+  private readonly random: Random;
+
+  private readonly platform: SimulatedPlatform;
+
+  private readonly vms: readonly SimulatedVm[];
+
+  private attempts = 0;
+
+  constructor(
+    private readonly scenario: TakeoverScenario,
+    rules: TakeoverRules = TAKEOVER_RULES,
+  ) {
+    this.random = createRandom(scenario.seed);
+    this.group = new SyncGroup(['db-0', 'db-1', 'db-2'], this.random);
+    this.platform = new SimulatedPlatform(this.timeline, this.random, this.group, rules);
+    this.vms = Array.from(
+      { length: VMS },
+      (_, rank) =>
+        new SimulatedVm({
+          ...{ id: `vm-${rank}`, rank, createLedger: rules.createLedger },
+          ...{ timeline: this.timeline, group: this.group, platform: this.platform },
+          createAttempt: () => this.createAttempt(),
+        }),
+    );
+  }
+
+  /** Runs to the end or to the first violation. */
+  run(): TakeoverViolation | undefined {
+    this.scenario.faults.forEach((fault) => {
+      this.timeline.add(fault.at, () => this.startFault(fault));
+    });
+    const end = FAULTS_END_MS + SETTLE_MS;
+    for (let now = 0; now <= end; now += STEP_MS) {
+      this.timeline.update(now);
+      this.group.handleStep(now);
+      if (now % VM_TICK_MS === 0) this.vms.forEach((vm) => vm.handleTick(now));
+      const violation = this.group.violation ?? this.platform.violation;
+      if (violation) return violation;
+    }
+    return this.checkEnd(end);
+  }
+
+  private createAttempt(): string {
+    this.attempts += 1;
+    return `attempt-${this.attempts}`;
+  }
+
+  private checkEnd(at: number): TakeoverViolation | undefined {
+    const leader = this.group.findLeader();
+    const stopped = this.group.instances.filter((one) => one !== leader && one.heldTerm > 0);
+    if (leader?.isAlive && stopped.length === 0) return undefined;
+    const detail = leader ? `${stopped.map(({ id }) => id).join()} receives nothing` : 'no leader';
+    return { guarantee: 'the group serves again after the faults', at, detail };
+  }
+
+  private pickVm(pick: number): SimulatedVm {
+    return this.vms[pick % this.vms.length]!;
+  }
+
+  private pickReplica(pick: number): SyncInstance {
+    const replicas = this.group.instances.filter(({ isLeader }) => !isLeader);
+    return replicas[pick % replicas.length]!;
+  }
+
+  private startFault({ kind, duration, pick }: TakeoverFault): void {
+    const { group, platform } = this;
+    const leader = group.findLeader();
+    const end = (run: () => void): void => this.timeline.add(duration, run);
+    match(kind)
+      .with('crashLeader', () => leader && this.crash(leader, duration))
+      .with('crashReplica', () => this.crash(this.pickReplica(pick), duration))
+      .with('cutLeaderFromVms', () => leader && this.cutInstance(leader, pick, duration))
+      .with('cutLeaderFromReplicas', () => {
+        group.isSplit = true;
+        end(() => Object.assign(group, { isSplit: false }));
+      })
+      .with('leaveLeader', () => {
+        if (!leader || group.instances.some(({ leaving }) => leaving)) return;
+        leader.leaving = true;
+        end(() => Object.assign(leader, { leaving: false }));
+      })
+      .with('deafReplica', () => {
+        const replica = this.pickReplica(pick);
+        replica.isDeaf = true;
+        end(() => Object.assign(replica, { isDeaf: false }));
+      })
+      .with('freezeVm', () => {
+        const vm = this.pickVm(pick);
+        vm.isFrozen = true;
+        end(() => vm.thaw());
+      })
+      .with('killVm', () => {
+        const vm = this.pickVm(pick);
+        vm.restart();
+        vm.isFrozen = true;
+        this.timeline.add(RESTART_MS, () => vm.thaw());
+      })
+      .with('cutVmFromStore', () => {
+        const vm = this.pickVm(pick);
+        vm.isCutFromStore = true;
+        end(() => Object.assign(vm, { isCutFromStore: false }));
+      })
+      .with('storeDown', () => this.flag(platform, 'isDown', duration))
+      .with('loseStoreAnswers', () => this.flag(platform, 'losesAnswers', duration))
+      .with('loseOrders', () => this.flag(platform, 'losesOrders', duration))
+      .with('losePromotions', () => this.flag(platform, 'losesPromotions', duration))
+      .exhaustive();
+  }
+
+  private flag(
+    platform: SimulatedPlatform,
+    name: 'isDown' | 'losesAnswers' | 'losesOrders' | 'losesPromotions',
+    duration: number,
+  ): void {
+    Object.assign(platform, { [name]: true });
+    this.timeline.add(duration, () => Object.assign(platform, { [name]: false }));
+  }
+
+  private crash(instance: SyncInstance, duration: number): void {
+    Object.assign(instance, { isAlive: false });
+    this.timeline.add(duration, () => Object.assign(instance, { isAlive: true, heldTerm: 0 }));
+  }
+
+  private cutInstance({ id }: SyncInstance, pick: number, duration: number): void {
+    const cut = this.vms.filter((_, index) => pick === 0 || index !== pick % this.vms.length);
+    cut.forEach((vm) => vm.unreachable.add(id));
+    this.timeline.add(duration, () => cut.forEach((vm) => vm.unreachable.delete(id)));
+  }
+}
--- /dev/null
+++ b/packages/bench/src/takeover/timeline.ts
@@ -0,0 +1,34 @@
+interface Event {
+  readonly at: number;
+  readonly order: number;
+  readonly run: () => void;
+}
+
+/** Virtual time: events run in the order of their times. */
+export class Timeline {
+  now = 0;
+
+  private events: Event[] = [];
+
+  private order = 0;
+
+  /** Runs something after `delay` milliseconds. */
+  add(delay: number, run: () => void): void {
+    this.order += 1;
+    this.events.push({ at: this.now + delay, order: this.order, run });
+  }
+
+  /** Moves on to `until`, running what is due on the way. */
+  update(until: number): void {
+    for (;;) {
+      const due = this.events
+        .filter(({ at }) => at <= until)
+        .sort((a, b) => a.at - b.at || a.order - b.order)[0];
+      if (!due) break;
+      this.events = this.events.filter((event) => event !== due);
+      this.now = Math.max(this.now, due.at);
+      due.run();
+    }
+    this.now = until;
+  }
+}
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -109,12 +109,15 @@
 export type { PositionSample } from './samples.js';
 export { InstanceRoster } from './roster.js';
 export type { RegisteredInstance } from './roster.js';
-export { SILENCE_MS, TakeoverCoordinator } from './takeover.js';
+export { FenceLedger } from './ledger.js';
+export { TakeoverCoordinator } from './takeover.js';
+export type { TakeoverOptions } from './takeover.js';
 export type {
   FenceReport,
   InstanceView,
   PromotionAnswer,
   PromotionRecord,
   TakeoverAction,
-} from './takeover.js';
+  TakeoverPlan,
+} from './promotion.js';
 export { Backoff } from './backoff.js';
--- a/packages/core/src/takeover.ts
+++ b/packages/core/src/takeover.ts
@@ -1,14 +1,15 @@
 import type { Millis } from './clock.js';
-import { comparePositions, hasPosition, type LogPosition } from './position.js';
-
-/** A probe that stays without answer for this long counts as silence. */
-export const SILENCE_MS: Millis = 500;
-/** A leader that refuses connections for this long is down. */
-const REFUSED_MS: Millis = 150;
-/** An instance that this VM has not yet reached since it started counts as lost after this long. */
-const UNKNOWN_MS: Millis = 1_500;
-/** A group whose instances all answer and none leads waits this long for a change in progress. */
-const LEADERLESS_MS: Millis = 400;
+import { FenceLedger } from './ledger.js';
+import { findLeader, findNeed } from './need.js';
+import type {
+  FenceReport,
+  InstanceView,
+  PromotionAnswer,
+  PromotionRecord,
+  TakeoverAction,
+  TakeoverPlan,
+} from './promotion.js';
+
 /** Each later rank waits this much longer before it acts. */
 const RANK_STAGGER_MS: Millis = 300;
 /** An attempt of another VM is left alone for this long. */
@@ -27,8 +28,6 @@
 const LEASE_MS: Millis = 3_000;
 /** Allows for the time that an order travels. */
 const LEASE_SLACK_MS: Millis = 400;
-/** Instances that have answered for this long show that this VM itself is not cut off. */
-const CONNECTED_MS: Millis = 600;
 /** A claim whose answer took longer rests on an old view and is given up. */
 const FRESH_CLAIM_MS: Millis = 400;
 /** A claim that is not found in the store after this long is made anew. */
@@ -39,74 +38,18 @@
 const STUCK_REPEAT_MS: Millis = 1_000;
 /** Gap between reads of a record that could not be read. */
 const READ_REPEAT_MS: Millis = 500;
-/** Without the former leader, one fenced log alone does not show what the others hold. */
-const MIN_FENCED = 2;
-
-/** The group's object in the platform's store: who may order a promotion, and under which number. */
-export interface PromotionRecord {
-  readonly group: string;
-  /** Rises with each attempt; sent as the fencing token of the promotion. */
-  readonly generation: number;
-  /** The VM that holds this generation. */
-  readonly holder: string;
-  /** Identifies the write, so that a lost answer is settled by reading back. */
-  readonly attempt: string;
-  /** `open`: orders under this generation may be on their way. */
-  readonly phase: 'open' | 'settled';
-}
-
-/** What one VM knows of an instance. */
-export interface InstanceView {
-  readonly id: string;
-  readonly leaving: boolean;
-  /** Registered as primary, by its own report. */
-  readonly reportsPrimary: boolean;
-  /** `full`: it lives, and has no room for another connection. */
-  readonly health: 'answering' | 'refusing' | 'silent' | 'full' | 'unknown';
-  /** Since when `health` has been what it is. */
-  readonly since: Millis;
-  /** The last answer proved that the instance leads. */
-  readonly leads: boolean;
-  /** Last known position of the log. */
-  readonly position: LogPosition | undefined;
-  /** How far the log is behind the leader's. */
-  readonly lagMs: Millis | undefined;
-}
-
-/** What an instance answered to an order to stop receiving, or to a status request. */
-export interface FenceReport {
-  readonly role: 'primary' | 'replica';
-  /** Newest term that the instance knows. */
-  readonly term: number;
-  /** End of the received log. */
-  readonly received: LogPosition;
-  /** Term up to which the instance receives nothing; 0 when it receives. */
-  readonly heldTerm: number;
-}
-
-export type TakeoverAction =
-  | { readonly kind: 'write'; readonly record: PromotionRecord; readonly expectedVersion: number }
-  | { readonly kind: 'read' }
-  | { readonly kind: 'pause'; readonly instance: string; readonly term: number }
-  | { readonly kind: 'stepDown'; readonly instance: string; readonly term: number }
-  | { readonly kind: 'status'; readonly instance: string }
-  | { readonly kind: 'resume'; readonly instance: string }
-  | { readonly kind: 'promote'; readonly instance: string; readonly generation: number };
 
 type Actions = readonly TakeoverAction[];
 
-/** `takeover`: the leader is lost. `handover`: it is leaving. `raise`: only outdates old orders. */
-type Plan = 'takeover' | 'handover' | 'raise';
-
 type Step =
   | { readonly kind: 'watching' }
   | {
       readonly kind: 'claiming';
-      readonly plan: Plan;
+      readonly plan: TakeoverPlan;
       readonly record: PromotionRecord;
       readonly sentAt: Millis;
     }
-  | { readonly kind: 'fencing'; readonly plan: Plan; readonly since: Millis }
+  | { readonly kind: 'fencing'; readonly plan: TakeoverPlan; readonly since: Millis }
   | {
       readonly kind: 'promoting';
       readonly candidate: string;
@@ -115,9 +58,6 @@
     }
   | { readonly kind: 'settling'; readonly since: Millis };
 
-/** `unknown`: no answer came, the order may still be carried out. */
-export type PromotionAnswer = 'accepted' | 'refused' | 'unknown';
-
 export interface TakeoverOptions {
   readonly group: string;
   readonly vm: string;
@@ -145,30 +85,23 @@
 
   private rank = 0;
 
-  /** The instance that was last seen leading. */
-  private leader: string | undefined;
-
-  /** Instances whose log may hold an acknowledged commit that no other replica holds. */
-  private readonly holders = new Set<string>();
-
-  private readonly reports = new Map<string, FenceReport>();
-
   /** Instances that have been ordered to stop and not yet been resumed. */
   private readonly stopped = new Set<string>();
 
   private readonly sentAt = new Map<string, Millis>();
 
-  private newestTerm = 0;
-
   /** When this VM last ordered a promotion. */
   private orderedAt: Millis = Number.NEGATIVE_INFINITY;
 
   /** Another VM has taken over the record since. */
   private isSuperseded = false;
 
-  private needSince: { readonly plan: Plan; readonly at: Millis } | undefined;
+  private needSince: { readonly plan: TakeoverPlan; readonly at: Millis } | undefined;
 
-  constructor(private readonly options: TakeoverOptions) {}
+  constructor(
+    private readonly options: TakeoverOptions,
+    private readonly ledger: FenceLedger = new FenceLedger(),
+  ) {}
 
   /** The step in progress, for logs and operators. */
   readStep(): string {
@@ -210,8 +143,7 @@
   }
 
   handleReport(instance: string, report: FenceReport): void {
-    this.newestTerm = Math.max(this.newestTerm, report.term, report.received.term);
-    this.reports.set(instance, report);
+    this.ledger.addReport(instance, report);
   }
 
   handleResumed(instance: string): void {
@@ -226,7 +158,7 @@
 
   /** Decides what to do now, from what is known of the instances. */
   handleTick(instances: readonly InstanceView[], now: Millis): Actions {
-    this.updateHolders(instances);
+    this.ledger.updateInstances(instances);
     const { step } = this;
     if (!this.isKnown) return this.isDue('read', now, READ_REPEAT_MS) ? [{ kind: 'read' }] : [];
     switch (step.kind) {
@@ -254,31 +186,10 @@
     return true;
   }
 
-  /** Forgets an instance that is gone once another replica holds all that it may have held. */
-  private updateHolders(instances: readonly InstanceView[]): void {
-    const leader = instances.find(({ leads }) => leads);
-    if (leader) this.leader = leader.id;
-    instances.forEach(({ id, position }) => {
-      this.holders.add(id);
-      this.newestTerm = Math.max(this.newestTerm, position?.term ?? 0);
-    });
-    const end = leader?.position;
-    if (!end) return;
-    const isCovered = instances.some(
-      ({ id, leaving, position }) =>
-        id !== leader.id && !leaving && position !== undefined && hasPosition(position, end),
-    );
-    if (!isCovered) return;
-    const listed = new Set(instances.map(({ id }) => id));
-    this.holders.forEach((id) => {
-      if (!listed.has(id)) this.holders.delete(id);
-    });
-  }
-
   private watch(instances: readonly InstanceView[], now: Millis): Actions {
     const stuck = this.checkStuck(instances, now);
     if (stuck.length > 0) return stuck;
-    const plan = this.findNeed(instances, now);
+    const plan = this.findPlan(instances, now);
     if (plan !== this.needSince?.plan) this.needSince = plan && { plan, at: now };
     if (!plan || !this.needSince) return [];
     if (now - this.needSince.at < this.rank * RANK_STAGGER_MS) return [];
@@ -293,45 +204,23 @@
   private checkStuck(instances: readonly InstanceView[], now: Millis): Actions {
     if (this.rank !== 0 || this.record === undefined) return [];
     return instances
-      .filter(({ leads, health, lagMs }) => !leads && health === 'answering' && (lagMs ?? 0) > STUCK_LAG_MS)
+      .filter(
+        ({ leads, health, lagMs }) =>
+          !leads && health === 'answering' && (lagMs ?? 0) > STUCK_LAG_MS,
+      )
       .filter(({ id }) => this.isDue(`stuck ${id}`, now, STUCK_REPEAT_MS))
       .map(({ id }) => ({ kind: 'status', instance: id }));
   }
 
-  private findNeed(instances: readonly InstanceView[], now: Millis): Plan | undefined {
-    const leader = instances.find(({ leads }) => leads);
-    const candidates = instances.filter(
-      ({ id, leaving, health }) => !leaving && health === 'answering' && id !== leader?.id,
-    );
-    if (leader && leader.health === 'answering') {
-      if (leader.leaving) return candidates.length > 0 ? 'handover' : undefined;
-      const isOpen = this.record?.phase === 'open' && now - this.recordSeenAt >= ATTEMPT_MS;
-      const isStuck = candidates.some(({ id }) => (this.reports.get(id)?.heldTerm ?? 0) > 0);
-      return isOpen || isStuck ? 'raise' : undefined;
-    }
-    if (!candidates.some(({ since }) => now - since >= CONNECTED_MS)) return undefined;
-    const suspect = this.findSuspect(instances);
-    if (!suspect) {
-      const since = Math.max(...candidates.map((one) => one.since));
-      return now - since >= LEADERLESS_MS ? 'takeover' : undefined;
-    }
-    const elapsed = now - suspect.since;
-    if (suspect.health === 'full') return undefined;
-    if (suspect.health === 'silent') return 'takeover';
-    if (suspect.health === 'unknown') return elapsed >= UNKNOWN_MS ? 'takeover' : undefined;
-    if (suspect.health === 'refusing') return elapsed >= REFUSED_MS ? 'takeover' : undefined;
-    return elapsed >= LEADERLESS_MS ? 'takeover' : undefined;
+  private findPlan(instances: readonly InstanceView[], now: Millis): TakeoverPlan | undefined {
+    const need = findNeed(instances, this.ledger.findSuspect(instances), now);
+    if (need || !findLeader(instances)) return need;
+    const isAbandoned = this.record?.phase === 'open' && now - this.recordSeenAt >= ATTEMPT_MS;
+    const isStuck = instances.some(({ id }) => (this.ledger.findReport(id)?.heldTerm ?? 0) > 0);
+    return isAbandoned || isStuck ? 'raise' : undefined;
   }
 
-  /** The instance that led last, or that says so of itself. */
-  private findSuspect(instances: readonly InstanceView[]): InstanceView | undefined {
-    return (
-      instances.find(({ id }) => id === this.leader) ??
-      instances.find(({ reportsPrimary }) => reportsPrimary)
-    );
-  }
-
-  private claim(plan: Plan, now: Millis): Actions {
+  private claim(plan: TakeoverPlan, now: Millis): Actions {
     const { group, vm, createAttempt } = this.options;
     const record: PromotionRecord = {
       group,
@@ -355,7 +244,7 @@
     { plan, sentAt }: Step & { readonly kind: 'claiming' },
     now: Millis,
   ): Actions {
-    this.reports.clear();
+    this.ledger.clearReports();
     if (now - sentAt >= FRESH_CLAIM_MS) return this.startSettling(now);
     this.updateStep({ kind: 'fencing', plan, since: now });
     return [];
@@ -366,22 +255,22 @@
     instances: readonly InstanceView[],
     now: Millis,
   ): Actions {
-    const leader = instances.find(({ leads, health }) => leads && health === 'answering');
+    const leader = findLeader(instances);
     if (step.plan === 'raise') {
       if (!leader) return this.startSettling(now);
       instances.forEach(({ id }) => id !== leader.id && this.stopped.add(id));
       return this.promote(leader.id, now);
     }
     if (step.plan === 'handover') return this.fenceForHandover(step, instances, leader, now);
-    const suspect = this.findSuspect(instances)?.id;
-    if (leader && !leader.leaving && !this.hasSteppedDown(leader.id)) {
+    const suspect = this.ledger.findSuspect(instances);
+    if (leader && !leader.leaving && !this.ledger.hasSteppedDown(leader.id)) {
       return this.startSettling(now);
     }
-    const candidate = this.chooseSuccessor(instances, suspect);
+    const candidate = this.ledger.chooseSuccessor(instances);
     if (candidate) return this.promote(candidate, now);
-    const term = this.newestTerm + 1;
+    const term = this.ledger.newestTerm + 1;
     return instances
-      .filter(({ id }) => !this.reports.has(id) && this.isDue(`fence ${id}`, now))
+      .filter(({ id }) => !this.ledger.findReport(id) && this.isDue(`fence ${id}`, now))
       .map(({ id }) => {
         this.stopped.add(id);
         if (id === suspect) return { kind: 'stepDown', instance: id, term };
@@ -389,44 +278,6 @@
       });
   }
 
-  private hasSteppedDown(id: string): boolean {
-    return this.reports.get(id)?.role === 'replica';
-  }
-
-  /**
-   * The furthest log of those that have stopped, when that covers every acknowledged commit;
-   * instances that stay come before those that leave.
-   */
-  private chooseSuccessor(
-    instances: readonly InstanceView[],
-    suspect: string | undefined,
-  ): string | undefined {
-    const fenced = instances
-      .flatMap(({ id, leaving }) => {
-        const report = this.reports.get(id);
-        return report?.role === 'replica' ? [{ id, leaving, received: report.received }] : [];
-      })
-      .sort(
-        (a, b) =>
-          comparePositions(b.received, a.received) ||
-          Number(a.leaving) - Number(b.leaving) ||
-          a.id.localeCompare(b.id),
-      );
-    const [best] = fenced;
-    if (!best) return undefined;
-    if (suspect !== undefined && this.hasSteppedDown(suspect)) {
-      const end = this.reports.get(suspect)?.received;
-      const next = fenced.find(
-        ({ id, received }) => id !== suspect && end !== undefined && hasPosition(received, end),
-      );
-      if (next) return next.id;
-    }
-    const others = [...this.holders].filter((id) => id !== suspect);
-    const isComplete = others.every((id) => this.hasSteppedDown(id));
-    const isEnough = suspect !== undefined || fenced.length >= MIN_FENCED;
-    return isComplete && isEnough ? best.id : undefined;
-  }
-
   /** Lets only the candidate acknowledge, so that it holds all at the moment of the change. */
   private fenceForHandover(
     step: Step & { readonly kind: 'fencing' },
@@ -437,14 +288,14 @@
     const candidate = this.chooseHeir(instances, leader);
     if (!leader || !candidate || now - step.since >= HANDOVER_MS) {
       this.updateStep({ kind: 'fencing', plan: 'takeover', since: now });
-      this.reports.clear();
+      this.ledger.clearReports();
       return [];
     }
     const others = instances.filter(({ id }) => id !== leader.id && id !== candidate);
-    const missing = others.filter(({ id }) => (this.reports.get(id)?.heldTerm ?? 0) === 0);
+    const missing = others.filter(({ id }) => (this.ledger.findReport(id)?.heldTerm ?? 0) === 0);
     if (missing.length > 0) {
-      this.reports.delete(candidate);
-      const term = this.newestTerm + 1;
+      this.ledger.removeReport(candidate);
+      const term = this.ledger.newestTerm + 1;
       return missing
         .filter(({ id }) => this.isDue(`pause ${id}`, now))
         .map(({ id }) => {
@@ -453,14 +304,9 @@
         });
     }
     // The candidate's position counts only when it was told after the others had stopped.
-    const report = this.reports.get(candidate);
-    const isAhead =
-      report &&
-      others.every(({ id }) => {
-        const held = this.reports.get(id);
-        return held !== undefined && hasPosition(report.received, held.received);
-      });
-    if (isAhead && report.heldTerm === 0) return this.promote(candidate, now);
+    const ids = others.map(({ id }) => id);
+    const isReceiving = this.ledger.findReport(candidate)?.heldTerm === 0;
+    if (isReceiving && this.ledger.isAhead(candidate, ids)) return this.promote(candidate, now);
     return this.isDue(`status ${candidate}`, now) ? [{ kind: 'status', instance: candidate }] : [];
   }
 
@@ -498,7 +344,7 @@
     if (step.answer === 'refused') return this.restart(now);
     // An order that may still come is outdated by a newer generation before anything goes on.
     if (elapsed < ANSWER_MS) return [];
-    const leader = instances.find(({ leads, health }) => leads && health === 'answering');
+    const leader = findLeader(instances);
     return this.claim(leader ? 'raise' : 'takeover', now);
   }
 
@@ -525,7 +371,7 @@
         .map((instance) => ({ kind: 'resume', instance }));
     }
     this.stopped.clear();
-    this.reports.clear();
+    this.ledger.clearReports();
     const { record } = this;
     this.updateStep(WATCHING);
     this.needSince = undefined;
