--- a/packages/bench/src/invariants.ts
+++ b/packages/bench/src/invariants.ts
@@ -4,6 +4,7 @@
 import { RULES, type Rules } from './harness/rules.js';
 import { type Scenario, scenarioArbitrary } from './harness/scenario.js';
 import { Simulation } from './harness/simulation.js';
+import type { TakeoverViolation } from './takeover/group.js';
 import { runTakeovers } from './takeover/invariants.js';
 
 const SHRINK_LIMIT_MS = 30_000;
@@ -65,7 +66,7 @@
 function reportViolation(
   seed: number,
   runs: number,
-  { scenario, violation }: { readonly scenario: unknown; readonly violation: Violation },
+  { scenario, violation }: { readonly scenario: unknown; readonly violation: TakeoverViolation },
 ): void {
   const { guarantee, at, detail } = violation;
   process.stdout.write(
--- a/packages/bench/test/mutants/takeover.ts
+++ b/packages/bench/test/mutants/takeover.ts
@@ -1,5 +1,6 @@
 import { FenceLedger } from '@shallotpick/core';
 import { TAKEOVER_RULES, type TakeoverRules } from '../../src/takeover/simulation.js';
+import { HastyHandoverLedger, RememberingLedger } from './ledger.js';
 
 type Fenced = Parameters<FenceLedger['findFurthest']>[0];
 
@@ -22,18 +23,6 @@
   }
 }
 
-class HastyHandoverLedger extends FenceLedger {
-  override isAhead(): boolean {
-    return true;
-  }
-}
-
-class RememberingLedger extends FenceLedger {
-  override clearReports(): void {
-    // Answers of an earlier attempt count as answers of this one.
-  }
-}
-
 const withLedger = (Ledger: new () => FenceLedger): TakeoverRules => ({
   ...TAKEOVER_RULES,
   createLedger: () => new Ledger(),
