List the instances anew before a leader is replaced

Ruled out: the handover itself, whose reports covered all logs. Change: after each claim the registered instances are listed before anything is stopped or chosen; the former leader's own log covers others only while no newer term is known.

--- a/packages/bench/src/takeover/group.ts
+++ b/packages/bench/src/takeover/group.ts
@@ -21,6 +21,8 @@
 
   leaving = false;
 
+  isRegistered = true;
+
   /** Receives nothing, without any order. */
   isDeaf = false;
 
@@ -60,7 +62,8 @@
  * order of promotion gives another leader, with what that has received and nothing more.
  */
 export class SyncGroup {
-  readonly instances: readonly SyncInstance[];
+  /** All that ever ran; only the registered ones are listed for VMs. */
+  readonly instances: SyncInstance[];
 
   readonly acknowledged: number[] = [];
 
@@ -77,7 +80,10 @@
 
   private nextEntry = 1;
 
-  constructor(ids: readonly string[], random: Random) {
+  constructor(
+    ids: readonly string[],
+    private readonly random: Random,
+  ) {
     this.instances = ids.map((id) => new SyncInstance(id, random));
     const [first] = this.instances;
     if (first) first.isLeader = true;
@@ -87,6 +93,15 @@
     return this.instances.find(({ isLeader }) => isLeader);
   }
 
+  /** Starts a replica that takes the place of a leader, which leaves. */
+  replaceLeader(): SyncInstance | undefined {
+    const leader = this.findLeader();
+    if (!leader) return undefined;
+    this.instances.push(new SyncInstance(`db-${this.instances.length}`, this.random));
+    leader.leaving = true;
+    return leader;
+  }
+
   /** Commits one write at the leader, ships the log, acknowledges, and promotes what is due. */
   handleStep(now: number): void {
     this.finishPromotion(now);
--- a/packages/bench/src/takeover/simulation.ts
+++ b/packages/bench/src/takeover/simulation.ts
@@ -112,6 +112,10 @@
         leader.leaving = true;
         end(() => Object.assign(leader, { leaving: false }));
       })
+      .with('replaceLeader', () => {
+        const replaced = group.replaceLeader();
+        end(() => replaced && Object.assign(replaced, { isAlive: false, isRegistered: false }));
+      })
       .with('deafReplica', () => {
         const replica = this.pickReplica(pick);
         replica.isDeaf = true;
--- a/packages/bench/src/takeover/vm.ts
+++ b/packages/bench/src/takeover/vm.ts
@@ -12,6 +12,9 @@
 const PROBE_MS = 150;
 const SILENCE_MS = 500;
 const RECORD_LAG_MS = 20;
+/** The list of instances is followed with this delay at most, longer than a record is read. */
+const LIST_MS = 1_000;
+const ANSWER_MS = 40;
 
 interface Probed {
   readonly answeredAt: number;
@@ -46,6 +49,11 @@
 
   private seenVersion = -1;
 
+  /** The instances that the store has last told of. */
+  private roster: readonly SyncInstance[] = [];
+
+  private listedAt = Number.NEGATIVE_INFINITY;
+
   private epoch = 0;
 
   private readonly held: (() => void)[] = [];
@@ -59,6 +67,8 @@
     this.epoch += 1;
     this.seenVersion = -1;
     this.probed.clear();
+    this.roster = [];
+    this.listedAt = Number.NEGATIVE_INFINITY;
     this.held.length = 0;
     this.coordinator = this.createCoordinator();
   }
@@ -71,7 +81,8 @@
   handleTick(now: number): void {
     if (this.isFrozen) return;
     this.watchRecord(now);
-    const views = this.options.group.instances.map((one) => this.probe(one, now));
+    this.watchRegistry();
+    const views = this.roster.map((one) => this.probe(one, now));
     this.runActions(this.coordinator.handleTick(views, now));
   }
 
@@ -106,6 +117,28 @@
     if (now >= 0) timeline.add(RECORD_LAG_MS, run);
   }
 
+  private watchRegistry(): void {
+    const { platform, timeline } = this.options;
+    const { now } = timeline;
+    if (this.isCutFromStore || platform.isDown || now - this.listedAt < LIST_MS) return;
+    this.listedAt = now;
+    this.list(() => undefined);
+  }
+
+  /** Lists the instances as they are when the store handles the call. */
+  private list(answer: () => void): void {
+    const { platform, group, timeline } = this.options;
+    if (this.isCutFromStore || platform.isDown) return;
+    const listed = group.instances.filter(({ isRegistered }) => isRegistered);
+    timeline.add(
+      ANSWER_MS,
+      this.deliver(() => {
+        this.roster = listed;
+        answer();
+      }),
+    );
+  }
+
   private probe(instance: SyncInstance, now: number): InstanceView {
     const { id, leaving, isLeader, isAlive } = instance;
     const isReachable = !this.unreachable.has(id);
@@ -146,6 +179,9 @@
     const { platform, timeline, id: vm } = this.options;
     match(action)
       .with({ kind: 'read' }, () => this.read())
+      .with({ kind: 'refresh' }, ({ attempt }) =>
+        this.list(() => this.coordinator.handleRefreshed(attempt)),
+      )
       .with({ kind: 'write' }, ({ record, expectedVersion }) => {
         if (this.isCutFromStore) return;
         platform.write(record, expectedVersion, (outcome, version) =>
--- a/packages/bench/test/takeover.spec.ts
+++ b/packages/bench/test/takeover.spec.ts
@@ -48,6 +48,16 @@
     expect(group.promotions).toEqual(0);
   });
 
+  // A VM that the store had turned away promoted over a leader that had joined in the meantime.
+  it('promote nothing from a list of instances that is out of date', () => {
+    const violations = [1, 2, 3, 4, 5, 6].map((seed) => {
+      const cut = { ...createFault('cutVmFromStore', 1_800, 6_000), pick: seed };
+      const faults = [cut, createFault('replaceLeader', 2_000, 5_000)];
+      return new TakeoverSimulation({ seed, faults }).run();
+    });
+    expect(violations.filter(Boolean)).toEqual([]);
+  });
+
   // An order to stop receiving came seconds late and left a replica behind for good.
   it('resume a replica that an order stopped late', () => {
     runWith(
--- a/packages/core/src/ledger.ts
+++ b/packages/core/src/ledger.ts
@@ -18,6 +18,9 @@
   /** The instance that was last seen leading. */
   protected leader: string | undefined;
 
+  /** Term of the newest entry that this leader has shown. */
+  protected leaderTerm = 0;
+
   /** Instances whose log may hold an acknowledged commit that no other replica holds. */
   protected readonly holders = new Set<string>();
 
@@ -49,7 +52,10 @@
   /** Takes in what is known; forgets an instance that is gone once another log covers its own. */
   updateInstances(instances: readonly InstanceView[]): void {
     const leader = instances.find(({ leads }) => leads);
-    if (leader) this.leader = leader.id;
+    if (leader) {
+      this.leader = leader.id;
+      this.leaderTerm = leader.position?.term ?? 0;
+    }
     instances.forEach(({ id, position }) => {
       this.holders.add(id);
       this.newestTerm = Math.max(this.newestTerm, position?.term ?? 0);
@@ -105,8 +111,8 @@
   /** A log that holds all that the former leader held when it stepped down. */
   findCovering(fenced: readonly Fenced[], suspect: string | undefined): string | undefined {
     const end = suspect === undefined ? undefined : this.reports.get(suspect);
-    // A report of an older term may come from an instance that has not led last.
-    if (end?.role !== 'replica' || end.received.term < this.newestTerm) return undefined;
+    // In a newer term another instance has led, whose commits this log may lack.
+    if (end?.role !== 'replica' || this.leaderTerm < this.newestTerm) return undefined;
     return fenced.find(({ id, received }) => id !== suspect && hasPosition(received, end.received))
       ?.id;
   }
--- a/packages/core/src/promotion.ts
+++ b/packages/core/src/promotion.ts
@@ -46,6 +46,8 @@
 export type TakeoverAction =
   | { readonly kind: 'write'; readonly record: PromotionRecord; readonly expectedVersion: number }
   | { readonly kind: 'read' }
+  /** Lists the registered instances anew; they count from the answer on. */
+  | { readonly kind: 'refresh'; readonly attempt: string }
   | { readonly kind: 'pause'; readonly instance: string; readonly term: number }
   | { readonly kind: 'stepDown'; readonly instance: string; readonly term: number }
   | { readonly kind: 'status'; readonly instance: string }
--- a/packages/core/src/takeover.ts
+++ b/packages/core/src/takeover.ts
@@ -96,6 +96,9 @@
   /** Another VM has taken over the record since. */
   private isSuperseded = false;
 
+  /** The instances are those that the store has listed since the claim. */
+  private isRefreshed = false;
+
   private needSince: { readonly plan: TakeoverPlan; readonly at: Millis } | undefined;
 
   constructor(
@@ -146,6 +149,11 @@
     this.ledger.addReport(instance, report);
   }
 
+  /** The instances that were listed for an attempt are in force. */
+  handleRefreshed(attempt: string): void {
+    if (attempt === this.record?.attempt) this.isRefreshed = true;
+  }
+
   handleResumed(instance: string): void {
     this.stopped.delete(instance);
   }
@@ -245,6 +253,7 @@
     now: Millis,
   ): Actions {
     this.ledger.clearReports();
+    this.isRefreshed = false;
     if (now - sentAt >= FRESH_CLAIM_MS) return this.startSettling(now);
     this.updateStep({ kind: 'fencing', plan, since: now });
     return [];
@@ -261,6 +270,11 @@
       instances.forEach(({ id }) => id !== leader.id && this.stopped.add(id));
       return this.promote(leader.id, now);
     }
+    // An instance that is not known here may lead by now, or hold what the others lack.
+    if (!this.isRefreshed) {
+      const attempt = this.record?.attempt ?? '';
+      return this.isDue('refresh', now, READ_REPEAT_MS) ? [{ kind: 'refresh', attempt }] : [];
+    }
     if (step.plan === 'handover') return this.fenceForHandover(step, instances, leader, now);
     const suspect = this.ledger.findSuspect(instances);
     if (leader && !leader.leaving && !this.ledger.hasSteppedDown(leader.id)) {
--- a/packages/engine/src/proxy.ts
+++ b/packages/engine/src/proxy.ts
@@ -168,10 +168,7 @@
   private handleTick(): void {
     const { clock, fleet, isRegistryReachable } = this.options;
     this.roster.handleTick(clock.readNow(), isRegistryReachable());
-    if (this.isRosterChanged) {
-      this.isRosterChanged = false;
-      this.groups.forEach((group, name) => group.updateInstances(this.roster.listGroup(name)));
-    }
+    this.applyRoster();
     this.updateIsolation();
     this.groups.forEach((group, name) => {
       group.takeover.updateRank(fleet.findRank(name));
@@ -179,6 +176,13 @@
     });
   }
 
+  /** Puts the registered instances in force. */
+  applyRoster(): void {
+    if (!this.isRosterChanged) return;
+    this.isRosterChanged = false;
+    this.groups.forEach((group, name) => group.updateInstances(this.roster.listGroup(name)));
+  }
+
   private updateIsolation(): void {
     const { clock, log } = this.options;
     const groups = this.listGroups();
--- a/packages/engine/src/takeover.ts
+++ b/packages/engine/src/takeover.ts
@@ -30,6 +30,8 @@
   readonly promotions: PromotionService;
   readonly connector: InstanceConnector;
   readonly createAttempt: () => string;
+  /** Lists the registered instances and puts them in force. */
+  readonly refreshInstances: () => Promise<void>;
 }
 
 /** Carries out what the takeover coordinator of a group decides. */
@@ -100,6 +102,10 @@
   private async runAction(action: TakeoverAction): Promise<void> {
     await match(action)
       .with({ kind: 'read' }, () => this.readRecord())
+      .with({ kind: 'refresh' }, async ({ attempt }) => {
+        await this.options.refreshInstances();
+        this.coordinator.handleRefreshed(attempt);
+      })
       .with({ kind: 'write' }, ({ record, expectedVersion }) =>
         this.writeRecord(record, expectedVersion),
       )
--- a/packages/engine/src/wiring.ts
+++ b/packages/engine/src/wiring.ts
@@ -45,7 +45,13 @@
   stopSources(): void;
 }
 
-function createGroup(name: string, parts: ProxyParts, shared: Shared, fleet: Fleet): GroupService {
+function createGroup(
+  name: string,
+  parts: ProxyParts,
+  shared: Shared,
+  fleet: Fleet,
+  refreshInstances: () => Promise<void>,
+): GroupService {
   const { vm, zone, log, metrics, store, promotions, connector, drainMs } = parts;
   const common = { ...shared, log, metrics, connector };
   return new GroupService({
@@ -55,7 +61,7 @@
     createTakeover: (group) =>
       new TakeoverDriver(group, {
         ...common,
-        ...{ vm, store, promotions, createAttempt: randomUUID },
+        ...{ vm, store, promotions, createAttempt: randomUUID, refreshInstances },
       }),
   });
 }
@@ -90,18 +96,20 @@
     },
   );
   const source: { proxy?: Proxy } = {};
-  const instances = follow(
-    parts.instancesKind,
-    (objects) => {
-      const decoded = objects.flatMap((object) => parts.decodeInstance(object) ?? []);
-      source.proxy?.roster.updateAll(decoded, clock.readNow());
-    },
-    (object, isDeleted) => {
-      const decoded = isDeleted ? undefined : parts.decodeInstance(object);
-      if (decoded) source.proxy?.roster.update(decoded);
-      else source.proxy?.roster.remove(object.name, clock.readNow());
-    },
-  );
+  const handleInstances = (objects: readonly StoredObject[]): void => {
+    const decoded = objects.flatMap((object) => parts.decodeInstance(object) ?? []);
+    source.proxy?.roster.updateAll(decoded, clock.readNow());
+  };
+  const refreshInstances = async (): Promise<void> => {
+    const { objects } = await store.list(parts.instancesKind);
+    handleInstances(objects);
+    source.proxy?.applyRoster();
+  };
+  const instances = follow(parts.instancesKind, handleInstances, (object, isDeleted) => {
+    const decoded = isDeleted ? undefined : parts.decodeInstance(object);
+    if (decoded) source.proxy?.roster.update(decoded);
+    else source.proxy?.roster.remove(object.name, clock.readNow());
+  });
   const handlePromotion = (object: StoredObject): void =>
     source.proxy?.findGroup(object.name)?.takeover.handleObject(object);
   const promotions = follow(
@@ -113,7 +121,7 @@
   );
   const proxy = new Proxy({
     ...{ clock, log, metrics, configuration, fleet },
-    createGroup: (name) => createGroup(name, parts, shared, fleet),
+    createGroup: (name) => createGroup(name, parts, shared, fleet, refreshInstances),
     isRegistryReachable: () => instances.isReachable(),
   });
   source.proxy = proxy;
