--- a/packages/engine/src/follower.ts
+++ b/packages/engine/src/follower.ts
@@ -4,11 +4,10 @@
 import type { ObjectStore, StoredObject } from './store.js';
 import { wait } from './timing.js';
 
-/** A watch that stays silent is asked anew after this long, which bounds the delay of a change. */
-const WATCH_MS: Millis = 2_000;
-
 export interface FollowerOptions {
   readonly kind: string;
+  /** A watch that stays silent is asked anew after this long, which bounds the delay of a change. */
+  readonly watchMs: Millis;
   readonly store: ObjectStore;
   readonly clock: Clock;
   readonly log: Log;
@@ -75,8 +74,8 @@
   }
 
   private async watch(revision: number): Promise<void> {
-    const { store, kind, onChange } = this.options;
-    const { changes, revision: next } = await store.watch(kind, revision, WATCH_MS);
+    const { store, kind, watchMs, onChange } = this.options;
+    const { changes, revision: next } = await store.watch(kind, revision, watchMs);
     changes.forEach(({ object, isDeleted }) => onChange(object, isDeleted));
     this.revision = next;
   }
--- a/packages/engine/src/group.ts
+++ b/packages/engine/src/group.ts
@@ -30,6 +30,8 @@
 const AGE_MARGIN = 0.15;
 /** Connections to an instance until it is known how many VMs share them. */
 const FIRST_SHARE = 2;
+/** Part above the own share that may be used while the instance has room. */
+const LENT_PART = 0.5;
 const RECONNECT_DELAY_MS: Millis = 20;
 /** Usual time from the loss of a leader until the next one takes writes. */
 const FAILOVER_MS: Millis = 1_500;
@@ -209,11 +211,12 @@
     this.pending.clear();
   }
 
-  /** This proxy's part of an instance's connections, less the one of the probe. */
+  /** This proxy's part of an instance's connections, and some that others leave unused. */
   private findShare(): number {
     const vms = this.options.countVms();
     if (vms === undefined) return FIRST_SHARE;
-    return Math.max(1, Math.floor(this.settings.connectionLimit / vms) - 1);
+    const share = Math.max(1, Math.floor(this.settings.connectionLimit / vms));
+    return share + Math.max(1, Math.floor(share * LENT_PART));
   }
 
   /** Refuses at once what no instance is expected to serve in time. */
@@ -284,7 +287,7 @@
     log.info('instance added', { instance: instance.id, group: this.name, zone: instance.zone });
     const pool = new InstancePool(connector, instance, clock);
     const probe = new InstanceProbe({
-      ...{ instance, connector, clock, ageClock, log },
+      ...{ instance, pool, clock, ageClock, log },
       isUrgent: () => this.takeover.isChanging(clock.readNow()),
       onResult: ({ leads, position, sentAt }) => {
         if (leads && position) this.samples.add({ position, takenAt: sentAt });
--- a/packages/engine/src/pool.ts
+++ b/packages/engine/src/pool.ts
@@ -59,9 +59,9 @@
     return this.open.size + this.opening;
   }
 
-  /** Connections that are open and unused. */
-  listIdle(): readonly C[] {
-    return this.idle.map(({ connection }) => connection);
+  /** True when another connection may be opened. */
+  hasRoom(): boolean {
+    return this.countOpen() < this.limit;
   }
 
   /** Takes an idle connection or opens one. */
--- a/packages/engine/src/probe.ts
+++ b/packages/engine/src/probe.ts
@@ -5,9 +5,11 @@
   Millis,
   RegisteredInstance,
 } from '@shallotpick/core';
-import type { InstanceConnection, InstanceConnector } from './connection.js';
-import { ConnectionError, ConnectionLimitError } from './errors.js';
+import type { InstanceConnection } from './connection.js';
+import { ConnectionLimitError } from './errors.js';
 import type { Log } from './log.js';
+import type { ConnectionPool } from './pool.js';
+import { rollBack } from './run.js';
 import type { Operation, Reply } from './statement.js';
 import { wait, waitAtMost } from './timing.js';
 
@@ -18,6 +20,12 @@
 /** Two failures in a row, a probe and a new connection, make the instance silent. */
 const PROBE_TIMEOUT_MS: Millis = 250;
 const RECONNECT_MS: Millis = 100;
+/** Gap between probes while every connection is in use. */
+const BUSY_MS: Millis = 20;
+/** Without an answer for this long a probe opens a connection of its own. */
+const OVERDUE_MS: Millis = 400;
+/** An instance without room for connections is asked less often. */
+const FULL_MS: Millis = 400;
 /** A timer that fires this much late shows that this process stood still, not the instance. */
 const STALL_MS: Millis = 120;
 
@@ -31,7 +39,8 @@
 
 export interface ProbeOptions {
   readonly instance: RegisteredInstance;
-  readonly connector: InstanceConnector;
+  /** The connections to the instance; a probe borrows one that is unused. */
+  readonly pool: ConnectionPool<InstanceConnection>;
   readonly clock: Clock;
   /** Counts suspensions of the VM. */
   readonly ageClock: Clock;
@@ -43,9 +52,9 @@
 type Health = InstanceView['health'];
 
 /**
- * Watches one instance over a connection of its own: opening a plain transaction proves that the
- * instance leads, and every answer tells the end of its log. The same connection carries the
- * orders of a takeover.
+ * Watches one instance: opening a plain transaction proves that the instance leads, and every
+ * answer tells the end of its log. Probes wait for no slot, so an unused connection of the pool
+ * carries them, and also the orders of a takeover.
  */
 export class InstanceProbe {
   health: Health = 'unknown';
@@ -56,15 +65,17 @@
 
   position: LogPosition | undefined;
 
-  private connection: InstanceConnection | undefined;
-
   private isStopped = false;
 
   /** The last probe had no answer, and no new connection has been tried since. */
   private isSuspect = false;
 
+  /** When an answer came last. */
+  private answeredAt: Millis;
+
   constructor(private readonly options: ProbeOptions) {
     this.since = options.clock.readNow();
+    this.answeredAt = this.since;
   }
 
   start(): void {
@@ -75,7 +86,6 @@
 
   stop(): void {
     this.isStopped = true;
-    this.connection?.close();
   }
 
   /** Forgets the lead at once, as when a statement was refused for it. */
@@ -84,64 +94,86 @@
   }
 
   /**
-   * Sends an order on the probe's connection.
+   * Sends an order to the instance.
    *
    * @throws ConnectionError when no answer came in time.
    */
   async send(operation: Operation, timeoutMs: Millis): Promise<Reply> {
-    const { connection } = this;
-    if (!connection?.isUsable()) throw new ConnectionError('the instance is not connected');
-    return waitAtMost(connection.run({ operation }), timeoutMs);
+    const { pool } = this.options;
+    const connection = await pool.connect();
+    try {
+      return await waitAtMost(connection.run({ operation }), timeoutMs);
+    } catch (error) {
+      connection.close();
+      throw error;
+    } finally {
+      pool.release(connection);
+    }
   }
 
   private async run(): Promise<void> {
     while (!this.isStopped) {
-      const startedAt = this.options.clock.readNow();
-      try {
-        await this.connect();
-        await this.probe();
-        await wait(this.options.isUrgent() ? URGENT_INTERVAL_MS : INTERVAL_MS);
-      } catch (error) {
-        this.handleFailure(error, this.options.clock.readNow() - startedAt);
-        await wait(RECONNECT_MS);
-      }
+      await wait(await this.runRound());
+    }
+  }
+
+  /** Probes once; the time until the next probe. */
+  private async runRound(): Promise<Millis> {
+    const { clock, isUrgent } = this.options;
+    const startedAt = clock.readNow();
+    try {
+      const connection = await this.findConnection(startedAt);
+      if (!connection) return BUSY_MS;
+      await this.probe(connection);
+      return isUrgent() ? URGENT_INTERVAL_MS : INTERVAL_MS;
+    } catch (error) {
+      this.handleFailure(error, clock.readNow() - startedAt);
+      return this.health === 'full' ? FULL_MS : RECONNECT_MS;
     }
-    this.connection?.close();
   }
 
-  private async connect(): Promise<void> {
-    if (this.connection?.isUsable()) return;
-    const { connector, instance } = this.options;
-    this.connection = await connector.open(instance, PROBE_TIMEOUT_MS);
+  /** Borrows an unused connection, or opens one when there is room or no answer for long. */
+  private async findConnection(now: Millis): Promise<InstanceConnection | undefined> {
+    const { pool } = this.options;
+    // The unused connections may have gone silent with the one that did not answer.
+    if (this.isSuspect) pool.closeIdle();
+    const idle = pool.takeIdle();
+    if (idle) return idle;
+    const isOverdue = now - this.answeredAt >= OVERDUE_MS;
+    return pool.hasRoom() || isOverdue || this.isSuspect ? pool.connect() : undefined;
   }
 
-  private async probe(): Promise<void> {
-    const { connection } = this;
-    if (!connection) return;
-    const { clock, ageClock, onResult } = this.options;
+  private async probe(connection: InstanceConnection): Promise<void> {
+    const { clock, ageClock, onResult, pool } = this.options;
     const sentAt = ageClock.readNow();
     const startedAt = clock.readNow();
     const begin = { operation: { kind: 'begin', isReadOnly: false } } as const;
     const answer = waitAtMost(connection.run(begin), PROBE_TIMEOUT_MS);
     const reply = await answer.catch((error: unknown) => {
       connection.close();
+      pool.release(connection);
       const late = clock.readNow() - startedAt - PROBE_TIMEOUT_MS;
       if (late > STALL_MS) return undefined;
       throw error;
     });
     if (!reply) return;
+    await this.endProbe(connection, reply);
     const leads = reply.failure === undefined;
-    if (reply.state !== 'idle') {
-      // A failed rollback closes the connection, which the next round notices.
-      connection.run({ operation: { kind: 'rollback' } }).catch(() => connection.close());
-    }
     this.isSuspect = false;
+    this.answeredAt = clock.readNow();
     this.updateHealth('answering');
     this.updateLead(leads);
     this.position = reply.position ?? this.position;
     onResult({ leads, position: reply.position, sentAt });
   }
 
+  /** Rolls the transaction back and gives the connection back to the pool. */
+  private async endProbe(connection: InstanceConnection, { state }: Reply): Promise<void> {
+    const { pool } = this.options;
+    if (state !== 'idle') await rollBack(connection, PROBE_TIMEOUT_MS);
+    pool.release(connection);
+  }
+
   private updateHealth(health: Health): void {
     if (health === this.health) return;
     const { clock, log, instance } = this.options;
@@ -158,8 +190,6 @@
   }
 
   private handleFailure(error: unknown, tookMs: Millis): void {
-    this.connection?.close();
-    this.connection = undefined;
     if (this.isStopped) return;
     if (error instanceof ConnectionLimitError) {
       this.updateHealth('full');
--- a/packages/engine/src/wiring.ts
+++ b/packages/engine/src/wiring.ts
@@ -12,6 +12,11 @@
 import type { ObjectStore, PromotionService, StoredObject } from './store.js';
 import { PROMOTIONS_KIND, TakeoverDriver } from './takeover.js';
 
+/** Part of the time in which a change must be in force that a silent watch may take. */
+const WATCH_PART = 0.6;
+/** Claims are conditional, so a record that is seen late does no harm. */
+const PROMOTIONS_WATCH_MS: Millis = 8_000;
+
 /** What a protocol adapter brings. */
 export interface ProxyParts {
   readonly vm: string;
@@ -23,6 +28,8 @@
   readonly connector: InstanceConnector;
   /** How long a leaving instance may be sent work. */
   readonly drainMs: Millis;
+  /** How soon a configuration is in force everywhere. */
+  readonly applyMs: Millis;
   /** Kinds of the objects that the operator and the instances write. */
   readonly configurationKind: string;
   readonly instancesKind: string;
@@ -68,7 +75,7 @@
 
 /** Constructs a proxy from the parts of a protocol adapter. */
 export function createProxy(parts: ProxyParts): RunningProxy {
-  const { vm, log, metrics, store } = parts;
+  const { vm, log, metrics, store, drainMs } = parts;
   const clock = new SystemClock();
   const shared: Shared = { clock, ageClock: new SuspendAwareClock() };
   const configuration = new ConfigurationHolder();
@@ -79,10 +86,20 @@
   });
   const follow = (
     kind: string,
+    watchMs: Millis,
     onListing: (objects: readonly StoredObject[]) => void,
     onChange: (object: StoredObject, isDeleted: boolean) => void,
   ): KindFollower =>
-    new KindFollower({ kind, store, clock, log, random: Math.random, onListing, onChange });
+    new KindFollower({
+      kind,
+      watchMs,
+      store,
+      clock,
+      log,
+      random: Math.random,
+      onListing,
+      onChange,
+    });
 
   const handleConfiguration = (object: StoredObject): void => {
     const decoded = parts.decodeConfiguration(object);
@@ -90,6 +107,7 @@
   };
   const configurations = follow(
     parts.configurationKind,
+    parts.applyMs * WATCH_PART,
     (objects) => objects.forEach(handleConfiguration),
     (object, isDeleted) => {
       if (!isDeleted) handleConfiguration(object);
@@ -105,7 +123,8 @@
     handleInstances(objects);
     source.proxy?.applyRoster();
   };
-  const instances = follow(parts.instancesKind, handleInstances, (object, isDeleted) => {
+  const watchMs = drainMs * WATCH_PART;
+  const instances = follow(parts.instancesKind, watchMs, handleInstances, (object, isDeleted) => {
     const decoded = isDeleted ? undefined : parts.decodeInstance(object);
     if (decoded) source.proxy?.roster.update(decoded);
     else source.proxy?.roster.remove(object.name, clock.readNow());
@@ -114,6 +133,7 @@
     source.proxy?.findGroup(object.name)?.takeover.handleObject(object);
   const promotions = follow(
     PROMOTIONS_KIND,
+    PROMOTIONS_WATCH_MS,
     (objects) => objects.forEach(handlePromotion),
     (object, isDeleted) => {
       if (!isDeleted) handlePromotion(object);
