--- a/packages/engine/src/group.ts
+++ b/packages/engine/src/group.ts
@@ -3,6 +3,7 @@
   AdmissionQueue,
   chooseLater,
   type Clock,
+  formatPosition,
   type LogPosition,
   type Millis,
   PositionSamples,
@@ -85,6 +86,7 @@
 
 interface Pending {
   readonly request: WorkRequest;
+  readonly addedAt: Millis;
   readonly resolve: (instance: string) => void;
   readonly reject: (error: Error) => void;
 }
@@ -174,7 +176,7 @@
       this.checkProspect(request, now);
       const work = this.createWork(request);
       const instance = await new Promise<string>((resolve, reject) => {
-        this.pending.set(work.id, { request, resolve, reject });
+        this.pending.set(work.id, { request, addedAt: now, resolve, reject });
         this.runDecisions(this.queue.add(work, now));
       });
       const lease = await this.openLease(work, request, instance);
@@ -369,7 +371,6 @@
   }
 
   private runDecisions(decisions: readonly AdmissionDecision[]): void {
-    const { log, metrics } = this.options;
     decisions.forEach((decision) => {
       const { work, reason } = decision;
       const pending = this.pending.get(work.id);
@@ -384,13 +385,23 @@
         );
         return;
       }
-      const { requestId: request, kind, contract } = pending.request;
-      const { instance } = decision;
-      const target = reason.startsWith('replica') ? 'replica' : 'leader';
-      metrics.statements.inc({ target });
-      const facts = { request, group: this.name, kind, maxAgeMs: contract.maxAgeMs };
-      log.debug('route', { ...facts, instance, reason });
-      pending.resolve(instance);
+      this.logRoute(pending, decision.instance, reason);
+      pending.resolve(decision.instance);
+    });
+  }
+
+  /** Logs a routing decision with what decided it and how old that was. */
+  private logRoute({ request, addedAt }: Pending, instance: string, reason: string): void {
+    const { log, metrics, clock, ageClock } = this.options;
+    const { requestId, kind, contract } = request;
+    metrics.statements.inc({ target: reason.startsWith('replica') ? 'replica' : 'leader' });
+    const { after } = this.findPositions(request);
+    const newest = this.samples.readLatest();
+    log.info('route', {
+      ...{ request: requestId, group: this.name, kind, maxAgeMs: contract.maxAgeMs },
+      ...{ instance, reason, waitedMs: Math.round(clock.readNow() - addedAt) },
+      ...(after ? { after: formatPosition(after) } : {}),
+      ...(newest ? { leaderSeenMsAgo: Math.round(ageClock.readNow() - newest.takenAt) } : {}),
     });
   }
 }
--- a/packages/engine/src/log.ts
+++ b/packages/engine/src/log.ts
@@ -10,7 +10,7 @@
 /** Lines beyond this wait for a slow reader no longer; they are counted and dropped. */
 const MAX_BUFFERED_BYTES = 256 * 1024;
 /** Lines of one message in a second; the rest is counted. */
-const MAX_LINES_PER_SECOND = 50;
+const MAX_LINES_PER_SECOND = 100;
 const SECOND_MS: Millis = 1_000;
 
 /** Collects lines and writes them together, without waiting for the reader. */
--- a/packages/engine/src/session.ts
+++ b/packages/engine/src/session.ts
@@ -32,7 +32,8 @@
     if (answer.failure) {
       const { verdict, reason } = answer.failure;
       metrics.failures.inc({ verdict });
-      const facts = { request: request.id, database, kind: request.statement.kind };
+      const version = this.context.options.configuration.read()?.version;
+      const facts = { request: request.id, database, kind: request.statement.kind, version };
       log.info('request failed', { ...facts, verdict, reason, tookMs: Math.round(tookMs) });
     }
     return answer;
