--- a/packages/engine/src/single.ts
+++ b/packages/engine/src/single.ts
@@ -69,7 +69,7 @@
     } catch (error) {
       lease.release();
       if (!(error instanceof ConnectionError)) throw error;
-      const reason = `no whole answer to a write: ${error.message}`;
+      const reason = `no whole answer to a write from ${lease.instance}: ${error.message}`;
       return {
         kind: 'answered',
         answer: createLocalAnswer('idle', { verdict: 'unknownOutcome', reason }),
--- a/packages/engine/src/transaction.ts
+++ b/packages/engine/src/transaction.ts
@@ -133,7 +133,8 @@
       return { ...reply, state: 'open' };
     } catch (error) {
       if (!(error instanceof ConnectionError)) throw error;
-      return createLocalAnswer('failed', { verdict: 'aborted', reason: error.message });
+      const reason = `${this.lease?.instance ?? 'no instance'}: ${error.message}`;
+      return createLocalAnswer('failed', { verdict: 'aborted', reason });
     } finally {
       this.isRunning = false;
       this.usedAt = this.context.readNow();
