--- a/packages/daemon/src/metrics.ts
+++ b/packages/daemon/src/metrics.ts
@@ -1,4 +1,5 @@
-import { collectDefaultMetrics, Counter, Gauge, Histogram, Registry } from 'prom-client';
+import { createCounter } from '@shallotpick/engine';
+import { collectDefaultMetrics, Gauge, Histogram, Registry } from 'prom-client';
 
 const SECONDS_BUCKETS = [0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5];
 
@@ -6,26 +7,32 @@
 export class Metrics {
   readonly registry = new Registry();
 
-  readonly statements = this.createCounter('statements_total', 'Statements by target', [
+  readonly statements = createCounter(this.registry, 'statements_total', 'Statements by target', [
     'group',
     'target',
   ]);
 
-  readonly refusals = this.createCounter('refusals_total', 'Requests refused, not run', ['reason']);
+  readonly refusals = createCounter(this.registry, 'refusals_total', 'Requests refused, not run', [
+    'reason',
+  ]);
 
-  readonly retries = this.createCounter('retries_total', 'Requests sent again', ['reason']);
+  readonly retries = createCounter(this.registry, 'retries_total', 'Requests sent again', [
+    'reason',
+  ]);
 
-  readonly platformCalls = this.createCounter('platform_calls_total', 'Platform calls', [
+  readonly platformCalls = createCounter(this.registry, 'platform_calls_total', 'Platform calls', [
     'call',
     'outcome',
   ]);
 
-  readonly peerCalls = this.createCounter('peer_calls_total', 'Calls to peers', [
+  readonly peerCalls = createCounter(this.registry, 'peer_calls_total', 'Calls to peers', [
     'call',
     'outcome',
   ]);
 
-  readonly failovers = this.createCounter('failover_steps_total', 'Failover actions', ['action']);
+  readonly failovers = createCounter(this.registry, 'failover_steps_total', 'Failover actions', [
+    'action',
+  ]);
 
   readonly callers = new Gauge({
     name: 'shallotpick_callers',
@@ -43,13 +50,4 @@
   constructor() {
     collectDefaultMetrics({ register: this.registry });
   }
-
-  private createCounter<T extends string>(name: string, help: string, labels: T[]): Counter<T> {
-    return new Counter({
-      name: `shallotpick_${name}`,
-      help,
-      labelNames: labels,
-      registers: [this.registry],
-    });
-  }
 }
--- a/packages/engine/src/attempt.ts
+++ b/packages/engine/src/attempt.ts
@@ -1,7 +1,7 @@
 import type { LogPosition, Millis } from '@shallotpick/core';
 import type { DatabaseRoute } from './configuration.js';
 import { NotRunError } from './errors.js';
-import type { Lease } from './group.js';
+import type { Lease } from './lease.js';
 import type { SessionContext } from './context.js';
 import type { Failure, Verdict } from './statement.js';
 import { wait } from './timing.js';
@@ -54,7 +54,7 @@
     if (!group) return { verdict: 'overloaded', reason: 'the group is not known' };
     const remaining = this.readRemaining();
     try {
-      return await group.admit({
+      const lease = await group.admit({
         requestId: this.requestId,
         kind: this.kind,
         contract: route.contract,
@@ -64,6 +64,9 @@
         sessionFloor: route.readsOwnWrites ? context.floor : undefined,
         excluded: this.excluded,
       });
+      if (!context.isClosed) return lease;
+      lease.release();
+      return { verdict: 'aborted', reason: 'the caller has left' };
     } catch (error) {
       if (!(error instanceof NotRunError)) throw error;
       return {
--- a/packages/engine/src/group.ts
+++ b/packages/engine/src/group.ts
@@ -1,6 +1,4 @@
 import {
-  type AdmissionDecision,
-  AdmissionQueue,
   chooseLater,
   type Clock,
   formatPosition,
@@ -10,21 +8,21 @@
   type RegisteredInstance,
   type Route,
   Router,
-  type RouteRequest,
-  type Work,
 } from '@shallotpick/core';
 import type { GroupSettings } from './configuration.js';
-import type { InstanceConnection, InstanceConnector } from './connection.js';
+import type { InstanceConnector } from './connection.js';
+import { type Admitted, Dispatcher, type WorkRequest } from './dispatch.js';
 import { NotRunError } from './errors.js';
+import { createLease, type Lease } from './lease.js';
 import type { Log } from './log.js';
 import { InstancePool, Member, WARM_CONNECTIONS } from './member.js';
 import type { Metrics } from './metrics.js';
 import { InstanceProbe } from './probe.js';
 import type { TakeoverDriver } from './takeover.js';
 import { wait } from './timing.js';
-import { type SessionFloor, VerifiedView } from './view.js';
+import { VerifiedView } from './view.js';
 
-const MAX_QUEUED = 2_000;
+const NO_CAPACITY = { connections: 0, concurrency: 0, longPermits: 0 };
 /** Statements beyond the slots keep an instance busy while replies travel. */
 const EXTRA_CONCURRENCY = 1;
 /** Part of the allowed age that is left to the time a read waits and travels. */
@@ -41,33 +39,6 @@
 /** A leaving leader is asked for nothing new in the last part of its time. */
 const LEAVING_MARGIN_MS: Millis = 2_000;
 
-/** What a piece of work needs. */
-export interface WorkRequest extends Omit<RouteRequest, 'floor'> {
-  readonly requestId: string;
-  readonly caller: string;
-  readonly deadline: Millis;
-  readonly priority: number;
-  /** The session's last commit, when the work must see it. */
-  readonly sessionFloor: SessionFloor | undefined;
-  /** Instances that have just refused this work. */
-  readonly excluded: ReadonlySet<string>;
-}
-
-/** A connection that is bound to one request or transaction. */
-export interface Lease {
-  readonly instance: string;
-  readonly connection: InstanceConnection;
-  readonly isLeader: boolean;
-  /** Position that the instance must prove with a read; undefined: the lead must be proven. */
-  readonly after: LogPosition | undefined;
-  /** Expected time of one statement. */
-  readonly latencyMs: Millis;
-  /** Tells that a statement starts or has ended, while the lease is kept. */
-  update(isBusy: boolean): void;
-  /** May be called more than once. */
-  release(): void;
-}
-
 export interface GroupOptions {
   readonly name: string;
   readonly zone: string;
@@ -84,13 +55,6 @@
   readonly drainMs: Millis;
 }
 
-interface Pending {
-  readonly request: WorkRequest;
-  readonly addedAt: Millis;
-  readonly resolve: (instance: string) => void;
-  readonly reject: (error: Error) => void;
-}
-
 /** Serves one database group: its instances, queue, connections and changes of the leader. */
 export class GroupService {
   readonly samples = new PositionSamples();
@@ -99,16 +63,12 @@
 
   private readonly members = new Map<string, Member>();
 
-  private readonly queue: AdmissionQueue;
-
-  private readonly pending = new Map<number, Pending>();
+  private readonly dispatcher: Dispatcher;
 
   private readonly router: Router;
 
   private readonly leavingSince = new Map<string, Millis>();
 
-  private nextWork = 1;
-
   private leaderLostAt: Millis;
 
   private settings: GroupSettings;
@@ -118,9 +78,10 @@
     this.settings = { name, connectionLimit: 1, synchronousReplicas: 0 };
     this.router = new Router(zone);
     this.leaderLostAt = clock.readNow() - FAILOVER_MS + START_MS;
-    this.queue = new AdmissionQueue({
-      maxQueued: MAX_QUEUED,
-      findRoute: (work, now) => this.findRoute(work, now),
+    this.dispatcher = new Dispatcher({
+      clock,
+      findRoute: (request, now) => this.createRoute(request, now),
+      onStart: (...started) => this.logRoute(...started),
     });
     this.takeover = options.createTakeover(this);
   }
@@ -172,14 +133,8 @@
   async admit(request: WorkRequest): Promise<Lease> {
     const { clock } = this.options;
     for (;;) {
-      const now = clock.readNow();
-      this.checkProspect(request, now);
-      const work = this.createWork(request);
-      const instance = await new Promise<string>((resolve, reject) => {
-        this.pending.set(work.id, { request, addedAt: now, resolve, reject });
-        this.runDecisions(this.queue.add(work, now));
-      });
-      const lease = await this.openLease(work, request, instance);
+      this.checkProspect(request, clock.readNow());
+      const lease = await this.openLease(await this.dispatcher.add(request), request);
       if (lease) return lease;
       if (clock.readNow() >= request.deadline) throw new NotRunError('no connection in time');
       await wait(RECONNECT_DELAY_MS);
@@ -196,10 +151,10 @@
       if (member.isUsable()) member.pool.openAhead(Math.min(WARM_CONNECTIONS, limit));
       const concurrency = Math.min(limit, member.instance.slots + EXTRA_CONCURRENCY);
       const capacity = { connections: limit, concurrency, longPermits: 0 };
-      this.runDecisions(this.queue.updateCapacity(member.id, capacity, now));
+      this.dispatcher.updateCapacity(member.id, capacity);
     });
     this.takeover.handleTick(now);
-    this.runDecisions(this.queue.handleTick(now));
+    this.dispatcher.handleTick();
   }
 
   /** True when instances of the group answer this VM. */
@@ -209,8 +164,7 @@
 
   stop(): void {
     this.members.forEach((member) => this.removeMember(member));
-    this.pending.forEach(({ reject }) => reject(new NotRunError('the proxy stops')));
-    this.pending.clear();
+    this.dispatcher.stop();
   }
 
   /** This proxy's part of an instance's connections, and some that others leave unused. */
@@ -229,19 +183,6 @@
     if (isHopeless) throw new NotRunError('no instance can serve this now');
   }
 
-  private createWork(request: WorkRequest): Work {
-    const { kind, contract, caller, deadline, priority } = request;
-    const lane = kind === 'write' || contract.maxAgeMs <= 0 ? 'leader' : 'any';
-    const id = this.nextWork;
-    this.nextWork += 1;
-    return { id, caller, length: 'short', deadline, lane, priority };
-  }
-
-  private findRoute(work: Work, now: Millis): Route {
-    const request = this.pending.get(work.id)?.request;
-    return request ? this.createRoute(request, now) : { kind: 'wait', reason: 'withdrawn' };
-  }
-
   private createRoute(request: WorkRequest, now: Millis): Route {
     const { after, aged } = this.findPositions(request);
     const { sessionFloor, excluded } = request;
@@ -293,7 +234,7 @@
       isUrgent: () => this.takeover.isChanging(clock.readNow()),
       onResult: ({ leads, position, sentAt }) => {
         if (leads && position) this.samples.add({ position, takenAt: sentAt });
-        this.runDecisions(this.queue.handleTick(clock.readNow()));
+        this.dispatcher.handleTick();
       },
     });
     this.members.set(instance.id, new Member(instance, { pool, probe }));
@@ -307,99 +248,43 @@
     member.pool.drain();
     this.members.delete(member.id);
     this.leavingSince.delete(member.id);
-    const none = { connections: 0, concurrency: 0, longPermits: 0 };
-    this.runDecisions(this.queue.updateCapacity(member.id, none, this.options.clock.readNow()));
+    this.dispatcher.updateCapacity(member.id, NO_CAPACITY);
   }
 
-  private async openLease(
-    work: Work,
-    request: WorkRequest,
-    instance: string,
-  ): Promise<Lease | undefined> {
-    const member = this.members.get(instance);
+  /** Takes or opens a connection; undefined when the instance gives none. */
+  private async openLease(admitted: Admitted, request: WorkRequest): Promise<Lease | undefined> {
     const { clock, log } = this.options;
+    const { dispatcher } = this;
+    const { instance } = admitted;
+    const member = this.members.get(instance);
     if (!member) {
-      this.runDecisions(this.queue.handleDone(instance, work, clock.readNow()));
+      dispatcher.remove(admitted);
       return undefined;
     }
-    member.running += 1;
+    member.updateRunning(true);
     try {
       const connection = member.pool.takeIdle() ?? (await member.pool.connect());
-      return this.createLease(work, request, member, connection);
+      const { after } = this.findPositions(request);
+      return createLease({ admitted, member, connection, dispatcher, clock, after });
     } catch (error) {
-      member.running -= 1;
+      member.updateRunning(false);
       member.handleConnectFailure(error, clock.readNow());
       log.info('connect failed', { request: request.requestId, instance, error: String(error) });
-      this.runDecisions(this.queue.handleDone(instance, work, clock.readNow()));
+      dispatcher.remove(admitted);
       return undefined;
     }
   }
 
-  private createLease(
-    work: Work,
-    request: WorkRequest,
-    member: Member,
-    connection: InstanceConnection,
-  ): Lease {
-    const { clock } = this.options;
-    const current = member;
-    let state: 'running' | 'idle' | 'released' = 'running';
-    const { after } = this.findPositions(request);
-    return {
-      instance: member.id,
-      connection,
-      isLeader: member.probe.leads,
-      after,
-      latencyMs: member.readLatency(clock.readNow()),
-      update: (isBusy) => {
-        const next = isBusy ? 'running' : 'idle';
-        if (state === 'released' || state === next) return;
-        state = next;
-        current.running += isBusy ? 1 : -1;
-        if (isBusy) this.queue.handleBusy(member.id, work);
-        else this.runDecisions(this.queue.handleIdle(member.id, work, clock.readNow()));
-      },
-      release: () => {
-        if (state === 'released') return;
-        const isIdle = state === 'idle';
-        state = 'released';
-        if (!isIdle) current.running -= 1;
-        member.pool.release(connection);
-        this.runDecisions(this.queue.handleDone(member.id, work, clock.readNow(), isIdle));
-      },
-    };
-  }
-
-  private runDecisions(decisions: readonly AdmissionDecision[]): void {
-    decisions.forEach((decision) => {
-      const { work, reason } = decision;
-      const pending = this.pending.get(work.id);
-      this.pending.delete(work.id);
-      if (decision.kind === 'refuse') {
-        pending?.reject(new NotRunError(reason));
-        return;
-      }
-      if (!pending) {
-        this.runDecisions(
-          this.queue.handleDone(decision.instance, work, this.options.clock.readNow()),
-        );
-        return;
-      }
-      this.logRoute(pending, decision.instance, reason);
-      pending.resolve(decision.instance);
-    });
-  }
-
   /** Logs a routing decision with what decided it and how old that was. */
-  private logRoute({ request, addedAt }: Pending, instance: string, reason: string): void {
-    const { log, metrics, clock, ageClock } = this.options;
+  private logRoute(request: WorkRequest, instance: string, reason: string, waited: Millis): void {
+    const { log, metrics, ageClock } = this.options;
     const { requestId, kind, contract } = request;
     metrics.statements.inc({ target: reason.startsWith('replica') ? 'replica' : 'leader' });
     const { after } = this.findPositions(request);
     const newest = this.samples.readLatest();
     log.info('route', {
       ...{ request: requestId, group: this.name, kind, maxAgeMs: contract.maxAgeMs },
-      ...{ instance, reason, waitedMs: Math.round(clock.readNow() - addedAt) },
+      ...{ instance, reason, waitedMs: Math.round(waited) },
       ...(after ? { after: formatPosition(after) } : {}),
       ...(newest ? { leaderSeenMsAgo: Math.round(ageClock.readNow() - newest.takenAt) } : {}),
     });
--- a/packages/engine/src/member.ts
+++ b/packages/engine/src/member.ts
@@ -49,7 +49,7 @@
   readonly probe: InstanceProbe;
 
   /** Statements of this proxy that run there. */
-  running = 0;
+  private running = 0;
 
   private latencyMs: Millis = FIRST_LATENCY_MS;
 
@@ -74,6 +74,11 @@
     return !this.instance.leaving && this.probe.health === 'answering';
   }
 
+  /** A statement of this proxy starts or has ended there. */
+  updateRunning(isBusy: boolean): void {
+    this.running += isBusy ? 1 : -1;
+  }
+
   /** Records how long a statement took, waiting at the instance included. */
   addLatency(tookMs: Millis, now: Millis): void {
     this.latencyMs = this.readLatency(now);
--- a/packages/engine/src/metrics.ts
+++ b/packages/engine/src/metrics.ts
@@ -2,27 +2,45 @@
 
 const SECONDS_BUCKETS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5];
 
+/** Creates a counter under the product's prefix. */
+export function createCounter<T extends string>(
+  registry: Registry,
+  name: string,
+  help: string,
+  labelNames: T[],
+): Counter<T> {
+  return new Counter({ name: `shallotpick_${name}`, help, labelNames, registers: [registry] });
+}
+
 /** The metrics of one proxy process, in a registry of their own. */
 export class Metrics {
   readonly registry = new Registry();
 
   /** Statements sent to instances, by `target` (replica or leader). */
-  readonly statements = this.createCounter('statements_total', 'Statements by target', ['target']);
+  readonly statements = createCounter(this.registry, 'statements_total', 'Statements by target', [
+    'target',
+  ]);
 
   /** Requests that were not answered with success, by `verdict`. */
-  readonly failures = this.createCounter('failures_total', 'Failed requests', ['verdict']);
+  readonly failures = createCounter(this.registry, 'failures_total', 'Failed requests', [
+    'verdict',
+  ]);
 
   /** Statements that were sent again, by the `verdict` of the attempt before. */
-  readonly retries = this.createCounter('retries_total', 'Statements sent again', ['verdict']);
+  readonly retries = createCounter(this.registry, 'retries_total', 'Statements sent again', [
+    'verdict',
+  ]);
 
   /** Calls to the platform, by `call` and `outcome`. */
-  readonly platformCalls = this.createCounter('platform_calls_total', 'Platform calls', [
+  readonly platformCalls = createCounter(this.registry, 'platform_calls_total', 'Platform calls', [
     'call',
     'outcome',
   ]);
 
   /** Steps of leader changes, by `action`. */
-  readonly takeovers = this.createCounter('takeover_steps_total', 'Takeover steps', ['action']);
+  readonly takeovers = createCounter(this.registry, 'takeover_steps_total', 'Takeover steps', [
+    'action',
+  ]);
 
   readonly callers = new Gauge({
     name: 'shallotpick_callers',
@@ -43,13 +61,4 @@
     labelNames: ['kind'],
     registers: [this.registry],
   });
-
-  private createCounter<T extends string>(name: string, help: string, labels: T[]): Counter<T> {
-    return new Counter({
-      name: `shallotpick_${name}`,
-      help,
-      labelNames: labels,
-      registers: [this.registry],
-    });
-  }
 }
--- a/packages/engine/src/single.ts
+++ b/packages/engine/src/single.ts
@@ -1,7 +1,7 @@
 import { Attempts, isLease } from './attempt.js';
 import type { DatabaseRoute } from './configuration.js';
 import { ConnectionError } from './errors.js';
-import type { Lease } from './group.js';
+import type { Lease } from './lease.js';
 import { type DataStatement, rollBack, runCommand, runStatement, sendSetup } from './run.js';
 import { createLocalAnswer, type SessionContext } from './context.js';
 import type { Answer, Failure, Reply } from './statement.js';
