Spend fewer calls on the store

Change: heartbeats every 10 s instead of 4, changes that come within 150 ms told by one watch. Ruled out: a longer watch of the configuration, which bounds how late a change is seen.

--- a/packages/engine/src/fleet.ts
+++ b/packages/engine/src/fleet.ts
@@ -6,10 +6,10 @@
 /** Kind of the objects by which VMs tell that they run. */
 export const VMS_KIND = 'proxies';
 
-const HEARTBEAT_MS: Millis = 4_000;
-/** Until a new VM is known to the others it must not count on connections for long. */
-const FIRST_READS_MS: Millis = 1_000;
-const EXPIRE_MS: Millis = 13_000;
+const HEARTBEAT_MS: Millis = 10_000;
+/** VMs that start together are known to each other after the second round. */
+const FIRST_READS_MS: Millis = 1_500;
+const EXPIRE_MS: Millis = 25_000;
 
 interface VmSpec {
   readonly beat: number;
--- a/packages/engine/src/follower.ts
+++ b/packages/engine/src/follower.ts
@@ -4,6 +4,9 @@
 import type { ObjectStore, StoredObject } from './store.js';
 import { wait } from './timing.js';
 
+/** Changes that come close together, as when many instances register, are told by one call. */
+const WATCH_GAP_MS: Millis = 150;
+
 export interface FollowerOptions {
   readonly kind: string;
   /** A watch that stays silent is asked anew after this long, which bounds the delay of a change. */
@@ -78,6 +81,7 @@
     const { changes, revision: next } = await store.watch(kind, revision, watchMs);
     changes.forEach(({ object, isDeleted }) => onChange(object, isDeleted));
     this.revision = next;
+    if (changes.length > 0) await wait(WATCH_GAP_MS);
   }
 
   private handleAnswer(): void {
