Probe less often in large fleets, and drop connections that lack a name

Change: above 8 VMs the interval grows with the fleet, to 400 ms for leaders and 600 ms for replicas; small fleets are unchanged. A connection whose instance does not know a prepared name is closed, so that the next one prepares it.

--- a/packages/engine/src/group.ts
+++ b/packages/engine/src/group.ts
@@ -232,6 +232,7 @@
     const probe = new InstanceProbe({
       ...{ instance, pool, clock, ageClock, log },
       isUrgent: () => this.takeover.isChanging(clock.readNow()),
+      countVms: () => this.options.countVms() ?? 1,
       onResult: ({ leads, position, sentAt }) => {
         if (leads && position) this.samples.add({ position, takenAt: sentAt });
         this.dispatcher.handleTick();
--- a/packages/engine/src/probe.ts
+++ b/packages/engine/src/probe.ts
@@ -13,8 +13,12 @@
 import type { Operation, Reply } from './statement.js';
 import { wait, waitAtMost } from './timing.js';
 
-/** Gap between two probes of an instance. */
+/** Gap between two probes of an instance by one VM of a small fleet. */
 const INTERVAL_MS: Millis = 150;
+/** In a larger fleet each VM probes less often, so that probes cost an instance no more. */
+const SMALL_FLEET = 8;
+const MAX_INTERVAL_MS: Millis = 600;
+const MAX_LEADER_INTERVAL_MS: Millis = 400;
 /** While the leader changes, its successor is noticed sooner. */
 const URGENT_INTERVAL_MS: Millis = 25;
 /** Two failures in a row, a probe and a new connection, make the instance silent. */
@@ -22,8 +26,8 @@
 const RECONNECT_MS: Millis = 100;
 /** Gap between probes while every connection is in use. */
 const BUSY_MS: Millis = 20;
-/** Without an answer for this long a probe opens a connection of its own. */
-const OVERDUE_MS: Millis = 400;
+/** A probe that is late by this much opens a connection of its own. */
+const OVERDUE_MS: Millis = 250;
 /** An instance without room for connections is asked less often. */
 const FULL_MS: Millis = 400;
 /** A timer that fires this much late shows that this process stood still, not the instance. */
@@ -46,6 +50,8 @@
   readonly ageClock: Clock;
   readonly log: Log;
   readonly isUrgent: () => boolean;
+  /** VMs that probe the instance. */
+  readonly countVms: () => number;
   readonly onResult: (result: ProbeResult) => void;
 }
 
@@ -119,19 +125,26 @@
 
   /** Probes once; the time until the next probe. */
   private async runRound(): Promise<Millis> {
-    const { clock, isUrgent } = this.options;
+    const { clock } = this.options;
     const startedAt = clock.readNow();
     try {
       const connection = await this.findConnection(startedAt);
       if (!connection) return BUSY_MS;
       await this.probe(connection);
-      return isUrgent() ? URGENT_INTERVAL_MS : INTERVAL_MS;
+      return this.findInterval();
     } catch (error) {
       this.handleFailure(error, clock.readNow() - startedAt);
       return this.health === 'full' ? FULL_MS : RECONNECT_MS;
     }
   }
 
+  private findInterval(): Millis {
+    const { isUrgent, countVms } = this.options;
+    if (isUrgent()) return URGENT_INTERVAL_MS;
+    const interval = INTERVAL_MS * Math.max(1, countVms() / SMALL_FLEET);
+    return Math.min(interval, this.leads ? MAX_LEADER_INTERVAL_MS : MAX_INTERVAL_MS);
+  }
+
   /** Borrows an unused connection, or opens one when there is room or no answer for long. */
   private async findConnection(now: Millis): Promise<InstanceConnection | undefined> {
     const { pool } = this.options;
@@ -139,7 +152,7 @@
     if (this.isSuspect) pool.closeIdle();
     const idle = pool.takeIdle();
     if (idle) return idle;
-    const isOverdue = now - this.answeredAt >= OVERDUE_MS;
+    const isOverdue = now - this.answeredAt >= this.findInterval() + OVERDUE_MS;
     return pool.hasRoom() || isOverdue || this.isSuspect ? pool.connect() : undefined;
   }
 
--- a/packages/engine/src/run.ts
+++ b/packages/engine/src/run.ts
@@ -55,7 +55,10 @@
 ): Promise<Reply> {
   sendSetup(connection, state, statement);
   const operation = toOperation(connection, state, statement);
-  return runCommand(connection, { ...command, operation }, timeoutMs);
+  const reply = await runCommand(connection, { ...command, operation }, timeoutMs);
+  // The connection holds other names than noted here.
+  if (reply.failure?.verdict === 'unknownStatement') connection.close();
+  return reply;
 }
 
 /** Ends an open transaction without waiting; the connection is closed when that fails. */
--- a/packages/engine/test/session.spec.ts
+++ b/packages/engine/test/session.spec.ts
@@ -195,6 +195,23 @@
     ]);
   });
 
+  // Guards against a pooled connection that goes on under names which the instance does not have.
+  it('prepares again on another connection when the instance does not know the name', async () => {
+    const session = world.createSession('aged');
+    let refusals = 1;
+    world.replica.intercept = ({ operation }) => {
+      if (operation.kind !== 'execute' || refusals === 0) return undefined;
+      refusals -= 1;
+      return 'unknownStatement';
+    };
+    await run(session, { kind: 'prepare', name: 's1', access: 'read', shape: 'q2c' });
+    const before = world.replica.connections.size;
+    expect((await run(session, { kind: 'execute', name: 's1', rest: '1' })).verdict).toEqual(
+      undefined,
+    );
+    expect(world.replica.connections.size < before + 1).toEqual(true);
+  });
+
   it('refuses names that were not prepared, and databases without a route', async () => {
     const session = world.createSession('aged');
     const execute = { kind: 'execute', name: 'none', rest: '1' } as const;
