--- a/packages/engine/src/fleet.ts
+++ b/packages/engine/src/fleet.ts
@@ -1,7 +1,6 @@
 import { type Clock, type Millis, rankVms } from '@shallotpick/core';
 import type { Log } from './log.js';
 import type { ObjectStore, StoredObject } from './store.js';
-import { wait } from './timing.js';
 
 /** Kind of the objects by which VMs tell that they run. */
 export const VMS_KIND = 'proxies';
@@ -80,10 +79,17 @@
       } catch (error) {
         this.options.log.debug('heartbeat failed', { error: String(error) });
       }
-      await wait(round < 2 ? FIRST_READS_MS : HEARTBEAT_MS);
+      await this.rest(round < 2 ? FIRST_READS_MS : HEARTBEAT_MS);
     }
   }
 
+  /** Waits without holding a process that has stopped. */
+  private async rest(durationMs: Millis): Promise<void> {
+    await new Promise<void>((resolve) => {
+      setTimeout(resolve, durationMs).unref();
+    });
+  }
+
   private async writeBeat(): Promise<void> {
     const { store, vm, startedAt } = this.options;
     this.beat += 1;
