Close the gaps of a takeover that joining and leaving replicas opened

Ruled out: the violation with the leader cut from every VM is none, since callers write through VMs; the model wrote by itself. A removed instance came back in the model when its crash ended. Both corrected there.

Change: VMs that reach the former leader of an open takeover step it down by the term of the record; replicas that join during a promotion are paused; a handover waits for the leader's end of the log; the former leader may be promoted again; unregistered holders are forgotten after 10 s.

--- a/packages/bench/src/takeover/group.ts
+++ b/packages/bench/src/takeover/group.ts
@@ -102,12 +102,16 @@
     return leader;
   }
 
-  /** Commits one write at the leader, ships the log, acknowledges, and promotes what is due. */
-  handleStep(now: number): void {
+  /**
+   * Commits one write at the leader, ships the log, acknowledges, and promotes what is due.
+   *
+   * @param isReached tells whether a VM reaches an instance; callers write through VMs only
+   */
+  handleStep(now: number, isReached: (id: string) => boolean): void {
     this.finishPromotion(now);
     const leader = this.findLeader();
     if (!leader?.isAlive) return;
-    if (now % WRITE_MS === 0) {
+    if (now % WRITE_MS === 0 && isReached(leader.id)) {
       leader.log.push({ term: this.term, id: this.nextEntry, appendedAt: now });
       this.nextEntry += 1;
     }
--- a/packages/bench/src/takeover/simulation.ts
+++ b/packages/bench/src/takeover/simulation.ts
@@ -65,7 +65,7 @@
     const end = FAULTS_END_MS + SETTLE_MS;
     for (let now = 0; now <= end; now += STEP_MS) {
       this.timeline.update(now);
-      this.group.handleStep(now);
+      this.group.handleStep(now, (id) => this.vms.some((vm) => vm.isReaching(id)));
       if (now % VM_TICK_MS === 0) this.vms.forEach((vm) => vm.handleTick(now));
       const violation = this.group.violation ?? this.platform.violation;
       if (violation) return violation;
@@ -157,7 +157,10 @@
 
   private crash(instance: SyncInstance, duration: number): void {
     Object.assign(instance, { isAlive: false });
-    this.timeline.add(duration, () => Object.assign(instance, { isAlive: true, heldTerm: 0 }));
+    this.timeline.add(duration, () => {
+      // One that was removed meanwhile does not come back.
+      if (instance.isRegistered) Object.assign(instance, { isAlive: true, heldTerm: 0 });
+    });
   }
 
   private cutInstance({ id }: SyncInstance, pick: number, duration: number): void {
--- a/packages/bench/src/takeover/vm.ts
+++ b/packages/bench/src/takeover/vm.ts
@@ -73,6 +73,11 @@
     this.coordinator = this.createCoordinator();
   }
 
+  /** True when the VM can send an instance writes. */
+  isReaching(instance: string): boolean {
+    return !this.isFrozen && !this.unreachable.has(instance);
+  }
+
   thaw(): void {
     this.isFrozen = false;
     this.held.splice(0).forEach((run) => run());
--- a/packages/bench/test/takeover.spec.ts
+++ b/packages/bench/test/takeover.spec.ts
@@ -66,4 +66,56 @@
       createFault('cutLeaderFromVms', 2_500, 1_500),
     );
   });
+
+  const fail = (seed: number, ...faults: readonly TakeoverFault[]): unknown =>
+    new TakeoverSimulation({ seed, faults }).run();
+
+  const pickFault = (
+    kind: TakeoverFault['kind'],
+    at: number,
+    duration: number,
+    pick: number,
+  ): TakeoverFault => ({ ...{ kind, at, duration, pick } });
+
+  // A former leader that the holder did not reach had commits acknowledged by a replica that
+  // joined before the promotion was carried out.
+  it('step the former leader down through a VM that reaches it', () => {
+    const cut = pickFault('cutLeaderFromVms', 1_001, 5_360, 1);
+    expect(fail(-7, cut, pickFault('replaceLeader', 1_652, 3_892, 2))).toEqual(undefined);
+  });
+
+  // A leader that had stepped down held more than every replica, so no candidate was found.
+  it('give the lead back to a leader that alone holds everything', () => {
+    const faults = [
+      pickFault('replaceLeader', 1_902, 4_900, 3),
+      pickFault('crashLeader', 2_710, 5_465, 5),
+      pickFault('crashReplica', 3_484, 4_678, 2),
+    ];
+    expect(fail(-602_883_028, ...faults)).toEqual(undefined);
+  });
+
+  // Every choice waited for the report of an instance that was gone for good.
+  it('choose without an instance that has not been registered for long', () => {
+    const faults = [
+      pickFault('replaceLeader', 7_071, 1_119, 3),
+      pickFault('cutLeaderFromVms', 7_840, 1_981, 3),
+      pickFault('replaceLeader', 3_963, 1_116, 0),
+      pickFault('storeDown', 4_869, 3_369, 4),
+      pickFault('crashLeader', 5_616, 1_012, 4),
+    ];
+    expect(fail(24_967_952, ...faults)).toEqual(undefined);
+  });
+
+  // A planned change chose a replica that was ahead of two empty ones and behind the leader.
+  it('hand over only to a replica that holds what the leader held', () => {
+    const faults = [
+      pickFault('cutLeaderFromVms', 1_049, 4_449, 3),
+      pickFault('crashReplica', 6_379, 943, 0),
+      pickFault('replaceLeader', 6_756, 729, 5),
+      pickFault('replaceLeader', 5_930, 3_563, 2),
+      pickFault('crashLeader', 1_370, 4_265, 1),
+      pickFault('cutLeaderFromReplicas', 4_748, 5_127, 0),
+    ];
+    expect(fail(-1_375_451_717, ...faults)).toEqual(undefined);
+  });
 });
--- a/packages/core/src/ledger.ts
+++ b/packages/core/src/ledger.ts
@@ -1,8 +1,11 @@
+import type { Millis } from './clock.js';
 import type { FenceReport, InstanceView } from './promotion.js';
 import { comparePositions, hasPosition, type LogPosition } from './position.js';
 
 /** Without having seen the leader lead, one log alone does not show what the others hold. */
 const MIN_FENCED = 2;
+/** An instance that is unregistered for this long is gone with its log; waiting recovers nothing. */
+const GONE_MS: Millis = 10_000;
 
 interface Fenced {
   readonly id: string;
@@ -26,6 +29,9 @@
 
   protected readonly reports = new Map<string, FenceReport>();
 
+  /** Since when a holder is no longer registered. */
+  private readonly missingSince = new Map<string, Millis>();
+
   addReport(instance: string, report: FenceReport): void {
     this.newestTerm = Math.max(this.newestTerm, report.term, report.received.term);
     this.reports.set(instance, report);
@@ -50,7 +56,7 @@
   }
 
   /** Takes in what is known; forgets an instance that is gone once another log covers its own. */
-  updateInstances(instances: readonly InstanceView[]): void {
+  updateInstances(instances: readonly InstanceView[], now: Millis): void {
     const leader = instances.find(({ leads }) => leads);
     if (leader) {
       this.leader = leader.id;
@@ -60,6 +66,8 @@
       this.holders.add(id);
       this.newestTerm = Math.max(this.newestTerm, position?.term ?? 0);
     });
+    const listed = new Set(instances.map(({ id }) => id));
+    this.removeGone(listed, now);
     const end = leader?.position;
     if (!end) return;
     const isCovered = instances.some(
@@ -67,12 +75,24 @@
         id !== leader.id && !leaving && position !== undefined && hasPosition(position, end),
     );
     if (!isCovered) return;
-    const listed = new Set(instances.map(({ id }) => id));
     this.holders.forEach((id) => {
       if (!listed.has(id)) this.holders.delete(id);
     });
   }
 
+  /** Forgets holders that have not been registered for long, whether their log is covered or not. */
+  private removeGone(listed: ReadonlySet<string>, now: Millis): void {
+    listed.forEach((id) => this.missingSince.delete(id));
+    this.holders.forEach((id) => {
+      if (listed.has(id)) return;
+      const since = this.missingSince.get(id) ?? now;
+      this.missingSince.set(id, since);
+      if (now - since < GONE_MS) return;
+      this.holders.delete(id);
+      this.missingSince.delete(id);
+    });
+  }
+
   hasSteppedDown(id: string): boolean {
     return this.reports.get(id)?.role === 'replica';
   }
@@ -84,12 +104,13 @@
     return this.findCovering(fenced, suspect) ?? this.findFurthest(fenced, suspect);
   }
 
-  /** True when the candidate holds all that the stopped instances hold. */
-  isAhead(candidate: string, others: readonly string[]): boolean {
-    const end = this.reports.get(candidate)?.received;
+  /** True when the candidate holds all that the stopped instances hold, and the leader's `end`. */
+  isAhead(candidate: string, others: readonly string[], end: LogPosition | undefined): boolean {
+    const own = this.reports.get(candidate)?.received;
+    if (!own || !end || !hasPosition(own, end)) return false;
     return others.every((id) => {
       const held = this.reports.get(id)?.received;
-      return end !== undefined && held !== undefined && hasPosition(end, held);
+      return held !== undefined && hasPosition(own, held);
     });
   }
 
@@ -108,13 +129,14 @@
       );
   }
 
-  /** A log that holds all that the former leader held when it stepped down. */
+  /** A log that holds all that the former leader held when it stepped down; else that leader. */
   findCovering(fenced: readonly Fenced[], suspect: string | undefined): string | undefined {
     const end = suspect === undefined ? undefined : this.reports.get(suspect);
     // In a newer term another instance has led, whose commits this log may lack.
     if (end?.role !== 'replica' || this.leaderTerm < this.newestTerm) return undefined;
-    return fenced.find(({ id, received }) => id !== suspect && hasPosition(received, end.received))
-      ?.id;
+    const covering = fenced.filter(({ received }) => hasPosition(received, end.received));
+    const [first] = covering;
+    return (covering.find(({ id }) => id !== suspect) ?? first)?.id;
   }
 
   /** The furthest log, once every replica that may have acknowledged has stopped. */
--- a/packages/core/src/promotion.ts
+++ b/packages/core/src/promotion.ts
@@ -12,6 +12,10 @@
   readonly attempt: string;
   /** `open`: orders under this generation may be on their way. */
   readonly phase: 'open' | 'settled';
+  /** What the holder set out to do. */
+  readonly plan: TakeoverPlan;
+  /** Newest term of the group that the holder knew; the former leader leads in it or before. */
+  readonly term: number;
 }
 
 /** What one VM knows of an instance. */
--- a/packages/core/src/takeover.ts
+++ b/packages/core/src/takeover.ts
@@ -1,6 +1,7 @@
 import type { Millis } from './clock.js';
 import { FenceLedger } from './ledger.js';
 import { findLeader, findNeed } from './need.js';
+import type { LogPosition } from './position.js';
 import type {
   FenceReport,
   InstanceView,
@@ -49,10 +50,18 @@
       readonly record: PromotionRecord;
       readonly sentAt: Millis;
     }
-  | { readonly kind: 'fencing'; readonly plan: TakeoverPlan; readonly since: Millis }
+  | {
+      readonly kind: 'fencing';
+      readonly plan: TakeoverPlan;
+      readonly since: Millis;
+      /** End of the leader's log once the replicas but the candidate of a handover had stopped. */
+      readonly leaderEnd?: LogPosition | undefined;
+    }
   | {
       readonly kind: 'promoting';
       readonly candidate: string;
+      /** The instances that were known when the promotion was ordered. */
+      readonly members: ReadonlySet<string>;
       readonly sentAt: Millis;
       readonly answer: PromotionAnswer | undefined;
     }
@@ -166,7 +175,7 @@
 
   /** Decides what to do now, from what is known of the instances. */
   handleTick(instances: readonly InstanceView[], now: Millis): Actions {
-    this.ledger.updateInstances(instances);
+    this.ledger.updateInstances(instances, now);
     const { step } = this;
     if (!this.isKnown) return this.isDue('read', now, READ_REPEAT_MS) ? [{ kind: 'read' }] : [];
     switch (step.kind) {
@@ -197,6 +206,8 @@
   private watch(instances: readonly InstanceView[], now: Millis): Actions {
     const stuck = this.checkStuck(instances, now);
     if (stuck.length > 0) return stuck;
+    const assist = this.assist(instances, now);
+    if (assist.length > 0) return assist;
     const plan = this.findPlan(instances, now);
     if (plan !== this.needSince?.plan) this.needSince = plan && { plan, at: now };
     if (!plan || !this.needSince) return [];
@@ -220,6 +231,22 @@
       .map(({ id }) => ({ kind: 'status', instance: id }));
   }
 
+  /**
+   * Steps the leader down for a holder that does not reach it. Until the promotion is carried out,
+   * the former leader could have commits acknowledged by a replica that has just joined.
+   */
+  private assist(instances: readonly InstanceView[], now: Millis): Actions {
+    const { record } = this;
+    const isOpen = record?.phase === 'open' && now - this.recordSeenAt < ATTEMPT_MS;
+    const isOther = record !== undefined && record.holder !== this.options.vm;
+    if (!isOpen || !isOther || record.plan !== 'takeover') return [];
+    const leader = findLeader(instances);
+    const isFormer = leader && (leader.position?.term ?? 0) <= record.term;
+    if (!isFormer || !this.isDue('assist', now)) return [];
+    // The instance that the holder promotes leads in a newer term and ignores this.
+    return [{ kind: 'stepDown', instance: leader.id, term: record.term + 1 }];
+  }
+
   private findPlan(instances: readonly InstanceView[], now: Millis): TakeoverPlan | undefined {
     const need = findNeed(instances, this.ledger.findSuspect(instances), now);
     if (need || !findLeader(instances)) return need;
@@ -236,6 +263,8 @@
       holder: vm,
       attempt: createAttempt(),
       phase: 'open',
+      plan,
+      term: this.ledger.newestTerm,
     };
     this.updateStep({ kind: 'claiming', plan, record, sentAt: now });
     this.isDue('claim', now);
@@ -268,7 +297,7 @@
     if (step.plan === 'raise') {
       if (!leader) return this.startSettling(now);
       instances.forEach(({ id }) => id !== leader.id && this.stopped.add(id));
-      return this.promote(leader.id, now);
+      return this.promote(leader.id, instances, now);
     }
     // An instance that is not known here may lead by now, or hold what the others lack.
     if (!this.isRefreshed) {
@@ -281,7 +310,7 @@
       return this.startSettling(now);
     }
     const candidate = this.ledger.chooseSuccessor(instances);
-    if (candidate) return this.promote(candidate, now);
+    if (candidate) return this.promote(candidate, instances, now);
     const term = this.ledger.newestTerm + 1;
     return instances
       .filter(({ id }) => !this.ledger.findReport(id) && this.isDue(`fence ${id}`, now))
@@ -320,7 +349,11 @@
     // The candidate's position counts only when it was told after the others had stopped.
     const ids = others.map(({ id }) => id);
     const isReceiving = this.ledger.findReport(candidate)?.heldTerm === 0;
-    if (isReceiving && this.ledger.isAhead(candidate, ids)) return this.promote(candidate, now);
+    if (isReceiving && this.ledger.isAhead(candidate, ids, step.leaderEnd)) {
+      return this.promote(candidate, instances, now);
+    }
+    // A replica that has left may have acknowledged what only the leader still holds.
+    if (!step.leaderEnd) this.step = { ...step, leaderEnd: leader.position };
     return this.isDue(`status ${candidate}`, now) ? [{ kind: 'status', instance: candidate }] : [];
   }
 
@@ -334,13 +367,14 @@
     return heir?.id;
   }
 
-  private promote(candidate: string, now: Millis): Actions {
+  private promote(candidate: string, instances: readonly InstanceView[], now: Millis): Actions {
     const generation = this.record?.generation ?? 0;
     // A record as old as this may have been taken over by now.
     if (now - this.recordSeenAt >= HOLD_MS) return this.claim('takeover', now);
     this.orderedAt = now;
     this.isSuperseded = false;
-    this.updateStep({ kind: 'promoting', candidate, sentAt: now, answer: undefined });
+    const members = new Set(instances.map(({ id }) => id));
+    this.updateStep({ kind: 'promoting', candidate, members, sentAt: now, answer: undefined });
     return [{ kind: 'promote', instance: candidate, generation }];
   }
 
@@ -353,15 +387,33 @@
     const candidate = instances.find(({ id }) => id === step.candidate);
     if (step.answer === 'accepted') {
       if (candidate?.leads) return this.startSettling(now);
-      return elapsed >= LEAD_MS ? this.claim('takeover', now) : [];
+      if (elapsed < LEAD_MS) return this.stopNewcomers(step, instances, now);
+      return this.claim('takeover', now);
     }
     if (step.answer === 'refused') return this.restart(now);
     // An order that may still come is outdated by a newer generation before anything goes on.
-    if (elapsed < ANSWER_MS) return [];
+    if (elapsed < ANSWER_MS) return this.stopNewcomers(step, instances, now);
     const leader = findLeader(instances);
     return this.claim(leader ? 'raise' : 'takeover', now);
   }
 
+  /** Stops replicas that have joined since the promotion was ordered from acknowledging alone. */
+  private stopNewcomers(
+    { members }: Step & { readonly kind: 'promoting' },
+    instances: readonly InstanceView[],
+    now: Millis,
+  ): Actions {
+    if (this.record?.plan === 'raise') return [];
+    const term = this.ledger.newestTerm + 1;
+    return instances
+      .filter(({ id }) => !members.has(id) && !this.ledger.findReport(id))
+      .filter(({ id }) => this.isDue(`pause ${id}`, now))
+      .map(({ id }) => {
+        this.stopped.add(id);
+        return { kind: 'pause', instance: id, term };
+      });
+  }
+
   /** Reads the record again: another VM has a newer generation, or the candidate is gone. */
   private restart(now: Millis): Actions {
     this.updateStep(WATCHING);
