Probe less where callers' work tells the same, and watch longer

Ruled out: logging alone (limited to 100 lines a message and second).

Change: replies to callers' work stand for probes, except while the group has no leader or changes it; probes run from the group's tick, so urgency takes effect at once, and urgent probes are rarer in larger fleets; ranks are computed once per change of the fleet; watches may be silent for the time that the platform forgives disturbed connections as well.

--- a/packages/engine/src/connection.ts
+++ b/packages/engine/src/connection.ts
@@ -1,10 +1,17 @@
-import type { FenceReport, RegisteredInstance } from '@shallotpick/core';
+import type { FenceReport, Millis, RegisteredInstance } from '@shallotpick/core';
 import type { PooledConnection } from './pool.js';
 import type { Command, Reply, TransactionState } from './statement.js';
 
 /** A connection that has more prepared statements is replaced, which bounds its memory. */
 const MAX_STATEMENTS = 500;
 
+/** Learns from the replies to work on an instance. */
+export interface ReplyObserver {
+  /** The time on the clock that counts suspensions of the VM. */
+  readNow(): Millis;
+  handleReply(command: Command, reply: Reply, sentAt: Millis): void;
+}
+
 /** One connection to an instance. Commands may be sent before earlier replies have come. */
 export abstract class InstanceConnection implements PooledConnection {
   /** Session values that were set on this connection. */
@@ -13,6 +20,8 @@
   /** Names of the prepared statements on this connection, by what they run. */
   readonly statements = new Map<string, string>();
 
+  observer: ReplyObserver | undefined;
+
   /** State after the last reply. */
   abstract readonly state: TransactionState;
 
--- a/packages/engine/src/fleet.ts
+++ b/packages/engine/src/fleet.ts
@@ -21,7 +21,6 @@
   readonly clock: Clock;
   readonly log: Log;
   readonly startedAt: number;
-  readonly onChange: () => void;
 }
 
 interface Seen {
@@ -38,6 +37,9 @@
 
   private live: readonly string[];
 
+  /** This VM's places by duty, among the live VMs. */
+  private readonly ranks = new Map<string, number>();
+
   private isKnown = false;
 
   private beat = 0;
@@ -68,7 +70,11 @@
 
   /** This VM's place for a duty; 0 acts first. */
   findRank(duty: string): number {
-    return rankVms(duty, this.live).indexOf(this.options.vm);
+    const known = this.ranks.get(duty);
+    if (known !== undefined) return known;
+    const rank = rankVms(duty, this.live).indexOf(this.options.vm);
+    this.ranks.set(duty, rank);
+    return rank;
   }
 
   private async run(): Promise<void> {
@@ -104,7 +110,7 @@
   }
 
   private async readOthers(): Promise<void> {
-    const { store, clock, vm, log, onChange } = this.options;
+    const { store, clock, vm, log } = this.options;
     const { objects } = await store.list(VMS_KIND, true);
     const now = clock.readNow();
     objects.forEach((object) => this.handleBeat(object, now));
@@ -114,7 +120,7 @@
     if (next.join() === this.live.join()) return;
     log.info('live VMs', { vms: next, before: this.live });
     this.live = next;
-    onChange();
+    this.ranks.clear();
   }
 
   private handleBeat({ name, spec }: StoredObject, now: Millis): void {
--- a/packages/engine/src/group.ts
+++ b/packages/engine/src/group.ts
@@ -146,6 +146,7 @@
     if (this.findLeader(now)) this.leaderLostAt = now;
     const share = this.findShare();
     this.members.forEach((member) => {
+      member.probe.handleTick(now);
       const limit = member.findLimit(share, now);
       member.pool.updateLimit(limit);
       if (member.isUsable()) member.pool.openAhead(Math.min(WARM_CONNECTIONS, limit));
@@ -232,14 +233,15 @@
     const probe = new InstanceProbe({
       ...{ instance, pool, clock, ageClock, log },
       isUrgent: () => this.takeover.isChanging(clock.readNow()),
+      hasLeader: () => this.listMembers().some(({ probe: one }) => one.leads),
       countVms: () => this.options.countVms() ?? 1,
       onResult: ({ leads, position, sentAt }) => {
         if (leads && position) this.samples.add({ position, takenAt: sentAt });
         this.dispatcher.handleTick();
       },
     });
+    pool.observer = probe;
     this.members.set(instance.id, new Member(instance, { pool, probe }));
-    probe.start();
   }
 
   private removeMember(member: Member): void {
--- a/packages/engine/src/index.ts
+++ b/packages/engine/src/index.ts
@@ -2,6 +2,7 @@
 export { ConfigurationHolder } from './configuration.js';
 export type { DatabaseRoute, GroupSettings, ServiceConfiguration } from './configuration.js';
 export { InstanceConnection, InstanceConnector } from './connection.js';
+export type { ReplyObserver } from './connection.js';
 export {
   ConnectionError,
   ConnectionLimitError,
@@ -19,9 +20,12 @@
 export type { Lease } from './lease.js';
 export { createEngineLog } from './log.js';
 export type { Log } from './log.js';
+export { InstancePool } from './member.js';
 export { createCounter, Metrics } from './metrics.js';
 export { ConnectionPool } from './pool.js';
 export type { PooledConnection } from './pool.js';
+export { InstanceProbe } from './probe.js';
+export type { ProbeOptions, ProbeResult } from './probe.js';
 export { Proxy } from './proxy.js';
 export type { CallerHandle } from './proxy.js';
 export { Session } from './session.js';
--- a/packages/engine/src/member.ts
+++ b/packages/engine/src/member.ts
@@ -1,5 +1,5 @@
 import type { Clock, Millis, RegisteredInstance } from '@shallotpick/core';
-import type { InstanceConnection, InstanceConnector } from './connection.js';
+import type { InstanceConnection, InstanceConnector, ReplyObserver } from './connection.js';
 import { ConnectionLimitError } from './errors.js';
 import { ConnectionPool } from './pool.js';
 import type { InstanceProbe } from './probe.js';
@@ -21,6 +21,8 @@
 
 /** The connections to one instance. */
 export class InstancePool extends ConnectionPool<InstanceConnection> {
+  observer: ReplyObserver | undefined;
+
   constructor(
     private readonly connector: InstanceConnector,
     private readonly instance: RegisteredInstance,
@@ -30,7 +32,9 @@
   }
 
   protected override async openConnection(): Promise<InstanceConnection> {
-    return this.connector.open(this.instance, CONNECT_TIMEOUT_MS);
+    const connection = await this.connector.open(this.instance, CONNECT_TIMEOUT_MS);
+    connection.observer = this.observer;
+    return connection;
   }
 }
 
--- a/packages/engine/src/probe.ts
+++ b/packages/engine/src/probe.ts
@@ -5,13 +5,13 @@
   Millis,
   RegisteredInstance,
 } from '@shallotpick/core';
-import type { InstanceConnection } from './connection.js';
+import type { InstanceConnection, ReplyObserver } from './connection.js';
 import { ConnectionLimitError } from './errors.js';
 import type { Log } from './log.js';
 import type { ConnectionPool } from './pool.js';
 import { rollBack } from './run.js';
-import type { Operation, Reply } from './statement.js';
-import { wait, waitAtMost } from './timing.js';
+import type { Command, Operation, Reply } from './statement.js';
+import { waitAtMost } from './timing.js';
 
 /** Gap between two probes of an instance by one VM of a small fleet. */
 const INTERVAL_MS: Millis = 150;
@@ -19,7 +19,7 @@
 const SMALL_FLEET = 8;
 const MAX_INTERVAL_MS: Millis = 600;
 const MAX_LEADER_INTERVAL_MS: Millis = 400;
-/** While the leader changes, its successor is noticed sooner. */
+/** While the leader changes, its successor is noticed sooner; also rarer in a larger fleet. */
 const URGENT_INTERVAL_MS: Millis = 25;
 /** Two failures in a row, a probe and a new connection, make the instance silent. */
 const PROBE_TIMEOUT_MS: Millis = 250;
@@ -50,6 +50,8 @@
   readonly ageClock: Clock;
   readonly log: Log;
   readonly isUrgent: () => boolean;
+  /** True while an instance of the group is known to lead. */
+  readonly hasLeader: () => boolean;
   /** VMs that probe the instance. */
   readonly countVms: () => number;
   readonly onResult: (result: ProbeResult) => void;
@@ -60,9 +62,10 @@
 /**
  * Watches one instance: opening a plain transaction proves that the instance leads, and every
  * answer tells the end of its log. Probes wait for no slot, so an unused connection of the pool
- * carries them, and also the orders of a takeover.
+ * carries them, and also the orders of a takeover. Replies to callers' work tell the same, so
+ * that a busy instance is probed less.
  */
-export class InstanceProbe {
+export class InstanceProbe implements ReplyObserver {
   health: Health = 'unknown';
 
   since: Millis;
@@ -73,21 +76,36 @@
 
   private isStopped = false;
 
+  private isRunning = false;
+
+  /** When the last probe ended, and when the next one is due. */
+  private endedAt: Millis = Number.NEGATIVE_INFINITY;
+
+  private dueAt: Millis = Number.NEGATIVE_INFINITY;
+
   /** The last probe had no answer, and no new connection has been tried since. */
   private isSuspect = false;
 
   /** When an answer came last. */
   private answeredAt: Millis;
 
+  /** When the instance last proved its lead. */
+  private provedAt: Millis;
+
   constructor(private readonly options: ProbeOptions) {
     this.since = options.clock.readNow();
     this.answeredAt = this.since;
+    this.provedAt = this.since;
   }
 
-  start(): void {
-    this.run().catch((error: unknown) => {
-      this.options.log.error('probe ended', { error: String(error) });
-    });
+  /** Starts a probe when one is due. */
+  handleTick(now: Millis): void {
+    if (this.isStopped || this.isRunning) return;
+    const isUrgent = this.options.isUrgent() && now - this.endedAt >= this.findInterval();
+    if (!isUrgent && now < this.dueAt) return;
+    const spare = isUrgent ? 0 : this.findSpareTime(now);
+    if (spare > 0) this.dueAt = now + spare;
+    else this.start();
   }
 
   stop(): void {
@@ -117,10 +135,42 @@
     }
   }
 
-  private async run(): Promise<void> {
-    while (!this.isStopped) {
-      await wait(await this.runRound());
-    }
+  readNow(): Millis {
+    return this.options.ageClock.readNow();
+  }
+
+  /** Takes in a reply to a caller's work. */
+  handleReply({ operation }: Command, { failure, position }: Reply, sentAt: Millis): void {
+    if (this.isStopped || failure || this.health !== 'answering') return;
+    const { clock, onResult } = this.options;
+    this.answeredAt = clock.readNow();
+    this.position = position ?? this.position;
+    const isProof = operation.kind === 'begin' && !operation.isReadOnly;
+    if (!isProof || !this.leads) return;
+    this.provedAt = this.answeredAt;
+    onResult({ leads: true, position, sentAt });
+  }
+
+  /** How long the replies to other work still stand for a probe. */
+  private findSpareTime(now: Millis): Millis {
+    if (this.health !== 'answering' || this.isSuspect || !this.options.hasLeader()) return 0;
+    const knownAt = this.leads ? this.provedAt : this.answeredAt;
+    return knownAt + this.findInterval() - now;
+  }
+
+  private start(): void {
+    this.isRunning = true;
+    this.runRound()
+      .then((pause) => {
+        this.endedAt = this.options.clock.readNow();
+        this.dueAt = this.endedAt + pause;
+      })
+      .catch((error: unknown) => {
+        this.options.log.error('probe failed', { error: String(error) });
+      })
+      .finally(() => {
+        this.isRunning = false;
+      });
   }
 
   /** Probes once; the time until the next probe. */
@@ -140,8 +190,9 @@
 
   private findInterval(): Millis {
     const { isUrgent, countVms } = this.options;
-    if (isUrgent()) return URGENT_INTERVAL_MS;
-    const interval = INTERVAL_MS * Math.max(1, countVms() / SMALL_FLEET);
+    const scale = Math.max(1, countVms() / SMALL_FLEET);
+    if (isUrgent()) return URGENT_INTERVAL_MS * scale;
+    const interval = INTERVAL_MS * scale;
     return Math.min(interval, this.leads ? MAX_LEADER_INTERVAL_MS : MAX_INTERVAL_MS);
   }
 
@@ -174,6 +225,7 @@
     const leads = reply.failure === undefined;
     this.isSuspect = false;
     this.answeredAt = clock.readNow();
+    this.provedAt = this.answeredAt;
     this.updateHealth('answering');
     this.updateLead(leads);
     this.position = reply.position ?? this.position;
--- a/packages/engine/src/run.ts
+++ b/packages/engine/src/run.ts
@@ -33,8 +33,12 @@
   command: Command,
   timeoutMs: Millis,
 ): Promise<Reply> {
+  const { observer } = connection;
+  const sentAt = observer?.readNow() ?? 0;
   try {
-    return await waitAtMost(connection.run(command), timeoutMs);
+    const reply = await waitAtMost(connection.run(command), timeoutMs);
+    observer?.handleReply(command, reply, sentAt);
+    return reply;
   } catch (error) {
     connection.close();
     throw error;
--- a/packages/engine/src/wiring.ts
+++ b/packages/engine/src/wiring.ts
@@ -12,10 +12,10 @@
 import type { ObjectStore, PromotionService, StoredObject } from './store.js';
 import { PROMOTIONS_KIND, TakeoverDriver } from './takeover.js';
 
-/** Part of the time in which a change must be in force that a silent watch may take. */
+/** Part of the time after which a change must be in force that a silent watch may take. */
 const WATCH_PART = 0.6;
 /** Claims are conditional, so a record that is seen late does no harm. */
-const PROMOTIONS_WATCH_MS: Millis = 8_000;
+const PROMOTIONS_WATCH_MS: Millis = 12_000;
 
 /** What a protocol adapter brings. */
 export interface ProxyParts {
@@ -28,6 +28,8 @@
   readonly connector: InstanceConnector;
   /** How long a leaving instance may be sent work. */
   readonly drainMs: Millis;
+  /** Disturbances of connections are forgiven for this long, so watches may go silent within it. */
+  readonly settleMs: Millis;
   /** How soon a configuration is in force everywhere. */
   readonly applyMs: Millis;
   /** Kinds of the objects that the operator and the instances write. */
@@ -82,7 +84,6 @@
   const fleet = new Fleet({
     ...{ vm, store, clock, log },
     startedAt: Date.now(),
-    onChange: () => undefined,
   });
   const follow = (
     kind: string,
@@ -107,7 +108,7 @@
   };
   const configurations = follow(
     parts.configurationKind,
-    parts.applyMs * WATCH_PART,
+    (parts.applyMs + parts.settleMs) * WATCH_PART,
     (objects) => objects.forEach(handleConfiguration),
     (object, isDeleted) => {
       if (!isDeleted) handleConfiguration(object);
@@ -123,7 +124,7 @@
     handleInstances(objects);
     source.proxy?.applyRoster();
   };
-  const watchMs = drainMs * WATCH_PART;
+  const watchMs = (drainMs + parts.settleMs) * WATCH_PART;
   const instances = follow(parts.instancesKind, watchMs, handleInstances, (object, isDeleted) => {
     const decoded = isDeleted ? undefined : parts.decodeInstance(object);
     if (decoded) source.proxy?.roster.update(decoded);
--- a/packages/engine/test/session.spec.ts
+++ b/packages/engine/test/session.spec.ts
@@ -51,7 +51,15 @@
     } satisfies RegisteredInstance),
   );
   const running = createProxy({
-    ...{ vm: 'vm', zone: 'z', drainMs: 7_000, applyMs: 3_000, store, metrics: new Metrics() },
+    ...{
+      vm: 'vm',
+      zone: 'z',
+      drainMs: 7_000,
+      settleMs: 4_000,
+      applyMs: 3_000,
+      store,
+      metrics: new Metrics(),
+    },
     log: createEngineLog('error', 'test'),
     promotions: new FakePromotions(),
     connector: new FakeConnector(
