Add an emulator of the users' platform and a fault soak of the real program

Change: packages/emulator serves the store, promotions and groups with a synchronous replica over real sockets, and a proxy that delays, resets, cuts one way, silences or refuses; packages/soak runs the bundled program as processes, injects series of faults that overlap and checks the promises from what callers, instances and the platform see. The codec reads the messages that it writes, so the emulator shares it.

--- /dev/null
+++ b/packages/emulator/src/api.ts
@@ -0,0 +1,108 @@
+import type { Millis } from '@shallotpick/core';
+import * as z from 'zod';
+import { type HttpRequest, type HttpResult, HttpService } from './http.js';
+import type { EmulatorObserver } from './observer.js';
+import type { EmulatedStore, StoreOutcome } from './store.js';
+
+const STATUS_OK = 200;
+const STATUS_BAD = 400;
+const STATUS_NOT_FOUND = 404;
+const STATUS_CONFLICT = 409;
+const STATUS_GONE = 410;
+/** Objects that one page of a list holds at most. */
+const PAGE = 500;
+const MAX_WAIT_MS: Millis = 30_000;
+const MAX_LATE_MS: Millis = 6_000;
+
+const writeSchema = z.object({
+  meta: z.object({ name: z.string(), revision: z.number().optional() }),
+  spec: z.unknown(),
+});
+
+const promotionSchema = z.object({ service: z.string(), id: z.string() });
+
+/** How the store treats writes whose answer is lost. */
+export interface StoreFaults {
+  /** Part of the writes that are carried out, some of them late, without an answer. */
+  lostWrites: number;
+  random: () => number;
+}
+
+function toResult(outcome: StoreOutcome): HttpResult {
+  if (outcome.kind === 'missing') return { status: STATUS_NOT_FOUND };
+  const status = outcome.kind === 'written' ? STATUS_OK : STATUS_CONFLICT;
+  return { status, body: outcome.object };
+}
+
+async function watch(store: EmulatedStore, kind: string, url: URL): Promise<HttpResult> {
+  const after = Number(url.searchParams.get('watch'));
+  const waitMs = Math.min(MAX_WAIT_MS, Number(url.searchParams.get('wait_ms') ?? 0));
+  const deadline = performance.now() + waitMs;
+  for (;;) {
+    const events = store.listEvents(kind, after);
+    if (!events) return { status: STATUS_GONE };
+    const remaining = deadline - performance.now();
+    if (events.length > 0 || remaining <= 0) {
+      const told = events.map(({ object, deleted }) => ({ object, deleted }));
+      return { status: STATUS_OK, body: { events: told, store_revision: store.revision } };
+    }
+    await store.waitForChange(remaining);
+  }
+}
+
+function list(store: EmulatedStore, kind: string, url: URL): HttpResult {
+  const after = url.searchParams.get('after') ?? '';
+  const rest = store.list(kind).filter(({ meta }) => meta.name > after);
+  const items = rest.slice(0, PAGE);
+  const more = rest.length > PAGE;
+  return { status: STATUS_OK, body: { items, more, store_revision: store.revision } };
+}
+
+function write(store: EmulatedStore, { method, url, body }: HttpRequest): HttpResult {
+  const [, , , kind = '', name] = url.pathname.split('/').map(decodeURIComponent);
+  if (method === 'DELETE') return toResult(store.remove(kind, name ?? ''));
+  const parsed = writeSchema.safeParse(body);
+  if (!parsed.success) return { status: STATUS_BAD };
+  const { meta, spec } = parsed.data;
+  if (method === 'POST') return toResult(store.create(kind, meta.name, spec));
+  return toResult(store.replace(kind, name ?? meta.name, spec, meta.revision));
+}
+
+/** Serves a store as the platform does. */
+export function createStoreService(store: EmulatedStore, faults: StoreFaults): HttpService {
+  return new HttpService(async (request) => {
+    const { method, url } = request;
+    if (method !== 'GET') {
+      if (faults.random() >= faults.lostWrites) return write(store, request);
+      setTimeout(() => write(store, request), faults.random() * MAX_LATE_MS);
+      return undefined;
+    }
+    const [, , , kind = '', name] = url.pathname.split('/').map(decodeURIComponent);
+    if (name !== undefined) {
+      const object = store.find(kind, name);
+      return object ? { status: STATUS_OK, body: object } : { status: STATUS_NOT_FOUND };
+    }
+    return url.searchParams.has('watch') ? watch(store, kind, url) : list(store, kind, url);
+  });
+}
+
+/**
+ * Serves promotions: refuses a generation below one that was seen for the group, and names the
+ * orders to the observer.
+ */
+export function createPromotionService(
+  promote: (group: string, instance: string) => boolean,
+  observer: EmulatorObserver,
+): HttpService {
+  const highest = new Map<string, number>();
+  return new HttpService(async ({ headers, body }) => {
+    const parsed = promotionSchema.safeParse(body);
+    if (!parsed.success) return { status: STATUS_BAD };
+    const { service: group, id } = parsed.data;
+    const generation = Number(headers['x-fencing-token']);
+    if (generation < (highest.get(group) ?? 0)) return { status: STATUS_CONFLICT };
+    highest.set(group, generation);
+    observer.handleOrder({ group, holder: String(headers['x-lease-holder']), generation });
+    return { status: promote(group, id) ? STATUS_OK : STATUS_CONFLICT };
+  });
+}
--- /dev/null
+++ b/packages/emulator/src/group.ts
@@ -0,0 +1,174 @@
+import type { Millis } from '@shallotpick/core';
+import { type Operation, wait } from '@shallotpick/engine';
+import { EmulatedInstance, type EmulatedInstanceOptions } from './instance.js';
+import type { ItemWrite, LogEntry } from './log.js';
+import { EmulatorObserver } from './observer.js';
+
+/** Gap between two looks at whether a replica has received a commit. */
+const POLL_MS: Millis = 1;
+
+export interface EmulatedGroupOptions {
+  readonly name: string;
+  readonly synchronousReplicas: number;
+  /** Time from an order of promotion until it is carried out. */
+  readonly promoteMs: Millis;
+  /** Time that an entry takes to a replica. */
+  readonly shipMs: Millis;
+  /** Time from the receipt of an entry until reads see it. */
+  readonly applyMs: Millis;
+  readonly instance: Omit<EmulatedInstanceOptions, 'id' | 'zone'>;
+}
+
+/**
+ * A leader and its replicas. A commit is acknowledged once a replica has received it; only an
+ * order of promotion changes the leader.
+ */
+export class EmulatedGroup {
+  instances: readonly EmulatedInstance[] = [];
+
+  term = 1;
+
+  /** Cuts the leader from its replicas. */
+  isSplit = false;
+
+  private nextInstance = 1;
+
+  constructor(
+    readonly options: EmulatedGroupOptions,
+    readonly observer: EmulatorObserver,
+  ) {}
+
+  get name(): string {
+    return this.options.name;
+  }
+
+  findLeader(): EmulatedInstance | undefined {
+    return this.instances.find(({ leads }) => leads);
+  }
+
+  /** Adds an instance and starts it; a replica receives the whole log of the leader. */
+  async add(zone: string): Promise<EmulatedInstance> {
+    const id = `${this.name}-${this.nextInstance}`;
+    this.nextInstance += 1;
+    const instance = new EmulatedInstance({ ...this.options.instance, id, zone }, this);
+    instance.term = this.term;
+    instance.leads = this.instances.length === 0;
+    this.instances = [...this.instances, instance];
+    await instance.start(0);
+    return instance;
+  }
+
+  /** Removes an instance with its log. */
+  async remove(instance: EmulatedInstance): Promise<void> {
+    await instance.stop();
+    this.instances = this.instances.filter((one) => one !== instance);
+  }
+
+  /** Appends a commit at the leader and waits until a replica holds it; false when it is in doubt. */
+  async commit(leader: EmulatedInstance, writes: readonly ItemWrite[]): Promise<boolean> {
+    const { synchronousReplicas } = this.options;
+    const entry: LogEntry = { term: this.term, writes };
+    const { log } = leader;
+    log.entries.push(entry);
+    const { length } = log.entries;
+    const { term } = this;
+    this.ship(leader, length, entry);
+    for (;;) {
+      if (!leader.isAlive || !leader.leads || this.term !== term) return false;
+      const holders = this.instances.filter(
+        (one) => one !== leader && this.holds(one, entry, length),
+      );
+      if (holders.length >= synchronousReplicas) break;
+      await wait(POLL_MS);
+    }
+    log.apply(length);
+    this.observer.handleCommit({ group: this.name, instance: leader.id, entry, offset: length });
+    return true;
+  }
+
+  /** Carries out an order to an instance. */
+  handleOrder(instance: EmulatedInstance, order: Operation): void {
+    const target = instance;
+    if (order.kind === 'resume') target.heldTerm = 0;
+    if (order.kind !== 'pause' && order.kind !== 'stepDown') return;
+    if (order.term <= instance.term) return;
+    if (order.kind === 'pause' && !instance.leads) target.heldTerm = order.term;
+    if (order.kind === 'stepDown') target.leads = false;
+  }
+
+  /** Orders a promotion; false when the instance does not run. */
+  promote(id: string): boolean {
+    const instance = this.instances.find((one) => one.id === id);
+    if (!instance?.isAlive) return false;
+    if (!instance.leads) setTimeout(() => this.finishPromotion(instance), this.options.promoteMs);
+    return true;
+  }
+
+  /** Lets replicas receive what they lack; called in short intervals. */
+  handleTick(): void {
+    const leader = this.findLeader();
+    if (!leader?.isAlive) return;
+    this.instances.forEach((replica) => this.catchUp(leader, replica));
+  }
+
+  private holds(instance: EmulatedInstance, entry: LogEntry, length: number): boolean {
+    return instance.isAlive && instance.log.entries[length - 1] === entry;
+  }
+
+  private isReceiving(leader: EmulatedInstance, replica: EmulatedInstance): boolean {
+    const isOpen = !this.isSplit && !replica.isDeaf && replica.heldTerm === 0;
+    return replica !== leader && replica.isAlive && isOpen;
+  }
+
+  private ship(leader: EmulatedInstance, length: number, entry: LogEntry): void {
+    this.instances.forEach((replica) => {
+      setTimeout(() => {
+        if (!leader.isAlive || !leader.leads || !this.isReceiving(leader, replica)) return;
+        if (replica.log.entries.length === length - 1) replica.log.entries.push(entry);
+        this.applyLater(replica, length);
+      }, this.options.shipMs);
+    });
+  }
+
+  private catchUp(leader: EmulatedInstance, replica: EmulatedInstance): void {
+    if (!this.isReceiving(leader, replica)) return;
+    const { entries } = replica.log;
+    const missing = leader.log.entries.slice(entries.length);
+    if (missing.length === 0) return;
+    setTimeout(() => {
+      if (!leader.leads || !this.isReceiving(leader, replica)) return;
+      const next = replica.log.entries.length;
+      replica.log.entries.push(...leader.log.entries.slice(next));
+      this.applyLater(replica, replica.log.entries.length);
+    }, this.options.shipMs);
+  }
+
+  private applyLater(replica: EmulatedInstance, length: number): void {
+    setTimeout(() => {
+      if (replica.isAlive && !replica.leads) replica.log.apply(length);
+    }, this.options.applyMs);
+  }
+
+  private finishPromotion(instance: EmulatedInstance): void {
+    if (!instance.isAlive || instance.leads) return;
+    this.term += 1;
+    const { entries } = instance.log;
+    instance.log.apply(entries.length);
+    this.instances.forEach((one) => {
+      const other = one;
+      other.leads = one === instance;
+      other.term = this.term;
+      if (one === instance) other.heldTerm = 0;
+      else this.rollBack(other, entries);
+    });
+    const { name: group, term } = this;
+    this.observer.handlePromotion({ group, instance: instance.id, term, entries });
+  }
+
+  /** Drops what the new leader does not hold. */
+  private rollBack(instance: EmulatedInstance, entries: readonly LogEntry[]): void {
+    const own = instance.log.entries;
+    const same = own.findIndex((entry, index) => entry !== entries[index]);
+    if (same >= 0) instance.log.reset(own.slice(0, same));
+  }
+}
--- /dev/null
+++ b/packages/emulator/src/http.ts
@@ -0,0 +1,79 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+
+const STATUS_UNAVAILABLE = 503;
+const STATUS_ERROR = 500;
+
+export interface HttpResult {
+  readonly status: number;
+  readonly body?: unknown;
+}
+
+async function readBody(request: IncomingMessage): Promise<unknown> {
+  const chunks: Buffer[] = [];
+  for await (const chunk of request) chunks.push(chunk as Buffer);
+  const text = Buffer.concat(chunks).toString('utf8');
+  return text === '' ? undefined : JSON.parse(text);
+}
+
+/** A call as a service of the platform sees it. */
+export interface HttpRequest {
+  readonly method: string;
+  readonly url: URL;
+  readonly headers: IncomingMessage['headers'];
+  readonly body: unknown;
+}
+
+/** What a service does with a call; undefined leaves it without an answer. */
+export type HttpHandler = (request: HttpRequest) => Promise<HttpResult | undefined>;
+
+/** An HTTP service on a port of loopback, which can be made to refuse everything. */
+export class HttpService {
+  isDown = false;
+
+  port = 0;
+
+  /** Calls so far. */
+  calls = 0;
+
+  private readonly server: Server;
+
+  constructor(private readonly handler: HttpHandler) {
+    this.server = createServer((request, response) => {
+      this.handle(request, response).catch(() => {
+        if (!response.headersSent) response.writeHead(STATUS_ERROR);
+        response.end();
+      });
+    });
+  }
+
+  async start(): Promise<void> {
+    await new Promise<void>((resolve) => {
+      this.server.listen(0, '127.0.0.1', resolve);
+    });
+    const address = this.server.address();
+    if (address && typeof address === 'object') this.port = address.port;
+  }
+
+  async stop(): Promise<void> {
+    this.server.closeAllConnections();
+    await new Promise<void>((resolve) => {
+      this.server.close(() => resolve());
+    });
+  }
+
+  private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    this.calls += 1;
+    const body = await readBody(request);
+    const url = new URL(request.url ?? '/', 'http://127.0.0.1');
+    const { method = 'GET', headers } = request;
+    const result = this.isDown
+      ? { status: STATUS_UNAVAILABLE }
+      : await this.handler({ method, url, headers, body });
+    if (!result) {
+      request.socket.destroy();
+      return;
+    }
+    const text = result.body === undefined ? '' : JSON.stringify(result.body);
+    response.writeHead(result.status, { 'content-type': 'application/json' }).end(text);
+  }
+}
--- /dev/null
+++ b/packages/emulator/src/instance.ts
@@ -0,0 +1,127 @@
+import { createServer, type Server, type Socket } from 'node:net';
+import type { InstanceRole, LogPosition, Millis } from '@shallotpick/core';
+import { wait } from '@shallotpick/engine';
+import type { EmulatedGroup } from './group.js';
+import { InstanceLog } from './log.js';
+import { InstanceSession } from './session.js';
+import { Slots } from './slots.js';
+
+export interface EmulatedInstanceOptions {
+  readonly id: string;
+  readonly zone: string;
+  readonly slots: number;
+  readonly connectionLimit: number;
+  /** Time that a statement keeps a slot. */
+  readonly workMs: Millis;
+  /** Time that a new connection keeps a slot. */
+  readonly connectMs: Millis;
+}
+
+/** One database instance: its log, its connections and its server. */
+export class EmulatedInstance {
+  readonly log = new InstanceLog();
+
+  /** Accepts connections and receives entries. */
+  isAlive = false;
+
+  leads = false;
+
+  leaving = false;
+
+  /** Receives nothing, without an order. */
+  isDeaf = false;
+
+  /** Term of the order that keeps the instance from receiving; 0 when it receives. */
+  heldTerm = 0;
+
+  /** Newest term that the instance has seen. */
+  term = 1;
+
+  /** When the process started, Unix milliseconds. */
+  startedAt = 0;
+
+  /** Status report number since the start. */
+  sequence = 0;
+
+  port = 0;
+
+  private slots: Slots;
+
+  private server: Server | undefined;
+
+  private readonly sessions = new Set<InstanceSession>();
+
+  constructor(
+    readonly options: EmulatedInstanceOptions,
+    readonly group: EmulatedGroup,
+  ) {
+    this.slots = new Slots(options.slots);
+  }
+
+  get id(): string {
+    return this.options.id;
+  }
+
+  get role(): InstanceRole {
+    return this.leads ? 'primary' : 'replica';
+  }
+
+  readPosition(): LogPosition {
+    return this.log.readPosition();
+  }
+
+  /** Starts the process on `port`; 0 picks one. */
+  async start(port = this.port): Promise<void> {
+    this.isAlive = true;
+    this.startedAt = Date.now();
+    this.sequence = 0;
+    this.heldTerm = 0;
+    this.slots = new Slots(this.options.slots);
+    const server = createServer((socket) => this.accept(socket));
+    this.server = server;
+    await new Promise<void>((resolve, reject) => {
+      server.once('error', reject);
+      server.listen(port, '127.0.0.1', resolve);
+    });
+    const address = server.address();
+    if (address && typeof address === 'object') this.port = address.port;
+  }
+
+  /** Ends the process: its connections break, its log stays. */
+  async stop(): Promise<void> {
+    this.isAlive = false;
+    const { server } = this;
+    this.server = undefined;
+    this.sessions.forEach((session) => session.close());
+    this.sessions.clear();
+    if (!server) return;
+    await new Promise<void>((resolve) => {
+      server.close(() => resolve());
+    });
+  }
+
+  countConnections(): number {
+    return this.sessions.size;
+  }
+
+  hasRoom(): boolean {
+    return this.sessions.size <= this.options.connectionLimit;
+  }
+
+  /** Keeps a slot for the time of a statement. */
+  async work(durationMs: Millis = this.options.workMs): Promise<void> {
+    await this.slots.run(() => wait(durationMs));
+  }
+
+  removeSession(session: InstanceSession): void {
+    this.sessions.delete(session);
+  }
+
+  private accept(socket: Socket): void {
+    if (!this.isAlive) {
+      socket.destroy();
+      return;
+    }
+    this.sessions.add(new InstanceSession(socket, this));
+  }
+}
--- /dev/null
+++ b/packages/emulator/src/session.ts
@@ -0,0 +1,246 @@
+import { randomBytes } from 'node:crypto';
+import type { Socket } from 'node:net';
+import { hasPosition } from '@shallotpick/core';
+import type { Command, Operation, TransactionState, Verdict } from '@shallotpick/engine';
+import {
+  ENCODING,
+  formatFailure,
+  formatReady,
+  formatPosition,
+  LINE_END,
+  LineReader,
+  type Message,
+  NONE,
+  parseCommand,
+  parseMessage,
+} from '@shallotpick/platform';
+import { match, P } from 'ts-pattern';
+import type { EmulatedInstance } from './instance.js';
+import type { ItemWrite } from './log.js';
+
+const DIGEST_BYTES = 8;
+
+/** What a command gave: rows, or the reason of a failure. */
+type Result = { readonly rows: readonly string[] } | { readonly verdict: Verdict };
+
+interface OpenTransaction {
+  readonly isPlain: boolean;
+  /** Term in which the instance led when the transaction began. */
+  readonly term: number;
+  readonly writes: ItemWrite[];
+}
+
+interface Prepared {
+  readonly access: 'read' | 'write';
+  readonly shape: string;
+}
+
+const DONE: Result = { rows: [] };
+
+function isFailed(result: Result): result is { readonly verdict: Verdict } {
+  return 'verdict' in result;
+}
+
+/** One connection to an emulated instance. */
+export class InstanceSession {
+  private readonly reader = new LineReader();
+
+  private readonly queue: string[] = [];
+
+  private isRunning = false;
+
+  private isConnected = false;
+
+  private transaction: OpenTransaction | undefined;
+
+  private hasFailed = false;
+
+  private readonly values = new Map<string, string>();
+
+  private readonly prepared = new Map<string, Prepared>();
+
+  constructor(
+    private readonly socket: Socket,
+    private readonly instance: EmulatedInstance,
+  ) {
+    socket.setNoDelay(true);
+    socket.on('data', (chunk) => this.handleData(chunk));
+    socket.on('error', () => socket.destroy());
+    socket.on('close', () => instance.removeSession(this));
+  }
+
+  close(): void {
+    this.socket.destroy();
+  }
+
+  private handleData(chunk: Buffer): void {
+    this.queue.push(...this.reader.read(chunk));
+    this.run().catch(() => this.close());
+  }
+
+  private async run(): Promise<void> {
+    if (this.isRunning) return;
+    this.isRunning = true;
+    for (let line = this.queue.shift(); line !== undefined; line = this.queue.shift()) {
+      await this.handleMessage(parseMessage(line));
+    }
+    this.isRunning = false;
+  }
+
+  private async handleMessage(message: Message): Promise<void> {
+    if (message.kind === 'goodbye') this.close();
+    else if (message.kind === 'connect') await this.connect(message);
+    else if (this.isConnected) await this.query(message.id, message.text);
+    else this.close();
+  }
+
+  private async connect({ target, instance: id }: Message & { kind: 'connect' }): Promise<void> {
+    const { instance } = this;
+    const isExpected = id === undefined || id === instance.id;
+    if (!isExpected || target !== instance.group.name) {
+      this.socket.end(formatFailure({ verdict: 'wrongInstance', reason: id ?? '' }) + LINE_END);
+    } else if (!instance.hasRoom()) {
+      this.socket.end(formatFailure({ verdict: 'tooManyConnections', reason: '' }) + LINE_END);
+    } else {
+      await instance.work(instance.options.connectMs);
+      this.isConnected = true;
+      this.write([formatReady('idle', instance.readPosition())]);
+    }
+  }
+
+  private async query(id: string, text: string): Promise<void> {
+    const command = parseCommand(id, text);
+    const result: Result = command ? await this.runCommand(command) : { verdict: 'malformed' };
+    if (!this.instance.isAlive) {
+      this.close();
+      return;
+    }
+    if (isFailed(result) && this.transaction) this.hasFailed = true;
+    const digest = command?.id === undefined ? NONE : randomBytes(DIGEST_BYTES).toString('hex');
+    const body = isFailed(result)
+      ? [formatFailure({ verdict: result.verdict, reason: this.instance.id })]
+      : [...result.rows.map((row) => `ROW ${row}`), `DONE ${digest}`];
+    this.write([...body, formatReady(this.readState(), this.readVisible())]);
+  }
+
+  private readVisible() {
+    const { log } = this.instance;
+    return log.readPosition(log.applied);
+  }
+
+  private readState(): TransactionState {
+    if (!this.transaction) return 'idle';
+    return this.hasFailed ? 'failed' : 'open';
+  }
+
+  private async runCommand(command: Command): Promise<Result> {
+    const { operation, after } = command;
+    if (this.hasFailed && !['rollback', 'commit'].includes(operation.kind)) {
+      return { verdict: 'malformed' };
+    }
+    if (after && !hasPosition(this.readVisible(), after)) return { verdict: 'lagging' };
+    return match(operation)
+      .with({ kind: P.union('read', 'write', 'execute') }, (data) => this.runData(command, data))
+      .with({ kind: 'commit' }, () => this.commit(command))
+      .otherwise((other) => this.runControl(other));
+  }
+
+  private runControl(operation: Operation): Result {
+    const { instance } = this;
+    return match(operation)
+      .with({ kind: 'begin' }, ({ isReadOnly }) => this.begin(!isReadOnly))
+      .with({ kind: 'rollback' }, () => this.end())
+      .with({ kind: 'set' }, ({ name, value }) => {
+        this.values.set(name, value);
+        return DONE;
+      })
+      .with({ kind: 'prepare' }, ({ name, access, shape }) => {
+        this.prepared.set(name, { access, shape });
+        return DONE;
+      })
+      .with({ kind: 'reset' }, () => {
+        this.values.clear();
+        this.prepared.clear();
+        return DONE;
+      })
+      .with({ kind: P.union('status', 'pause', 'stepDown', 'resume') }, (order) => {
+        instance.group.handleOrder(instance, order);
+        const received = formatPosition(instance.readPosition());
+        const { term, heldTerm } = instance;
+        const load = `0 0 ${instance.countConnections()}`;
+        return { rows: [`${instance.role} ${term} ${received} ${heldTerm} ${load}`] };
+      })
+      .otherwise(() => ({ verdict: 'malformed' as const }));
+  }
+
+  private begin(isPlain: boolean): Result {
+    if (this.transaction) return { verdict: 'malformed' };
+    if (isPlain && !this.instance.leads) return { verdict: 'readOnly' };
+    this.transaction = { isPlain, term: this.instance.term, writes: [] };
+    return DONE;
+  }
+
+  private end(): Result {
+    this.transaction = undefined;
+    this.hasFailed = false;
+    return DONE;
+  }
+
+  /** True when a plain transaction goes on at an instance that has lost the lead since. */
+  private hasLostLead({ isPlain, term }: OpenTransaction): boolean {
+    return isPlain && (!this.instance.leads || this.instance.term !== term);
+  }
+
+  private async runData(
+    command: Command,
+    operation: Operation & { kind: 'read' | 'write' | 'execute' },
+  ): Promise<Result> {
+    const { instance, transaction } = this;
+    const prepared = operation.kind === 'execute' ? this.prepared.get(operation.name) : undefined;
+    if (operation.kind === 'execute' && !prepared) return { verdict: 'unknownStatement' };
+    const [, item = '', data = ''] = /^(?:\S+) (\S+) ?(.*)$/.exec(
+      operation.kind === 'execute' ? `EXECUTE ${operation.rest}` : operation.text,
+    ) ?? [''];
+    const isWrite = operation.kind === 'write' || prepared?.access === 'write';
+    const isRefused = transaction
+      ? this.hasLostLead(transaction) || (isWrite && !transaction.isPlain)
+      : isWrite && !instance.leads;
+    if (isRefused) return { verdict: 'readOnly' };
+    await instance.work();
+    this.report(command);
+    if (!isWrite) return { rows: [`${item} ${instance.log.read(item) ?? NONE}`] };
+    if (transaction) transaction.writes.push({ item, data });
+    else if (!(await instance.group.commit(instance, [{ item, data }]))) {
+      return { verdict: 'failed' };
+    }
+    return { rows: [`${item} ${data}`] };
+  }
+
+  private async commit(command: Command): Promise<Result> {
+    const { transaction, instance } = this;
+    if (!transaction || this.hasFailed) {
+      this.end();
+      return { verdict: 'aborted' };
+    }
+    const { writes } = transaction;
+    if (writes.length > 0 && this.hasLostLead(transaction)) {
+      this.end();
+      return { verdict: 'readOnly' };
+    }
+    await instance.work();
+    this.report(command);
+    const isCommitted = writes.length === 0 || (await instance.group.commit(instance, writes));
+    this.end();
+    return isCommitted ? DONE : { verdict: 'failed' };
+  }
+
+  private report({ id, operation }: Command): void {
+    const { values, instance } = this;
+    instance.group.observer.handleStatement({ id, instance: instance.id, values, operation });
+  }
+
+  private write(lines: readonly string[]): void {
+    if (!this.socket.writable) return;
+    this.socket.write(lines.map((line) => line + LINE_END).join(''), ENCODING);
+  }
+}
--- /dev/null
+++ b/packages/emulator/src/wire.ts
@@ -0,0 +1,56 @@
+import type { DatabaseRoute, GroupSettings } from '@shallotpick/engine';
+import type { EmulatedInstance } from './instance.js';
+
+/** The configuration as an operator sets it. */
+export interface EmulatedConfiguration {
+  readonly version: number;
+  readonly routes: readonly DatabaseRoute[];
+  readonly groups: readonly GroupSettings[];
+  readonly transactionIdleMs: number;
+}
+
+function findRouteType({ contract, readsOwnWrites }: DatabaseRoute): string {
+  if (contract.maxAgeMs <= 0) return 'primary';
+  return readsOwnWrites ? 'read_your_writes' : 'bounded_staleness';
+}
+
+/** Encodes a configuration as the operator writes it to the store. */
+export function encodeConfiguration(configuration: EmulatedConfiguration): unknown {
+  const { version, routes, groups, transactionIdleMs } = configuration;
+  return {
+    version,
+    routes: routes.map((route) => ({
+      host: route.database,
+      service: route.group,
+      route_type: findRouteType(route),
+      max_staleness_ms: route.contract.maxAgeMs,
+      timeout_ms: route.timeoutMs,
+      target_latency_ms: route.targetLatencyMs,
+      priority: route.priority,
+    })),
+    services: groups.map(({ name, connectionLimit, synchronousReplicas }) => ({
+      name,
+      max_conns: connectionLimit,
+      sync_replicas: synchronousReplicas,
+    })),
+    limits: { tx_idle_ms: transactionIdleMs },
+  };
+}
+
+/** Encodes the entry by which an instance registers itself at `address`. */
+export function encodeInstance(instance: EmulatedInstance, address: string): unknown {
+  const { options, leaving, role, startedAt, sequence, group } = instance;
+  return {
+    service: group.name,
+    addr: address,
+    zone: options.zone,
+    version: 'v1',
+    slots: options.slots,
+    state: leaving ? 'draining' : 'ready',
+    cold_left_ms: 0,
+    db_role: role,
+    born: startedAt,
+    // Entries change only when more than the report number does.
+    sequence: sequence > 0 ? 1 : 0,
+  };
+}
--- /dev/null
+++ b/packages/soak/src/main.ts
@@ -0,0 +1,50 @@
+import { join, resolve } from 'node:path';
+import { parseArgs } from 'node:util';
+import { runSoak } from './soak.js';
+
+const DEFAULT_WINDOW_MS = 12_000;
+/** A run of the default size has a series of faults for each of these. */
+const MS_PER_SERIES = 1_500;
+
+/** Runs the seeds one after the other; exits with 1 when a promise broke. */
+async function runCommand(): Promise<void> {
+  const { values } = parseArgs({
+    options: {
+      seed: { type: 'string', default: '1' },
+      runs: { type: 'string', default: '1' },
+      vms: { type: 'string', default: '4' },
+      groups: { type: 'string', default: '2' },
+      callers: { type: 'string', default: '24' },
+      window: { type: 'string', default: String(DEFAULT_WINDOW_MS) },
+      series: { type: 'string' },
+      program: { type: 'string', default: join('target', 'shallotpick.cjs') },
+      logs: { type: 'string', default: join('target', 'soak') },
+    },
+  });
+  const windowMs = Number(values.window);
+  const series = Number(values.series ?? Math.ceil(windowMs / MS_PER_SERIES));
+  for (let index = 0; index < Number(values.runs); index++) {
+    const seed = Number(values.seed) + index;
+    const report = await runSoak({
+      ...{ seed, windowMs, series, vms: Number(values.vms), groups: Number(values.groups) },
+      callers: Number(values.callers),
+      program: resolve(values.program),
+      directory: resolve(values.logs),
+    });
+    const isKept = report.problems.length === 0;
+    const verdict = isKept ? 'every promise held' : `${report.problems.length} problems`;
+    const kinds = report.faults.map(({ kind, at }) => `${kind}@${at}`).join(' ');
+    process.stdout.write(
+      `seed ${seed}: ${verdict}; ${JSON.stringify(report.counts)}; faults ${kinds}\n`,
+    );
+    if (isKept) continue;
+    report.lines.forEach((line) => process.stdout.write(`  ${line}\n`));
+    process.stdout.write(`  logs: ${join(values.logs, `seed-${seed}`)}\n`);
+    process.exitCode = 1;
+  }
+}
+
+await runCommand();
+// Connections that were silenced on purpose would hold the process.
+// eslint-disable-next-line n/no-process-exit
+process.exit();
--- /dev/null
+++ b/packages/soak/src/vm.ts
@@ -0,0 +1,210 @@
+import { type ChildProcess, spawn } from 'node:child_process';
+import { createWriteStream, type WriteStream } from 'node:fs';
+import { writeFile } from 'node:fs/promises';
+import { join } from 'node:path';
+import { findFreePorts } from '@shallotpick/bench';
+import type { Millis } from '@shallotpick/core';
+import { FaultProxy } from '@shallotpick/emulator';
+
+/** Longest time from SIGTERM to the end of a process. */
+export const GRACE_MS: Millis = 6_000;
+const GRACE_SLACK_MS: Millis = 1_500;
+/** Time in which a change of the configuration has to be in force. */
+export const APPLY_MS: Millis = 3_000;
+/** Time in which a leaving instance has to be left alone. */
+export const DRAIN_MS: Millis = 7_000;
+const SETTLE_MS: Millis = 4_000;
+const READY_TIMEOUT_MS: Millis = 300;
+const STATUS_OK = 200;
+
+/** A process that is asked to stop while it starts ends by the signal. */
+const STARTUP_MS: Millis = 1_000;
+
+/** Steps the time of day of the process on SIGUSR2, and back on the next one. */
+const CLOCK_STEP = `
+const readTime = Date.now.bind(Date);
+let offsetMs = 0;
+process.on('SIGUSR2', () => { offsetMs = offsetMs === 0 ? 4000 : 0; });
+Date.now = () => readTime() + offsetMs;
+`;
+
+export interface VmOptions {
+  readonly name: string;
+  readonly zone: string;
+  /** Loopback address of the VM, so that its metrics port is its own. */
+  readonly host: string;
+  /** The bundled program. */
+  readonly program: string;
+  readonly directory: string;
+  readonly storePort: number;
+  readonly promotionPort: number;
+  readonly reportProblem: (promise: string, detail: string) => void;
+}
+
+/** One process of the program under test, with proxies before everything that it talks to. */
+export class SoakVm {
+  readonly store: FaultProxy;
+
+  readonly promotions: FaultProxy;
+
+  readonly callers: FaultProxy;
+
+  /** A stop was requested, and the process has not ended. */
+  isStopping = false;
+
+  isPaused = false;
+
+  private child: ChildProcess | undefined;
+
+  private ports: readonly number[] = [];
+
+  private readonly log: WriteStream;
+
+  private startedAt: Millis = 0;
+
+  /** Why the process may end now. */
+  private expectedEnd: 'none' | 'stop' | 'kill' = 'none';
+
+  constructor(private readonly options: VmOptions) {
+    const { name, directory, storePort, promotionPort } = options;
+    this.store = new FaultProxy(() => storePort);
+    this.promotions = new FaultProxy(() => promotionPort);
+    this.callers = new FaultProxy(() => this.ports[0] ?? 0, options.host);
+    this.log = createWriteStream(join(directory, `${name}.log`), { flags: 'a' });
+  }
+
+  get name(): string {
+    return this.options.name;
+  }
+
+  isRunning(): boolean {
+    return this.child !== undefined;
+  }
+
+  /** Prepares addresses and settings, and starts the process. */
+  async open(): Promise<void> {
+    await Promise.all([this.store.start(), this.promotions.start(), this.callers.start()]);
+    this.ports = await findFreePorts(2);
+    const { directory, name } = this.options;
+    await writeFile(join(directory, `${name}.json`), JSON.stringify(this.createSettings()));
+    await writeFile(join(directory, 'clock.cjs'), CLOCK_STEP);
+    this.start();
+  }
+
+  start(): void {
+    if (this.child) return;
+    const { directory, name, program } = this.options;
+    const child = spawn(process.execPath, ['--require', join(directory, 'clock.cjs'), program], {
+      env: { PATH: process.env.PATH, SHALLOTPICK_BOOT: join(directory, `${name}.json`) },
+      stdio: ['ignore', 'pipe', 'pipe'],
+    });
+    child.stdout.pipe(this.log, { end: false });
+    child.stderr.pipe(this.log, { end: false });
+    child.on('exit', (code, signal) => this.handleExit(code, signal));
+    this.child = child;
+    this.startedAt = performance.now();
+    this.expectedEnd = 'none';
+    this.isStopping = false;
+    this.isPaused = false;
+  }
+
+  /** Asks the process to end, as the platform does: SIGKILL follows after the grace time. */
+  async stop(): Promise<void> {
+    const { child } = this;
+    if (!child || this.isStopping) return;
+    this.isStopping = true;
+    this.expectedEnd = 'stop';
+    await this.waitForExit(child, 'SIGTERM', GRACE_MS + GRACE_SLACK_MS);
+    if (this.child !== child) return;
+    this.options.reportProblem('a process ends in its grace time', this.name);
+    await this.kill();
+  }
+
+  async kill(): Promise<void> {
+    const { child } = this;
+    if (!child) return;
+    this.expectedEnd = 'kill';
+    await this.waitForExit(child, 'SIGKILL', GRACE_MS);
+  }
+
+  pause(): void {
+    this.isPaused = true;
+    this.child?.kill('SIGSTOP');
+  }
+
+  resume(): void {
+    this.isPaused = false;
+    this.child?.kill('SIGCONT');
+  }
+
+  /** Tells the process that its settings have changed. */
+  reload(): void {
+    this.child?.kill('SIGHUP');
+  }
+
+  stepClock(): void {
+    this.child?.kill('SIGUSR2');
+  }
+
+  /** Asks as the balancer does. */
+  async isReady(): Promise<boolean> {
+    if (!this.child || this.isPaused) return false;
+    try {
+      const url = `http://${this.options.host}:${this.ports[1]}/api/readyz`;
+      const response = await fetch(url, { signal: AbortSignal.timeout(READY_TIMEOUT_MS) });
+      return response.status === STATUS_OK;
+    } catch {
+      // No answer is a miss.
+      return false;
+    }
+  }
+
+  async close(): Promise<void> {
+    this.resume();
+    await this.kill();
+    await Promise.all([this.store.stop(), this.promotions.stop(), this.callers.stop()]);
+    this.log.end();
+  }
+
+  private async waitForExit(child: ChildProcess, signal: NodeJS.Signals, limitMs: Millis) {
+    await new Promise<void>((resolve) => {
+      const timer = setTimeout(resolve, limitMs);
+      child.once('exit', () => {
+        clearTimeout(timer);
+        resolve();
+      });
+      child.kill(signal);
+    });
+  }
+
+  private handleExit(code: number | null, signal: NodeJS.Signals | null): void {
+    this.child = undefined;
+    this.isStopping = false;
+    const { expectedEnd, name } = this;
+    const end = signal ?? code;
+    const isStarting = signal === 'SIGTERM' && performance.now() - this.startedAt < STARTUP_MS;
+    if (expectedEnd === 'stop' && code !== 0 && signal !== 'SIGKILL' && !isStarting) {
+      this.options.reportProblem('a stopped process exits with 0', `${name}: ${end}`);
+    } else if (expectedEnd === 'none') {
+      this.options.reportProblem('no process ends by itself', `${name}: ${end}`);
+    }
+  }
+
+  private createSettings(): unknown {
+    const { name, zone, host } = this.options;
+    const [callers, readiness] = this.ports;
+    return {
+      node: name,
+      zone,
+      listen: { front: `${host}:${callers}`, ready: `${host}:${readiness}` },
+      bounds: {
+        grace_s: GRACE_MS / 1_000,
+        drain_ms: DRAIN_MS,
+        config_apply_ms: APPLY_MS,
+        stable_window_ms: SETTLE_MS,
+      },
+      platform: { addr: `127.0.0.1:${this.store.port}` },
+      cloud_api: { addr: `127.0.0.1:${this.promotions.port}` },
+    };
+  }
+}
