--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -110,6 +110,7 @@
 export { InstanceRoster } from './roster.js';
 export type { RegisteredInstance } from './roster.js';
 export { FenceLedger } from './ledger.js';
+export { findNeed } from './need.js';
 export { TakeoverCoordinator } from './takeover.js';
 export type { TakeoverOptions } from './takeover.js';
 export type {
--- a/packages/core/src/need.ts
+++ b/packages/core/src/need.ts
@@ -21,10 +21,24 @@
   full: Number.POSITIVE_INFINITY,
 };
 
+const LIVE: ReadonlySet<InstanceView['health']> = new Set<InstanceView['health']>([
+  'answering',
+  'full',
+]);
+
 function isCandidate({ leaving, health }: InstanceView): boolean {
   return !leaving && health === 'answering';
 }
 
+/**
+ * True when the reports that a choice needs can come: from the former leader, or else from every
+ * other instance. A VM in a zone that is cut off sees one instance of the group and must not stop it.
+ */
+function mayChoose(instances: readonly InstanceView[], former: InstanceView): boolean {
+  if (former.health === 'answering') return true;
+  return instances.every(({ id, health }) => id === former.id || LIVE.has(health));
+}
+
 /** The instance that leads, by its last answer. */
 export function findLeader(instances: readonly InstanceView[]): InstanceView | undefined {
   return instances.find(({ leads, health }) => leads && health === 'answering');
@@ -48,5 +62,6 @@
   const former = instances.find(({ id }) => id === suspect);
   // The entry of a former leader goes seconds after the instance itself.
   if (!former) return 'takeover';
-  return now - former.since >= LOST_AFTER_MS[former.health] ? 'takeover' : undefined;
+  const isLost = now - former.since >= LOST_AFTER_MS[former.health];
+  return isLost && mayChoose(instances, former) ? 'takeover' : undefined;
 }
--- a/packages/engine/src/fleet.ts
+++ b/packages/engine/src/fleet.ts
@@ -13,10 +13,12 @@
 interface VmSpec {
   readonly beat: number;
   readonly startedAt: number;
+  readonly zone: string;
 }
 
 export interface FleetOptions {
   readonly vm: string;
+  readonly zone: string;
   readonly store: ObjectStore;
   readonly clock: Clock;
   readonly log: Log;
@@ -25,6 +27,7 @@
 
 interface Seen {
   readonly beat: string;
+  readonly zone: string;
   readonly at: Millis;
 }
 
@@ -68,12 +71,17 @@
     return this.isKnown ? this.live.length : undefined;
   }
 
-  /** This VM's place for a duty; 0 acts first. */
-  findRank(duty: string): number {
-    const known = this.ranks.get(duty);
+  /** This VM's place for a duty among the VMs of reachable zones; 0 acts first. */
+  findRank(duty: string, lostZones: ReadonlySet<string>): number {
+    const key = [duty, ...lostZones].join('|');
+    const known = this.ranks.get(key);
     if (known !== undefined) return known;
-    const rank = rankVms(duty, this.live).indexOf(this.options.vm);
-    this.ranks.set(duty, rank);
+    const { vm } = this.options;
+    const reachable = this.live.filter(
+      (name) => name === vm || !lostZones.has(this.seen.get(name)?.zone ?? ''),
+    );
+    const rank = rankVms(duty, reachable).indexOf(vm);
+    this.ranks.set(key, rank);
     return rank;
   }
 
@@ -97,9 +105,9 @@
   }
 
   private async writeBeat(): Promise<void> {
-    const { store, vm, startedAt } = this.options;
+    const { store, vm, zone, startedAt } = this.options;
     this.beat += 1;
-    const spec: VmSpec = { beat: this.beat, startedAt };
+    const spec: VmSpec = { beat: this.beat, startedAt, zone };
     const outcome = await store.write(VMS_KIND, vm, spec, this.revision);
     if (outcome.kind === 'written') {
       this.revision = outcome.revision;
@@ -124,10 +132,10 @@
   }
 
   private handleBeat({ name, spec }: StoredObject, now: Millis): void {
-    const { beat, startedAt } = spec as Partial<VmSpec>;
+    const { beat, startedAt, zone = '' } = spec as Partial<VmSpec>;
     const text = `${startedAt}/${beat}`;
     const known = this.seen.get(name);
     if (known?.beat === text) return;
-    this.seen.set(name, { beat: text, at: now });
+    this.seen.set(name, { beat: text, zone, at: now });
   }
 }
--- a/packages/engine/src/group.ts
+++ b/packages/engine/src/group.ts
@@ -18,6 +18,7 @@
 import { InstancePool, Member, WARM_CONNECTIONS } from './member.js';
 import type { Metrics } from './metrics.js';
 import { InstanceProbe } from './probe.js';
+import type { Suspicion } from './suspicion.js';
 import type { TakeoverDriver } from './takeover.js';
 import { wait } from './timing.js';
 import { VerifiedView } from './view.js';
@@ -48,6 +49,7 @@
   readonly log: Log;
   readonly metrics: Metrics;
   readonly connector: InstanceConnector;
+  readonly suspicion: Suspicion;
   readonly createTakeover: (group: GroupService) => TakeoverDriver;
   /** VMs that share the connections of an instance. */
   readonly countVms: () => number | undefined;
@@ -160,7 +162,7 @@
 
   /** True when instances of the group answer this VM. */
   countAnswering(): number {
-    return this.listMembers().filter(({ probe }) => probe.health === 'answering').length;
+    return this.listMembers().filter(({ probe }) => probe.isAnswering()).length;
   }
 
   stop(): void {
@@ -227,11 +229,11 @@
   }
 
   private addMember(instance: RegisteredInstance): void {
-    const { connector, clock, ageClock, log } = this.options;
+    const { connector, clock, ageClock, log, suspicion } = this.options;
     log.info('instance added', { instance: instance.id, group: this.name, zone: instance.zone });
     const pool = new InstancePool(connector, instance, clock);
     const probe = new InstanceProbe({
-      ...{ instance, pool, clock, ageClock, log },
+      ...{ instance, pool, clock, ageClock, log, suspicion },
       isUrgent: () => this.takeover.isChanging(clock.readNow()),
       hasLeader: () => this.listMembers().some(({ probe: one }) => one.leads),
       countVms: () => this.options.countVms() ?? 1,
--- a/packages/engine/src/index.ts
+++ b/packages/engine/src/index.ts
@@ -43,6 +43,7 @@
 } from './statement.js';
 export { ObjectStore, PromotionService } from './store.js';
 export type { StoreChange, StoreChanges, StoredObject, StoreListing, StoreWrite } from './store.js';
+export { Suspicion } from './suspicion.js';
 export { PROMOTIONS_KIND } from './takeover.js';
 export { wait, waitAtMost } from './timing.js';
 export { createProxy } from './wiring.js';
--- a/packages/engine/src/probe.ts
+++ b/packages/engine/src/probe.ts
@@ -9,6 +9,7 @@
 import { ConnectionLimitError } from './errors.js';
 import type { Log } from './log.js';
 import type { ConnectionPool } from './pool.js';
+import type { Suspicion } from './suspicion.js';
 import { rollBack } from './run.js';
 import type { Command, Operation, Reply } from './statement.js';
 import { waitAtMost } from './timing.js';
@@ -50,6 +51,7 @@
   readonly ageClock: Clock;
   readonly log: Log;
   readonly isUrgent: () => boolean;
+  readonly suspicion: Suspicion;
   /** True while an instance of the group is known to lead. */
   readonly hasLeader: () => boolean;
   /** VMs that probe the instance. */
@@ -78,6 +80,8 @@
 
   private isRunning = false;
 
+  private startedAt: Millis = Number.NEGATIVE_INFINITY;
+
   /** When the last probe ended, and when the next one is due. */
   private endedAt: Millis = Number.NEGATIVE_INFINITY;
 
@@ -101,7 +105,10 @@
   /** Starts a probe when one is due. */
   handleTick(now: Millis): void {
     if (this.isStopped || this.isRunning) return;
-    const isUrgent = this.options.isUrgent() && now - this.endedAt >= this.findInterval();
+    const { isUrgent: isChanging, suspicion } = this.options;
+    const isUrgent =
+      suspicion.isRaisedSince(this.startedAt) ||
+      (isChanging() && now - this.endedAt >= this.findInterval());
     if (!isUrgent && now < this.dueAt) return;
     const spare = isUrgent ? 0 : this.findSpareTime(now);
     if (spare > 0) this.dueAt = now + spare;
@@ -112,6 +119,11 @@
     this.isStopped = true;
   }
 
+  /** True when the last probe was answered. */
+  isAnswering(): boolean {
+    return this.health === 'answering' && !this.isSuspect;
+  }
+
   /** Forgets the lead at once, as when a statement was refused for it. */
   removeLead(): void {
     this.leads = false;
@@ -160,6 +172,7 @@
 
   private start(): void {
     this.isRunning = true;
+    this.startedAt = this.options.clock.readNow();
     this.runRound()
       .then((pause) => {
         this.endedAt = this.options.clock.readNow();
@@ -264,6 +277,7 @@
     // A probe without an answer may be the connection's fault; a new one tells.
     if (isSilent && this.health === 'answering' && !this.isSuspect) {
       this.isSuspect = true;
+      this.options.suspicion.raise(this.startedAt);
       return;
     }
     this.isSuspect = false;
--- a/packages/engine/src/proxy.ts
+++ b/packages/engine/src/proxy.ts
@@ -3,6 +3,7 @@
 import type { Fleet } from './fleet.js';
 import type { GroupService } from './group.js';
 import type { Log } from './log.js';
+import type { Member } from './member.js';
 import type { Metrics } from './metrics.js';
 import { Session } from './session.js';
 import { wait } from './timing.js';
@@ -16,7 +17,7 @@
 /** Time left before the platform ends the process, for the last answers to leave. */
 const EXIT_MARGIN_MS: Millis = 500;
 /** Most instances silent for this long: callers are better served elsewhere. */
-const ISOLATED_MS: Millis = 400;
+const ISOLATED_MS: Millis = 150;
 const DRAIN_POLL_MS: Millis = 20;
 
 /** A caller's connection as the proxy sees it. */
@@ -38,6 +39,12 @@
   readonly isRegistryReachable: () => boolean;
 }
 
+function findLostZones(members: readonly Member[]): ReadonlySet<string> {
+  const zones = new Set(members.map(({ instance }) => instance.zone));
+  members.forEach(({ instance, probe }) => probe.isAnswering() && zones.delete(instance.zone));
+  return zones;
+}
+
 /** One proxy process: its sessions and the groups that they use. */
 export class Proxy {
   readonly roster: InstanceRoster;
@@ -57,6 +64,9 @@
   /** Since when most instances have not answered; other VMs may reach them. */
   private isolatedSince: Millis | undefined = Number.NEGATIVE_INFINITY;
 
+  /** Zones of which no instance answers; their VMs are probably cut off as well. */
+  private lostZones: ReadonlySet<string> = new Set();
+
   constructor(private readonly options: ProxyOptions) {
     this.roster = new InstanceRoster(() => {
       this.isRosterChanged = true;
@@ -170,8 +180,9 @@
     this.roster.handleTick(clock.readNow(), isRegistryReachable());
     this.applyRoster();
     this.updateIsolation();
+    this.lostZones = findLostZones(this.listGroups().flatMap((group) => group.listMembers()));
     this.groups.forEach((group, name) => {
-      group.takeover.updateRank(fleet.findRank(name));
+      group.takeover.updateRank(fleet.findRank(name, this.lostZones));
       group.handleTick();
     });
   }
--- a/packages/engine/src/wiring.ts
+++ b/packages/engine/src/wiring.ts
@@ -10,6 +10,7 @@
 import type { Metrics } from './metrics.js';
 import { Proxy } from './proxy.js';
 import type { ObjectStore, PromotionService, StoredObject } from './store.js';
+import { Suspicion } from './suspicion.js';
 import { PROMOTIONS_KIND, TakeoverDriver } from './takeover.js';
 
 /** Part of the time after which a change must be in force that a silent watch may take. */
@@ -44,6 +45,7 @@
 interface Shared {
   readonly clock: Clock;
   readonly ageClock: Clock;
+  readonly suspicion: Suspicion;
 }
 
 /** Starts and stops a proxy with what feeds it. */
@@ -77,12 +79,13 @@
 
 /** Constructs a proxy from the parts of a protocol adapter. */
 export function createProxy(parts: ProxyParts): RunningProxy {
-  const { vm, log, metrics, store, drainMs } = parts;
+  const { vm, zone, log, metrics, store, drainMs } = parts;
   const clock = new SystemClock();
-  const shared: Shared = { clock, ageClock: new SuspendAwareClock() };
+  const suspicion = new Suspicion();
+  const shared: Shared = { clock, ageClock: new SuspendAwareClock(), suspicion };
   const configuration = new ConfigurationHolder();
   const fleet = new Fleet({
-    ...{ vm, store, clock, log },
+    ...{ vm, zone, store, clock, log },
     startedAt: Date.now(),
   });
   const follow = (
--- a/packages/engine/test/probe.spec.ts
+++ b/packages/engine/test/probe.spec.ts
@@ -1,6 +1,13 @@
 import { ManualClock, type RegisteredInstance } from '@shallotpick/core';
 import { expect } from 'earl';
-import { createEngineLog, InstancePool, InstanceProbe, type Reply, wait } from '../src/index.js';
+import {
+  createEngineLog,
+  InstancePool,
+  InstanceProbe,
+  type Reply,
+  Suspicion,
+  wait,
+} from '../src/index.js';
 import { FakeConnector, FakeInstance } from './fake.js';
 
 const INSTANCE: RegisteredInstance = {
@@ -27,7 +34,7 @@
     if (operation.kind === 'begin') probed.count += 1;
     return undefined;
   };
-  const state = { isUrgent: false, hasLeader: true };
+  const state = { isUrgent: false, hasLeader: true, suspicion: new Suspicion() };
   const pool = new InstancePool(
     new FakeConnector(new Map([['replica', instance]])),
     INSTANCE,
@@ -35,6 +42,7 @@
   );
   const probe = new InstanceProbe({
     ...{ instance: INSTANCE, pool, clock, ageClock: clock, log: createEngineLog('error', 'test') },
+    suspicion: state.suspicion,
     isUrgent: () => state.isUrgent,
     hasLeader: () => state.hasLeader,
     countVms: () => 1,
@@ -73,6 +81,15 @@
     expect(await tick(30)).toEqual(3);
   });
 
+  // A zone that is cut off was noticed one instance after the other.
+  it('probes at once when another instance has left a probe without answer', async () => {
+    const { clock, state, tick } = createProbe(false);
+    await tick(0);
+    state.suspicion.raise(clock.update(10));
+    expect(await tick(10)).toEqual(2);
+    expect(await tick(10)).toEqual(2);
+  });
+
   // Reads at a leader that has lost the lead are answered, so they prove nothing.
   it('takes only a plain BEGIN as proof of the lead', async () => {
     const { clock, probe, probed, tick } = createProbe(true);
--- a/packages/soak/src/vm.ts
+++ b/packages/soak/src/vm.ts
@@ -17,7 +17,7 @@
 const READY_TIMEOUT_MS: Millis = 300;
 const STATUS_OK = 200;
 
-/** A process that is asked to stop while it starts ends by the signal. */
+/** A process that gets a signal while it starts ends by it. */
 const STARTUP_MS: Millis = 1_000;
 
 /** Steps the time of day of the process on SIGUSR2, and back on the next one. */
@@ -142,8 +142,9 @@
     this.child?.kill('SIGHUP');
   }
 
+  /** Steps the time of day, unless the process still starts and would end by the signal. */
   stepClock(): void {
-    this.child?.kill('SIGUSR2');
+    if (performance.now() - this.startedAt >= STARTUP_MS) this.child?.kill('SIGUSR2');
   }
 
   /** Asks as the balancer does. */
