Split the steps from the takeover coordinator, and drop what stood twice

Ruled out: a change of behaviour; moved code only. 112 specs of core, engine, platform and takeovers pass.

--- a/packages/core/src/takeover.ts
+++ b/packages/core/src/takeover.ts
@@ -1,71 +1,34 @@
 import type { Millis } from './clock.js';
 import { FenceLedger } from './ledger.js';
 import { findLeader, findNeed } from './need.js';
-import type { LogPosition } from './position.js';
 import type {
   FenceReport,
   InstanceView,
   PromotionAnswer,
   PromotionRecord,
-  TakeoverAction,
   TakeoverPlan,
 } from './promotion.js';
-
-/** Each later rank waits this much longer before it acts. */
-const RANK_STAGGER_MS: Millis = 300;
-/** An attempt of another VM is left alone for this long. */
-const ATTEMPT_MS: Millis = 2_500;
-/** A holder that has not ordered the promotion after this long claims the record anew. */
-const HOLD_MS: Millis = 1_500;
-/** Gap between repeated orders to an instance that has not answered. */
-const REPEAT_MS: Millis = 150;
-/** A planned handover that cannot fence the other replicas in this time becomes a takeover. */
-const HANDOVER_MS: Millis = 1_000;
-/** A promotion call without an answer for this long is superseded by a newer generation. */
-const ANSWER_MS: Millis = 400;
-/** A promoted instance that does not lead after this long is given up. */
-const LEAD_MS: Millis = 2_000;
-/** Two VMs do not order promotions of a group by turns within this time, set by the platform. */
-const LEASE_MS: Millis = 3_000;
-/** Allows for the time that an order travels. */
-const LEASE_SLACK_MS: Millis = 400;
-/** A claim whose answer took longer rests on an old view and is given up. */
-const FRESH_CLAIM_MS: Millis = 400;
-/** A claim that is not found in the store after this long is made anew. */
-const CLAIM_MS: Millis = 800;
-/** A replica this far behind the leader may still be paused by a late order. */
-const STUCK_LAG_MS: Millis = 1_500;
-/** Gap between status requests to a replica that seems stuck. */
-const STUCK_REPEAT_MS: Millis = 1_000;
-/** Gap between reads of a record that could not be read. */
-const READ_REPEAT_MS: Millis = 500;
-
-type Actions = readonly TakeoverAction[];
-
-type Step =
-  | { readonly kind: 'watching' }
-  | {
-      readonly kind: 'claiming';
-      readonly plan: TakeoverPlan;
-      readonly record: PromotionRecord;
-      readonly sentAt: Millis;
-    }
-  | {
-      readonly kind: 'fencing';
-      readonly plan: TakeoverPlan;
-      readonly since: Millis;
-      /** End of the leader's log once the replicas but the candidate of a handover had stopped. */
-      readonly leaderEnd?: LogPosition | undefined;
-    }
-  | {
-      readonly kind: 'promoting';
-      readonly candidate: string;
-      /** The instances that were known when the promotion was ordered. */
-      readonly members: ReadonlySet<string>;
-      readonly sentAt: Millis;
-      readonly answer: PromotionAnswer | undefined;
-    }
-  | { readonly kind: 'settling'; readonly since: Millis };
+import {
+  ANSWER_MS,
+  ATTEMPT_MS,
+  CLAIM_MS,
+  FRESH_CLAIM_MS,
+  HANDOVER_MS,
+  HOLD_MS,
+  LEAD_MS,
+  LEASE_MS,
+  LEASE_SLACK_MS,
+  RANK_STAGGER_MS,
+  READ_REPEAT_MS,
+  REPEAT_MS,
+  STUCK_LAG_MS,
+  STUCK_REPEAT_MS,
+  WATCHING,
+  chooseHeir,
+  type StepOf,
+  type TakeoverActions,
+  type TakeoverStep,
+} from './takeoverstep.js';
 
 export interface TakeoverOptions {
   readonly group: string;
@@ -73,8 +36,6 @@
   readonly createAttempt: () => string;
 }
 
-const WATCHING: Step = { kind: 'watching' };
-
 /**
  * Replaces the leader of a group whose commits are acknowledged by one synchronous replica. An
  * acknowledged commit is on the leader and on at least one replica, so a candidate is safe when
@@ -90,7 +51,7 @@
 
   private recordSeenAt: Millis = 0;
 
-  private step: Step = WATCHING;
+  private step: TakeoverStep = WATCHING;
 
   private rank = 0;
 
@@ -115,11 +76,6 @@
     private readonly ledger: FenceLedger = new FenceLedger(),
   ) {}
 
-  /** The step in progress, for logs and operators. */
-  readStep(): string {
-    return this.step.kind;
-  }
-
   /** True while a change of the leader is under way here or, as far as known, elsewhere. */
   isChanging(now: Millis): boolean {
     const isOpen = this.record?.phase === 'open' && now - this.recordSeenAt < ATTEMPT_MS;
@@ -132,7 +88,7 @@
   }
 
   /** Takes in the record, or its absence (version 0). */
-  handleRecord(record: PromotionRecord | undefined, version: number, now: Millis): Actions {
+  handleRecord(record: PromotionRecord | undefined, version: number, now: Millis): TakeoverActions {
     if (this.isKnown && version <= this.version) return [];
     this.isKnown = true;
     this.version = version;
@@ -150,7 +106,7 @@
   }
 
   /** The write had no effect (`conflict`) or an unknown one; the record is read back. */
-  handleWriteFailure(): Actions {
+  handleWriteFailure(): TakeoverActions {
     return [{ kind: 'read' }];
   }
 
@@ -174,7 +130,7 @@
   }
 
   /** Decides what to do now, from what is known of the instances. */
-  handleTick(instances: readonly InstanceView[], now: Millis): Actions {
+  handleTick(instances: readonly InstanceView[], now: Millis): TakeoverActions {
     this.ledger.updateInstances(instances, now);
     const { step } = this;
     if (!this.isKnown) return this.isDue('read', now, READ_REPEAT_MS) ? [{ kind: 'read' }] : [];
@@ -192,7 +148,7 @@
     }
   }
 
-  private updateStep(step: Step): void {
+  private updateStep(step: TakeoverStep): void {
     this.step = step;
     this.sentAt.clear();
   }
@@ -203,7 +159,7 @@
     return true;
   }
 
-  private watch(instances: readonly InstanceView[], now: Millis): Actions {
+  private watch(instances: readonly InstanceView[], now: Millis): TakeoverActions {
     const stuck = this.checkStuck(instances, now);
     if (stuck.length > 0) return stuck;
     const assist = this.assist(instances, now);
@@ -220,7 +176,7 @@
   }
 
   /** Asks a replica that falls behind whether it is still stopped by an order that came late. */
-  private checkStuck(instances: readonly InstanceView[], now: Millis): Actions {
+  private checkStuck(instances: readonly InstanceView[], now: Millis): TakeoverActions {
     if (this.rank !== 0 || this.record === undefined) return [];
     return instances
       .filter(
@@ -235,7 +191,7 @@
    * Steps the leader down for a holder that does not reach it. Until the promotion is carried out,
    * the former leader could have commits acknowledged by a replica that has just joined.
    */
-  private assist(instances: readonly InstanceView[], now: Millis): Actions {
+  private assist(instances: readonly InstanceView[], now: Millis): TakeoverActions {
     const { record } = this;
     const isOpen = record?.phase === 'open' && now - this.recordSeenAt < ATTEMPT_MS;
     const isOther = record !== undefined && record.holder !== this.options.vm;
@@ -255,7 +211,7 @@
     return isAbandoned || isStuck ? 'raise' : undefined;
   }
 
-  private claim(plan: TakeoverPlan, now: Millis): Actions {
+  private claim(plan: TakeoverPlan, now: Millis): TakeoverActions {
     const { group, vm, createAttempt } = this.options;
     const record: PromotionRecord = {
       group,
@@ -271,16 +227,13 @@
     return [{ kind: 'write', record, expectedVersion: this.version }];
   }
 
-  private followClaim(step: Step & { readonly kind: 'claiming' }, now: Millis): Actions {
+  private followClaim(step: StepOf<'claiming'>, now: Millis): TakeoverActions {
     // A write that is carried out late fails its condition or is found by the next claim.
     if (now - step.sentAt >= CLAIM_MS) return this.restart(now);
     return this.isDue('claim', now, READ_REPEAT_MS) ? [{ kind: 'read' }] : [];
   }
 
-  private startAttempt(
-    { plan, sentAt }: Step & { readonly kind: 'claiming' },
-    now: Millis,
-  ): Actions {
+  private startAttempt({ plan, sentAt }: StepOf<'claiming'>, now: Millis): TakeoverActions {
     this.ledger.clearReports();
     this.isRefreshed = false;
     if (now - sentAt >= FRESH_CLAIM_MS) return this.startSettling(now);
@@ -289,10 +242,10 @@
   }
 
   private fence(
-    step: Step & { readonly kind: 'fencing' },
+    step: StepOf<'fencing'>,
     instances: readonly InstanceView[],
     now: Millis,
-  ): Actions {
+  ): TakeoverActions {
     const leader = findLeader(instances);
     if (step.plan === 'raise') {
       if (!leader) return this.startSettling(now);
@@ -323,12 +276,12 @@
 
   /** Lets only the candidate acknowledge, so that it holds all at the moment of the change. */
   private fenceForHandover(
-    step: Step & { readonly kind: 'fencing' },
+    step: StepOf<'fencing'>,
     instances: readonly InstanceView[],
     leader: InstanceView | undefined,
     now: Millis,
-  ): Actions {
-    const candidate = this.chooseHeir(instances, leader);
+  ): TakeoverActions {
+    const candidate = chooseHeir(instances, leader);
     if (!leader || !candidate || now - step.since >= HANDOVER_MS) {
       this.updateStep({ kind: 'fencing', plan: 'takeover', since: now });
       this.ledger.clearReports();
@@ -357,17 +310,11 @@
     return this.isDue(`status ${candidate}`, now) ? [{ kind: 'status', instance: candidate }] : [];
   }
 
-  private chooseHeir(
+  private promote(
+    candidate: string,
     instances: readonly InstanceView[],
-    leader: InstanceView | undefined,
-  ): string | undefined {
-    const [heir] = instances
-      .filter(({ id, leaving, health }) => id !== leader?.id && !leaving && health === 'answering')
-      .sort((a, b) => (a.lagMs ?? Infinity) - (b.lagMs ?? Infinity) || a.id.localeCompare(b.id));
-    return heir?.id;
-  }
-
-  private promote(candidate: string, instances: readonly InstanceView[], now: Millis): Actions {
+    now: Millis,
+  ): TakeoverActions {
     const generation = this.record?.generation ?? 0;
     // A record as old as this may have been taken over by now.
     if (now - this.recordSeenAt >= HOLD_MS) return this.claim('takeover', now);
@@ -379,10 +326,10 @@
   }
 
   private followPromotion(
-    step: Step & { readonly kind: 'promoting' },
+    step: StepOf<'promoting'>,
     instances: readonly InstanceView[],
     now: Millis,
-  ): Actions {
+  ): TakeoverActions {
     const elapsed = now - step.sentAt;
     const candidate = instances.find(({ id }) => id === step.candidate);
     if (step.answer === 'accepted') {
@@ -399,10 +346,10 @@
 
   /** Stops replicas that have joined since the promotion was ordered from acknowledging alone. */
   private stopNewcomers(
-    { members }: Step & { readonly kind: 'promoting' },
+    { members }: StepOf<'promoting'>,
     instances: readonly InstanceView[],
     now: Millis,
-  ): Actions {
+  ): TakeoverActions {
     if (this.record?.plan === 'raise') return [];
     const term = this.ledger.newestTerm + 1;
     return instances
@@ -415,7 +362,7 @@
   }
 
   /** Reads the record again: another VM has a newer generation, or the candidate is gone. */
-  private restart(now: Millis): Actions {
+  private restart(now: Millis): TakeoverActions {
     this.updateStep(WATCHING);
     this.needSince = undefined;
     this.isDue('read', now);
@@ -423,13 +370,13 @@
     return [{ kind: 'read' }];
   }
 
-  private startSettling(now: Millis): Actions {
+  private startSettling(now: Millis): TakeoverActions {
     this.updateStep({ kind: 'settling', since: now });
     return this.settle(now, now);
   }
 
   /** Resumes what was stopped, then notes that no order of this generation is on its way. */
-  private settle(since: Millis, now: Millis): Actions {
+  private settle(since: Millis, now: Millis): TakeoverActions {
     const waiting = [...this.stopped];
     if (waiting.length > 0 && now - since < ATTEMPT_MS) {
       return waiting
--- a/packages/engine/src/attempt.ts
+++ b/packages/engine/src/attempt.ts
@@ -1,4 +1,4 @@
-import type { LogPosition, Millis } from '@shallotpick/core';
+import type { Millis } from '@shallotpick/core';
 import type { DatabaseRoute } from './configuration.js';
 import { NotRunError } from './errors.js';
 import type { Lease } from './lease.js';
@@ -99,11 +99,6 @@
     return true;
   }
 
-  /** Raises the session's floor to its own commit. */
-  handleCommit(position: LogPosition | undefined): void {
-    if (position) this.context.floor = { position, at: this.context.readNow() };
-  }
-
   addLatency(lease: Lease, startedAt: Millis): void {
     const tookMs = this.context.readNow() - startedAt;
     this.context.options.findGroup(this.route.group)?.addLatency(lease.instance, tookMs);
--- a/packages/engine/src/context.ts
+++ b/packages/engine/src/context.ts
@@ -1,11 +1,11 @@
-import type { Clock, Millis, RetryBudget } from '@shallotpick/core';
+import type { Clock, LogPosition, Millis, RetryBudget } from '@shallotpick/core';
 import type { ConfigurationHolder } from './configuration.js';
 import type { GroupService } from './group.js';
 import type { Log } from './log.js';
 import type { Metrics } from './metrics.js';
 import type { DataStatement } from './run.js';
 import type { PreparedStatement } from './setup.js';
-import type { Answer, Failure, TransactionState } from './statement.js';
+import type { Failure, Reply, TransactionState } from './statement.js';
 import type { SessionFloor } from './view.js';
 
 export interface SessionOptions {
@@ -37,6 +37,11 @@
     return this.options.clock.readNow();
   }
 
+  /** Raises the session's floor to its own commit. */
+  handleCommit(position: LogPosition | undefined): void {
+    if (position) this.floor = { position, at: this.readNow() };
+  }
+
   /** True when the statement changes data; undefined when its name is not known. */
   isWrite(statement: DataStatement): boolean | undefined {
     if (statement.kind !== 'execute') return statement.kind === 'write';
@@ -46,6 +51,6 @@
 }
 
 /** Creates the answer to a request that the proxy answers itself. */
-export function createLocalAnswer(state: TransactionState, failure?: Failure): Answer {
+export function createLocalAnswer(state: TransactionState, failure?: Failure): Reply {
   return { rows: [], digest: undefined, failure, state, position: undefined };
 }
--- a/packages/engine/src/group.ts
+++ b/packages/engine/src/group.ts
@@ -268,7 +268,7 @@
     }
     member.updateRunning(true);
     try {
-      const connection = member.pool.takeIdle() ?? (await member.pool.connect());
+      const connection = await member.pool.connect();
       const { after } = this.findPositions(request);
       return createLease({ admitted, member, connection, dispatcher, clock, after });
     } catch (error) {
--- a/packages/engine/src/index.ts
+++ b/packages/engine/src/index.ts
@@ -31,7 +31,6 @@
 export { Session } from './session.js';
 export type {
   Access,
-  Answer,
   CallerRequest,
   Command,
   Failure,
--- a/packages/engine/src/session.ts
+++ b/packages/engine/src/session.ts
@@ -4,7 +4,7 @@
 import { createLocalAnswer, SessionContext, type SessionOptions } from './context.js';
 import type { DataStatement } from './run.js';
 import { SingleRunner } from './single.js';
-import type { Answer, CallerRequest, Failure, TransactionState } from './statement.js';
+import type { CallerRequest, Failure, Reply, TransactionState } from './statement.js';
 import { Transaction } from './transaction.js';
 
 /** One caller's session: its values, prepared statements, floor and transaction. */
@@ -23,7 +23,7 @@
   }
 
   /** Runs one request; the caller of this method runs them one after the other. */
-  async run(request: CallerRequest): Promise<Answer> {
+  async run(request: CallerRequest): Promise<Reply> {
     const { log, metrics, clock, database } = this.context.options;
     const startedAt = clock.readNow();
     const answer = await this.runStatement(request);
@@ -57,7 +57,7 @@
     this.transaction = undefined;
   }
 
-  private async runStatement(request: CallerRequest): Promise<Answer> {
+  private async runStatement(request: CallerRequest): Promise<Reply> {
     const { statement } = request;
     const { transaction, context } = this;
     if (transaction?.isFailed() && statement.kind !== 'rollback' && statement.kind !== 'commit') {
@@ -91,11 +91,11 @@
     return this.transaction.isFailed() ? 'failed' : 'open';
   }
 
-  private confirm(): Answer {
+  private confirm(): Reply {
     return createLocalAnswer(this.readState());
   }
 
-  private refuse(failure: Failure): Answer {
+  private refuse(failure: Failure): Reply {
     return createLocalAnswer(this.readState(), failure);
   }
 
@@ -104,7 +104,7 @@
     return configuration.findRoute(database);
   }
 
-  private begin(isReadOnly: boolean): Answer {
+  private begin(isReadOnly: boolean): Reply {
     if (this.transaction) {
       return this.refuse({ verdict: 'malformed', reason: 'a transaction is open' });
     }
@@ -114,7 +114,7 @@
     return this.confirm();
   }
 
-  private async commit(request: CallerRequest): Promise<Answer> {
+  private async commit(request: CallerRequest): Promise<Reply> {
     const { transaction } = this;
     if (!transaction) {
       return this.refuse({ verdict: 'malformed', reason: 'no transaction is open' });
@@ -124,18 +124,18 @@
     return answer;
   }
 
-  private rollBack(): Answer {
+  private rollBack(): Reply {
     this.transaction?.abort('rolled back');
     this.transaction = undefined;
     return this.confirm();
   }
 
-  private refuseUnknown(): Answer {
+  private refuseUnknown(): Reply {
     const { database } = this.context.options;
     return this.refuse({ verdict: 'unknownDatabase', reason: `no route for "${database}"` });
   }
 
-  private async runData({ id }: CallerRequest, statement: DataStatement): Promise<Answer> {
+  private async runData({ id }: CallerRequest, statement: DataStatement): Promise<Reply> {
     if (this.context.isWrite(statement) === undefined) {
       const reason = 'no prepared statement of this name';
       return this.refuse({ verdict: 'unknownStatement', reason });
--- a/packages/engine/src/single.ts
+++ b/packages/engine/src/single.ts
@@ -4,11 +4,11 @@
 import type { Lease } from './lease.js';
 import { type DataStatement, rollBack, runCommand, runStatement, sendSetup } from './run.js';
 import { createLocalAnswer, type SessionContext } from './context.js';
-import type { Answer, Failure, Reply } from './statement.js';
+import type { Failure, Reply } from './statement.js';
 
 /** The end of one attempt. */
 type Outcome =
-  | { readonly kind: 'answered'; readonly answer: Answer }
+  | { readonly kind: 'answered'; readonly answer: Reply }
   /** The attempt may be repeated; `failure` is told when there is no time for that. */
   | { readonly kind: 'repeat'; readonly failure: Failure }
   | { readonly kind: 'refused'; readonly failure: Failure };
@@ -32,7 +32,7 @@
     this.attempts = new Attempts(context, route, id, this.isWrite ? 'write' : 'read');
   }
 
-  async run(): Promise<Answer> {
+  async run(): Promise<Reply> {
     for (;;) {
       const lease = await this.attempts.admit();
       if (!isLease(lease)) return createLocalAnswer('idle', lease);
@@ -64,7 +64,7 @@
       const reply = await runStatement(lease.connection, context, statement, { id }, remaining);
       attempts.addLatency(lease, startedAt);
       lease.release();
-      if (!reply.failure) attempts.handleCommit(reply.position);
+      if (!reply.failure) context.handleCommit(reply.position);
       return this.createOutcome(reply);
     } catch (error) {
       lease.release();
--- a/packages/engine/src/statement.ts
+++ b/packages/engine/src/statement.ts
@@ -68,23 +68,13 @@
   readonly reason: string;
 }
 
-/** The whole answer of an instance to one command. */
+/** The whole answer of an instance to one command, or of the proxy to a caller's request. */
 export interface Reply {
   readonly rows: readonly string[];
-  /** Proof that the instance ran the statement; undefined after a failure. */
+  /** Proof that an instance ran the statement; undefined after a failure or from the proxy. */
   readonly digest: string | undefined;
   readonly failure: Failure | undefined;
   readonly state: TransactionState;
   /** End of the instance's log as far as reads see it. */
   readonly position: LogPosition | undefined;
 }
-
-/** The answer to a caller's request. */
-export interface Answer {
-  readonly rows: readonly string[];
-  /** Undefined when the proxy itself has answered. */
-  readonly digest: string | undefined;
-  readonly failure: Failure | undefined;
-  readonly state: TransactionState;
-  readonly position: LogPosition | undefined;
-}
--- a/packages/engine/src/transaction.ts
+++ b/packages/engine/src/transaction.ts
@@ -5,7 +5,7 @@
 import type { Lease } from './lease.js';
 import { type DataStatement, rollBack, runCommand, runStatement, sendSetup } from './run.js';
 import { createLocalAnswer, type SessionContext } from './context.js';
-import type { Answer, Failure, Reply } from './statement.js';
+import type { Failure, Reply } from './statement.js';
 import { wait } from './timing.js';
 
 const ROLLBACK_TIMEOUT_MS: Millis = 1_000;
@@ -60,7 +60,7 @@
       .catch(() => undefined);
   }
 
-  async run(id: string, statement: DataStatement): Promise<Answer> {
+  async run(id: string, statement: DataStatement): Promise<Reply> {
     const answer = await this.runWithLease(id, (lease) => {
       const limit = this.route.timeoutMs * GIVE_UP_PART;
       return runStatement(lease.connection, this.context, statement, { id }, limit);
@@ -70,7 +70,7 @@
   }
 
   /** Commits; afterwards the transaction has ended, whatever the answer. */
-  async commit(id: string): Promise<Answer> {
+  async commit(id: string): Promise<Reply> {
     if (this.isReported || this.failure) {
       const failure = this.failure ?? { verdict: 'aborted', reason: 'the transaction has failed' };
       this.abort(failure.reason);
@@ -85,9 +85,7 @@
     if (!answer.failure && lease) {
       this.lease = undefined;
       lease.release();
-      if (answer.position) {
-        this.context.floor = { position: answer.position, at: this.context.readNow() };
-      }
+      this.context.handleCommit(answer.position);
       return { ...answer, state: 'idle' };
     }
     const failure = answer.failure ?? { verdict: 'aborted', reason: 'the connection is gone' };
@@ -100,7 +98,7 @@
     );
   }
 
-  private fail(failure: Failure): Answer {
+  private fail(failure: Failure): Reply {
     this.abort(failure.reason);
     this.isReported = true;
     return createLocalAnswer('failed', failure);
@@ -118,7 +116,7 @@
     }
   }
 
-  private async runWithLease(id: string, run: (lease: Lease) => Promise<Reply>): Promise<Answer> {
+  private async runWithLease(id: string, run: (lease: Lease) => Promise<Reply>): Promise<Reply> {
     if (this.failure) return createLocalAnswer('failed', this.failure);
     this.isRunning = true;
     try {
