Let emulated parts and proxies change their own state

Cause: reading the diff as a newcomer showed aliases and Object.assign that change another object's fields, and lists of fault kinds spread over tuples.

Change: instances carry out orders and learn of the lead themselves, proxies have delay and refuse, callers reset their counts; plain lists; an unused count is gone.

--- a/packages/emulator/src/group.ts
+++ b/packages/emulator/src/group.ts
@@ -1,5 +1,5 @@
 import type { Millis } from '@shallotpick/core';
-import { type Operation, wait } from '@shallotpick/engine';
+import { wait } from '@shallotpick/engine';
 import { EmulatedInstance, type EmulatedInstanceOptions } from './instance.js';
 import type { ItemWrite, LogEntry } from './log.js';
 import { EmulatorObserver } from './observer.js';
@@ -86,16 +86,6 @@
     return true;
   }
 
-  /** Carries out an order to an instance. */
-  handleOrder(instance: EmulatedInstance, order: Operation): void {
-    const target = instance;
-    if (order.kind === 'resume') target.heldTerm = 0;
-    if (order.kind !== 'pause' && order.kind !== 'stepDown') return;
-    if (order.term <= instance.term) return;
-    if (order.kind === 'pause' && !instance.leads) target.heldTerm = order.term;
-    if (order.kind === 'stepDown') target.leads = false;
-  }
-
   /** Orders a promotion; false when the instance does not run. */
   promote(id: string): boolean {
     const instance = this.instances.find((one) => one.id === id);
@@ -155,11 +145,8 @@
     const { entries } = instance.log;
     instance.log.apply(entries.length);
     this.instances.forEach((one) => {
-      const other = one;
-      other.leads = one === instance;
-      other.term = this.term;
-      if (one === instance) other.heldTerm = 0;
-      else this.rollBack(other, entries);
+      one.updateLead(one === instance, this.term);
+      if (one !== instance) this.rollBack(one, entries);
     });
     const { name: group, term } = this;
     this.observer.handlePromotion({ group, instance: instance.id, term, entries });
--- a/packages/emulator/src/instance.ts
+++ b/packages/emulator/src/instance.ts
@@ -1,6 +1,6 @@
 import { createServer, type Server, type Socket } from 'node:net';
 import type { InstanceRole, LogPosition, Millis } from '@shallotpick/core';
-import { wait } from '@shallotpick/engine';
+import { type Operation, wait } from '@shallotpick/engine';
 import type { EmulatedGroup } from './group.js';
 import { InstanceLog } from './log.js';
 import { InstanceSession } from './session.js';
@@ -100,6 +100,22 @@
     });
   }
 
+  /** Carries out an order of a takeover; one of a term that is not newer does nothing. */
+  handleOrder(order: Operation): void {
+    if (order.kind === 'resume') this.heldTerm = 0;
+    if (order.kind !== 'pause' && order.kind !== 'stepDown') return;
+    if (order.term <= this.term) return;
+    if (order.kind === 'stepDown') this.leads = false;
+    else if (!this.leads) this.heldTerm = order.term;
+  }
+
+  /** The instance learns who leads from now on. */
+  updateLead(leads: boolean, term: number): void {
+    this.leads = leads;
+    this.term = term;
+    if (leads) this.heldTerm = 0;
+  }
+
   countConnections(): number {
     return this.sessions.size;
   }
--- a/packages/emulator/src/proxy.ts
+++ b/packages/emulator/src/proxy.ts
@@ -14,10 +14,10 @@
   port = 0;
 
   /** Time that bytes are held back in each direction. */
-  delayMs: Millis = 0;
+  private delayMs: Millis = 0;
 
   /** New connections are closed at once. */
-  isRefusing = false;
+  private isRefusing = false;
 
   private readonly silenced = new Set<Direction>();
 
@@ -59,6 +59,17 @@
     this.pairs.forEach((pair) => this.updateFlow(pair));
   }
 
+  /** Holds back all bytes for a time. */
+  delay(durationMs: Millis): void {
+    this.delayMs = durationMs;
+  }
+
+  /** Resets the open connections and every new one. */
+  refuse(): void {
+    this.isRefusing = true;
+    this.reset();
+  }
+
   /** Ends all faults; bytes that were held back arrive. */
   heal(): void {
     this.silenced.clear();
--- a/packages/emulator/src/session.ts
+++ b/packages/emulator/src/session.ts
@@ -164,7 +164,7 @@
         return DONE;
       })
       .with({ kind: P.union('status', 'pause', 'stepDown', 'resume') }, (order) => {
-        instance.group.handleOrder(instance, order);
+        instance.handleOrder(order);
         const received = formatPosition(instance.readPosition());
         const { term, heldTerm } = instance;
         const load = `0 0 ${instance.countConnections()}`;
--- a/packages/soak/src/caller.ts
+++ b/packages/soak/src/caller.ts
@@ -59,7 +59,7 @@
 
   private vm: SoakVm | undefined;
 
-  /** When this session's last commit was acknowledged, which its reads must show. */
+  /** Names the session, which its statements carry as a value. */
   private session = '';
 
   constructor(private readonly options: CallerOptions) {}
@@ -86,6 +86,11 @@
     }
   }
 
+  /** Starts a new count of outcomes. */
+  resetCounts(): void {
+    this.counts = { succeeded: 0, failed: 0 };
+  }
+
   stop(): void {
     this.isStopped = true;
     this.connection?.close();
--- a/packages/soak/src/checker.ts
+++ b/packages/soak/src/checker.ts
@@ -11,8 +11,12 @@
 
 /** Verdicts that promise that nothing is kept. */
 const PROMISES: ReadonlySet<Verdict> = new Set<Verdict>([
-  ...(['overloaded', 'aborted', 'lagging', 'readOnly'] as const),
-  ...(['wrongInstance', 'tooManyConnections'] as const),
+  'overloaded',
+  'aborted',
+  'lagging',
+  'readOnly',
+  'wrongInstance',
+  'tooManyConnections',
 ]);
 const PRINTED_PROBLEMS = 20;
 
@@ -52,7 +56,7 @@
   readonly problems: Problem[] = [];
 
   /** Requests by outcome, for the summary. */
-  readonly counts = { answered: 0, refused: 0, broken: 0, promotions: 0, commits: 0 };
+  readonly counts = { answered: 0, refused: 0, promotions: 0, commits: 0 };
 
   private readonly sent = new Map<string, Sent>();
 
--- a/packages/soak/src/faults.ts
+++ b/packages/soak/src/faults.ts
@@ -10,28 +10,50 @@
 import { match } from 'ts-pattern';
 import { DRAIN_MS, type SoakVm } from './vm.js';
 
+/** Kinds that stand twice are drawn twice as often. */
 const FAULT_KINDS = [
-  ...(['stopVm', 'stopVm', 'killVm', 'killVm', 'killAllVms', 'pauseVm', 'pauseVm'] as const),
-  ...(['reloadVm', 'stepClock'] as const),
-  ...(['silenceStore', 'cutStoreOneWay', 'delayStore', 'resetStore', 'abandonStore'] as const),
-  ...(['silencePromotions', 'storeDown', 'loseWrites', 'compactStore'] as const),
-  ...(['crashLeader', 'crashLeader', 'crashReplica', 'silenceLeader', 'silenceReplica'] as const),
-  ...(['cutLeaderOneWay', 'delayInstance', 'resetInstance', 'resetLeader'] as const),
-  ...([
-    'abandonInstance',
-    'replaceLeader',
-    'replaceReplica',
-    'splitGroup',
-    'deafReplica',
-    'resetCallers',
-  ] as const),
+  'stopVm',
+  'stopVm',
+  'killVm',
+  'killVm',
+  'killAllVms',
+  'pauseVm',
+  'pauseVm',
+  'reloadVm',
+  'stepClock',
+  'silenceStore',
+  'cutStoreOneWay',
+  'delayStore',
+  'resetStore',
+  'abandonStore',
+  'silencePromotions',
+  'storeDown',
+  'loseWrites',
+  'compactStore',
+  'crashLeader',
+  'crashLeader',
+  'crashReplica',
+  'silenceLeader',
+  'silenceReplica',
+  'cutLeaderOneWay',
+  'delayInstance',
+  'resetInstance',
+  'resetLeader',
+  'abandonInstance',
+  'replaceLeader',
+  'replaceReplica',
+  'splitGroup',
+  'deafReplica',
+  'resetCallers',
 ] as const;
 
 export type SoakFaultKind = (typeof FAULT_KINDS)[number];
 
 /** Faults after which a broken request may be the fault's work, not the shutdown's. */
 const PLANNED: ReadonlySet<SoakFaultKind> = new Set<SoakFaultKind>([
-  ...(['stopVm', 'reloadVm', 'compactStore'] as const),
+  'stopVm',
+  'reloadVm',
+  'compactStore',
 ]);
 
 /** One fault; `pick` chooses what it affects. */
@@ -76,22 +98,10 @@
   return instances[pick % Math.max(1, instances.length)];
 }
 
-function silence(proxy: FaultProxy): void {
-  proxy.silence('toServer', 'toClient');
-}
-
-function cutOneWay(proxy: FaultProxy): void {
-  proxy.silence('toClient');
-}
-
-function delay(proxy: FaultProxy): void {
-  Object.assign(proxy, { delayMs: DELAY_MS });
-}
-
-function refuse(proxy: FaultProxy): void {
-  Object.assign(proxy, { isRefusing: true });
-  proxy.reset();
-}
+const silence = (proxy: FaultProxy): void => proxy.silence('toServer', 'toClient');
+const cutOneWay = (proxy: FaultProxy): void => proxy.silence('toClient');
+const delay = (proxy: FaultProxy): void => proxy.delay(DELAY_MS);
+const refuse = (proxy: FaultProxy): void => proxy.refuse();
 
 /** Injects faults into VMs, their paths and the platform. */
 export class FaultInjector {
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -221,7 +221,7 @@
   /** Watches the callers for a while; the groups of which too few operations succeeded. */
   private async listUnserved(): Promise<readonly string[]> {
     const { callers, platform } = this;
-    callers.forEach((caller) => Object.assign(caller, { counts: { succeeded: 0, failed: 0 } }));
+    callers.forEach((caller) => caller.resetCounts());
     await wait(FINAL_WINDOW_MS);
     return platform.groups.flatMap(({ name }) => {
       const own = callers.filter((caller) => caller.group === name);
