Send the soak's signals only to processes that have started

The bound of one second was a guess.

Ruled out: the program, which installs its handlers first of all.

Change: a process counts as started once it has logged.

--- a/packages/soak/src/vm.ts
+++ b/packages/soak/src/vm.ts
@@ -17,9 +17,6 @@
 const READY_TIMEOUT_MS: Millis = 300;
 const STATUS_OK = 200;
 
-/** A process that gets a signal while it starts ends by it. */
-const STARTUP_MS: Millis = 1_000;
-
 /** Steps the time of day of the process on SIGUSR2, and back on the next one. */
 const CLOCK_STEP = `
 const readTime = Date.now.bind(Date);
@@ -60,7 +57,8 @@
 
   private readonly log: WriteStream;
 
-  private startedAt: Millis = 0;
+  /** The process has logged; before, a signal ends it as no handler is installed yet. */
+  private hasStarted = false;
 
   /** Why the process may end now. */
   private expectedEnd: 'none' | 'stop' | 'kill' = 'none';
@@ -102,7 +100,10 @@
     child.stderr.pipe(this.log, { end: false });
     child.on('exit', (code, signal) => this.handleExit(code, signal));
     this.child = child;
-    this.startedAt = performance.now();
+    this.hasStarted = false;
+    child.stdout.once('data', () => {
+      if (this.child === child) this.hasStarted = true;
+    });
     this.expectedEnd = 'none';
     this.isStopping = false;
     this.isPaused = false;
@@ -137,14 +138,14 @@
     this.child?.kill('SIGCONT');
   }
 
-  /** Tells the process that its settings have changed. */
+  /** Tells the process that its settings have changed, unless it still starts. */
   reload(): void {
-    this.child?.kill('SIGHUP');
+    if (this.hasStarted) this.child?.kill('SIGHUP');
   }
 
-  /** Steps the time of day, unless the process still starts and would end by the signal. */
+  /** Steps the time of day, unless the process still starts. */
   stepClock(): void {
-    if (performance.now() - this.startedAt >= STARTUP_MS) this.child?.kill('SIGUSR2');
+    if (this.hasStarted) this.child?.kill('SIGUSR2');
   }
 
   /** Asks as the balancer does. */
@@ -183,8 +184,8 @@
     this.isStopping = false;
     const { expectedEnd, name } = this;
     const end = signal ?? code;
-    const isStarting = signal === 'SIGTERM' && performance.now() - this.startedAt < STARTUP_MS;
-    if (expectedEnd === 'stop' && code !== 0 && signal !== 'SIGKILL' && !isStarting) {
+    const isUnready = signal === 'SIGTERM' && !this.hasStarted;
+    if (expectedEnd === 'stop' && code !== 0 && signal !== 'SIGKILL' && !isUnready) {
       this.options.reportProblem('a stopped process exits with 0', `${name}: ${end}`);
     } else if (expectedEnd === 'none') {
       this.options.reportProblem('no process ends by itself', `${name}: ${end}`);
