--- a/packages/emulator/src/log.ts
+++ b/packages/emulator/src/log.ts
@@ -26,13 +26,6 @@
     return { term: this.entries[length - 1]?.term ?? 1, offset: length };
   }
 
-  /** The entries up to a position, undefined when the log lacks it. */
-  findLength({ term, offset }: LogPosition): number | undefined {
-    if (offset > this.entries.length) return undefined;
-    const isOlder = offset > 0 && (this.entries[offset - 1]?.term ?? 0) < term;
-    return isOlder ? undefined : offset;
-  }
-
   /** Makes entries up to `length` visible to reads. */
   apply(length: number): void {
     for (; this.applied < Math.min(length, this.entries.length); this.applied++) {
--- a/packages/emulator/src/observer.ts
+++ b/packages/emulator/src/observer.ts
@@ -43,22 +43,3 @@
   abstract handlePromotion(promotion: Promotion): void;
   abstract handleOrder(order: PromotionOrder): void;
 }
-
-/** Observes nothing. */
-export class SilentObserver extends EmulatorObserver {
-  override handleStatement(): void {
-    // Nothing is checked.
-  }
-
-  override handleCommit(): void {
-    // Nothing is checked.
-  }
-
-  override handlePromotion(): void {
-    // Nothing is checked.
-  }
-
-  override handleOrder(): void {
-    // Nothing is checked.
-  }
-}
--- a/packages/soak/test/soak.spec.ts
+++ b/packages/soak/test/soak.spec.ts
@@ -8,7 +8,7 @@
 const RUN_TIMEOUT_MS = 120_000;
 /** Replicas that lag show reads at a former leader. */
 const LONG_LAG_MS = 400;
-/** One reset meets a write on its way in one of four cases, so many are made. */
+/** A reset meets a write on its way only at times, so many are made. */
 const RESET_TIMES_MS = Array.from({ length: 40 }, (_, index) => 300 + index * 90);
 const SIZE = { vms: 3, groups: 1, callers: 12, series: 4, windowMs: 4_000 };
 
