Answer a cut read of a stated age alike on the primary and on replicas

Cause: 'reports a read whose response was interrupted' expected SP003 and once got 08007. The read calls a function that the proxy does not know. Served by a replica it is a read; when the router took the primary (before the replicas' positions were known), the function might have written, so the loss counted as an outcome unknown. Ruled out: the harness (the verdict follows the chosen instance alone; with replicas made too old the old code gives 08007 every time).

Change: on the primary such a read runs with default_transaction_read_only, as a replica would run it; a refused write is sent again as a write, as before. A read on a replica that has become the primary by the time of the loss counts as a possible write.

--- a/packages/bench/test/session.spec.ts
+++ b/packages/bench/test/session.spec.ts
@@ -100,6 +100,44 @@
     expect(answer.slice(-2)).toEqual(['E SP003', 'Z I']);
   });
 
+  // A cut read was reported as "outcome unknown" when the primary happened to serve it, because the
+  // function in it could have written there. Replicas that lag behind the session's own write leave
+  // only the primary.
+  it('reports a cut read alike on the primary, after a retry and in a read-only block', async () => {
+    const read = '/* shallotpick contract=availability */ SELECT payload(500, 10000)';
+    const primary = findPrimary();
+    cluster.groups[0]?.instances.forEach((one) => one !== primary && one.setApplyLag(60_000));
+    expect(await client.query(put('own'))).toEqual(['C INSERT 0 1', 'Z I']);
+    breakOnce('payload', 'rows');
+    expect((await client.query(read)).slice(-2)).toEqual(['E SP003', 'Z I']);
+    const stages: string[] = [];
+    primary.hasFault = (text, stage) => {
+      if (!text.includes('payload')) return false;
+      stages.push(stage);
+      return stages.length === 1 || stage === 'rows';
+    };
+    expect((await client.query(read)).slice(-2)).toEqual(['E SP003', 'Z I']);
+    expect(stages.slice(0, 3)).toEqual(['before', 'before', 'rows']);
+    primary.hasFault = undefined;
+    expect(await client.query('BEGIN READ ONLY')).toEqual(['C BEGIN', 'Z T']);
+    breakOnce('payload', 'rows');
+    expect((await client.query(read)).slice(-2)).toEqual(['E SP003', 'Z E']);
+    expect(await client.query('COMMIT')).toEqual(['C ROLLBACK', 'Z I']);
+  });
+
+  // A read-only connection must serve a write of the same or another session again.
+  it('writes through the connection that served a read of a stated age', async () => {
+    const call = "/* shallotpick contract=availability */ SELECT put('x', 'y')";
+    const primary = findPrimary();
+    cluster.groups[0]?.instances.forEach((one) => one !== primary && one.setApplyLag(60_000));
+    expect(await client.query(put('own'))).toEqual(['C INSERT 0 1', 'Z I']);
+    expect(await client.query(call)).toEqual(['T', 'D y', 'C SELECT 1', 'Z I']);
+    expect(primary.storage.findRow('items', 'x')).toEqual('y');
+    const read = '/* shallotpick contract=availability */ SELECT payload(1, 1)';
+    expect(await client.query(read)).toEqual(['T', 'D x', 'C SELECT 1', 'Z I']);
+    expect(await client.query(put('next'))).toEqual(['C INSERT 0 1', 'Z I']);
+  });
+
   // Guards against a write that is missed because it follows a read in the same text, or is made by
   // a function.
   it('waits for the majority after each request that may write', async () => {
--- a/packages/daemon/src/parameters.ts
+++ b/packages/daemon/src/parameters.ts
@@ -23,6 +23,9 @@
 const NOT_FROM_STARTUP: ReadonlySet<string> = new Set(['application_name', 'client_encoding']);
 const SET_PATTERN =
   /^set\s+(?:session\s+)?(?:(time\s+zone)\s+|([\w.]+)\s*(?:=|\sto\s)\s*)([\s\S]+)$/i;
+/** Callers cannot change it, so that the proxy may use it on the connections of an instance. */
+const READ_ONLY_PARAMETER = 'default_transaction_read_only';
+const READ_ONLY_STATEMENT = `SET ${READ_ONLY_PARAMETER} TO 'on'`;
 const TRANSACTION_SCOPED_SET = /^set\s+(?:local|transaction|constraints)\b/i;
 
 /** A parameter change; without `statement` it resets to the default, without `name` all of them. */
@@ -97,17 +100,27 @@
     });
   }
 
-  /** The statements that set this session's parameters on a connection; undefined if none. */
-  formatReplay({ parameters }: InstanceConnection): string | undefined {
-    const resets = [...parameters.keys()].filter((name) => !this.values.has(name));
-    const sets = [...this.values].filter(([name, text]) => parameters.get(name) !== text);
+  /**
+   * The statements that set this session's parameters on a connection; undefined if none.
+   *
+   * @param isReadOnly whether the instance must refuse writes of the next request
+   */
+  formatReplay({ parameters }: InstanceConnection, isReadOnly: boolean): string | undefined {
+    const values = this.listValues(isReadOnly);
+    const resets = [...parameters.keys()].filter((name) => !values.has(name));
+    const sets = [...values].filter(([name, text]) => parameters.get(name) !== text);
     if (resets.length + sets.length === 0) return undefined;
     return [...resets.map((name) => `RESET ${name}`), ...sets.map(([, text]) => text)].join('; ');
   }
 
   /** Records on the connection that the replay has run. */
-  applyReplay({ parameters }: InstanceConnection): void {
+  applyReplay({ parameters }: InstanceConnection, isReadOnly: boolean): void {
     parameters.clear();
-    this.values.forEach((text, name) => parameters.set(name, text));
+    this.listValues(isReadOnly).forEach((text, name) => parameters.set(name, text));
+  }
+
+  private listValues(isReadOnly: boolean): ReadonlyMap<string, string> {
+    if (!isReadOnly) return this.values;
+    return new Map([...this.values, [READ_ONLY_PARAMETER, READ_ONLY_STATEMENT]]);
   }
 }
--- a/packages/daemon/src/single.ts
+++ b/packages/daemon/src/single.ts
@@ -158,23 +158,43 @@
   static async replayParameters(
     { parameters }: SessionContext,
     { connection }: Lease,
+    isReadOnly = false,
   ): Promise<boolean> {
-    const sql = parameters.formatReplay(connection);
+    const sql = parameters.formatReplay(connection, isReadOnly);
     if (sql === undefined) return connection.isUsable();
     try {
       const { error } = await runInternalStatement(connection, sql);
       if (error) connection.close();
-      else parameters.applyReplay(connection);
+      else parameters.applyReplay(connection, isReadOnly);
     } catch {
       return false;
     }
     return connection.isUsable();
   }
 
+  /**
+   * True when the primary must refuse a write that a function in the request makes. A contract that
+   * accepts an age allows replicas, which refuse such writes anyway; with the same refusal on the
+   * primary, a broken connection never leaves the outcome of these reads unknown.
+   */
+  private requiresReadOnly(lease: Lease, kind: 'read' | 'write'): boolean {
+    const { context, contract, summary } = this;
+    return (
+      kind === 'read' &&
+      contract.maxAgeMs > 0 &&
+      summary.mayWrite &&
+      // SET TRANSACTION READ WRITE would lift the restriction.
+      !summary.executed.some((statement) => statement.kind === 'set') &&
+      context.isPrimary(lease.instance)
+    );
+  }
+
   private async runOn(lease: Lease, kind: 'read' | 'write'): Promise<AttemptOutcome> {
     const { context, summary } = this;
     context.lease = lease;
-    if (!(await SingleRequestRunner.replayParameters(context, lease)) || context.isClosed) {
+    const isReadOnly = this.requiresReadOnly(lease, kind);
+    const isReady = await SingleRequestRunner.replayParameters(context, lease, isReadOnly);
+    if (!isReady || context.isClosed) {
       context.releaseLease();
       return NOT_SENT;
     }
@@ -183,7 +203,7 @@
     }
     // An unknown function may write on the primary; a replica refuses the write.
     const wasPrimary = kind === 'write' || context.isPrimary(lease.instance);
-    const commits = mayCommitChanges(summary, false, false);
+    const commits = !isReadOnly && mayCommitChanges(summary, false, false);
     const encoded = context.encode(this.request, lease);
     const forwarder = context.createForwarder(
       lease,
@@ -194,7 +214,8 @@
     try {
       state = await lease.connection.run(encoded.bytes, forwarder);
     } catch {
-      return this.handleConnectionLoss(forwarder, commits && (summary.writes || wasPrimary));
+      const mayHaveLed = wasPrimary || context.isPrimary(lease.instance);
+      return this.handleConnectionLoss(forwarder, commits && (summary.writes || mayHaveLed));
     }
     if (
       forwarder.errorCode === SQLSTATE.readOnly &&
--- a/packages/standin/src/executor.ts
+++ b/packages/standin/src/executor.ts
@@ -224,7 +224,8 @@
 
   private applyWrite(table: RowChange['table'], key: string, value: string): Failure | undefined {
     const { instance } = this.options;
-    if (!instance.isWritable()) return READ_ONLY;
+    const isReadOnly = this.variables.find('default_transaction_read_only') === 'on';
+    if (isReadOnly || !instance.isWritable()) return READ_ONLY;
     const change = { table, key, value };
     if (this.isInTransaction()) this.changes.push(change);
     else if (!instance.commit([change])) return READ_ONLY;
