Hand over a leader only while no replica can start unnoticed

Cause: a planned change stops every replica but the successor and lets the leader serve on. Ruled out: reacting to the newcomer, since the promotion can't be recalled once it was accepted.

Model: a replacement joins when its predecessor has ended, with its log, as the platform's page says; before it joined at once and empty. The faults begin after 11 s of watching.

--- a/packages/bench/src/takeover/group.ts
+++ b/packages/bench/src/takeover/group.ts
@@ -93,13 +93,17 @@
     return this.instances.find(({ isLeader }) => isLeader);
   }
 
-  /** Starts a replica in place of the current leader and marks the leader as leaving. */
-  replaceLeader(): SyncInstance | undefined {
+  /**
+   * Ends an instance that has left and starts its successor, which takes over its address and its
+   * log; the platform transfers the log only once the old instance has ended.
+   */
+  replace(instance: SyncInstance): void {
+    Object.assign(instance, { isAlive: false, isRegistered: false });
+    const successor = new SyncInstance(`db-${this.instances.length}`, this.random);
     const leader = this.findLeader();
-    if (!leader) return undefined;
-    this.instances.push(new SyncInstance(`db-${this.instances.length}`, this.random));
-    leader.leaving = true;
-    return leader;
+    const held = new Set(leader?.log.map(({ id }) => id));
+    successor.log = leader ? instance.log.filter(({ id }) => held.has(id)) : [...instance.log];
+    this.instances.push(successor);
   }
 
   /**
--- a/packages/bench/src/takeover/scenario.ts
+++ b/packages/bench/src/takeover/scenario.ts
@@ -3,9 +3,13 @@
 /** Every fault starts within this time. */
 export const FAULT_WINDOW_MS = 8_000;
 const MAX_FAULT_MS = 6_000;
+const MIN_FAULT_AT_MS = 1_000;
+/** About the time that a change of the leader takes. */
+const MOMENT_MS = 800;
 /** By this time every fault has ended and every delayed order has been carried out. */
 export const FAULTS_END_MS = FAULT_WINDOW_MS + MAX_FAULT_MS + 13_000;
 
+/** Kinds that stand twice are drawn twice as often. */
 const FAULT_KINDS = [
   'crashLeader',
   'crashLeader',
@@ -13,8 +17,10 @@
   'cutLeaderFromVms',
   'cutLeaderFromReplicas',
   'markLeaderLeaving',
+  'leaveBesideDeafReplica',
   'replaceLeader',
   'replaceLeader',
+  'replaceReplica',
   'deafReplica',
   'crashReplica',
   'pauseVm',
@@ -44,15 +50,39 @@
   readonly faults: readonly TakeoverFault[];
 }
 
-const fault: fc.Arbitrary<TakeoverFault> = fc.record({
+/** A fault whose time is relative to the moment of its run, or to the start. */
+interface RelativeFault extends Omit<TakeoverFault, 'at'> {
+  readonly offset: number;
+  readonly isNearMoment: boolean;
+}
+
+const relativeFault: fc.Arbitrary<RelativeFault> = fc.record({
   kind: fc.constantFrom(...FAULT_KINDS),
-  at: fc.integer({ min: 1_000, max: FAULT_WINDOW_MS }),
+  offset: fc.integer({ min: 0, max: FAULT_WINDOW_MS - MIN_FAULT_AT_MS }),
+  isNearMoment: fc.boolean(),
   duration: fc.integer({ min: 200, max: MAX_FAULT_MS }),
   pick: fc.nat({ max: 5 }),
 });
 
-/** Generates random scenarios. */
-export const takeoverArbitrary: fc.Arbitrary<TakeoverScenario> = fc.record({
-  seed: fc.integer(),
-  faults: fc.array(fault, { minLength: 1, maxLength: 6, size: 'max' }),
-});
+function placeFault(
+  moment: number,
+  { offset, isNearMoment, ...rest }: RelativeFault,
+): TakeoverFault {
+  const at = isNearMoment ? moment + (offset % MOMENT_MS) : MIN_FAULT_AT_MS + offset;
+  return { ...rest, at };
+}
+
+/**
+ * Generates random scenarios. Half of the faults fall together within the time of one change of the
+ * leader, since most violations need several faults during it.
+ */
+export const takeoverArbitrary: fc.Arbitrary<TakeoverScenario> = fc
+  .record({
+    seed: fc.integer(),
+    moment: fc.integer({ min: MIN_FAULT_AT_MS, max: FAULT_WINDOW_MS - MOMENT_MS }),
+    faults: fc.array(relativeFault, { minLength: 1, maxLength: 6, size: 'max' }),
+  })
+  .map(({ seed, moment, faults }) => ({
+    seed,
+    faults: faults.map((one) => placeFault(moment, one)),
+  }));
--- a/packages/bench/src/takeover/simulation.ts
+++ b/packages/bench/src/takeover/simulation.ts
@@ -11,6 +11,8 @@
 const VM_TICK_MS = 30;
 const VMS = 3;
 const RESTART_MS = 500;
+/** The VMs have watched the group for this long when the faults begin. */
+const WARM_UP_MS = 11_000;
 /** Once the faults have ended, the group must have a leader and replicating replicas in this time. */
 const SETTLE_MS = 15_000;
 
@@ -61,9 +63,9 @@
   /** Runs the scenario and returns the first violation, or undefined if every guarantee held. */
   run(): TakeoverViolation | undefined {
     this.scenario.faults.forEach((fault) => {
-      this.clock.schedule(fault.at, () => this.startFault(fault));
+      this.clock.schedule(WARM_UP_MS + fault.at, () => this.startFault(fault));
     });
-    const end = FAULTS_END_MS + SETTLE_MS;
+    const end = WARM_UP_MS + FAULTS_END_MS + SETTLE_MS;
     for (let now = 0; now <= end; now += STEP_MS) {
       this.clock.advanceTo(now);
       this.group.handleStep(now, (id) => this.vms.some((vm) => vm.canReach(id)));
@@ -117,14 +119,13 @@
         leader.leaving = true;
         end(() => Object.assign(leader, { leaving: false }));
       })
-      .with('replaceLeader', () => {
-        const replaced = group.replaceLeader();
-        end(() => replaced && Object.assign(replaced, { isAlive: false, isRegistered: false }));
-      })
-      .with('deafReplica', () => {
-        const replica = this.pickReplica(pick);
-        replica.isReplicationStopped = true;
-        end(() => Object.assign(replica, { isReplicationStopped: false }));
+      .with('replaceLeader', () => leader && this.replace(leader, duration))
+      .with('replaceReplica', () => this.replace(this.pickReplica(pick), duration))
+      .with('deafReplica', () => this.deafen(this.pickReplica(pick), duration))
+      .with('leaveBesideDeafReplica', () => {
+        if (leader) this.replace(leader, duration);
+        // The VMs choose a successor within this time after the leader was marked.
+        this.clock.schedule(pick * STEP_MS, () => this.deafen(this.pickReplica(pick), duration));
       })
       .with('pauseVm', () => {
         const vm = this.pickVm(pick);
@@ -158,6 +159,18 @@
     this.clock.schedule(duration, () => Object.assign(platform, { [name]: false }));
   }
 
+  private deafen(replica: SyncInstance, duration: number): void {
+    Object.assign(replica, { isReplicationStopped: true });
+    this.clock.schedule(duration, () => Object.assign(replica, { isReplicationStopped: false }));
+  }
+
+  /** Marks an instance as leaving; after `duration` another one takes its place. */
+  private replace(instance: SyncInstance, duration: number): void {
+    if (instance.leaving || !instance.isRegistered) return;
+    Object.assign(instance, { leaving: true });
+    this.clock.schedule(duration, () => this.group.replace(instance));
+  }
+
   private crash(instance: SyncInstance, duration: number): void {
     Object.assign(instance, { isAlive: false });
     this.clock.schedule(duration, () => {
--- a/packages/bench/src/takeover/vm.ts
+++ b/packages/bench/src/takeover/vm.ts
@@ -23,6 +23,7 @@
   readonly health: InstanceView['health'];
   readonly leads: boolean;
   readonly position: InstanceView['position'];
+  readonly lagMs: InstanceView['lagMs'];
 }
 
 /** What a simulated VM works with. */
@@ -157,7 +158,7 @@
       const position = isAlive ? instance.readPosition() : known?.position;
       this.probeResults.set(id, {
         ...{ answeredAt: now, since, health, position },
-        leads: isAlive && isLeader,
+        ...{ leads: isAlive && isLeader, lagMs: this.findLag(instance) },
       });
     }
     const current = this.probeResults.get(id);
@@ -167,7 +168,7 @@
     }
     const view = this.probeResults.get(id);
     return {
-      ...{ id, leaving, reportsPrimary: isLeader, lagMs: this.findLag(instance) },
+      ...{ id, leaving, reportsPrimary: isLeader, lagMs: view?.lagMs },
       ...{ health: view?.health ?? 'unknown', since: view?.since ?? 0 },
       ...{ leads: view?.leads ?? false, position: view?.position },
     };
--- a/packages/bench/test/takeover.spec.ts
+++ b/packages/bench/test/takeover.spec.ts
@@ -108,6 +108,31 @@
     expect(fail(24_967_952, ...faults)).toEqual(undefined);
   });
 
+  // A replica that took the place of another within a handover acknowledged commits alone, which
+  // the promoted one lacked.
+  it('hand over only while no replica can start unnoticed', () => {
+    const faults = [
+      pickFault('crashReplica', 4_991, 2_515, 0),
+      pickFault('replaceLeader', 5_417, 4_224, 1),
+      pickFault('replaceReplica', 4_218, 4_137, 4),
+      pickFault('cutLeaderFromVms', 1_197, 2_470, 0),
+    ];
+    expect(fail(-3, ...faults)).toEqual(undefined);
+  });
+
+  // The store was down, so that a promotion without an answer could not be outdated. It was carried
+  // out after the former leader had been reachable again and had acknowledged commits.
+  it('stop a former leader that returns while a promotion may still be carried out', () => {
+    const faults = [
+      pickFault('storeDown', 5_624, 5_759, 3),
+      pickFault('replaceReplica', 2_022, 3_916, 4),
+      pickFault('losePromotions', 2_049, 4_437, 4),
+      pickFault('cutLeaderFromVms', 4_848, 3_819, 0),
+      pickFault('replaceLeader', 1_650, 1_495, 2),
+    ];
+    expect(fail(-136_234_507, ...faults)).toEqual(undefined);
+  });
+
   // A handover chose a replica that was ahead of two empty ones but behind the leader.
   it('hand over only to a replica that holds the whole log of the leader', () => {
     const faults = [
--- /dev/null
+++ b/packages/core/src/handover.ts
@@ -0,0 +1,66 @@
+import type { Millis } from './clock.js';
+import { findLeader } from './requiredplan.js';
+import type { InstanceView, PromotionRecord } from './takeovertypes.js';
+
+/** Longest wait of a handover for a group that is not complete, before the leader is stopped. */
+export const INCOMPLETE_GROUP_WAIT_MS: Millis = 3_000;
+/** Longer than a registration outlives its instance, so that a missing one has been noticed. */
+const MIN_OBSERVED_MS: Millis = 10_000;
+
+/** Chooses the replica to promote in a handover: the one with the smallest lag. */
+export function chooseHandoverTarget(
+  instances: readonly InstanceView[],
+  leader: InstanceView | undefined,
+): string | undefined {
+  const [target] = instances
+    .filter(({ id, leaving, health }) => id !== leader?.id && !leaving && health === 'answering')
+    .sort((a, b) => (a.lagMs ?? Infinity) - (b.lagMs ?? Infinity) || a.id.localeCompare(b.id));
+  return target?.id;
+}
+
+/** True for an instance that cannot restart, and so lose an order to stop, without being noticed. */
+function isSteady({ leaving, health }: InstanceView): boolean {
+  return !leaving && (health === 'answering' || health === 'full');
+}
+
+/**
+ * Finds a former leader that must not acknowledge commits, because a promotion that was ordered
+ * under this record may still be carried out. A handover's leader serves on while no replica can
+ * have restarted, and with that have lost the order to stop; only the holder judges this.
+ */
+export function findLeaderToStop(
+  { phase, plan, term }: PromotionRecord,
+  instances: readonly InstanceView[],
+  isHolder: boolean,
+): InstanceView | undefined {
+  const leader = findLeader(instances);
+  if (phase !== 'open' || plan === 'raise' || !leader) return undefined;
+  if ((leader.position?.term ?? 0) > term) return undefined;
+  if (plan === 'takeover') return leader;
+  const areReplicasSteady = instances.every((one) => one === leader || isSteady(one));
+  return isHolder && !areReplicasSteady ? leader : undefined;
+}
+
+/**
+ * Tells whether a group is complete. While a leader serves during its handover, a replica that
+ * starts at the same time could acknowledge a commit alone before any VM knows of it. A replica
+ * starts only in place of one that has ended, so none does while all instances run and none but
+ * the leader leaves.
+ */
+export class GroupCompleteness {
+  private observedSince: Millis | undefined;
+
+  /** Most instances that were registered at once. */
+  private largestSize = 0;
+
+  updateInstances(instances: readonly InstanceView[], now: Millis): void {
+    this.observedSince ??= now;
+    this.largestSize = Math.max(this.largestSize, instances.length);
+  }
+
+  isComplete(instances: readonly InstanceView[], now: Millis): boolean {
+    if (now - (this.observedSince ?? now) < MIN_OBSERVED_MS) return false;
+    if (instances.length < this.largestSize) return false;
+    return instances.every((one) => one.leads || isSteady(one));
+  }
+}
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -121,6 +121,7 @@
 export { InstanceRoster } from './roster.js';
 export type { RegisteredInstance } from './roster.js';
 export { SuccessorSelector } from './successor.js';
+export { GroupCompleteness } from './handover.js';
 export { findRequiredPlan } from './requiredplan.js';
 export { TakeoverCoordinator } from './takeover.js';
 export type { TakeoverOptions } from './takeover.js';
--- a/packages/core/src/takeover.ts
+++ b/packages/core/src/takeover.ts
@@ -1,4 +1,10 @@
 import type { Millis } from './clock.js';
+import {
+  chooseHandoverTarget,
+  GroupCompleteness,
+  findLeaderToStop,
+  INCOMPLETE_GROUP_WAIT_MS,
+} from './handover.js';
 import { SuccessorSelector } from './successor.js';
 import { findLeader, findRequiredPlan } from './requiredplan.js';
 import type {
@@ -24,7 +30,6 @@
   STUCK_LAG_MS,
   STUCK_CHECK_INTERVAL_MS,
   WATCHING,
-  chooseHandoverTarget,
   type StepOf,
   type TakeoverActions,
   type TakeoverStep,
@@ -70,6 +75,8 @@
   /** True once the instances have been listed again since the claim. */
   private isRefreshed = false;
 
+  private readonly completeness = new GroupCompleteness();
+
   private planSince: { readonly plan: TakeoverPlan; readonly at: Millis } | undefined;
 
   constructor(
@@ -133,11 +140,12 @@
   /** Decides the next actions from the present state of the instances. */
   handleTick(instances: readonly InstanceView[], now: Millis): TakeoverActions {
     this.selector.updateInstances(instances, now);
+    this.completeness.updateInstances(instances, now);
     const { step } = this;
-    if (!this.isKnown) return this.isDue('read', now, READ_INTERVAL_MS) ? [{ kind: 'read' }] : [];
+    if (!this.isKnown) return this.awaitRecord(instances, now);
     switch (step.kind) {
       case 'claiming':
-        return this.checkClaim(step, now);
+        return this.checkClaim(step, instances, now);
       case 'fencing':
         return this.fence(step, instances, now);
       case 'promoting':
@@ -163,7 +171,7 @@
   private watch(instances: readonly InstanceView[], now: Millis): TakeoverActions {
     const checks = this.checkLaggingReplicas(instances, now);
     if (checks.length > 0) return checks;
-    const stepDown = this.stepDownFormerLeader(instances, now);
+    const stepDown = this.assistHolder(instances, now);
     if (stepDown.length > 0) return stepDown;
     const plan = this.findPlan(instances, now);
     if (plan !== this.planSince?.plan) this.planSince = plan && { plan, at: now };
@@ -173,7 +181,10 @@
     const isOpen = this.record?.phase === 'open' && this.record.holder !== this.options.vm;
     if (isOpen && now - this.recordSeenAt < ATTEMPT_TIMEOUT_MS) return [];
     if (this.isSuperseded && now - this.orderedAt < LEASE_MS + LEASE_MARGIN_MS) return [];
-    return this.claim(plan, now);
+    if (plan !== 'handover' || this.completeness.isComplete(instances, now)) {
+      return this.claim(plan, now);
+    }
+    return now - this.planSince.at < INCOMPLETE_GROUP_WAIT_MS ? [] : this.claim('takeover', now);
   }
 
   /** Asks a lagging replica for its status: an order that arrived late may keep it stopped. */
@@ -193,14 +204,19 @@
    * Until the promotion takes effect, commits of the former leader could be acknowledged by a
    * replica that has just joined.
    */
-  private stepDownFormerLeader(instances: readonly InstanceView[], now: Millis): TakeoverActions {
+  private assistHolder(instances: readonly InstanceView[], now: Millis): TakeoverActions {
+    const isRecent = now - this.recordSeenAt < ATTEMPT_TIMEOUT_MS;
+    return isRecent && !this.isHolder() ? this.stopFormerLeader(instances, now) : [];
+  }
+
+  private isHolder(): boolean {
+    return this.record?.holder === this.options.vm;
+  }
+
+  private stopFormerLeader(instances: readonly InstanceView[], now: Millis): TakeoverActions {
     const { record } = this;
-    const isOpen = record?.phase === 'open' && now - this.recordSeenAt < ATTEMPT_TIMEOUT_MS;
-    const isOther = record !== undefined && record.holder !== this.options.vm;
-    if (!isOpen || !isOther || record.plan !== 'takeover') return [];
-    const leader = findLeader(instances);
-    const isFormer = leader && (leader.position?.term ?? 0) <= record.term;
-    if (!isFormer || !this.isDue('assist', now)) return [];
+    const leader = record && findLeaderToStop(record, instances, this.isHolder());
+    if (!leader || !this.isDue('stop leader', now)) return [];
     // The instance that the holder promotes leads in a newer term and ignores this.
     return [{ kind: 'stepDown', instance: leader.id, term: record.term + 1 }];
   }
@@ -230,10 +246,21 @@
     return [{ kind: 'write', record, expectedVersion: this.version }];
   }
 
-  private checkClaim(step: StepOf<'claiming'>, now: Millis): TakeoverActions {
+  private checkClaim(
+    step: StepOf<'claiming'>,
+    instances: readonly InstanceView[],
+    now: Millis,
+  ): TakeoverActions {
     // A write that takes effect late fails its condition or is found by the next claim.
     if (now - step.sentAt >= CLAIM_TIMEOUT_MS) return this.restart(now);
-    return this.isDue('claim', now, READ_INTERVAL_MS) ? [{ kind: 'read' }] : [];
+    const reads = this.isDue('claim', now, READ_INTERVAL_MS) ? [{ kind: 'read' } as const] : [];
+    return [...reads, ...this.stopFormerLeader(instances, now)];
+  }
+
+  /** Waits for the record, which the store may not return for seconds. */
+  private awaitRecord(instances: readonly InstanceView[], now: Millis): TakeoverActions {
+    const reads = this.isDue('read', now, READ_INTERVAL_MS) ? [{ kind: 'read' } as const] : [];
+    return [...reads, ...this.stopFormerLeader(instances, now)];
   }
 
   private startAttempt({ plan, sentAt }: StepOf<'claiming'>, now: Millis): TakeoverActions {
@@ -284,6 +311,7 @@
     leader: InstanceView | undefined,
     now: Millis,
   ): TakeoverActions {
+    if (leader && !this.completeness.isComplete(instances, now)) return this.startSettling(now);
     const candidate = chooseHandoverTarget(instances, leader);
     if (!leader || !candidate || now - step.since >= HANDOVER_TIMEOUT_MS) {
       this.updateStep({ kind: 'fencing', plan: 'takeover', since: now });
@@ -337,16 +365,28 @@
     const candidate = instances.find(({ id }) => id === step.candidate);
     if (step.answer === 'accepted') {
       if (candidate?.leads) return this.startSettling(now);
-      if (elapsed < PROMOTION_TIMEOUT_MS) return this.pauseNewReplicas(step, instances, now);
+      if (elapsed < PROMOTION_TIMEOUT_MS) return this.guardPromotion(step, instances, now);
       return this.claim('takeover', now);
     }
     if (step.answer === 'refused') return this.restart(now);
     // The order may still be in flight; a newer generation invalidates it before the next step.
-    if (elapsed < PROMOTION_ANSWER_TIMEOUT_MS) return this.pauseNewReplicas(step, instances, now);
+    if (elapsed < PROMOTION_ANSWER_TIMEOUT_MS) return this.guardPromotion(step, instances, now);
     const leader = findLeader(instances);
     return this.claim(leader ? 'raise' : 'takeover', now);
   }
 
+  /** Keeps replicas from acknowledging commits that the candidate may lack. */
+  private guardPromotion(
+    step: StepOf<'promoting'>,
+    instances: readonly InstanceView[],
+    now: Millis,
+  ): TakeoverActions {
+    return [
+      ...this.pauseNewReplicas(step, instances, now),
+      ...this.stopFormerLeader(instances, now),
+    ];
+  }
+
   /** Pauses replicas that joined after the order to promote, so that none acknowledges alone. */
   private pauseNewReplicas(
     { members }: StepOf<'promoting'>,
--- a/packages/core/src/takeoverstep.ts
+++ b/packages/core/src/takeoverstep.ts
@@ -1,7 +1,6 @@
 import type { Millis } from './clock.js';
 import type { LogPosition } from './position.js';
 import type {
-  InstanceView,
   PromotionAnswer,
   PromotionRecord,
   TakeoverAction,
@@ -71,14 +70,3 @@
 
 /** The step without a change in progress. */
 export const WATCHING: TakeoverStep = { kind: 'watching' };
-
-/** Chooses the replica to promote in a handover: the one with the smallest lag. */
-export function chooseHandoverTarget(
-  instances: readonly InstanceView[],
-  leader: InstanceView | undefined,
-): string | undefined {
-  const [target] = instances
-    .filter(({ id, leaving, health }) => id !== leader?.id && !leaving && health === 'answering')
-    .sort((a, b) => (a.lagMs ?? Infinity) - (b.lagMs ?? Infinity) || a.id.localeCompare(b.id));
-  return target?.id;
-}
