--- a/packages/core/src/home.ts
+++ b/packages/core/src/home.ts
@@ -1,10 +1,25 @@
-import type { DatabaseGroup } from './group.js';
 import { computeHash } from './rendezvous.js';
 import type { Vm } from './vm.js';
 
+/** A VM that may become a home. */
+type HomeVm = Pick<Vm, 'id' | 'zone'>;
+
+/** A group; it has homes in the zones of its instances. */
+export interface PlacedGroup {
+  readonly name: string;
+  readonly instances: readonly { readonly zone: string }[];
+}
+
+/** Limits of a `HomeTable`. */
+export interface HomeTableOptions {
+  readonly homesPerZone: number;
+  /** Up to this fleet size every VM is a home of every group, so that no caller is forwarded. */
+  readonly allHomeVms: number;
+}
+
 /** Homes of a group in each zone that has an instance of it; the second is the standby. */
 export const HOMES_PER_ZONE = 2;
-/** Up to this fleet size every VM is a home of every group, so that no caller is forwarded. */
+/** Default of {@link HomeTableOptions.allHomeVms}. */
 export const ALL_HOME_VMS = 8;
 
 /** A VM with its rendezvous weight for a group. */
@@ -21,10 +36,6 @@
   return b.weight - a.weight || a.vm.localeCompare(b.vm);
 }
 
-function chooseBest(candidates: readonly Candidate[]): readonly Candidate[] {
-  return [...candidates].sort(compareCandidates).slice(0, HOMES_PER_ZONE);
-}
-
 /**
  * Assigns groups to the VMs that serve them, their homes. Homes are chosen by rendezvous hashing
  * within each zone that has an instance of the group, so that a partitioned zone has homes of its
@@ -33,13 +44,20 @@
 export class HomeTable {
   private readonly groups = new Map<string, readonly string[]>();
 
-  private readonly vms = new Map<string, Vm>();
+  private readonly vms = new Map<string, HomeVm>();
 
   /** Best candidates by `zone|group`. */
   private readonly homes = new Map<string, readonly Candidate[]>();
 
+  constructor(
+    private readonly options: HomeTableOptions = {
+      homesPerZone: HOMES_PER_ZONE,
+      allHomeVms: ALL_HOME_VMS,
+    },
+  ) {}
+
   /** Sets the groups of the configuration in force. */
-  updateGroups(groups: readonly DatabaseGroup[]): void {
+  updateGroups(groups: readonly PlacedGroup[]): void {
     this.groups.clear();
     const kept = new Set<string>();
     groups.forEach(({ name, instances }) => {
@@ -56,7 +74,7 @@
   }
 
   /** Sets the live VMs. */
-  updateVms(vms: readonly Vm[]): void {
+  updateVms(vms: readonly HomeVm[]): void {
     const live = new Map(vms.map((vm) => [vm.id, vm]));
     const departed = [...this.vms.values()].filter(({ id, zone }) => live.get(id)?.zone !== zone);
     const joined = vms.filter(({ id, zone }) => this.vms.get(id)?.zone !== zone);
@@ -68,7 +86,7 @@
 
   /** Returns the VMs that serve the group, nearest first for callers in `zone`. */
   findHomes(group: string, zone: string): readonly string[] {
-    if (this.vms.size <= ALL_HOME_VMS) return this.rankAll(group, zone);
+    if (this.vms.size <= this.options.allHomeVms) return this.rankAll(group, zone);
     const zones = this.groups.get(group) ?? [];
     const ordered = [...zones].sort((a, b) => Number(b === zone) - Number(a === zone));
     const homes = ordered.flatMap((one) => this.homes.get(`${one}|${group}`) ?? []);
@@ -96,24 +114,31 @@
     const candidates = [...this.vms.values()]
       .filter((vm) => vm.zone === zone)
       .map(({ id }) => ({ vm: id, weight: computeWeight(group, id) }));
-    this.homes.set(`${zone}|${group}`, chooseBest(candidates));
+    this.homes.set(`${zone}|${group}`, this.chooseBest(candidates));
   }
 
-  private removeVm({ id, zone }: Vm): void {
+  private removeVm({ id, zone }: HomeVm): void {
     this.listZone(zone).forEach((group) => {
       const homes = this.homes.get(`${zone}|${group}`) ?? [];
       if (homes.some(({ vm }) => vm === id)) this.computeHomes(zone, group);
     });
   }
 
-  private addVm({ id, zone }: Vm): void {
+  private addVm({ id, zone }: HomeVm): void {
     this.listZone(zone).forEach((group) => {
       const key = `${zone}|${group}`;
       const others = (this.homes.get(key) ?? []).filter(({ vm }) => vm !== id);
-      this.homes.set(key, chooseBest([...others, { vm: id, weight: computeWeight(group, id) }]));
+      this.homes.set(
+        key,
+        this.chooseBest([...others, { vm: id, weight: computeWeight(group, id) }]),
+      );
     });
   }
 
+  private chooseBest(candidates: readonly Candidate[]): readonly Candidate[] {
+    return [...candidates].sort(compareCandidates).slice(0, this.options.homesPerZone);
+  }
+
   private listZone(zone: string): readonly string[] {
     return [...this.groups].filter(([, zones]) => zones.includes(zone)).map(([group]) => group);
   }
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -108,6 +108,7 @@
 export type { Vm } from './vm.js';
 export { formatNoteSchema } from './schema.js';
 export { ALL_HOME_VMS, HomeTable, HOMES_PER_ZONE } from './home.js';
+export type { HomeTableOptions, PlacedGroup } from './home.js';
 export { SessionPositions } from './sessionpositions.js';
 export { createRetryDelay, RetryBudget } from './retry.js';
 export type { RetryDelayOptions, RetryBudgetOptions } from './retry.js';
--- a/packages/engine/src/connection.ts
+++ b/packages/engine/src/connection.ts
@@ -1,6 +1,14 @@
 import type { FenceReport, Millis, RegisteredInstance } from '@shallotpick/core';
 import type { PooledConnection } from './pool.js';
-import type { Command, Reply, TransactionState } from './statement.js';
+import { applySetup, type SessionState, toOperation } from './setup.js';
+import type {
+  Command,
+  DataStatement,
+  Operation,
+  Reply,
+  Statement,
+  TransactionState,
+} from './statement.js';
 
 /** A connection with more prepared statements isn't reused, which bounds its memory. */
 const MAX_STATEMENTS = 500;
@@ -40,6 +48,24 @@
   /** Closes the connection at once; the instance rolls back an open transaction. */
   abstract close(): void;
 
+  /**
+   * Sends the set-up commands for the session without waiting, so that they share a packet with the
+   * next command. When one fails, the connection's state is unknown and it is closed.
+   */
+  setUp(state: SessionState, next: Statement): void {
+    applySetup(this, state, next).forEach((operation) => {
+      this.run({ operation }).then(
+        ({ failure }) => failure && this.close(),
+        () => this.close(),
+      );
+    });
+  }
+
+  /** The operation that runs a statement of the session on this connection. */
+  toOperation(state: SessionState, statement: DataStatement): Operation {
+    return toOperation(this, state, statement);
+  }
+
   isClean(): boolean {
     const isKept = this.statements.size <= MAX_STATEMENTS;
     return this.state === 'idle' && this.countPending() === 0 && isKept;
--- a/packages/engine/src/context.ts
+++ b/packages/engine/src/context.ts
@@ -1,11 +1,10 @@
 import type { Clock, LogPosition, Millis, RetryBudget } from '@shallotpick/core';
 import type { ConfigurationHolder } from './configuration.js';
-import type { GroupService } from './group.js';
+import type { GroupAccess } from './access.js';
 import type { Log } from './log.js';
 import type { Metrics } from './metrics.js';
-import type { DataStatement } from './run.js';
 import type { PreparedStatement } from './setup.js';
-import type { Failure, Reply, TransactionState } from './statement.js';
+import type { DataStatement, Failure, Reply, TransactionState } from './statement.js';
 import type { SessionCommit } from './view.js';
 
 /** Properties and services of a session. */
@@ -17,7 +16,7 @@
   readonly log: Log;
   readonly metrics: Metrics;
   readonly configuration: ConfigurationHolder;
-  readonly findGroup: (name: string) => GroupService | undefined;
+  readonly findGroup: (name: string) => GroupAccess | undefined;
   readonly retries: RetryBudget;
 }
 
--- a/packages/engine/src/fleet.ts
+++ b/packages/engine/src/fleet.ts
@@ -10,11 +10,22 @@
 const FIRST_HEARTBEAT_MS: Millis = 1_500;
 const HEARTBEAT_EXPIRY_MS: Millis = 25_000;
 
+/** A live VM and where it accepts the links of other VMs; without a port it accepts none. */
+export interface VmAddress {
+  readonly id: string;
+  readonly zone: string;
+  readonly host: string;
+  readonly port: number | undefined;
+}
+
 /** Content of a VM's heartbeat object in the store. */
 interface VmSpec {
   readonly beat: number;
   readonly startedAt: number;
   readonly zone: string;
+  /** Address for the links of other VMs. */
+  readonly host?: string | undefined;
+  readonly port?: number | undefined;
 }
 
 /** Properties of this VM and services of the fleet view. */
@@ -25,15 +36,29 @@
   readonly clock: Clock;
   readonly log: Log;
   readonly startedAt: number;
+  /** Where this VM accepts the links of other VMs. */
+  readonly link?: { readonly host: string; readonly port: number } | undefined;
+  /** Called after each change of the live VMs. */
+  readonly onChange: () => void;
 }
 
 /** The last heartbeat of a VM and when this VM first read it. */
 interface SeenHeartbeat {
   readonly beat: string;
-  readonly zone: string;
+  readonly address: VmAddress;
   readonly at: Millis;
 }
 
+function decodeAddress(id: string, spec: unknown): VmAddress {
+  const { zone, host, port } = (spec ?? {}) as Partial<VmSpec>;
+  const hasAddress = typeof host === 'string' && Number.isInteger(port);
+  return {
+    id,
+    zone: typeof zone === 'string' ? zone : '',
+    ...(hasAddress ? { host, port } : { host: '', port: undefined }),
+  };
+}
+
 /**
  * Live VMs, derived from the heartbeats that each VM writes to the store. Used only to divide
  * connections and to rank the VMs for takeovers, so a wrong view can't violate safety.
@@ -54,6 +79,9 @@
 
   private isStopped = false;
 
+  /** True when a VM that was known before has registered another address. */
+  private isAddressChanged = false;
+
   constructor(private readonly options: FleetOptions) {
     this.live = [options.vm];
   }
@@ -74,6 +102,19 @@
     return this.isKnown ? this.live.length : undefined;
   }
 
+  /** The live VMs with their addresses, this one included. */
+  listLiveVms(): readonly VmAddress[] {
+    return this.live.map((id) => (id === this.options.vm ? this.describeSelf() : this.find(id)));
+  }
+
+  /** Finds a live VM, in the store if it has not been seen yet. */
+  async findVm(vm: string): Promise<VmAddress | undefined> {
+    const known = this.seen.get(vm);
+    if (known) return known.address;
+    const object = await this.options.store.find(VMS_KIND, vm);
+    return object && decodeAddress(vm, object.spec);
+  }
+
   /** This VM's rank for a duty among the VMs of reachable zones; rank 0 acts first. */
   findRank(duty: string, lostZones: ReadonlySet<string>): number {
     const key = [duty, ...lostZones].join('|');
@@ -81,13 +122,22 @@
     if (known !== undefined) return known;
     const { vm } = this.options;
     const reachable = this.live.filter(
-      (name) => name === vm || !lostZones.has(this.seen.get(name)?.zone ?? ''),
+      (name) => name === vm || !lostZones.has(this.seen.get(name)?.address.zone ?? ''),
     );
     const rank = rankVms(duty, reachable).indexOf(vm);
     this.ranks.set(key, rank);
     return rank;
   }
 
+  private describeSelf(): VmAddress {
+    const { vm, zone, link } = this.options;
+    return { id: vm, zone, host: link?.host ?? '', port: link?.port };
+  }
+
+  private find(id: string): VmAddress {
+    return this.seen.get(id)?.address ?? { id, zone: '', host: '', port: undefined };
+  }
+
   private async run(): Promise<void> {
     for (let round = 0; !this.isStopped; round++) {
       try {
@@ -108,9 +158,9 @@
   }
 
   private async writeHeartbeat(): Promise<void> {
-    const { store, vm, zone, startedAt } = this.options;
+    const { store, vm, zone, startedAt, link } = this.options;
     this.beat += 1;
-    const spec: VmSpec = { beat: this.beat, startedAt, zone };
+    const spec: VmSpec = { beat: this.beat, startedAt, zone, ...link };
     const outcome = await store.write(VMS_KIND, vm, spec, this.revision);
     if (outcome.kind === 'written') {
       this.revision = outcome.revision;
@@ -129,18 +179,23 @@
       .filter(([, { at }]) => now - at < HEARTBEAT_EXPIRY_MS)
       .map(([name]) => name);
     const next = [...new Set([vm, ...live])].sort();
+    const isFirst = !this.isKnown;
     this.isKnown = true;
-    if (next.join() === this.live.join()) return;
+    if (next.join() === this.live.join() && !isFirst && !this.isAddressChanged) return;
     log.info('live VMs', { vms: next, before: this.live });
+    this.isAddressChanged = false;
     this.live = next;
     this.ranks.clear();
+    this.options.onChange();
   }
 
   private handleHeartbeat({ name, spec }: StoredObject, now: Millis): void {
-    const { beat, startedAt, zone = '' } = spec as Partial<VmSpec>;
+    const { beat, startedAt } = spec as Partial<VmSpec>;
     const text = `${startedAt}/${beat}`;
     const known = this.seen.get(name);
     if (known?.beat === text) return;
-    this.seen.set(name, { beat: text, zone, at: now });
+    const address = decodeAddress(name, spec);
+    this.isAddressChanged ||= known?.address.port !== address.port;
+    this.seen.set(name, { beat: text, address, at: now });
   }
 }
--- /dev/null
+++ b/packages/engine/src/forwarding.ts
@@ -0,0 +1,52 @@
+import type { Clock } from '@shallotpick/core';
+import type { GroupAccess } from './access.js';
+import type { VmAddress } from './fleet.js';
+import type { GroupService } from './group.js';
+import type { Log } from './log.js';
+import type { Metrics } from './metrics.js';
+
+/** Whether a VM can serve the work that other VMs pass on to it. */
+export interface HomeStatus {
+  /** The VM does not reach most of the instances that it serves. */
+  readonly isIsolated: boolean;
+  readonly isDraining: boolean;
+}
+
+/** What a forwarding service needs to know of its own VM and of the fleet. */
+export interface ForwardingHost {
+  readonly vm: string;
+  readonly zone: string;
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly metrics: Metrics;
+  /** The service of a group that this VM is a home of. */
+  readonly findLocalGroup: (name: string) => GroupService | undefined;
+  readonly readStatus: () => HomeStatus;
+  /** The homes of a group, those of this VM's zone first; without this VM. */
+  readonly findHomes: (group: string) => readonly VmAddress[];
+  /** The homes in this VM's zone, to which links are kept open. */
+  readonly listNearHomes: () => readonly VmAddress[];
+  /** Finds a VM that has registered itself, in the store if it is not known yet. */
+  readonly findVm: (vm: string) => Promise<VmAddress | undefined>;
+}
+
+/** Passes work for groups on to their homes, and serves the work that other VMs pass on. */
+export abstract class Forwarding {
+  abstract start(): Promise<void>;
+
+  abstract stop(): void;
+
+  /** Accesses a group that this VM is no home of. */
+  abstract findGroup(name: string): GroupAccess;
+
+  /** False when no home is expected to serve the group for this VM. */
+  abstract isReachable(group: string): boolean;
+
+  /** Number of forwarded requests and transactions that this VM holds for others. */
+  abstract countLeases(): number;
+
+  abstract handleTick(): void;
+}
+
+/** Creates the forwarding service of a VM. */
+export type CreateForwarding = (host: ForwardingHost) => Forwarding;
--- a/packages/engine/src/group.ts
+++ b/packages/engine/src/group.ts
@@ -9,6 +9,7 @@
   type Route,
   Router,
 } from '@shallotpick/core';
+import { GroupAccess } from './access.js';
 import type { GroupSettings } from './configuration.js';
 import type { InstanceConnector } from './connection.js';
 import { type AdmittedWork, Dispatcher, type WorkRequest } from './dispatcher.js';
@@ -32,6 +33,8 @@
 const INITIAL_SHARE = 2;
 /** Fraction above its share that this proxy may use while the instance has free connections. */
 const OVERCOMMIT_FRACTION = 0.5;
+/** Fraction of additional homes for which connections are left while a group's homes change. */
+const RESERVE_FRACTION = 0.25;
 const RECONNECT_DELAY_MS: Millis = 20;
 /** Expected time from the loss of a leader until its successor accepts writes. */
 const FAILOVER_MS: Millis = 1_500;
@@ -54,12 +57,14 @@
   readonly createTakeover: (group: GroupService) => TakeoverDriver;
   /** Number of VMs that share the connections of an instance; undefined while unknown. */
   readonly countVms: () => number | undefined;
+  /** True when VMs with different views of the fleet may share the connections for a while. */
+  readonly mustReserve: () => boolean;
   /** How long a leaving instance may still receive work. */
   readonly drainMs: Millis;
 }
 
 /** Serves one database group: its instances, admission queue, connections and takeovers. */
-export class GroupService {
+export class GroupService extends GroupAccess {
   readonly samples = new PositionSamples();
 
   readonly takeover: TakeoverDriver;
@@ -77,6 +82,7 @@
   private settings: GroupSettings;
 
   constructor(private readonly options: GroupOptions) {
+    super();
     const { name, zone, clock } = options;
     this.settings = { name, connectionLimit: 1, synchronousReplicas: 0 };
     this.router = new Router(zone);
@@ -119,21 +125,15 @@
     return isOver ? undefined : leader;
   }
 
-  /** Clears the leadership of an instance that refused a statement as read-only. */
-  handleDemotion(instance: string): void {
+  override handleDemotion(instance: string): void {
     this.members.get(instance)?.probe.clearLeadership();
   }
 
-  recordLatency(instance: string, tookMs: Millis): void {
+  override recordLatency(instance: string, tookMs: Millis): void {
     this.members.get(instance)?.recordLatency(tookMs, this.options.clock.readNow());
   }
 
-  /**
-   * Waits for a slot and a connection.
-   *
-   * @throws NotRunError when the work isn't admitted in time or no instance can serve it.
-   */
-  async admit(request: WorkRequest): Promise<Lease> {
+  override async admit(request: WorkRequest): Promise<Lease> {
     const { clock } = this.options;
     for (;;) {
       this.checkServable(request, clock.readNow());
@@ -175,6 +175,10 @@
   private computeShare(): number {
     const vms = this.options.countVms();
     if (vms === undefined) return INITIAL_SHARE;
+    if (this.options.mustReserve()) {
+      const sharers = Math.max(1, vms) * (1 + RESERVE_FRACTION);
+      return Math.max(1, Math.floor(this.settings.connectionLimit / sharers));
+    }
     const share = Math.max(1, Math.floor(this.settings.connectionLimit / vms));
     return share + Math.max(1, Math.floor(share * OVERCOMMIT_FRACTION));
   }
--- a/packages/engine/src/index.ts
+++ b/packages/engine/src/index.ts
@@ -1,3 +1,4 @@
+export { GroupAccess } from './access.js';
 export { SuspendAwareClock, SystemClock } from './clock.js';
 export { ConfigurationHolder } from './configuration.js';
 export type { DatabaseRoute, GroupSettings, ServiceConfiguration } from './configuration.js';
@@ -13,6 +14,9 @@
   WrongInstanceError,
 } from './errors.js';
 export { VMS_KIND } from './fleet.js';
+export type { VmAddress } from './fleet.js';
+export { Forwarding } from './forwarding.js';
+export type { CreateForwarding, ForwardingHost, HomeStatus } from './forwarding.js';
 export { ObjectWatcher } from './watcher.js';
 export type { ObjectWatcherOptions } from './watcher.js';
 export { GroupService } from './group.js';
@@ -28,11 +32,13 @@
 export type { ProbeOptions, ProbeResult } from './probe.js';
 export { Proxy } from './proxy.js';
 export type { CallerHandle } from './proxy.js';
+export type { PreparedStatement, SessionState } from './setup.js';
 export { Session } from './session.js';
 export type {
   Access,
   CallerRequest,
   Command,
+  DataStatement,
   Failure,
   Operation,
   Reply,
--- /dev/null
+++ b/packages/engine/src/placement.ts
@@ -0,0 +1,116 @@
+import { HomeTable, rankVms } from '@shallotpick/core';
+import type { ServiceConfiguration } from './configuration.js';
+import type { Fleet, VmAddress } from './fleet.js';
+
+const HOMES_PER_ZONE = 2;
+/**
+ * Groups for which a VM of the home pool is a home. A pool keeps the number of VMs small that watch
+ * the instances in the store and keep connections to them.
+ */
+const GROUPS_PER_HOME_VM = 6;
+const MIN_POOL_PER_ZONE = 3;
+const POOL_DUTY = 'home-pool';
+
+/**
+ * Decides which VMs are homes of a group: all of them while the connections of an instance suffice
+ * for that, otherwise some in each zone.
+ */
+export class Placement {
+  private table = new HomeTable({ homesPerZone: HOMES_PER_ZONE, allHomeVms: 0 });
+
+  private configuration: ServiceConfiguration | undefined;
+
+  private pool: ReadonlyMap<string, VmAddress> = new Map();
+
+  /** Rises with each change of the homes. */
+  version = 0;
+
+  private isForwarding = false;
+
+  constructor(
+    private readonly vm: string,
+    private readonly fleet: Fleet,
+  ) {}
+
+  updateConfiguration(configuration: ServiceConfiguration): void {
+    this.configuration = configuration;
+    this.update();
+  }
+
+  /** Computes the homes anew; call it after each change of the live VMs. */
+  update(): void {
+    const { configuration, fleet } = this;
+    if (!configuration) return;
+    const vms = fleet.listLiveVms();
+    const limits = [...configuration.groups.values()].map((group) => group.connectionLimit);
+    const reachable = vms.filter(({ port }) => port !== undefined);
+    // VMs of a build that doesn't forward keep connections to every instance.
+    this.isForwarding = reachable.length === vms.length && vms.length > Math.min(...limits);
+    this.version += 1;
+    if (!this.isForwarding) return;
+    const zones = [...new Set(vms.map(({ zone }) => zone))];
+    const names = [...configuration.groups.keys()];
+    this.pool = new Map(
+      zones.flatMap((zone) => this.choosePool(zone, names.length)).map((one) => [one.id, one]),
+    );
+    this.table = new HomeTable({ homesPerZone: HOMES_PER_ZONE, allHomeVms: 0 });
+    // VMs of a zone without instances share their homes, too, and don't cross a zone to reach them.
+    const instances = zones.map((zone) => ({ zone }));
+    this.table.updateGroups(names.map((name) => ({ name, instances })));
+    this.table.updateVms([...this.pool.values()]);
+  }
+
+  /** True when some VMs are no home of some group. */
+  mustForward(): boolean {
+    return this.isForwarding;
+  }
+
+  isHome(group: string): boolean {
+    return !this.isForwarding || this.table.isHome(group, this.vm);
+  }
+
+  /** True when this VM serves at least one group. */
+  isAnyHome(): boolean {
+    return !this.isForwarding || this.pool.has(this.vm);
+  }
+
+  /** Lists the homes of a group, nearest first, without this VM. */
+  findHomes(group: string, zone: string): readonly VmAddress[] {
+    return this.listHomeIds(group, zone)
+      .filter((id) => id !== this.vm)
+      .flatMap((id) => this.pool.get(id) ?? []);
+  }
+
+  listNearHomes(zone: string): readonly VmAddress[] {
+    return [...this.pool.values()].filter((one) => one.zone === zone && one.id !== this.vm);
+  }
+
+  /** Number of VMs that keep connections to the group's instances; undefined while unknown. */
+  countHomes(group: string): number | undefined {
+    if (!this.isForwarding) return this.fleet.countLiveVms();
+    return this.listHomeIds(group, '').length;
+  }
+
+  /** This VM's rank for a duty of the group among its homes in reachable zones. */
+  findRank(group: string, lostZones: ReadonlySet<string>): number {
+    if (!this.isForwarding) return this.fleet.findRank(group, lostZones);
+    const homes = this.listHomeIds(group, '').filter(
+      (id) => id === this.vm || !lostZones.has(this.pool.get(id)?.zone ?? ''),
+    );
+    return rankVms(group, homes).indexOf(this.vm);
+  }
+
+  private listHomeIds(group: string, zone: string): readonly string[] {
+    return this.table.findHomes(group, zone);
+  }
+
+  private choosePool(zone: string, groups: number): readonly VmAddress[] {
+    const vms = this.fleet.listLiveVms().filter((one) => one.zone === zone);
+    const size = Math.ceil((groups * HOMES_PER_ZONE) / GROUPS_PER_HOME_VM);
+    const ranked = rankVms(
+      POOL_DUTY,
+      vms.map(({ id }) => id),
+    ).slice(0, Math.max(MIN_POOL_PER_ZONE, size));
+    return vms.filter(({ id }) => ranked.includes(id));
+  }
+}
--- a/packages/engine/src/proxy.ts
+++ b/packages/engine/src/proxy.ts
@@ -1,10 +1,14 @@
 import { type Clock, InstanceRoster, type Millis, RetryBudget } from '@shallotpick/core';
 import type { ConfigurationHolder, ServiceConfiguration } from './configuration.js';
+import type { GroupAccess } from './access.js';
+import type { GroupDirectory } from './directory.js';
 import type { Fleet } from './fleet.js';
+import type { Forwarding, HomeStatus } from './forwarding.js';
 import type { GroupService } from './group.js';
 import type { Log } from './log.js';
 import type { Member } from './member.js';
 import type { Metrics } from './metrics.js';
+import type { Placement } from './placement.js';
 import { Session } from './session.js';
 import { wait } from './timing.js';
 
@@ -38,7 +42,10 @@
   readonly metrics: Metrics;
   readonly configuration: ConfigurationHolder;
   readonly fleet: Fleet;
-  readonly createGroup: (name: string) => GroupService;
+  readonly placement: Placement;
+  readonly groups: GroupDirectory;
+  /** Absent when this VM serves every group itself. */
+  readonly forwarding: Forwarding | undefined;
   /** True while the registry of instances is reachable. */
   readonly isRegistryReachable: () => boolean;
 }
@@ -49,12 +56,21 @@
   return zones;
 }
 
+/** True when at most half of the groups are served here or reached through other VMs. */
+function isMostUnreachable(
+  local: readonly GroupService[],
+  forwarded: { readonly total: number; readonly reachable: number },
+  isHomeIsolated: boolean,
+): boolean {
+  if (forwarded.total === 0) return isHomeIsolated;
+  const reachable = forwarded.reachable + (isHomeIsolated ? 0 : local.length);
+  return reachable * 2 <= forwarded.total + local.length;
+}
+
 /** One proxy process: its callers' connections and database groups. */
 export class Proxy {
   readonly roster: InstanceRoster;
 
-  private readonly groups = new Map<string, GroupService>();
-
   private readonly callers = new Set<CallerHandle>();
 
   private readonly retries = new RetryBudget(RETRY_BUDGET);
@@ -70,6 +86,9 @@
   /** Since when at least half of the instances haven't answered; other VMs may reach them. */
   private isolatedSince: Millis | undefined = Number.NEGATIVE_INFINITY;
 
+  /** True while at least half of the instances of the groups served here don't answer. */
+  private isHomeIsolated = true;
+
   /** Zones without an answering instance; their VMs are probably partitioned as well. */
   private lostZones: ReadonlySet<string> = new Set();
 
@@ -80,7 +99,8 @@
     options.configuration.addListener((next) => this.handleConfiguration(next));
   }
 
-  start(): void {
+  async start(): Promise<void> {
+    await this.options.forwarding?.start();
     this.sessionTimer = setInterval(() => this.handleSessionTick(), SESSION_TICK_MS);
     this.scheduleTick();
   }
@@ -96,12 +116,18 @@
     return this.draining;
   }
 
-  findGroup(name: string): GroupService | undefined {
-    return this.groups.get(name);
+  findGroup(name: string): GroupAccess | undefined {
+    return this.options.groups.find(name);
+  }
+
+  /** True when this VM serves the group itself. */
+  isHomeOf(group: string): boolean {
+    return this.options.groups.findLocal(group) !== undefined;
   }
 
-  listGroups(): readonly GroupService[] {
-    return [...this.groups.values()];
+  /** Whether this VM can serve work that other VMs pass on to it. */
+  readHomeStatus(): HomeStatus {
+    return { isIsolated: this.isHomeIsolated, isDraining: this.draining };
   }
 
   createSession(database: string, caller: string): Session {
@@ -136,7 +162,8 @@
     for (;;) {
       const elapsed = clock.readNow() - startedAt;
       this.callers.forEach((caller) => this.drainCaller(caller, elapsed, graceMs));
-      const isDone = this.callers.size === 0 && elapsed >= BALANCER_DELAY_MS;
+      const held = this.options.forwarding?.countLeases() ?? 0;
+      const isDone = this.callers.size + held === 0 && elapsed >= BALANCER_DELAY_MS;
       if (isDone || elapsed >= graceMs - EXIT_MARGIN_MS) break;
       await wait(DRAIN_POLL_MS);
     }
@@ -148,7 +175,8 @@
     clearInterval(this.sessionTimer);
     this.options.fleet.stop();
     this.callers.forEach((caller) => caller.close());
-    this.groups.forEach((group) => group.stop());
+    this.options.forwarding?.stop();
+    this.options.groups.stop();
     this.options.log.info('stopped', { callers: this.callers.size });
   }
 
@@ -165,20 +193,11 @@
   }
 
   private handleConfiguration(next: ServiceConfiguration): void {
-    const { log, metrics, createGroup } = this.options;
+    const { log, metrics, groups } = this.options;
     const { version, routes } = next;
     log.info('configuration in force', { version, routes: routes.size });
     metrics.configurationVersion.set(version);
-    next.groups.forEach((settings, name) => {
-      const group = this.groups.get(name) ?? createGroup(name);
-      group.updateSettings(settings);
-      this.groups.set(name, group);
-    });
-    this.groups.forEach((group, name) => {
-      if (next.groups.has(name)) return;
-      group.stop();
-      this.groups.delete(name);
-    });
+    groups.updateConfiguration(next);
     this.isRosterChanged = true;
   }
 
@@ -194,36 +213,41 @@
   }
 
   private handleTick(): void {
-    const { clock, fleet, isRegistryReachable } = this.options;
+    const { clock, placement, groups, forwarding, isRegistryReachable } = this.options;
+    if (groups.handleTick()) this.isRosterChanged = true;
     this.roster.handleTick(clock.readNow(), isRegistryReachable());
     this.applyRoster();
     this.updateIsolation();
-    this.lostZones = findLostZones(this.listGroups().flatMap((group) => group.listMembers()));
-    this.groups.forEach((group, name) => {
-      group.takeover.updateRank(fleet.findRank(name, this.lostZones));
+    const local = groups.listLocal();
+    this.lostZones = findLostZones(local.flatMap((group) => group.listMembers()));
+    local.forEach((group) => {
+      group.takeover.updateRank(placement.findRank(group.name, this.lostZones));
       group.handleTick();
     });
+    forwarding?.handleTick();
   }
 
   /** Applies changes of the registered instances to the groups. */
   applyRoster(): void {
     if (!this.isRosterChanged) return;
     this.isRosterChanged = false;
-    this.groups.forEach((group, name) => group.updateInstances(this.roster.listGroup(name)));
+    this.options.groups
+      .listLocal()
+      .forEach((group) => group.updateInstances(this.roster.listGroup(group.name)));
   }
 
   private updateIsolation(): void {
-    const { clock, log } = this.options;
-    const groups = this.listGroups();
-    const total = groups.reduce((sum, group) => sum + group.listMembers().length, 0);
-    const answering = groups.reduce((sum, group) => sum + group.countAnswering(), 0);
-    const isIsolated = answering * 2 <= total;
+    const { clock, log, groups } = this.options;
+    const local = groups.listLocal();
+    const total = local.reduce((sum, group) => sum + group.listMembers().length, 0);
+    const answering = local.reduce((sum, group) => sum + group.countAnswering(), 0);
+    this.isHomeIsolated = answering * 2 <= total;
+    const forwarded = groups.countForwarded();
+    const isIsolated = isMostUnreachable(local, forwarded, this.isHomeIsolated);
     const wasIsolated = this.isolatedSince !== undefined;
     if (isIsolated === wasIsolated) return;
-    log.info(isIsolated ? 'most instances unreachable' : 'most instances reachable', {
-      total,
-      answering,
-    });
+    const message = isIsolated ? 'most instances unreachable' : 'most instances reachable';
+    log.info(message, { total, answering, forwarded });
     this.isolatedSince = isIsolated ? clock.readNow() : undefined;
   }
 
--- a/packages/engine/src/run.ts
+++ b/packages/engine/src/run.ts
@@ -1,29 +1,9 @@
 import type { Millis } from '@shallotpick/core';
 import type { InstanceConnection } from './connection.js';
-import { applySetup, type SessionState, toOperation } from './setup.js';
-import type { Command, Reply, Statement } from './statement.js';
+import type { SessionState } from './setup.js';
+import type { Command, DataStatement, Reply } from './statement.js';
 import { waitAtMost } from './timing.js';
 
-/** A statement that reads or writes data. */
-export type DataStatement = Statement & { readonly kind: 'read' | 'write' | 'execute' };
-
-/**
- * Sends the set-up commands for the session without waiting, so that they share a packet with the
- * next command. When one fails, the connection's state is unknown and it is closed.
- */
-export function sendSetup(
-  connection: InstanceConnection,
-  state: SessionState,
-  next: Statement,
-): void {
-  applySetup(connection, state, next).forEach((operation) => {
-    connection.run({ operation }).then(
-      ({ failure }) => failure && connection.close(),
-      () => connection.close(),
-    );
-  });
-}
-
 /**
  * Runs one command.
  *
@@ -58,8 +38,8 @@
   command: Omit<Command, 'operation'>,
   timeoutMs: Millis,
 ): Promise<Reply> {
-  sendSetup(connection, state, statement);
-  const operation = toOperation(connection, state, statement);
+  connection.setUp(state, statement);
+  const operation = connection.toOperation(state, statement);
   const reply = await runCommand(connection, { ...command, operation }, timeoutMs);
   // The recorded prepared statements don't match those that the instance has.
   if (reply.failure?.verdict === 'unknownStatement') connection.close();
--- a/packages/engine/src/session.ts
+++ b/packages/engine/src/session.ts
@@ -2,9 +2,14 @@
 import { match } from 'ts-pattern';
 import type { DatabaseRoute } from './configuration.js';
 import { createLocalReply, SessionContext, type SessionOptions } from './context.js';
-import type { DataStatement } from './run.js';
 import { SingleStatementRunner } from './single.js';
-import type { CallerRequest, Failure, Reply, TransactionState } from './statement.js';
+import type {
+  CallerRequest,
+  DataStatement,
+  Failure,
+  Reply,
+  TransactionState,
+} from './statement.js';
 import { Transaction } from './transaction.js';
 
 /** A caller's session: its variables, prepared statements, last commit and transaction. */
--- a/packages/engine/src/setup.ts
+++ b/packages/engine/src/setup.ts
@@ -1,5 +1,5 @@
 import type { InstanceConnection } from './connection.js';
-import type { Access, Operation, Statement } from './statement.js';
+import type { Access, DataStatement, Operation, Statement } from './statement.js';
 
 /** A prepared statement of a session. */
 export interface PreparedStatement {
@@ -51,7 +51,7 @@
 export function toOperation(
   connection: InstanceConnection,
   state: SessionState,
-  statement: Statement & { readonly kind: 'read' | 'write' | 'execute' },
+  statement: DataStatement,
 ): Operation {
   if (statement.kind !== 'execute') return statement;
   const prepared = state.statements.get(statement.name);
--- a/packages/engine/src/single.ts
+++ b/packages/engine/src/single.ts
@@ -2,9 +2,9 @@
 import type { DatabaseRoute } from './configuration.js';
 import { ConnectionError } from './errors.js';
 import type { Lease } from './lease.js';
-import { type DataStatement, rollBack, runCommand, runStatement, sendSetup } from './run.js';
+import { rollBack, runCommand, runStatement } from './run.js';
 import { createLocalReply, type SessionContext } from './context.js';
-import type { Failure, Reply } from './statement.js';
+import type { DataStatement, Failure, Reply } from './statement.js';
 
 /** Result of one attempt. */
 type Outcome =
@@ -107,7 +107,7 @@
     const startedAt = context.readNow();
     const limit = attempts.computeReplyTimeout(lease);
     try {
-      sendSetup(connection, context, statement);
+      connection.setUp(context, statement);
       const begin = { operation: { kind: 'begin', isReadOnly: false } } as const;
       const opened = await runCommand(connection, begin, limit);
       if (opened.failure) {
--- a/packages/engine/src/statement.ts
+++ b/packages/engine/src/statement.ts
@@ -19,6 +19,9 @@
   | { readonly kind: 'deallocate'; readonly name: string }
   | { readonly kind: 'unknown' };
 
+/** A statement that reads or writes data. */
+export type DataStatement = Statement & { readonly kind: 'read' | 'write' | 'execute' };
+
 /** Whether a prepared statement reads or writes. */
 export type Access = 'read' | 'write';
 
--- a/packages/engine/src/transaction.ts
+++ b/packages/engine/src/transaction.ts
@@ -3,9 +3,9 @@
 import type { DatabaseRoute } from './configuration.js';
 import { ConnectionError } from './errors.js';
 import type { Lease } from './lease.js';
-import { type DataStatement, rollBack, runCommand, runStatement, sendSetup } from './run.js';
+import { rollBack, runCommand, runStatement } from './run.js';
 import { createLocalReply, type SessionContext } from './context.js';
-import type { Failure, Reply } from './statement.js';
+import type { DataStatement, Failure, Reply } from './statement.js';
 import { wait } from './timing.js';
 
 const ROLLBACK_TIMEOUT_MS: Millis = 1_000;
@@ -78,6 +78,7 @@
     }
     let isSent = false;
     const reply = await this.runWithLease(id, (lease) => {
+      if (!lease.connection.isUsable()) throw new ConnectionError('it broke before COMMIT');
       isSent = true;
       return this.sendCommit(id, lease);
     });
@@ -165,7 +166,7 @@
   private async openOn(lease: Lease, attempts: Attempts): Promise<Failure | undefined> {
     const { connection, after } = lease;
     try {
-      sendSetup(connection, this.context, { kind: 'commit' });
+      connection.setUp(this.context, { kind: 'commit' });
       // Only a plain BEGIN proves leadership.
       const operation = { kind: 'begin', isReadOnly: after !== undefined } as const;
       const limit = attempts.computeReplyTimeout(lease);
--- a/packages/engine/src/watcher.ts
+++ b/packages/engine/src/watcher.ts
@@ -6,6 +6,8 @@
 
 /** Pause between watches, so that a burst of changes is returned by one call. */
 const WATCH_PAUSE_MS: Millis = 150;
+/** Interval of checks whether the objects are needed. */
+const NEED_POLL_MS: Millis = 50;
 
 /** The watched kind, its callbacks and services. */
 export interface ObjectWatcherOptions {
@@ -16,6 +18,8 @@
   readonly clock: Clock;
   readonly log: Log;
   readonly random: () => number;
+  /** False while this VM doesn't need the objects; nothing is watched then. */
+  readonly isNeeded?: () => boolean;
   /** Receives all objects after each listing. */
   readonly onListing: (objects: readonly StoredObject[]) => void;
   /** Receives one change; for a deletion, `object.spec` is the last content. */
@@ -64,6 +68,7 @@
   private async run(): Promise<void> {
     while (!this.isStopped) {
       try {
+        await this.waitUntilNeeded();
         if (this.revision === undefined) await this.list();
         else await this.watch(this.revision);
         this.handleAnswer();
@@ -73,6 +78,16 @@
     }
   }
 
+  /** Waits while nothing needs the objects; they are listed anew afterwards. */
+  private async waitUntilNeeded(): Promise<void> {
+    const isNeeded = this.options.isNeeded ?? (() => true);
+    while (!isNeeded() && !this.isStopped) {
+      this.revision = undefined;
+      this.answeredAt = undefined;
+      await wait(NEED_POLL_MS);
+    }
+  }
+
   private async list(): Promise<void> {
     const { store, kind, onListing } = this.options;
     const { objects, revision } = await store.list(kind);
--- a/packages/engine/src/wiring.ts
+++ b/packages/engine/src/wiring.ts
@@ -5,7 +5,10 @@
 import type { InstanceConnector } from './connection.js';
 import { Fleet } from './fleet.js';
 import { ObjectWatcher } from './watcher.js';
+import { GroupDirectory } from './directory.js';
+import type { CreateForwarding } from './forwarding.js';
 import { GroupService } from './group.js';
+import { Placement } from './placement.js';
 import type { Log } from './log.js';
 import type { Metrics } from './metrics.js';
 import { Proxy } from './proxy.js';
@@ -27,6 +30,9 @@
   readonly store: ObjectStore;
   readonly promotions: PromotionService;
   readonly connector: InstanceConnector;
+  /** Where this VM accepts the links of other VMs; absent when it serves every group itself. */
+  readonly link?: { readonly host: string; readonly port: number };
+  readonly createForwarding?: CreateForwarding;
   /** How long a leaving instance may still receive work. */
   readonly drainMs: Millis;
   /** Time after a disturbance in which no time bound applies, so a lost watch may last as long. */
@@ -50,11 +56,18 @@
   readonly suspicion: Suspicion;
 }
 
+/** Parts that others call back before they are created. */
+interface LateParts {
+  proxy?: Proxy;
+  groups?: GroupDirectory;
+  placement?: Placement;
+}
+
 /** A proxy with the watchers that supply its configuration, instances and promotion records. */
 export interface RunningProxy {
   readonly proxy: Proxy;
   readonly configuration: ConfigurationHolder;
-  start(): void;
+  start(): Promise<void>;
   stopWatchers(): void;
 }
 
@@ -62,7 +75,7 @@
   name: string,
   parts: ProxyParts,
   shared: SharedServices,
-  fleet: Fleet,
+  placement: Placement,
   refreshInstances: () => Promise<void>,
 ): GroupService {
   const { vm, zone, log, metrics, store, promotions, connector, drainMs } = parts;
@@ -70,7 +83,8 @@
   return new GroupService({
     ...common,
     ...{ name, zone, drainMs },
-    countVms: () => fleet.countLiveVms(),
+    countVms: () => placement.countHomes(name),
+    mustReserve: () => placement.mustForward(),
     createTakeover: (group) =>
       new TakeoverDriver(group, {
         ...common,
@@ -86,10 +100,14 @@
   const suspicion = new Suspicion();
   const shared: SharedServices = { clock, ageClock: new SuspendAwareClock(), suspicion };
   const configuration = new ConfigurationHolder();
+  const holder: LateParts = {};
   const fleet = new Fleet({
-    ...{ vm, zone, store, clock, log },
+    ...{ vm, zone, store, clock, log, link: parts.link },
     startedAt: Date.now(),
+    onChange: () => holder.placement?.update(),
   });
+  const placement = new Placement(vm, fleet);
+  holder.placement = placement;
   const createWatcher = (
     kind: string,
     watchMs: Millis,
@@ -103,6 +121,7 @@
       clock,
       log,
       random: Math.random,
+      isNeeded: () => kind === parts.configurationKind || placement.isAnyHome(),
       onListing,
       onChange,
     });
@@ -119,7 +138,6 @@
       if (!isDeleted) handleConfiguration(object);
     },
   );
-  const holder: { proxy?: Proxy } = {};
   const handleInstances = (objects: readonly StoredObject[]): void => {
     const decoded = objects.flatMap((object) => parts.decodeInstance(object) ?? []);
     holder.proxy?.roster.updateAll(decoded, clock.readNow());
@@ -141,7 +159,7 @@
     },
   );
   const handlePromotion = (object: StoredObject): void =>
-    holder.proxy?.findGroup(object.name)?.takeover.handleRecordObject(object);
+    holder.groups?.findLocal(object.name)?.takeover.handleRecordObject(object);
   const promotions = createWatcher(
     PROMOTIONS_KIND,
     PROMOTIONS_WATCH_MS,
@@ -150,9 +168,22 @@
       if (!isDeleted) handlePromotion(object);
     },
   );
+  const forwarding = parts.createForwarding?.({
+    ...{ vm, zone, clock, log, metrics },
+    findLocalGroup: (name) => holder.groups?.findLocal(name),
+    readStatus: () => holder.proxy?.readHomeStatus() ?? { isIsolated: true, isDraining: false },
+    findHomes: (group) => placement.findHomes(group, zone),
+    listNearHomes: () => placement.listNearHomes(zone),
+    findVm: (id) => fleet.findVm(id),
+  });
+  const groups = new GroupDirectory({
+    ...{ clock, log, placement, forwarding },
+    createGroup: (name) => createGroup(name, parts, shared, placement, refreshInstances),
+    isFleetKnown: () => fleet.countLiveVms() !== undefined,
+  });
+  holder.groups = groups;
   const proxy = new Proxy({
-    ...{ clock, log, metrics, configuration, fleet },
-    createGroup: (name) => createGroup(name, parts, shared, fleet, refreshInstances),
+    ...{ clock, log, metrics, configuration, fleet, placement, groups, forwarding },
     isRegistryReachable: () => instances.isReachable(),
   });
   holder.proxy = proxy;
@@ -160,8 +191,8 @@
   return {
     proxy,
     configuration,
-    start: () => {
-      proxy.start();
+    start: async () => {
+      await proxy.start();
       watchers.forEach((watcher) => watcher.start());
       fleet.start();
     },
--- /dev/null
+++ b/packages/forwarding/src/forwarder.ts
@@ -0,0 +1,202 @@
+import { createServer, type Server } from 'node:net';
+import type { Millis } from '@shallotpick/core';
+import {
+  createCounter,
+  Forwarding,
+  type ForwardingHost,
+  GroupAccess,
+  type HomeStatus,
+  type Lease,
+  NotRunError,
+  type VmAddress,
+  type WorkRequest,
+} from '@shallotpick/engine';
+import { EntryLink } from './home.js';
+import { HomeLink } from './link.js';
+
+/** Homes that are asked for one request, the first one included. */
+const MAX_HOMES_TRIED = 3;
+/** A link to a home of another zone is closed after it has had no work for this long. */
+const UNUSED_LINK_MS: Millis = 10_000;
+/** Delay before a link that failed is opened again. */
+const RECONNECT_MS: Millis = 300;
+
+/** Where the links of other VMs are accepted. */
+export interface LinkAddress {
+  readonly host: string;
+  readonly port: number;
+}
+
+/** A group that other VMs serve. */
+class ForwardedGroup extends GroupAccess {
+  constructor(
+    private readonly name: string,
+    private readonly forwarder: LinkForwarding,
+  ) {
+    super();
+  }
+
+  override async admit(request: WorkRequest): Promise<Lease> {
+    return this.forwarder.admit(this.name, request);
+  }
+
+  override handleDemotion(): void {
+    // The home notices it from the reply.
+  }
+
+  override recordLatency(): void {
+    // The home measures it.
+  }
+}
+
+/** Passes work on over one link for each pair of VMs. */
+export class LinkForwarding extends Forwarding {
+  private readonly links = new Map<string, HomeLink>();
+
+  private readonly entries = new Set<EntryLink>();
+
+  private readonly failedAt = new Map<string, Millis>();
+
+  private readonly groups = new Map<string, ForwardedGroup>();
+
+  private readonly server: Server;
+
+  private readonly forwarded;
+
+  private turn = 0;
+
+  private status: HomeStatus | undefined;
+
+  constructor(
+    private readonly host: ForwardingHost,
+    private readonly address: LinkAddress,
+  ) {
+    super();
+    const { registry } = host.metrics;
+    this.forwarded = createCounter(registry, 'forwarded_total', 'Work passed on to homes', [
+      'outcome',
+    ]);
+    this.server = createServer((socket) => {
+      const link = new EntryLink(host, socket, (closed) => this.entries.delete(closed));
+      this.entries.add(link);
+    });
+  }
+
+  override async start(): Promise<void> {
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(this.address, resolve);
+    });
+  }
+
+  override stop(): void {
+    this.server.close();
+    this.links.forEach((link) => link.close('this VM stops'));
+    this.entries.forEach((link) => link.close('this VM stops'));
+  }
+
+  override findGroup(name: string): GroupAccess {
+    const group = this.groups.get(name) ?? new ForwardedGroup(name, this);
+    this.groups.set(name, group);
+    return group;
+  }
+
+  override isReachable(group: string): boolean {
+    const now = this.host.clock.readNow();
+    const homes = this.host.findHomes(group);
+    const near = homes.filter(({ zone }) => zone === this.host.zone);
+    // Homes of a partitioned zone say so; those of other zones are out of reach for this VM too.
+    const isPartitioned =
+      near.length > 0 && near.every(({ id }) => this.links.get(id)?.isIsolated() === true);
+    return !isPartitioned && homes.some((home) => this.mayUse(home, now));
+  }
+
+  override countLeases(): number {
+    return [...this.entries].reduce((sum, link) => sum + link.countLeases(), 0);
+  }
+
+  override handleTick(): void {
+    const now = this.host.clock.readNow();
+    this.host.listNearHomes().forEach((home) => this.findLink(home, now));
+    this.closeUnused(now);
+    this.links.forEach((link) => link.handleTick(now));
+    this.publishStatus();
+  }
+
+  /**
+   * Asks the homes of the group, nearest first, for a connection.
+   *
+   * @throws NotRunError when none admits the work.
+   */
+  async admit(group: string, request: WorkRequest): Promise<Lease> {
+    const { clock, log } = this.host;
+    let reason = 'no home of the group is reachable';
+    let tried = 0;
+    for (const home of this.listCandidates(group)) {
+      const now = clock.readNow();
+      const link = this.mayUse(home, now) ? this.findLink(home, now) : undefined;
+      if (!link || tried >= MAX_HOMES_TRIED || now >= request.deadline) continue;
+      tried += 1;
+      const admission = await link.admit(group, request);
+      this.forwarded.inc({ outcome: admission.kind });
+      if (admission.kind === 'granted') {
+        const { instance } = admission.lease;
+        log.info('forward', { request: request.requestId, group, home: home.id, instance });
+        return admission.lease;
+      }
+      reason = `${home.id}: ${admission.reason}`;
+      if (!admission.mayTryOther) break;
+    }
+    throw new NotRunError(reason);
+  }
+
+  /** The homes in the order in which they are asked; those of this zone take turns. */
+  private listCandidates(group: string): readonly VmAddress[] {
+    const homes = this.host.findHomes(group);
+    const near = homes.filter(({ zone }) => zone === this.host.zone);
+    const far = homes.filter(({ zone }) => zone !== this.host.zone);
+    this.turn += 1;
+    const first = near.length > 0 ? this.turn % near.length : 0;
+    return [...near.slice(first), ...near.slice(0, first), ...far];
+  }
+
+  private mayUse({ id }: VmAddress, now: Millis): boolean {
+    const link = this.links.get(id);
+    if (link) return link.isUsable(now);
+    return now - (this.failedAt.get(id) ?? Number.NEGATIVE_INFINITY) >= RECONNECT_MS;
+  }
+
+  private findLink(home: VmAddress, now: Millis): HomeLink | undefined {
+    const known = this.links.get(home.id);
+    if (known || !this.mayUse(home, now)) return known;
+    const { vm, clock, log } = this.host;
+    const link = new HomeLink({
+      ...{ vm, home, clock, log },
+      onClose: () => {
+        this.links.delete(home.id);
+        this.failedAt.set(home.id, clock.readNow());
+      },
+    });
+    this.links.set(home.id, link);
+    return link;
+  }
+
+  /** Closes links to VMs that are no near home and have no work. */
+  private closeUnused(now: Millis): void {
+    const near = new Set(this.host.listNearHomes().map(({ id }) => id));
+    this.links.forEach((link, id) => {
+      if (near.has(id) || now - link.usedAt < UNUSED_LINK_MS) return;
+      link.close('unused');
+      this.failedAt.delete(id);
+    });
+  }
+
+  /** Tells the VMs that pass work on when this VM drains or loses its instances. */
+  private publishStatus(): void {
+    const next = this.host.readStatus();
+    const { status } = this;
+    if (status?.isDraining === next.isDraining && status.isIsolated === next.isIsolated) return;
+    this.status = next;
+    this.entries.forEach((link) => link.sendStatus(next));
+  }
+}
--- /dev/null
+++ b/packages/forwarding/src/home.ts
@@ -0,0 +1,253 @@
+import type { Socket } from 'node:net';
+import { DEFAULT_CONTRACT, type Millis } from '@shallotpick/core';
+import {
+  type ForwardingHost,
+  type GroupService,
+  type HomeStatus,
+  type Lease,
+  NotRunError,
+  type PreparedStatement,
+  type Reply,
+  type SessionState,
+  type WorkRequest,
+} from '@shallotpick/engine';
+import { match } from 'ts-pattern';
+import { LinkProtocolError } from './errors.js';
+import {
+  decodeEntryMessage,
+  type EntryMessage,
+  type ForwardedRequest,
+  type ForwardedSession,
+  type HomeMessage,
+  LINK_VERSION,
+} from './message.js';
+import { type MessageHandler, MessageSocket } from './socket.js';
+
+/** Bounds the work that one VM has at a home. */
+const MAX_LEASES_PER_LINK = 256;
+
+type AdmitMessage = EntryMessage & { readonly type: 'admit' };
+type RunMessage = EntryMessage & { readonly type: 'run' };
+
+/** A lease that another VM holds, or waits for. */
+interface HeldLease {
+  readonly group: GroupService;
+  /** Absent until the work has been admitted. */
+  lease: Lease | undefined;
+}
+
+const EMPTY_SESSION: ForwardedSession = { variables: [] };
+
+function toSessionState({ variables, prepared }: ForwardedSession): SessionState {
+  const statements = new Map<string, PreparedStatement>();
+  // A further property would replace the name that the connection gives the statement.
+  if (prepared) statements.set(prepared.name, { access: prepared.access, shape: prepared.shape });
+  return { variables: new Map(variables), statements };
+}
+
+function toWorkRequest(request: ForwardedRequest, now: Millis): WorkRequest {
+  const { requestId, kind, caller, priority, lastCommit, excluded } = request;
+  return {
+    ...{ requestId, kind, caller, priority },
+    contract: { ...DEFAULT_CONTRACT, maxAgeMs: request.maxAgeMs },
+    deadline: now + request.remainingMs,
+    lastCommit: lastCommit && {
+      position: lastCommit.position,
+      acknowledgedAt: now - lastCommit.ageMs,
+    },
+    excluded: new Set(excluded),
+  };
+}
+
+/** The home's side of a link: runs the work of one VM on this VM's connections. */
+export class EntryLink implements MessageHandler {
+  private readonly socket: MessageSocket;
+
+  private readonly held = new Map<number, HeldLease>();
+
+  /** Settles once the peer is known to be a VM of the fleet. */
+  private verified: Promise<boolean> | undefined;
+
+  private isClosed = false;
+
+  private peer = 'unknown';
+
+  constructor(
+    private readonly host: ForwardingHost,
+    private readonly rawSocket: Socket,
+    private readonly onClose: (link: EntryLink) => void,
+  ) {
+    this.socket = new MessageSocket(rawSocket, this);
+  }
+
+  countLeases(): number {
+    return this.held.size;
+  }
+
+  sendStatus({ isIsolated, isDraining }: HomeStatus): void {
+    this.send({ type: 'status', isIsolated, isDraining });
+  }
+
+  close(reason: string): void {
+    this.socket.close(reason);
+  }
+
+  handleMessage(message: unknown): void {
+    const decoded = decodeEntryMessage(message);
+    if (decoded.type !== 'hello' && !this.verified) {
+      throw new LinkProtocolError('the first message is no hello');
+    }
+    match(decoded)
+      .with({ type: 'hello' }, ({ version, vm }) => this.handleHello(version, vm))
+      .with({ type: 'admit' }, (admit) => this.handleAdmit(admit))
+      .with({ type: 'run' }, (run) => this.handleRun(run))
+      .with({ type: 'busy' }, ({ lease, isBusy }) =>
+        this.held.get(lease)?.lease?.updateBusy(isBusy),
+      )
+      .with({ type: 'release' }, ({ lease }) => this.end(lease, false))
+      .with({ type: 'close' }, ({ lease }) => this.end(lease, true))
+      .with({ type: 'ping' }, () => this.sendStatus(this.host.readStatus()))
+      .exhaustive();
+  }
+
+  handleClose(reason: string): void {
+    this.isClosed = true;
+    if (this.held.size > 0) {
+      this.host.log.info('link with work closed', {
+        vm: this.peer,
+        leases: this.held.size,
+        reason,
+      });
+    }
+    // Only the VM at the other end knows how its transactions were to end.
+    [...this.held.keys()].forEach((lease) => this.end(lease, true));
+    this.onClose(this);
+  }
+
+  private send(message: HomeMessage): void {
+    if (!this.socket.send(message)) this.socket.pauseUntilDrained();
+  }
+
+  private handleHello(version: number, vm: string): void {
+    if (version !== LINK_VERSION) {
+      throw new LinkProtocolError(`version ${version} is not supported`);
+    }
+    this.peer = vm;
+    this.verified = this.verify(vm);
+  }
+
+  /** True when a VM of this name has registered the address that the link comes from. */
+  private async verify(vm: string): Promise<boolean> {
+    try {
+      const known = await this.host.findVm(vm);
+      if (known?.host === this.rawSocket.remoteAddress) return true;
+    } catch (error) {
+      this.host.log.info('peer not verified', { vm, error: String(error) });
+    }
+    this.host.log.warn('link of an unknown VM refused', { vm, from: this.rawSocket.remoteAddress });
+    this.socket.close('unknown VM');
+    return false;
+  }
+
+  private handleAdmit(admit: AdmitMessage): void {
+    const { lease, group: name } = admit;
+    const group = this.host.findLocalGroup(name);
+    const { isDraining } = this.host.readStatus();
+    if (!group || isDraining || this.held.size >= MAX_LEASES_PER_LINK) {
+      const reason = group ? 'this home takes no more work' : 'this VM is no home of the group';
+      this.send({ type: 'refused', lease, reason, mayTryOther: true });
+      return;
+    }
+    const held: HeldLease = { group, lease: undefined };
+    this.held.set(lease, held);
+    this.admit(admit, held).catch((error: unknown) => {
+      this.host.log.error('admission failed', { vm: this.peer, error: String(error) });
+      this.socket.close('an unexpected error');
+    });
+  }
+
+  private async admit({ lease: id, request }: AdmitMessage, held: HeldLease): Promise<void> {
+    if (!(await this.verified)) return;
+    try {
+      const work = toWorkRequest(request, this.host.clock.readNow());
+      const lease = await held.group.admit(work);
+      if (this.held.get(id) !== held) {
+        lease.release();
+        return;
+      }
+      this.held.set(id, { ...held, lease });
+      const { instance, isLeader, after, latencyMs } = lease;
+      this.send({
+        ...{ type: 'granted', lease: id, instance, isLeader, latencyMs },
+        ...(after ? { after } : {}),
+      });
+    } catch (error) {
+      if (!(error instanceof NotRunError)) throw error;
+      if (this.held.get(id) !== held) return;
+      this.held.delete(id);
+      const mayTryOther = this.host.readStatus().isIsolated;
+      this.send({ type: 'refused', lease: id, reason: error.message, mayTryOther });
+    }
+  }
+
+  private handleRun(message: RunMessage): void {
+    const held = this.held.get(message.lease);
+    if (!held?.lease) {
+      this.send({ type: 'broken', lease: message.lease, reason: 'the lease has ended' });
+      return;
+    }
+    this.run(message, held.group, held.lease).catch((error: unknown) => {
+      this.end(message.lease, true);
+      this.send({ type: 'broken', lease: message.lease, reason: String(error) });
+    });
+  }
+
+  private async run(
+    { lease: id, id: requestId, operation, after, session = EMPTY_SESSION }: RunMessage,
+    group: GroupService,
+    { connection, instance }: Lease,
+  ): Promise<void> {
+    const { host } = this;
+    const state = toSessionState(session);
+    const isData = 'text' in operation || operation.kind === 'execute';
+    // Nothing is prepared for the end of a transaction; its values stay.
+    if (operation.kind !== 'commit' && operation.kind !== 'rollback') {
+      connection.setUp(state, isData ? operation : { kind: 'commit' });
+    }
+    const command = {
+      ...(requestId === undefined ? {} : { id: requestId }),
+      operation: isData ? connection.toOperation(state, operation) : operation,
+      ...(after ? { after } : {}),
+    };
+    const { observer } = connection;
+    const observedAt = observer?.readNow() ?? 0;
+    const startedAt = host.clock.readNow();
+    const reply = await connection.run(command);
+    observer?.handleReply(command, reply, observedAt);
+    if (isData) group.recordLatency(instance, host.clock.readNow() - startedAt);
+    if (reply.failure?.verdict === 'readOnly') group.handleDemotion(instance);
+    // The recorded prepared statements don't match those that the instance has.
+    if (reply.failure?.verdict === 'unknownStatement') connection.close();
+    this.sendReply(id, reply);
+  }
+
+  private sendReply(lease: number, { rows, digest, failure, state, position }: Reply): void {
+    this.send({
+      ...{ type: 'reply', lease },
+      reply: {
+        ...{ rows: [...rows], state },
+        ...(digest === undefined ? {} : { digest }),
+        ...(failure ? { failure } : {}),
+        ...(position ? { position } : {}),
+      },
+    });
+  }
+
+  private end(id: number, isClosed: boolean): void {
+    const held = this.held.get(id);
+    this.held.delete(id);
+    if (!held?.lease) return;
+    if (isClosed) held.lease.connection.close();
+    held.lease.release();
+  }
+}
--- /dev/null
+++ b/packages/forwarding/src/link.ts
@@ -0,0 +1,224 @@
+import { connect } from 'node:net';
+import type { Clock, Millis } from '@shallotpick/core';
+import type { HomeStatus, Lease, Log, VmAddress, WorkRequest } from '@shallotpick/engine';
+import { match } from 'ts-pattern';
+import { decodeHomeMessage, type EntryMessage, type HomeMessage, LINK_VERSION } from './message.js';
+import { createRemoteLease, RemoteConnection } from './remote.js';
+import { type MessageHandler, MessageSocket } from './socket.js';
+
+const PING_INTERVAL_MS: Millis = 500;
+/** Interval while an answer is awaited, so that a dead home is noticed soon. */
+const BUSY_PING_INTERVAL_MS: Millis = 100;
+/** A home that has not answered a ping for this long gets no new work until it answers. */
+const SILENCE_MS: Millis = 300;
+/** A link without an answer for this long is closed; operations that run on it may have run. */
+const DEAD_LINK_MS: Millis = 3_000;
+const CONNECT_TIMEOUT_MS: Millis = 300;
+
+/** The result of asking a home for a connection. */
+export type Admission =
+  | { readonly kind: 'granted'; readonly lease: Lease }
+  /** The work has not run; with `mayTryOther` another home may serve it. */
+  | { readonly kind: 'refused'; readonly reason: string; readonly mayTryOther: boolean };
+
+/** The home, and the services of a link to it. */
+export interface HomeLinkOptions {
+  readonly vm: string;
+  readonly home: VmAddress;
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly onClose: () => void;
+}
+
+/** An admission without an answer. */
+interface PendingAdmission {
+  readonly resolve: (admission: Admission) => void;
+  /** When the caller stops waiting. */
+  readonly deadline: Millis;
+}
+
+/** A link to a home, over which requests and transactions of many callers run. */
+export class HomeLink implements MessageHandler {
+  private readonly socket: MessageSocket;
+
+  private readonly admissions = new Map<number, PendingAdmission>();
+
+  private readonly connections = new Map<number, RemoteConnection>();
+
+  private nextLease = 1;
+
+  /** When the link last had work. */
+  usedAt: Millis;
+
+  private isOpen = false;
+
+  private isClosed = false;
+
+  private readonly openedAt: Millis;
+
+  private lastPingAt: Millis = Number.NEGATIVE_INFINITY;
+
+  /** When the oldest ping without an answer was sent. */
+  private unansweredSince: Millis | undefined;
+
+  private roundTripMs: Millis = 1;
+
+  private status: HomeStatus = { isIsolated: false, isDraining: false };
+
+  constructor(private readonly options: HomeLinkOptions) {
+    const { home, vm, clock } = options;
+    const socket = connect({ host: home.host, port: home.port ?? 0 });
+    socket.once('connect', () => {
+      this.isOpen = true;
+    });
+    this.openedAt = clock.readNow();
+    this.usedAt = this.openedAt;
+    this.socket = new MessageSocket(socket, this);
+    this.send({ type: 'hello', version: LINK_VERSION, vm });
+    this.ping(this.openedAt);
+  }
+
+  /** True when the home is expected to admit work. */
+  isUsable(now: Millis): boolean {
+    const { isIsolated, isDraining } = this.status;
+    return !this.isClosed && !isIsolated && !isDraining && !this.isSilent(now);
+  }
+
+  /** True when the home has said that it doesn't reach the instances. */
+  isIsolated(): boolean {
+    return this.status.isIsolated;
+  }
+
+  /** Asks the home for a connection. */
+  async admit(group: string, request: WorkRequest): Promise<Admission> {
+    const now = this.options.clock.readNow();
+    this.usedAt = now;
+    const lease = this.nextLease;
+    this.nextLease += 1;
+    const { requestId, kind, contract, caller, deadline, priority, lastCommit, excluded } = request;
+    return new Promise((resolve) => {
+      this.admissions.set(lease, { resolve, deadline });
+      this.send({
+        ...{ type: 'admit', lease, group },
+        request: {
+          ...{ requestId, kind, caller, priority },
+          maxAgeMs: contract.maxAgeMs,
+          remainingMs: deadline - now,
+          excluded: [...excluded],
+          ...(lastCommit
+            ? {
+                lastCommit: {
+                  position: lastCommit.position,
+                  ageMs: now - lastCommit.acknowledgedAt,
+                },
+              }
+            : {}),
+        },
+      });
+    });
+  }
+
+  handleTick(now: Millis): void {
+    if (this.isClosed) return;
+    if (this.admissions.size + this.connections.size > 0) this.usedAt = now;
+    if (!this.isOpen && now - this.openedAt >= CONNECT_TIMEOUT_MS) {
+      this.socket.close('no connection in time');
+      return;
+    }
+    if (this.unansweredSince !== undefined && now - this.unansweredSince >= DEAD_LINK_MS) {
+      this.socket.close('no answer');
+      return;
+    }
+    const interval = this.admissions.size > 0 ? BUSY_PING_INTERVAL_MS : PING_INTERVAL_MS;
+    if (now - this.lastPingAt >= interval) this.ping(now);
+    if (this.isSilent(now)) this.withdraw('the home is silent', true, () => true);
+    this.withdraw('not admitted in time', false, ({ deadline }) => now >= deadline);
+  }
+
+  handleMessage(message: unknown): void {
+    match(decodeHomeMessage(message))
+      .with({ type: 'granted' }, (granted) => this.handleGranted(granted))
+      .with({ type: 'refused' }, ({ lease, reason, mayTryOther }) =>
+        this.settle(lease, { kind: 'refused', reason, mayTryOther }),
+      )
+      .with({ type: 'reply' }, (reply) => this.connections.get(reply.lease)?.handleReply(reply))
+      .with({ type: 'broken' }, ({ lease, reason }) => {
+        this.connections.get(lease)?.fail(reason);
+      })
+      .with({ type: 'status' }, ({ isIsolated, isDraining }) => {
+        this.handleStatus({ isIsolated, isDraining });
+      })
+      .exhaustive();
+  }
+
+  handleClose(reason: string): void {
+    this.isClosed = true;
+    this.options.log.info('link closed', { home: this.options.home.id, reason });
+    this.admissions.forEach((_, lease) => {
+      this.settle(lease, { kind: 'refused', reason, mayTryOther: true });
+    });
+    this.connections.forEach((connection) => connection.fail(`link to a home: ${reason}`));
+    this.connections.clear();
+    this.options.onClose();
+  }
+
+  close(reason: string): void {
+    this.socket.close(reason);
+  }
+
+  private send(message: EntryMessage): void {
+    this.socket.send(message);
+  }
+
+  private ping(now: Millis): void {
+    this.lastPingAt = now;
+    this.unansweredSince ??= now;
+    this.send({ type: 'ping' });
+  }
+
+  private isSilent(now: Millis): boolean {
+    return this.unansweredSince !== undefined && now - this.unansweredSince >= SILENCE_MS;
+  }
+
+  private handleStatus(status: HomeStatus): void {
+    const now = this.options.clock.readNow();
+    if (this.unansweredSince !== undefined) this.roundTripMs = now - this.unansweredSince;
+    this.unansweredSince = undefined;
+    this.status = status;
+  }
+
+  private handleGranted(granted: HomeMessage & { readonly type: 'granted' }): void {
+    const { lease } = granted;
+    if (!this.admissions.has(lease)) {
+      // The caller no longer waits; the home has been told so.
+      return;
+    }
+    const send = (message: EntryMessage): void => this.send(message);
+    const connection = new RemoteConnection(lease, send);
+    this.connections.set(lease, connection);
+    const onRelease = (): void => {
+      this.connections.delete(lease);
+    };
+    const created = createRemoteLease(granted, connection, this.roundTripMs, send, onRelease);
+    this.settle(lease, { kind: 'granted', lease: created });
+  }
+
+  private settle(lease: number, admission: Admission): void {
+    const pending = this.admissions.get(lease);
+    this.admissions.delete(lease);
+    pending?.resolve(admission);
+  }
+
+  /** Takes back admissions without an answer, so that the work can be tried elsewhere. */
+  private withdraw(
+    reason: string,
+    mayTryOther: boolean,
+    isMeant: (pending: PendingAdmission) => boolean,
+  ): void {
+    this.admissions.forEach((pending, lease) => {
+      if (!isMeant(pending)) return;
+      this.send({ type: 'release', lease });
+      this.settle(lease, { kind: 'refused', reason, mayTryOther });
+    });
+  }
+}
--- /dev/null
+++ b/packages/forwarding/src/message.ts
@@ -0,0 +1,145 @@
+import * as z from 'zod';
+import { LinkProtocolError } from './errors.js';
+
+/** Version of the link protocol; VMs of different versions don't link. */
+export const LINK_VERSION = 1;
+
+const position = z.object({ term: z.number(), offset: z.number() });
+const access = z.enum(['read', 'write']);
+const lease = z.number().int().nonnegative();
+
+const operation = z.discriminatedUnion('kind', [
+  z.object({ kind: z.literal('begin'), isReadOnly: z.boolean() }),
+  z.object({ kind: z.literal('commit') }),
+  z.object({ kind: z.literal('rollback') }),
+  z.object({ kind: z.literal('read'), text: z.string() }),
+  z.object({ kind: z.literal('write'), text: z.string() }),
+  z.object({ kind: z.literal('execute'), name: z.string(), rest: z.string() }),
+]);
+
+/** Values and the prepared statement that a connection needs for the next operation. */
+const session = z.object({
+  variables: z.array(z.tuple([z.string(), z.string()])),
+  prepared: z.object({ name: z.string(), access, shape: z.string() }).optional(),
+});
+
+const request = z.object({
+  requestId: z.string(),
+  kind: z.enum(['read', 'write']),
+  maxAgeMs: z.number().nonnegative(),
+  caller: z.string(),
+  /** Time left until the work must have been admitted. */
+  remainingMs: z.number(),
+  priority: z.number(),
+  /** The session's last commit, and how long ago it was acknowledged. */
+  lastCommit: z.object({ position, ageMs: z.number() }).optional(),
+  excluded: z.array(z.string()),
+});
+
+/** Messages of the VM that passes work on. */
+const entryMessage = z.discriminatedUnion('type', [
+  z.object({ type: z.literal('hello'), version: z.number(), vm: z.string() }),
+  /** Asks for a connection of the home; `lease` names it on this link. */
+  z.object({ type: z.literal('admit'), lease, group: z.string(), request }),
+  z.object({
+    type: z.literal('run'),
+    lease,
+    id: z.string().optional(),
+    operation,
+    after: position.optional(),
+    session: session.optional(),
+  }),
+  z.object({ type: z.literal('busy'), lease, isBusy: z.boolean() }),
+  /** Returns the connection to its pool. */
+  z.object({ type: z.literal('release'), lease }),
+  /** Closes the connection, which rolls back its transaction. */
+  z.object({ type: z.literal('close'), lease }),
+  z.object({ type: z.literal('ping') }),
+]);
+
+const verdict = z.enum([
+  'overloaded',
+  'aborted',
+  'lagging',
+  'readOnly',
+  'wrongInstance',
+  'tooManyConnections',
+  'failed',
+  'timedOut',
+  'unknownOutcome',
+  'unknownStatement',
+  'unknownDatabase',
+  'malformed',
+]);
+
+const reply = z.object({
+  rows: z.array(z.string()),
+  digest: z.string().optional(),
+  failure: z.object({ verdict, reason: z.string() }).optional(),
+  state: z.enum(['idle', 'open', 'failed']),
+  position: position.optional(),
+});
+
+/** Messages of the home that serves the work. */
+const homeMessage = z.discriminatedUnion('type', [
+  z.object({
+    type: z.literal('granted'),
+    lease,
+    instance: z.string(),
+    isLeader: z.boolean(),
+    after: position.optional(),
+    latencyMs: z.number(),
+  }),
+  /** The work has not run; with `mayTryOther` another home may serve it. */
+  z.object({
+    type: z.literal('refused'),
+    lease,
+    reason: z.string(),
+    mayTryOther: z.boolean(),
+  }),
+  /** The reply to the oldest operation of the lease without one. */
+  z.object({ type: z.literal('reply'), lease, reply }),
+  /** The connection to the instance failed; operations without a reply may have run. */
+  z.object({ type: z.literal('broken'), lease, reason: z.string() }),
+  z.object({ type: z.literal('status'), isIsolated: z.boolean(), isDraining: z.boolean() }),
+]);
+
+/** A message of the VM that passes work on to a home. */
+export type EntryMessage = z.infer<typeof entryMessage>;
+
+/** A message of a home. */
+export type HomeMessage = z.infer<typeof homeMessage>;
+
+/** The request part of an `admit` message. */
+export type ForwardedRequest = z.infer<typeof request>;
+
+/** The operations that are passed on. */
+export type ForwardedOperation = z.infer<typeof operation>;
+
+/** The session part of a `run` message. */
+export type ForwardedSession = z.infer<typeof session>;
+
+function decode<T>(schema: z.ZodType<T>, message: unknown): T {
+  const parsed = schema.safeParse(message);
+  if (parsed.success) return parsed.data;
+  const [issue] = parsed.error.issues;
+  throw new LinkProtocolError(`${issue?.path.join('.') ?? ''}: ${issue?.message ?? 'invalid'}`);
+}
+
+/**
+ * Decodes a message of the VM that passes work on.
+ *
+ * @throws LinkProtocolError when it is none.
+ */
+export function decodeEntryMessage(message: unknown): EntryMessage {
+  return decode(entryMessage, message);
+}
+
+/**
+ * Decodes a message of a home.
+ *
+ * @throws LinkProtocolError when it is none.
+ */
+export function decodeHomeMessage(message: unknown): HomeMessage {
+  return decode(homeMessage, message);
+}
--- /dev/null
+++ b/packages/forwarding/src/remote.ts
@@ -0,0 +1,137 @@
+import type { Millis } from '@shallotpick/core';
+import {
+  type Command,
+  ConnectionError,
+  type DataStatement,
+  InstanceConnection,
+  type Lease,
+  type Operation,
+  type Reply,
+  type SessionState,
+  type Statement,
+  type TransactionState,
+} from '@shallotpick/engine';
+import type { EntryMessage, ForwardedOperation, ForwardedSession, HomeMessage } from './message.js';
+
+type Granted = HomeMessage & { readonly type: 'granted' };
+type ReplyMessage = HomeMessage & { readonly type: 'reply' };
+
+/** An operation without a reply. */
+interface PendingOperation {
+  readonly resolve: (reply: Reply) => void;
+  readonly reject: (error: Error) => void;
+}
+
+const FORWARDED: ReadonlySet<Operation['kind']> = new Set<Operation['kind']>([
+  ...(['begin', 'commit', 'rollback', 'read', 'write', 'execute'] as const),
+]);
+
+function isForwarded(operation: Operation): operation is ForwardedOperation {
+  return FORWARDED.has(operation.kind);
+}
+
+/** A connection of a home to an instance, used over a link. */
+export class RemoteConnection extends InstanceConnection {
+  state: TransactionState = 'idle';
+
+  private readonly pending: PendingOperation[] = [];
+
+  private session: ForwardedSession | undefined;
+
+  private isOpen = true;
+
+  constructor(
+    private readonly lease: number,
+    private readonly send: (message: EntryMessage) => void,
+  ) {
+    super();
+  }
+
+  /** Attaches the session's values to the next operation; the home applies them. */
+  override setUp({ variables, statements }: SessionState, next: Statement): void {
+    const prepared = next.kind === 'execute' ? statements.get(next.name) : undefined;
+    this.session = {
+      variables: [...variables],
+      ...(prepared && next.kind === 'execute'
+        ? { prepared: { name: next.name, ...prepared } }
+        : {}),
+    };
+  }
+
+  /** The home replaces the name of a prepared statement. */
+  override toOperation(_: SessionState, statement: DataStatement): Operation {
+    return statement;
+  }
+
+  override async run({ id, operation, after }: Command): Promise<Reply> {
+    if (!this.isOpen) throw new ConnectionError('the link is closed');
+    if (!isForwarded(operation)) throw new ConnectionError(`${operation.kind} is not passed on`);
+    const { session } = this;
+    this.session = undefined;
+    return new Promise((resolve, reject) => {
+      this.pending.push({ resolve, reject });
+      this.send({
+        ...{ type: 'run', lease: this.lease, operation },
+        ...(id === undefined ? {} : { id }),
+        ...(after ? { after } : {}),
+        ...(session ? { session } : {}),
+      });
+    });
+  }
+
+  override countPending(): number {
+    return this.pending.length;
+  }
+
+  override isUsable(): boolean {
+    return this.isOpen;
+  }
+
+  override close(): void {
+    if (!this.isOpen) return;
+    this.send({ type: 'close', lease: this.lease });
+    this.fail('closed by this VM');
+  }
+
+  handleReply({ reply }: ReplyMessage): void {
+    this.state = reply.state;
+    const { rows, digest, failure, state, position } = reply;
+    this.pending.shift()?.resolve({ rows, digest, failure, state, position });
+  }
+
+  /** Rejects the operations without a reply; they may have run. */
+  fail(reason: string): void {
+    this.isOpen = false;
+    this.pending.splice(0).forEach(({ reject }) => reject(new ConnectionError(reason)));
+  }
+}
+
+/** Creates the lease of a home's connection. */
+export function createRemoteLease(
+  { lease, instance, isLeader, after, latencyMs }: Granted,
+  connection: RemoteConnection,
+  hopMs: Millis,
+  send: (message: EntryMessage) => void,
+  onRelease: () => void,
+): Lease {
+  let state: 'running' | 'idle' | 'released' = 'running';
+  return {
+    ...{ instance, connection, isLeader },
+    after,
+    latencyMs: latencyMs + hopMs,
+    updateBusy: (isBusy) => {
+      const next = isBusy ? 'running' : 'idle';
+      if (state === 'released' || state === next) return;
+      state = next;
+      send({ type: 'busy', lease, isBusy });
+    },
+    release: () => {
+      if (state === 'released') return;
+      state = 'released';
+      // A lease that was closed has ended at the home already.
+      if (connection.isUsable()) send({ type: 'release', lease });
+      connection.fail('released');
+      onRelease();
+    },
+  };
+}
--- /dev/null
+++ b/packages/forwarding/test/fleet.ts
@@ -0,0 +1,131 @@
+import { createServer } from 'node:net';
+import { DEFAULT_CONTRACT, type RegisteredInstance } from '@shallotpick/core';
+import {
+  createEngineLog,
+  createProxy,
+  Metrics,
+  type ServiceConfiguration,
+  type Session,
+  type Statement,
+  wait,
+} from '@shallotpick/engine';
+/* eslint-disable import-x/no-relative-packages -- Test code of the engine is not in its package. */
+import { FakeConnector, FakeInstance } from '../../engine/test/fake.js';
+import { FakePromotions, FakeStore } from '../../engine/test/store.js';
+/* eslint-enable import-x/no-relative-packages */
+import { LinkForwarding } from '../src/index.js';
+
+/** Fewer connections than VMs, so that only some VMs are homes. */
+const CONNECTION_LIMIT = 4;
+const ROUTE = {
+  ...{ group: 'g', readsOwnWrites: true, timeoutMs: 900, targetLatencyMs: 100, priority: 1 },
+};
+const CONFIGURATION: ServiceConfiguration = {
+  version: 1,
+  routes: new Map([
+    ['fresh', { ...ROUTE, database: 'fresh', contract: DEFAULT_CONTRACT }],
+    ['aged', { ...ROUTE, database: 'aged', contract: { ...DEFAULT_CONTRACT, maxAgeMs: 2_000 } }],
+  ]),
+  groups: new Map([
+    ['g', { name: 'g', connectionLimit: CONNECTION_LIMIT, synchronousReplicas: 1 }],
+  ]),
+  transactionIdleMs: 5_000,
+};
+
+export const READ: Statement = { kind: 'read', text: 'READ a' };
+export const WRITE: Statement = { kind: 'write', text: 'WRITE a b' };
+export const BEGIN: Statement = { kind: 'begin', isReadOnly: false };
+export const COMMIT: Statement = { kind: 'commit' };
+
+/** One proxy of the fleet. */
+export interface FleetVm {
+  readonly id: string;
+  readonly isHome: boolean;
+  readonly isReady: boolean;
+  readonly port: number;
+  openSession(database: string): Session;
+  drain(): Promise<void>;
+  stop(): void;
+}
+
+/** Proxies on loopback that share a fake store and the fake instances of one group. */
+export interface FakeFleet {
+  readonly leader: FakeInstance;
+  readonly replica: FakeInstance;
+  readonly vms: readonly FleetVm[];
+  stop(): void;
+}
+
+async function findFreePort(): Promise<number> {
+  const server = createServer();
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const address = server.address();
+  server.close();
+  return address && typeof address === 'object' ? address.port : 0;
+}
+
+function registerInstances(store: FakeStore, instances: readonly FakeInstance[]): void {
+  instances.forEach(({ id, isLeader }) =>
+    store.put('instances', id, {
+      ...{ id, group: 'g', zone: 'z', host: 'h', port: 1, slots: 2, startedAt: 1 },
+      ...{ connectionLimit: CONNECTION_LIMIT, leaving: false },
+      role: isLeader ? 'primary' : 'replica',
+    } satisfies RegisteredInstance),
+  );
+}
+
+async function startVm(
+  index: number,
+  store: FakeStore,
+  instances: readonly FakeInstance[],
+): Promise<FleetVm> {
+  const id = `vm-${index}`;
+  const link = { host: '127.0.0.1', port: await findFreePort() };
+  const running = createProxy({
+    ...{ vm: id, zone: 'z', drainMs: 7_000, stableWindowMs: 4_000, configurationApplyMs: 3_000 },
+    ...{ store, link, metrics: new Metrics(), log: createEngineLog('error', id) },
+    createForwarding: (host) => new LinkForwarding(host, link),
+    promotions: new FakePromotions(),
+    connector: new FakeConnector(new Map(instances.map((one) => [one.id, one]))),
+    configurationKind: 'configurations',
+    instancesKind: 'instances',
+    decodeConfiguration: ({ spec }) => spec as ServiceConfiguration,
+    decodeInstance: ({ spec }) => spec as RegisteredInstance,
+  });
+  await running.start();
+  const { proxy } = running;
+  return {
+    id,
+    port: link.port,
+    get isHome() {
+      return proxy.isHomeOf('g');
+    },
+    get isReady() {
+      return proxy.isReady();
+    },
+    openSession: (database) => proxy.createSession(database, 'caller'),
+    drain: () => proxy.drain(4_000),
+    stop: () => {
+      running.stopWatchers();
+      proxy.stop();
+    },
+  };
+}
+
+/** Starts a fleet and waits until its VMs know each other. */
+export async function startFleet(vmCount = CONNECTION_LIMIT + 1): Promise<FakeFleet> {
+  const leader = new FakeInstance('leader');
+  const replica = new FakeInstance('replica');
+  leader.isLeader = true;
+  const store = new FakeStore();
+  store.put('configurations', 'main', CONFIGURATION);
+  registerInstances(store, [leader, replica]);
+  const vms = await Promise.all(
+    Array.from({ length: vmCount }, (_, index) => startVm(index, store, [leader, replica])),
+  );
+  while (vms.filter(({ isHome }) => isHome).length !== 2) await wait(20);
+  while (!vms.every(({ isReady }) => isReady)) await wait(20);
+  return { leader, replica, vms, stop: () => vms.forEach((vm) => vm.stop()) };
+}
--- /dev/null
+++ b/packages/forwarding/test/forwarding.spec.ts
@@ -0,0 +1,150 @@
+import { connect } from 'node:net';
+import { expect } from 'earl';
+import { type Command, type Reply, type Session, wait } from '@shallotpick/engine';
+import { encodeFrame, LINK_VERSION } from '../src/index.js';
+import { BEGIN, COMMIT, type FakeFleet, type FleetVm, READ, startFleet, WRITE } from './fleet.js';
+
+const describeReply = ({ rows, failure }: Reply): unknown => failure?.verdict ?? [...rows];
+
+describe('work that is passed on to a home', () => {
+  let fleet: FakeFleet;
+  let entry: FleetVm;
+  let homes: readonly FleetVm[];
+  let nextId = 1;
+
+  const run = async (session: Session, statement: Parameters<Session['run']>[0]['statement']) => {
+    nextId += 1;
+    return describeReply(await session.run({ id: `r${nextId}`, statement }));
+  };
+
+  beforeEach(async () => {
+    fleet = await startFleet();
+    entry = fleet.vms.find(({ isHome }) => !isHome)!;
+    homes = fleet.vms.filter(({ isHome }) => isHome);
+  });
+
+  afterEach(() => fleet.stop());
+
+  it('is answered as on the home itself', async () => {
+    const session = entry.openSession('fresh');
+    expect(await run(session, READ)).toEqual(['row of leader']);
+    expect(await run(session, WRITE)).toEqual([]);
+    await run(session, { kind: 'set', name: 'x', value: '1' });
+    await run(session, { kind: 'prepare', name: 's', access: 'read', shape: 'q' });
+    expect(await run(session, { kind: 'execute', name: 's', rest: 'a' })).toEqual([]);
+    await run(session, BEGIN);
+    expect(await run(session, READ)).toEqual(['row of leader']);
+    expect(await run(session, COMMIT)).toEqual([]);
+    const kinds = fleet.leader.received.map((text) => text.split(' ').slice(1, 3).join(' '));
+    expect(kinds).toInclude('prepare p1');
+    expect(kinds).toInclude('execute p1');
+  }).timeout(10_000);
+
+  // The position of a session's own commit must reach the home that serves its next read.
+  it('reads the own writes of its session', async () => {
+    const session = entry.openSession('aged');
+    await run(session, WRITE);
+    const { position } = fleet.leader;
+    fleet.replica.position = position;
+    await run(session, READ);
+    const reads = [...fleet.leader.received, ...fleet.replica.received].filter((text) =>
+      text.includes('read'),
+    );
+    expect(reads.at(-1) ?? '').toInclude(`after ${position.term}.${position.offset}`);
+  }).timeout(10_000);
+
+  it('keeps within the connections of an instance together', async () => {
+    const sessions = fleet.vms.flatMap((vm) =>
+      Array.from({ length: 4 }, () => vm.openSession('fresh')),
+    );
+    await Promise.all(sessions.map((session) => run(session, READ)));
+    expect(fleet.leader.connections.size <= 4).toEqual(true);
+  }).timeout(10_000);
+
+  /** Breaks both homes off as soon as an instance receives a command of the kind. */
+  const stopHomesAt = (kind: Command['operation']['kind']): void => {
+    fleet.leader.intercept = ({ id, operation }) => {
+      if (id === undefined || operation.kind !== kind) return undefined;
+      homes.forEach((home) => home.stop());
+      return undefined;
+    };
+  };
+
+  // After a lost answer the caller must not be told that the work has not run, nor may it run twice.
+  it('has an unknown outcome when the home is lost with a write', async () => {
+    stopHomesAt('write');
+    expect(await run(entry.openSession('fresh'), WRITE)).toEqual('unknownOutcome');
+    expect(fleet.leader.received.filter((text) => text.includes('write')).length).toEqual(1);
+  }).timeout(10_000);
+
+  it('has an unknown outcome when the home is lost with a commit', async () => {
+    const session = entry.openSession('fresh');
+    await run(session, BEGIN);
+    await run(session, READ);
+    stopHomesAt('commit');
+    expect(await run(session, COMMIT)).toEqual('unknownOutcome');
+  }).timeout(10_000);
+
+  it('is aborted when the home is lost before the commit', async () => {
+    const session = entry.openSession('fresh');
+    await run(session, BEGIN);
+    await run(session, WRITE);
+    homes.forEach((home) => home.stop());
+    await wait(50);
+    expect(await run(session, COMMIT)).toEqual('aborted');
+    expect(fleet.leader.received.filter((text) => text.includes('commit'))).toEqual([]);
+  }).timeout(10_000);
+
+  it('goes to the other home when one is lost', async () => {
+    homes[0]?.stop();
+    await wait(50);
+    const session = entry.openSession('fresh');
+    expect(await run(session, READ)).toEqual(['row of leader']);
+    expect(await run(session, READ)).toEqual(['row of leader']);
+  }).timeout(10_000);
+
+  // What can't be served is refused at once, not at its deadline.
+  it('is refused at once when no home is left', async () => {
+    homes.forEach((home) => home.stop());
+    await wait(50);
+    const startedAt = performance.now();
+    expect(await run(entry.openSession('fresh'), READ)).toEqual('overloaded');
+    expect(performance.now() - startedAt < 500).toEqual(true);
+  }).timeout(10_000);
+
+  // A planned stop of a home under load cut off requests that it had accepted.
+  it('ends on a draining home and then goes to the other one', async () => {
+    const session = entry.openSession('fresh');
+    await run(session, BEGIN);
+    await run(session, WRITE);
+    const drains = homes.slice(0, 1).map((home) => home.drain());
+    await wait(100);
+    expect(await run(session, WRITE)).toEqual([]);
+    expect(await run(session, COMMIT)).toEqual([]);
+    expect(await run(session, READ)).toEqual(['row of leader']);
+    await Promise.all(drains);
+  }).timeout(20_000);
+
+  // A malformed message or an unknown peer must end its link and nothing else.
+  it('goes on beside links that send malformed messages or come from unknown VMs', async () => {
+    const port = homes[0]?.port ?? 0;
+    const hello = (vm: string): Buffer => encodeFrame({ type: 'hello', version: LINK_VERSION, vm });
+    const attempts = [
+      Buffer.from('GET / HTTP/1.1\r\n\r\n'),
+      encodeFrame({ type: 'ping' }),
+      encodeFrame({ type: 'hello', version: LINK_VERSION + 1, vm: entry.id }),
+      Buffer.concat([hello(entry.id), encodeFrame({ type: 'run', lease: 'x' })]),
+      hello('stranger'),
+    ];
+    const closed = attempts.map(
+      (bytes) =>
+        new Promise((resolve) => {
+          const socket = connect({ host: '127.0.0.1', port }, () => socket.write(bytes));
+          socket.on('error', () => resolve('closed')).on('close', () => resolve('closed'));
+          socket.resume();
+        }),
+    );
+    expect(await Promise.all(closed)).toEqual(attempts.map(() => 'closed'));
+    expect(await run(entry.openSession('fresh'), READ)).toEqual(['row of leader']);
+  }).timeout(10_000);
+});
--- /dev/null
+++ b/packages/forwarding/test/message.spec.ts
@@ -0,0 +1,96 @@
+import { expect } from 'earl';
+import * as fc from 'fast-check';
+import {
+  decodeEntryMessage,
+  decodeHomeMessage,
+  encodeFrame,
+  FrameReader,
+  LinkProtocolError,
+  MAX_FRAME_BYTES,
+} from '../src/index.js';
+
+const SEED = 24;
+
+/** Runs `decode` and returns its result; any error but LinkProtocolError is rethrown. */
+function tryDecode(decode: () => unknown): unknown {
+  try {
+    return decode();
+  } catch (error) {
+    if (error instanceof LinkProtocolError) return 'refused';
+    throw error;
+  }
+}
+
+function readAll(reader: FrameReader): readonly unknown[] {
+  const messages: unknown[] = [];
+  for (let next = reader.read(); next !== undefined; next = reader.read()) messages.push(next);
+  return messages;
+}
+
+describe('the frames of a link', () => {
+  it('arrive whole, however the bytes are cut', () => {
+    const message = fc.record(
+      { type: fc.string(), rows: fc.array(fc.string()) },
+      { noNullPrototype: true },
+    );
+    const property = fc.property(
+      fc.array(message),
+      fc.integer({ min: 1, max: 40 }),
+      (all, size) => {
+        const bytes = Buffer.concat(all.map((one) => encodeFrame(one)));
+        const reader = new FrameReader();
+        const read: unknown[] = [];
+        for (let at = 0; at < bytes.length; at += size) {
+          reader.add(bytes.subarray(at, at + size));
+          read.push(...readAll(reader));
+        }
+        expect(read).toEqual(all);
+      },
+    );
+    fc.assert(property, { seed: SEED });
+  });
+
+  // One malformed frame must end its link with a known error and not the process.
+  it('refuse malformed bytes with a protocol error only', () => {
+    const property = fc.property(fc.uint8Array({ maxLength: 200 }), (bytes) => {
+      const reader = new FrameReader();
+      reader.add(Buffer.from(bytes));
+      tryDecode(() => readAll(reader));
+    });
+    fc.assert(property, { seed: SEED, numRuns: 500 });
+  });
+
+  it('refuse a length beyond the limit before its bytes arrive', () => {
+    const reader = new FrameReader();
+    const header = Buffer.alloc(4);
+    header.writeUInt32BE(MAX_FRAME_BYTES + 1);
+    reader.add(header);
+    expect(() => reader.read()).toThrow(LinkProtocolError);
+  });
+});
+
+describe('the messages of a link', () => {
+  it('are decoded or refused, whatever a peer sends', () => {
+    const types = fc.constantFrom('hello', 'admit', 'run', 'busy', 'granted', 'reply', 'status');
+    const almost = fc.dictionary(fc.constantFrom('lease', 'group', 'reply', 'vm'), fc.jsonValue());
+    const property = fc.property(fc.jsonValue(), types, almost, (any, type, fields) => {
+      [any, { ...fields, type }].forEach((message) => {
+        tryDecode(() => decodeEntryMessage(message));
+        tryDecode(() => decodeHomeMessage(message));
+      });
+    });
+    fc.assert(property, { seed: SEED, numRuns: 500 });
+  });
+
+  it('keep their content', () => {
+    const run = {
+      ...{ type: 'run', lease: 7, id: 'r1', operation: { kind: 'execute', name: 's', rest: 'a' } },
+      after: { term: 2, offset: 9 },
+      session: {
+        variables: [['x', 'y']],
+        prepared: { name: 's', access: 'read', shape: 'q' },
+      },
+    };
+    expect<unknown>(decodeEntryMessage(run)).toEqual(run);
+  });
+});
