Wait for the whole fleet at the first start before groups are placed

Change: when the platform says that the whole system starts for the first time, groups are placed after the second round of heartbeats, or 2 s. The platform sends callers only seconds later.

--- a/packages/engine/src/directory.ts
+++ b/packages/engine/src/directory.ts
@@ -8,6 +8,8 @@
 
 /** How long a new process waits for the list of VMs before it connects to every group. */
 const FLEET_WAIT_MS: Millis = 100;
+/** The same when all VMs start together; the platform sends no callers yet. */
+const FIRST_START_WAIT_MS: Millis = 2_000;
 
 /** Services of a group directory. */
 export interface GroupDirectoryOptions {
@@ -19,6 +21,8 @@
   readonly createGroup: (name: string) => GroupService;
   /** True once the live VMs are known. */
   readonly isFleetKnown: () => boolean;
+  /** True when all VMs start together. */
+  readonly isFirstStart: boolean;
 }
 
 /** The groups of the configuration: those that this VM is a home of, and access to the others. */
@@ -43,8 +47,8 @@
 
   /** Starts and stops groups after a change of the homes; true if any was started or stopped. */
   handleTick(): boolean {
-    if (this.placedVersion === this.options.placement.version) return false;
-    return this.place();
+    const isPlaced = this.placedVersion === this.options.placement.version;
+    return isPlaced ? false : this.place();
   }
 
   /** Accesses a group of the configuration; undefined for an unknown one. */
@@ -76,14 +80,20 @@
     this.local.forEach((group) => group.stop());
   }
 
+  /** True once the homes are known, or the wait for them has lasted long enough. */
+  mayPlace(): boolean {
+    const { clock, isFleetKnown, isFirstStart } = this.options;
+    const limit = isFirstStart ? FIRST_START_WAIT_MS : FLEET_WAIT_MS;
+    return isFleetKnown() || clock.readNow() - this.createdAt >= limit;
+  }
+
   private mustForward(): boolean {
     return this.options.placement.mustForward();
   }
 
   private place(): boolean {
-    const { placement, clock, isFleetKnown } = this.options;
-    if (!this.configuration) return false;
-    if (!isFleetKnown() && clock.readNow() - this.createdAt < FLEET_WAIT_MS) return false;
+    const { placement } = this.options;
+    if (!this.configuration || !this.mayPlace()) return false;
     this.placedVersion = placement.version;
     let isChanged = false;
     this.configuration.groups.forEach((settings, name) => {
--- a/packages/engine/src/fleet.ts
+++ b/packages/engine/src/fleet.ts
@@ -9,6 +9,8 @@
 /** Interval of the first rounds, so that VMs that start together soon see each other. */
 const FIRST_HEARTBEAT_MS: Millis = 1_500;
 const HEARTBEAT_EXPIRY_MS: Millis = 25_000;
+/** Rounds after which VMs that started together have seen each other. */
+const FIRST_START_ROUNDS = 2;
 
 /** A live VM and where it accepts the links of other VMs; without a port it accepts none. */
 export interface VmAddress {
@@ -38,6 +40,8 @@
   readonly startedAt: number;
   /** Where this VM accepts the links of other VMs. */
   readonly link?: { readonly host: string; readonly port: number } | undefined;
+  /** True when all VMs start together, so that the first list of them is incomplete. */
+  readonly isFirstStart: boolean;
   /** Called after each change of the live VMs. */
   readonly onChange: () => void;
 }
@@ -73,6 +77,9 @@
 
   private isKnown = false;
 
+  /** Rounds in which the heartbeats were read. */
+  private rounds = 0;
+
   private beat = 0;
 
   private revision = 0;
@@ -102,6 +109,11 @@
     return this.isKnown ? this.live.length : undefined;
   }
 
+  /** True once the list of live VMs is expected to be complete. */
+  hasSettled(): boolean {
+    return this.rounds >= (this.options.isFirstStart ? FIRST_START_ROUNDS : 1);
+  }
+
   /** The live VMs with their addresses, this one included. */
   listLiveVms(): readonly VmAddress[] {
     return this.live.map((id) => (id === this.options.vm ? this.describeSelf() : this.find(id)));
@@ -180,6 +192,7 @@
       .map(([name]) => name);
     const next = [...new Set([vm, ...live])].sort();
     const isFirst = !this.isKnown;
+    this.rounds += 1;
     this.isKnown = true;
     if (next.join() === this.live.join() && !isFirst && !this.isAddressChanged) return;
     log.info('live VMs', { vms: next, before: this.live });
--- a/packages/engine/src/wiring.ts
+++ b/packages/engine/src/wiring.ts
@@ -33,6 +33,8 @@
   /** Where this VM accepts the links of other VMs; absent when it serves every group itself. */
   readonly link?: { readonly host: string; readonly port: number };
   readonly createForwarding?: CreateForwarding;
+  /** True when all VMs start together; a VM then waits for the others before it connects. */
+  readonly isFirstStart?: boolean;
   /** How long a leaving instance may still receive work. */
   readonly drainMs: Millis;
   /** Time after a disturbance in which no time bound applies, so a lost watch may last as long. */
@@ -104,10 +106,12 @@
   const fleet = new Fleet({
     ...{ vm, zone, store, clock, log, link: parts.link },
     startedAt: Date.now(),
+    isFirstStart: parts.isFirstStart ?? false,
     onChange: () => holder.placement?.update(),
   });
   const placement = new Placement(vm, fleet);
   holder.placement = placement;
+  const isHomeNow = (): boolean => holder.groups?.mayPlace() === true && placement.isAnyHome();
   const createWatcher = (
     kind: string,
     watchMs: Millis,
@@ -121,7 +125,7 @@
       clock,
       log,
       random: Math.random,
-      isNeeded: () => kind === parts.configurationKind || placement.isAnyHome(),
+      isNeeded: () => kind === parts.configurationKind || isHomeNow(),
       onListing,
       onChange,
     });
@@ -179,7 +183,8 @@
   const groups = new GroupDirectory({
     ...{ clock, log, placement, forwarding },
     createGroup: (name) => createGroup(name, parts, shared, placement, refreshInstances),
-    isFleetKnown: () => fleet.countLiveVms() !== undefined,
+    isFleetKnown: () => fleet.hasSettled(),
+    isFirstStart: parts.isFirstStart ?? false,
   });
   holder.groups = groups;
   const proxy = new Proxy({
