Divide an instance's connections among homes with room for one more

Cause: a property over random fleets showed that two views of a fleet, which differ by one VM, together took more connections than an instance accepts when a group has few homes (a quarter of two homes is no home), and that a group could have more homes than connections.

Change: at least one home is reserved for; a zone has one home where two would leave fewer than two connections each. A fleet forwards where a VM would have fewer than two connections to an instance, since one that shared 46 connections among 32 VMs opened up to 64.

--- a/packages/engine/src/group.ts
+++ b/packages/engine/src/group.ts
@@ -18,6 +18,7 @@
 import type { Log } from './log.js';
 import { InstancePool, Member, WARM_CONNECTIONS } from './member.js';
 import type { Metrics } from './metrics.js';
+import { computeConnectionShare } from './placement.js';
 import { InstanceProbe } from './probe.js';
 import type { Suspicion } from './suspicion.js';
 import type { TakeoverDriver } from './takeover.js';
@@ -31,10 +32,6 @@
 const AGE_MARGIN = 0.15;
 /** Connections to an instance until the number of VMs that share them is known. */
 const INITIAL_SHARE = 2;
-/** Fraction above its share that this proxy may use while the instance has free connections. */
-const OVERCOMMIT_FRACTION = 0.5;
-/** Fraction of additional homes for which connections are left while a group's homes change. */
-const RESERVE_FRACTION = 0.25;
 const RECONNECT_DELAY_MS: Millis = 20;
 /** Expected time from the loss of a leader until its successor accepts writes. */
 const FAILOVER_MS: Millis = 1_500;
@@ -77,6 +74,9 @@
 
   private readonly leavingSince = new Map<string, Millis>();
 
+  /** Instances that were leaving already when this VM first saw them. */
+  private readonly leftBefore = new Set<string>();
+
   private leaderLostAt: Millis;
 
   private settings: GroupSettings;
@@ -125,6 +125,13 @@
     return isOver ? undefined : leader;
   }
 
+  /** Earliest time at which a leaving instance may end; undefined while that is not known. */
+  findEarliestEnd(instance: string): Millis | undefined {
+    const since = this.leavingSince.get(instance);
+    if (since === undefined || this.leftBefore.has(instance)) return undefined;
+    return since + this.options.drainMs;
+  }
+
   override handleDemotion(instance: string): void {
     this.members.get(instance)?.probe.clearLeadership();
   }
@@ -175,12 +182,7 @@
   private computeShare(): number {
     const vms = this.options.countVms();
     if (vms === undefined) return INITIAL_SHARE;
-    if (this.options.mustReserve()) {
-      const sharers = Math.max(1, vms) * (1 + RESERVE_FRACTION);
-      return Math.max(1, Math.floor(this.settings.connectionLimit / sharers));
-    }
-    const share = Math.max(1, Math.floor(this.settings.connectionLimit / vms));
-    return share + Math.max(1, Math.floor(share * OVERCOMMIT_FRACTION));
+    return computeConnectionShare(this.settings.connectionLimit, vms, this.options.mustReserve());
   }
 
   /** Refuses work at once when no instance is expected to serve it before its deadline. */
@@ -241,6 +243,7 @@
       this.leavingSince.delete(instance.id);
     } else if (!this.leavingSince.has(instance.id)) {
       this.leavingSince.set(instance.id, clock.readNow());
+      if (!known) this.leftBefore.add(instance.id);
       log.info('instance leaving', { instance: instance.id, group: this.name });
     }
     const member = this.members.get(instance.id);
@@ -272,6 +275,7 @@
     member.pool.drain();
     this.members.delete(member.id);
     this.leavingSince.delete(member.id);
+    this.leftBefore.delete(member.id);
     this.dispatcher.updateCapacity(member.id, NO_CAPACITY);
   }
 
--- a/packages/engine/src/index.ts
+++ b/packages/engine/src/index.ts
@@ -26,6 +26,8 @@
 export type { Log } from './log.js';
 export { InstancePool } from './member.js';
 export { createCounter, Metrics } from './metrics.js';
+export { computeConnectionShare, Placement } from './placement.js';
+export type { FleetView } from './placement.js';
 export { ConnectionPool } from './pool.js';
 export type { PooledConnection } from './pool.js';
 export { InstanceProbe } from './probe.js';
--- a/packages/engine/src/placement.ts
+++ b/packages/engine/src/placement.ts
@@ -2,7 +2,14 @@
 import type { ServiceConfiguration } from './configuration.js';
 import type { Fleet, VmAddress } from './fleet.js';
 
-const HOMES_PER_ZONE = 2;
+/** The second home of a zone serves while the first one restarts. */
+const MAX_HOMES_PER_ZONE = 2;
+/** A VM with fewer connections to an instance could not serve transactions beside reads. */
+const MIN_HOME_CONNECTIONS = 2;
+/** Fraction of additional homes for which connections are left while a group's homes change. */
+const RESERVE_FRACTION = 0.25;
+/** Fraction above its share that a VM may use while the instance has free connections. */
+const OVERCOMMIT_FRACTION = 0.5;
 /**
  * Groups for which a VM of the home pool is a home. A pool keeps the number of VMs small that watch
  * the instances in the store and keep connections to them.
@@ -11,12 +18,36 @@
 const MIN_POOL_PER_ZONE = 3;
 const POOL_DUTY = 'home-pool';
 
+/** What a placement needs to know of the fleet. */
+export type FleetView = Pick<Fleet, 'listLiveVms' | 'countLiveVms' | 'findRank'>;
+
+/**
+ * Computes how many of an instance's connections one VM may open.
+ *
+ * @param vms number of VMs that share them
+ * @param isReserved leaves connections for homes that another view of the fleet chose, instead of
+ *   lending those that other VMs leave unused
+ */
+export function computeConnectionShare(limit: number, vms: number, isReserved: boolean): number {
+  if (isReserved) {
+    const reserved = Math.max(1, Math.ceil(vms * RESERVE_FRACTION));
+    return Math.max(1, Math.floor(limit / (Math.max(1, vms) + reserved)));
+  }
+  const share = Math.max(1, Math.floor(limit / Math.max(1, vms)));
+  return share + Math.max(1, Math.floor(share * OVERCOMMIT_FRACTION));
+}
+
+function countHomesPerZone(limit: number, zones: number): number {
+  const connections = limit / (1 + RESERVE_FRACTION) / MIN_HOME_CONNECTIONS;
+  return Math.max(1, Math.min(MAX_HOMES_PER_ZONE, Math.floor(connections / zones)));
+}
+
 /**
  * Decides which VMs are homes of a group: all of them while the connections of an instance suffice
  * for that, otherwise some in each zone.
  */
 export class Placement {
-  private table = new HomeTable({ homesPerZone: HOMES_PER_ZONE, allHomeVms: 0 });
+  private table = new HomeTable();
 
   private configuration: ServiceConfiguration | undefined;
 
@@ -29,7 +60,7 @@
 
   constructor(
     private readonly vm: string,
-    private readonly fleet: Fleet,
+    private readonly fleet: FleetView,
   ) {}
 
   updateConfiguration(configuration: ServiceConfiguration): void {
@@ -45,15 +76,17 @@
     const limits = [...configuration.groups.values()].map((group) => group.connectionLimit);
     const reachable = vms.filter(({ port }) => port !== undefined);
     // VMs of a build that doesn't forward keep connections to every instance.
-    this.isForwarding = reachable.length === vms.length && vms.length > Math.min(...limits);
+    const needed = vms.length * MIN_HOME_CONNECTIONS;
+    this.isForwarding = reachable.length === vms.length && needed > Math.min(...limits);
     this.version += 1;
     if (!this.isForwarding) return;
     const zones = [...new Set(vms.map(({ zone }) => zone))];
     const names = [...configuration.groups.keys()];
-    this.pool = new Map(
-      zones.flatMap((zone) => this.choosePool(zone, names.length)).map((one) => [one.id, one]),
-    );
-    this.table = new HomeTable({ homesPerZone: HOMES_PER_ZONE, allHomeVms: 0 });
+    const homesPerZone = countHomesPerZone(Math.min(...limits), zones.length);
+    const size = Math.ceil((names.length * homesPerZone) / GROUPS_PER_HOME_VM);
+    const pool = zones.flatMap((zone) => this.choosePool(zone, size));
+    this.pool = new Map(pool.map((one) => [one.id, one]));
+    this.table = new HomeTable({ homesPerZone, allHomeVms: 0 });
     // VMs of a zone without instances share their homes, too, and don't cross a zone to reach them.
     const instances = zones.map((zone) => ({ zone }));
     this.table.updateGroups(names.map((name) => ({ name, instances })));
@@ -104,9 +137,8 @@
     return this.table.findHomes(group, zone);
   }
 
-  private choosePool(zone: string, groups: number): readonly VmAddress[] {
+  private choosePool(zone: string, size: number): readonly VmAddress[] {
     const vms = this.fleet.listLiveVms().filter((one) => one.zone === zone);
-    const size = Math.ceil((groups * HOMES_PER_ZONE) / GROUPS_PER_HOME_VM);
     const ranked = rankVms(
       POOL_DUTY,
       vms.map(({ id }) => id),
