Replace no unreachable leader while a leaving replica may be replaced

Change: as long as the former leader has not stepped down, a promotion waits while a leaving replica may end within its time. The drain time tells the earliest end; for an instance that was leaving when the VM first saw it the end is unknown, and the promotion waits until it is gone.

--- a/packages/bench/src/takeover/group.ts
+++ b/packages/bench/src/takeover/group.ts
@@ -20,6 +20,9 @@
 
   leaving = false;
 
+  /** When a leaving instance ends. */
+  endsAt = Number.POSITIVE_INFINITY;
+
   isRegistered = true;
 
   /** Set by a fault: the replica receives no entries, although no VM sent it an order to stop. */
--- a/packages/bench/src/takeover/simulation.ts
+++ b/packages/bench/src/takeover/simulation.ts
@@ -167,7 +167,7 @@
   /** Marks an instance as leaving; after `duration` another one takes its place. */
   private replace(instance: SyncInstance, duration: number): void {
     if (instance.leaving || !instance.isRegistered) return;
-    Object.assign(instance, { leaving: true });
+    Object.assign(instance, { leaving: true, endsAt: this.clock.now + duration });
     this.clock.schedule(duration, () => this.group.replace(instance));
   }
 
--- a/packages/bench/src/takeover/vm.ts
+++ b/packages/bench/src/takeover/vm.ts
@@ -168,7 +168,7 @@
     }
     const view = this.probeResults.get(id);
     return {
-      ...{ id, leaving, reportsPrimary: isLeader, lagMs: view?.lagMs },
+      ...{ id, leaving, mayEndAt: instance.endsAt, reportsPrimary: isLeader, lagMs: view?.lagMs },
       ...{ health: view?.health ?? 'unknown', since: view?.since ?? 0 },
       ...{ leads: view?.leads ?? false, position: view?.position },
     };
--- a/packages/core/src/handover.ts
+++ b/packages/core/src/handover.ts
@@ -1,5 +1,6 @@
 import type { Millis } from './clock.js';
 import { findLeader } from './requiredplan.js';
+import { PROMOTION_TIMEOUT_MS } from './takeoverstep.js';
 import type { InstanceView, PromotionRecord } from './takeovertypes.js';
 
 /** Longest wait of a handover for a group that is not complete, before the leader is stopped. */
@@ -41,6 +42,21 @@
   return isHolder && !areReplicasSteady ? leader : undefined;
 }
 
+/**
+ * True when another replica may take the place of a leaving one before a promotion that is ordered
+ * now has taken effect. A former leader that this VM does not reach could let it acknowledge.
+ */
+export function mayReplicaBeReplaced(
+  instances: readonly InstanceView[],
+  formerLeader: string | undefined,
+  now: Millis,
+): boolean {
+  return instances.some(
+    ({ id, leaving, mayEndAt = 0 }) =>
+      leaving && id !== formerLeader && mayEndAt < now + PROMOTION_TIMEOUT_MS,
+  );
+}
+
 /**
  * Tells whether a group is complete. While a leader serves during its handover, a replica that
  * starts at the same time could acknowledge a commit alone before any VM knows of it. A replica
--- a/packages/core/src/takeover.ts
+++ b/packages/core/src/takeover.ts
@@ -4,6 +4,7 @@
   GroupCompleteness,
   findLeaderToStop,
   INCOMPLETE_GROUP_WAIT_MS,
+  mayReplicaBeReplaced,
 } from './handover.js';
 import { SuccessorSelector } from './successor.js';
 import { findLeader, findRequiredPlan } from './requiredplan.js';
@@ -293,7 +294,9 @@
       return this.startSettling(now);
     }
     const candidate = this.selector.chooseSuccessor(instances);
-    if (candidate) return this.promote(candidate, instances, now);
+    const isStopped = formerLeader !== undefined && this.selector.hasSteppedDown(formerLeader);
+    const isSafe = isStopped || !mayReplicaBeReplaced(instances, formerLeader, now);
+    if (candidate && isSafe) return this.promote(candidate, instances, now);
     const term = this.selector.newestTerm + 1;
     return instances
       .filter(({ id }) => !this.selector.findReport(id) && this.isDue(`fence ${id}`, now))
--- a/packages/core/src/takeovertypes.ts
+++ b/packages/core/src/takeovertypes.ts
@@ -22,6 +22,8 @@
 export interface InstanceView {
   readonly id: string;
   readonly leaving: boolean;
+  /** Earliest time at which a leaving instance may end; undefined while that is not known. */
+  readonly mayEndAt?: Millis | undefined;
   /** The instance registered itself as primary. */
   readonly reportsPrimary: boolean;
   /** `full`: it is alive but accepts no further connection. */
--- a/packages/engine/src/takeover.ts
+++ b/packages/engine/src/takeover.ts
@@ -80,6 +80,7 @@
     return {
       id: instance.id,
       leaving: instance.leaving === true,
+      mayEndAt: this.group.findEarliestEnd(instance.id),
       reportsPrimary: instance.role === 'primary',
       health: probe.health,
       since: probe.healthSince,
