--- a/packages/engine/src/placement.ts
+++ b/packages/engine/src/placement.ts
@@ -107,6 +107,11 @@
     return !this.isForwarding || this.pool.has(this.vm);
   }
 
+  /** Number of VMs that serve at least one group. */
+  countPool(): number {
+    return this.isForwarding ? this.pool.size : (this.fleet.countLiveVms() ?? 1);
+  }
+
   /** Lists the homes of a group, nearest first, without this VM. */
   findHomes(group: string, zone: string): readonly VmAddress[] {
     return this.listHomeIds(group, zone)
--- a/packages/engine/src/watcher.ts
+++ b/packages/engine/src/watcher.ts
@@ -6,6 +6,9 @@
 
 /** Pause between watches, so that a burst of changes is returned by one call. */
 const WATCH_PAUSE_MS: Millis = 150;
+const MAX_WATCH_PAUSE_MS: Millis = 600;
+/** A change is returned to every watcher; with more of them each one pauses longer. */
+const UNPAUSED_WATCHERS = 12;
 /** Interval of checks whether the objects are needed. */
 const NEED_POLL_MS: Millis = 50;
 
@@ -20,6 +23,8 @@
   readonly random: () => number;
   /** False while this VM doesn't need the objects; nothing is watched then. */
   readonly isNeeded?: () => boolean;
+  /** Number of VMs that watch the kind. */
+  readonly countWatchers?: () => number;
   /** Receives all objects after each listing. */
   readonly onListing: (objects: readonly StoredObject[]) => void;
   /** Receives one change; for a deletion, `object.spec` is the last content. */
@@ -100,7 +105,13 @@
     const { changes, revision: next } = await store.watch(kind, revision, watchMs);
     changes.forEach(({ object, isDeleted }) => onChange(object, isDeleted));
     this.revision = next;
-    if (changes.length > 0) await wait(WATCH_PAUSE_MS);
+    if (changes.length > 0) await wait(this.computePause());
+  }
+
+  private computePause(): Millis {
+    const watchers = this.options.countWatchers?.() ?? 1;
+    const factor = Math.max(1, watchers / UNPAUSED_WATCHERS);
+    return Math.min(MAX_WATCH_PAUSE_MS, WATCH_PAUSE_MS * factor);
   }
 
   private handleAnswer(): void {
--- a/packages/engine/src/wiring.ts
+++ b/packages/engine/src/wiring.ts
@@ -125,6 +125,7 @@
       clock,
       log,
       random: Math.random,
+      countWatchers: () => (kind === parts.instancesKind ? placement.countPool() : 1),
       isNeeded: () => kind === parts.configurationKind || isHomeNow(),
       onListing,
       onChange,
