Leave each VM a connection for its next process after a loss of power

Shares overcommitted, 4 VMs could hold 6 of 16 each. Ruled out: the store and the list of VMs (read within 90 ms of the start).

Change: an equal share less one connection, no overcommitment; a new service keeps to one connection an instance for 500 ms, so that VMs that start together find one each; a fleet with fewer than three connections a VM forwards.

--- a/packages/engine/src/attempt.ts
+++ b/packages/engine/src/attempt.ts
@@ -1,4 +1,5 @@
 import type { Millis } from '@shallotpick/core';
+import type { GroupAccess } from './access.js';
 import type { DatabaseRoute } from './configuration.js';
 import { NotRunError } from './errors.js';
 import type { Lease } from './lease.js';
@@ -10,6 +11,8 @@
 const ADMISSION_FRACTION = 0.85;
 /** Delay before the work is sent to the same instance again. */
 const RETRY_DELAY_MS: Millis = 10;
+/** Longest wait of a request for a new process to learn who serves its group. */
+const PLACEMENT_WAIT_MS: Millis = 150;
 /** A reply that takes longer than this multiple of the expected latency counts as lost. */
 const REPLY_TIMEOUT_FACTOR = 10;
 const MIN_REPLY_TIMEOUT_MS: Millis = 300;
@@ -53,7 +56,7 @@
   /** Waits for a connection; returns the failure when there is none in time. */
   async admit(): Promise<Lease | Failure> {
     const { context, route } = this;
-    const group = context.options.findGroup(route.group);
+    const group = await this.findGroup();
     if (!group) return { verdict: 'overloaded', reason: 'the group is not known' };
     const remaining = this.readRemaining();
     try {
@@ -79,6 +82,17 @@
     }
   }
 
+  /** Finds the group; a process that has just started may still be learning who serves it. */
+  private async findGroup(): Promise<GroupAccess | undefined> {
+    const { context, route } = this;
+    const limit = Math.min(this.deadline, context.readNow() + PLACEMENT_WAIT_MS);
+    for (;;) {
+      const group = context.options.findGroup(route.group);
+      if (group || context.readNow() >= limit) return group;
+      await wait(RETRY_DELAY_MS);
+    }
+  }
+
   /** Prepares a retry when the verdict guarantees that the work has not run; false otherwise. */
   async prepareRetryIfNotRun(lease: Lease, { verdict }: Failure): Promise<boolean> {
     const { options } = this.context;
--- a/packages/engine/src/group.ts
+++ b/packages/engine/src/group.ts
@@ -31,7 +31,12 @@
 /** Fraction of the allowed age that is reserved for queueing and network time. */
 const AGE_MARGIN = 0.15;
 /** Connections to an instance until the number of VMs that share them is known. */
-const INITIAL_SHARE = 2;
+const INITIAL_SHARE = 1;
+/**
+ * How long a new service keeps to that share. VMs that start together after a loss of power find
+ * few free connections, and each of them needs one.
+ */
+const INITIAL_SHARE_MS: Millis = 500;
 const RECONNECT_DELAY_MS: Millis = 20;
 /** Expected time from the loss of a leader until its successor accepts writes. */
 const FAILOVER_MS: Millis = 1_500;
@@ -77,6 +82,8 @@
   /** Instances that were leaving already when this VM first saw them. */
   private readonly leftBefore = new Set<string>();
 
+  private readonly createdAt: Millis;
+
   private leaderLostAt: Millis;
 
   private settings: GroupSettings;
@@ -86,7 +93,8 @@
     const { name, zone, clock } = options;
     this.settings = { name, connectionLimit: 1, synchronousReplicas: 0 };
     this.router = new Router(zone);
-    this.leaderLostAt = clock.readNow() - FAILOVER_MS + STARTUP_MS;
+    this.createdAt = clock.readNow();
+    this.leaderLostAt = this.createdAt - FAILOVER_MS + STARTUP_MS;
     this.dispatcher = new Dispatcher({
       clock,
       findRoute: (request, now) => this.createRoute(request, now),
@@ -178,10 +186,11 @@
     this.dispatcher.stop();
   }
 
-  /** This proxy's share of an instance's connections, plus some that other proxies leave unused. */
+  /** This proxy's share of an instance's connections. */
   private computeShare(): number {
     const vms = this.options.countVms();
-    if (vms === undefined) return INITIAL_SHARE;
+    const isNew = this.options.clock.readNow() - this.createdAt < INITIAL_SHARE_MS;
+    if (vms === undefined || isNew) return INITIAL_SHARE;
     return computeConnectionShare(this.settings.connectionLimit, vms, this.options.mustReserve());
   }
 
--- a/packages/engine/src/placement.ts
+++ b/packages/engine/src/placement.ts
@@ -5,11 +5,14 @@
 /** The second home of a zone serves while the first one restarts. */
 const MAX_HOMES_PER_ZONE = 2;
 /** A VM with fewer connections to an instance could not serve transactions beside reads. */
-const MIN_HOME_CONNECTIONS = 2;
+const MIN_CONNECTIONS = 2;
+/**
+ * Connections of an instance that are left unused for each VM. An instance counts the connections
+ * of a VM that lost power for seconds; the next process needs one at once.
+ */
+const RESTART_CONNECTIONS = 1;
 /** Fraction of additional homes for which connections are left while a group's homes change. */
 const RESERVE_FRACTION = 0.25;
-/** Fraction above its share that a VM may use while the instance has free connections. */
-const OVERCOMMIT_FRACTION = 0.5;
 /**
  * Groups for which a VM of the home pool is a home. A pool keeps the number of VMs small that watch
  * the instances in the store and keep connections to them.
@@ -25,20 +28,17 @@
  * Computes how many of an instance's connections one VM may open.
  *
  * @param vms number of VMs that share them
- * @param isReserved leaves connections for homes that another view of the fleet chose, instead of
- *   lending those that other VMs leave unused
+ * @param isReserved leaves connections for homes that another view of the fleet chose
  */
 export function computeConnectionShare(limit: number, vms: number, isReserved: boolean): number {
-  if (isReserved) {
-    const reserved = Math.max(1, Math.ceil(vms * RESERVE_FRACTION));
-    return Math.max(1, Math.floor(limit / (Math.max(1, vms) + reserved)));
-  }
-  const share = Math.max(1, Math.floor(limit / Math.max(1, vms)));
-  return share + Math.max(1, Math.floor(share * OVERCOMMIT_FRACTION));
+  const sharers = Math.max(1, vms);
+  const reserved = isReserved ? Math.max(1, Math.ceil(vms * RESERVE_FRACTION)) : 0;
+  const share = Math.floor(limit / (sharers + reserved));
+  return Math.max(1, isReserved ? share : share - RESTART_CONNECTIONS);
 }
 
 function countHomesPerZone(limit: number, zones: number): number {
-  const connections = limit / (1 + RESERVE_FRACTION) / MIN_HOME_CONNECTIONS;
+  const connections = limit / (1 + RESERVE_FRACTION) / MIN_CONNECTIONS;
   return Math.max(1, Math.min(MAX_HOMES_PER_ZONE, Math.floor(connections / zones)));
 }
 
@@ -76,7 +76,7 @@
     const limits = [...configuration.groups.values()].map((group) => group.connectionLimit);
     const reachable = vms.filter(({ port }) => port !== undefined);
     // VMs of a build that doesn't forward keep connections to every instance.
-    const needed = vms.length * MIN_HOME_CONNECTIONS;
+    const needed = vms.length * (MIN_CONNECTIONS + RESTART_CONNECTIONS);
     this.isForwarding = reachable.length === vms.length && needed > Math.min(...limits);
     this.version += 1;
     if (!this.isForwarding) return;
