--- /dev/null
+++ b/packages/core/src/fencing.ts
@@ -0,0 +1,77 @@
+import type { Millis } from './clock.js';
+import type { OrderTimer } from './ordertimer.js';
+import type { SuccessorSelector } from './successor.js';
+import { STUCK_CHECK_INTERVAL_MS, STUCK_LAG_MS, type TakeoverActions } from './takeoverstep.js';
+import type { InstanceView } from './takeovertypes.js';
+
+/** Orders that keep instances from acknowledging commits, and those that let them go on. */
+export class FencingOrders {
+  /** Instances that were ordered to stop receiving and have not been resumed. */
+  private readonly stopped = new Set<string>();
+
+  constructor(
+    private readonly selector: SuccessorSelector,
+    private readonly timer: OrderTimer,
+  ) {}
+
+  /** Notes that an earlier attempt may have stopped the instances. */
+  markStopped(instances: readonly string[]): void {
+    instances.forEach((id) => this.stopped.add(id));
+  }
+
+  handleResumed(instance: string): void {
+    this.stopped.delete(instance);
+  }
+
+  /** Stops the instances without a report; the former leader steps down. */
+  stopAll(
+    instances: readonly InstanceView[],
+    formerLeader: string | undefined,
+    now: Millis,
+  ): TakeoverActions {
+    const term = this.selector.newestTerm + 1;
+    return instances
+      .filter(({ id }) => !this.selector.findReport(id) && this.timer.isDue(`fence ${id}`, now))
+      .map(({ id }) => {
+        this.stopped.add(id);
+        return { kind: id === formerLeader ? 'stepDown' : 'pause', instance: id, term };
+      });
+  }
+
+  /** Stops replicas from receiving. */
+  pause(replicas: readonly InstanceView[], now: Millis): TakeoverActions {
+    const term = this.selector.newestTerm + 1;
+    return replicas
+      .filter(({ id }) => this.timer.isDue(`pause ${id}`, now))
+      .map(({ id }) => {
+        this.stopped.add(id);
+        return { kind: 'pause', instance: id, term };
+      });
+  }
+
+  /** Resumes the stopped instances; empty once all have answered. */
+  resumeAll(now: Millis): TakeoverActions {
+    return [...this.stopped]
+      .filter((id) => this.timer.isDue(`resume ${id}`, now))
+      .map((instance) => ({ kind: 'resume', instance }));
+  }
+
+  hasStopped(): boolean {
+    return this.stopped.size > 0;
+  }
+
+  clear(): void {
+    this.stopped.clear();
+  }
+
+  /** Asks a lagging replica for its status: an order that arrived late may keep it stopped. */
+  checkLagging(instances: readonly InstanceView[], now: Millis): TakeoverActions {
+    return instances
+      .filter(
+        ({ leads, health, lagMs }) =>
+          !leads && health === 'answering' && (lagMs ?? 0) > STUCK_LAG_MS,
+      )
+      .filter(({ id }) => this.timer.isDue(`stuck ${id}`, now, STUCK_CHECK_INTERVAL_MS))
+      .map(({ id }) => ({ kind: 'status', instance: id }));
+  }
+}
--- a/packages/core/src/takeover.ts
+++ b/packages/core/src/takeover.ts
@@ -1,4 +1,5 @@
 import type { Millis } from './clock.js';
+import { FencingOrders } from './fencing.js';
 import {
   chooseHandoverTarget,
   GroupCompleteness,
@@ -6,6 +7,7 @@
   INCOMPLETE_GROUP_WAIT_MS,
   mayReplicaBeReplaced,
 } from './handover.js';
+import { OrderTimer } from './ordertimer.js';
 import { SuccessorSelector } from './successor.js';
 import { findLeader, findRequiredPlan } from './requiredplan.js';
 import type {
@@ -27,9 +29,6 @@
   LEASE_MARGIN_MS,
   RANK_STAGGER_MS,
   READ_INTERVAL_MS,
-  ORDER_REPEAT_MS,
-  STUCK_LAG_MS,
-  STUCK_CHECK_INTERVAL_MS,
   WATCHING,
   type StepOf,
   type TakeoverActions,
@@ -62,10 +61,9 @@
 
   private rank = 0;
 
-  /** Instances that were ordered to stop receiving and have not been resumed. */
-  private readonly stopped = new Set<string>();
+  private readonly timer = new OrderTimer();
 
-  private readonly sentAt = new Map<string, Millis>();
+  private readonly orders: FencingOrders;
 
   /** When this VM last ordered a promotion. */
   private orderedAt: Millis = Number.NEGATIVE_INFINITY;
@@ -83,7 +81,9 @@
   constructor(
     private readonly options: TakeoverOptions,
     private readonly selector: SuccessorSelector = new SuccessorSelector(),
-  ) {}
+  ) {
+    this.orders = new FencingOrders(selector, this.timer);
+  }
 
   /** True while this VM or, as far as known, another one is changing the leader. */
   isChanging(now: Millis): boolean {
@@ -129,7 +129,7 @@
   }
 
   handleResumed(instance: string): void {
-    this.stopped.delete(instance);
+    this.orders.handleResumed(instance);
   }
 
   handlePromotion(generation: number, answer: PromotionAnswer): void {
@@ -160,18 +160,14 @@
 
   private updateStep(step: TakeoverStep): void {
     this.step = step;
-    this.sentAt.clear();
-  }
-
-  private isDue(order: string, now: Millis, gap = ORDER_REPEAT_MS): boolean {
-    if (now - (this.sentAt.get(order) ?? Number.NEGATIVE_INFINITY) < gap) return false;
-    this.sentAt.set(order, now);
-    return true;
+    this.timer.clear();
   }
 
   private watch(instances: readonly InstanceView[], now: Millis): TakeoverActions {
-    const checks = this.checkLaggingReplicas(instances, now);
-    if (checks.length > 0) return checks;
+    if (this.rank === 0 && this.record) {
+      const checks = this.orders.checkLagging(instances, now);
+      if (checks.length > 0) return checks;
+    }
     const stepDown = this.assistHolder(instances, now);
     if (stepDown.length > 0) return stepDown;
     const plan = this.findPlan(instances, now);
@@ -188,18 +184,6 @@
     return now - this.planSince.at < INCOMPLETE_GROUP_WAIT_MS ? [] : this.claim('takeover', now);
   }
 
-  /** Asks a lagging replica for its status: an order that arrived late may keep it stopped. */
-  private checkLaggingReplicas(instances: readonly InstanceView[], now: Millis): TakeoverActions {
-    if (this.rank !== 0 || this.record === undefined) return [];
-    return instances
-      .filter(
-        ({ leads, health, lagMs }) =>
-          !leads && health === 'answering' && (lagMs ?? 0) > STUCK_LAG_MS,
-      )
-      .filter(({ id }) => this.isDue(`stuck ${id}`, now, STUCK_CHECK_INTERVAL_MS))
-      .map(({ id }) => ({ kind: 'status', instance: id }));
-  }
-
   /**
    * Makes the former leader step down, in case the VM that holds the record does not reach it.
    * Until the promotion takes effect, commits of the former leader could be acknowledged by a
@@ -217,7 +201,7 @@
   private stopFormerLeader(instances: readonly InstanceView[], now: Millis): TakeoverActions {
     const { record } = this;
     const leader = record && findLeaderToStop(record, instances, this.isHolder());
-    if (!leader || !this.isDue('stop leader', now)) return [];
+    if (!leader || !this.timer.isDue('stop leader', now)) return [];
     // The instance that the holder promotes leads in a newer term and ignores this.
     return [{ kind: 'stepDown', instance: leader.id, term: record.term + 1 }];
   }
@@ -243,7 +227,7 @@
       term: this.selector.newestTerm,
     };
     this.updateStep({ kind: 'claiming', plan, record, sentAt: now });
-    this.isDue('claim', now);
+    this.timer.isDue('claim', now);
     return [{ kind: 'write', record, expectedVersion: this.version }];
   }
 
@@ -254,13 +238,17 @@
   ): TakeoverActions {
     // A write that takes effect late fails its condition or is found by the next claim.
     if (now - step.sentAt >= CLAIM_TIMEOUT_MS) return this.restart(now);
-    const reads = this.isDue('claim', now, READ_INTERVAL_MS) ? [{ kind: 'read' } as const] : [];
+    const reads = this.timer.isDue('claim', now, READ_INTERVAL_MS)
+      ? [{ kind: 'read' } as const]
+      : [];
     return [...reads, ...this.stopFormerLeader(instances, now)];
   }
 
   /** Waits for the record, which the store may not return for seconds. */
   private awaitRecord(instances: readonly InstanceView[], now: Millis): TakeoverActions {
-    const reads = this.isDue('read', now, READ_INTERVAL_MS) ? [{ kind: 'read' } as const] : [];
+    const reads = this.timer.isDue('read', now, READ_INTERVAL_MS)
+      ? [{ kind: 'read' } as const]
+      : [];
     return [...reads, ...this.stopFormerLeader(instances, now)];
   }
 
@@ -280,13 +268,15 @@
     const leader = findLeader(instances);
     if (step.plan === 'raise') {
       if (!leader) return this.startSettling(now);
-      instances.forEach(({ id }) => id !== leader.id && this.stopped.add(id));
+      this.orders.markStopped(instances.map(({ id }) => id).filter((id) => id !== leader.id));
       return this.promote(leader.id, instances, now);
     }
     // An instance unknown to this VM may lead by now, or hold entries that the others lack.
     if (!this.isRefreshed) {
       const attempt = this.record?.attempt ?? '';
-      return this.isDue('refresh', now, READ_INTERVAL_MS) ? [{ kind: 'refresh', attempt }] : [];
+      return this.timer.isDue('refresh', now, READ_INTERVAL_MS)
+        ? [{ kind: 'refresh', attempt }]
+        : [];
     }
     if (step.plan === 'handover') return this.fenceForHandover(step, instances, leader, now);
     const formerLeader = this.selector.findFormerLeader(instances);
@@ -297,14 +287,7 @@
     const isStopped = formerLeader !== undefined && this.selector.hasSteppedDown(formerLeader);
     const isSafe = isStopped || !mayReplicaBeReplaced(instances, formerLeader, now);
     if (candidate && isSafe) return this.promote(candidate, instances, now);
-    const term = this.selector.newestTerm + 1;
-    return instances
-      .filter(({ id }) => !this.selector.findReport(id) && this.isDue(`fence ${id}`, now))
-      .map(({ id }) => {
-        this.stopped.add(id);
-        if (id === formerLeader) return { kind: 'stepDown', instance: id, term };
-        return { kind: 'pause', instance: id, term };
-      });
+    return this.orders.stopAll(instances, formerLeader, now);
   }
 
   /** Pauses all replicas but the candidate, so that it holds every commit acknowledged since. */
@@ -325,13 +308,7 @@
     const missing = others.filter(({ id }) => (this.selector.findReport(id)?.heldTerm ?? 0) === 0);
     if (missing.length > 0) {
       this.selector.removeReport(candidate);
-      const term = this.selector.newestTerm + 1;
-      return missing
-        .filter(({ id }) => this.isDue(`pause ${id}`, now))
-        .map(({ id }) => {
-          this.stopped.add(id);
-          return { kind: 'pause', instance: id, term };
-        });
+      return this.orders.pause(missing, now);
     }
     // The candidate's position counts only if it was reported after the others had stopped.
     const ids = others.map(({ id }) => id);
@@ -341,7 +318,9 @@
     }
     // A replica that has left may have acknowledged entries that now only the leader holds.
     if (!step.leaderEnd) this.step = { ...step, leaderEnd: leader.position };
-    return this.isDue(`status ${candidate}`, now) ? [{ kind: 'status', instance: candidate }] : [];
+    return this.timer.isDue(`status ${candidate}`, now)
+      ? [{ kind: 'status', instance: candidate }]
+      : [];
   }
 
   private promote(
@@ -397,21 +376,15 @@
     now: Millis,
   ): TakeoverActions {
     if (this.record?.plan === 'raise') return [];
-    const term = this.selector.newestTerm + 1;
-    return instances
-      .filter(({ id }) => !members.has(id) && !this.selector.findReport(id))
-      .filter(({ id }) => this.isDue(`pause ${id}`, now))
-      .map(({ id }) => {
-        this.stopped.add(id);
-        return { kind: 'pause', instance: id, term };
-      });
+    const unknown = instances.filter(({ id }) => !members.has(id) && !this.selector.findReport(id));
+    return this.orders.pause(unknown, now);
   }
 
   /** Abandons the attempt and reads the record again, which another VM may have changed. */
   private restart(now: Millis): TakeoverActions {
     this.updateStep(WATCHING);
     this.planSince = undefined;
-    this.isDue('read', now);
+    this.timer.isDue('read', now);
     this.isKnown = false;
     return [{ kind: 'read' }];
   }
@@ -423,13 +396,10 @@
 
   /** Resumes the stopped instances, then records that this generation has no order in flight. */
   private settle(since: Millis, now: Millis): TakeoverActions {
-    const waiting = [...this.stopped];
-    if (waiting.length > 0 && now - since < ATTEMPT_TIMEOUT_MS) {
-      return waiting
-        .filter((id) => this.isDue(`resume ${id}`, now))
-        .map((instance) => ({ kind: 'resume', instance }));
+    if (this.orders.hasStopped() && now - since < ATTEMPT_TIMEOUT_MS) {
+      return this.orders.resumeAll(now);
     }
-    this.stopped.clear();
+    this.orders.clear();
     this.selector.clearReports();
     const { record } = this;
     this.updateStep(WATCHING);
--- a/packages/core/src/takeoverstep.ts
+++ b/packages/core/src/takeoverstep.ts
@@ -13,8 +13,6 @@
 export const ATTEMPT_TIMEOUT_MS: Millis = 2_500;
 /** A holder whose claim is older than this claims the record again before it promotes. */
 export const RECORD_TTL_MS: Millis = 1_500;
-/** Gap between repeated orders to an instance that has not answered. */
-export const ORDER_REPEAT_MS: Millis = 150;
 /** A handover that has not ordered its promotion within this time becomes a takeover. */
 export const HANDOVER_TIMEOUT_MS: Millis = 1_000;
 /** A promotion call without an answer for this long is superseded by a newer generation. */
