Write the last log lines of all loggers from one exit listener

Each logger added a listener of its own, so that specs with several proxies warned of a leak. No behaviour of the program changed; it has one logger.

--- a/packages/engine/src/log.ts
+++ b/packages/engine/src/log.ts
@@ -14,6 +14,13 @@
 const MAX_LINES_PER_SECOND = 100;
 const SECOND_MS: Millis = 1_000;
 
+/** Outputs whose last lines are written when the process exits. */
+const outputs = new Set<BufferedOutput>();
+
+function flushOutputs(): void {
+  outputs.forEach((output) => output.flushNow());
+}
+
 /** Buffers log lines and writes them in batches without blocking on the reader. */
 class BufferedOutput extends Writable {
   private lines: string[] = [];
@@ -27,7 +34,8 @@
   constructor() {
     super({ decodeStrings: false });
     setInterval(() => this.flush(), FLUSH_MS).unref();
-    process.once('exit', () => this.flushNow());
+    if (outputs.size === 0) process.once('exit', flushOutputs);
+    outputs.add(this);
   }
 
   override _write(chunk: string | Buffer, _: BufferEncoding, done: () => void): void {
@@ -68,7 +76,8 @@
     });
   }
 
-  private flushNow(): void {
+  /** Writes the buffered lines at once, blocking. */
+  flushNow(): void {
     if (this.lines.length === 0) return;
     try {
       // The process is exiting, so a blocking write delays nothing.
