--- a/packages/engine/src/fleet.ts
+++ b/packages/engine/src/fleet.ts
@@ -119,10 +119,10 @@
     return this.live.map((id) => (id === this.options.vm ? this.describeSelf() : this.find(id)));
   }
 
-  /** Finds a live VM, in the store if it has not been seen yet. */
-  async findVm(vm: string): Promise<VmAddress | undefined> {
+  /** Finds a VM at this host, in the store if it was not seen there yet. */
+  async findVm(vm: string, host: string): Promise<VmAddress | undefined> {
     const known = this.seen.get(vm);
-    if (known) return known.address;
+    if (known?.address.host === host) return known.address;
     const object = await this.options.store.find(VMS_KIND, vm);
     return object && decodeAddress(vm, object.spec);
   }
--- a/packages/engine/src/forwarding.ts
+++ b/packages/engine/src/forwarding.ts
@@ -26,12 +26,13 @@
   readonly findHomes: (group: string) => readonly VmAddress[];
   /** The homes in this VM's zone, to which links are kept open. */
   readonly listNearHomes: () => readonly VmAddress[];
-  /** Finds a VM that has registered itself, in the store if it is not known yet. */
-  readonly findVm: (vm: string) => Promise<VmAddress | undefined>;
+  /** Finds a VM that has registered itself, in the store if it is not known at this host yet. */
+  readonly findVm: (vm: string, host: string) => Promise<VmAddress | undefined>;
 }
 
 /** Passes work for groups on to their homes, and serves the work that other VMs pass on. */
 export abstract class Forwarding {
+  /** Accepts links; a VM that can't do so is logged and serves its own callers all the same. */
   abstract start(): Promise<void>;
 
   abstract stop(): void;
--- a/packages/engine/src/wiring.ts
+++ b/packages/engine/src/wiring.ts
@@ -179,7 +179,7 @@
     readStatus: () => holder.proxy?.readHomeStatus() ?? { isIsolated: true, isDraining: false },
     findHomes: (group) => placement.findHomes(group, zone),
     listNearHomes: () => placement.listNearHomes(zone),
-    findVm: (id) => fleet.findVm(id),
+    findVm: (id, host) => fleet.findVm(id, host),
   });
   const groups = new GroupDirectory({
     ...{ clock, log, placement, forwarding },
--- a/packages/forwarding/src/forwarder.ts
+++ b/packages/forwarding/src/forwarder.ts
@@ -83,8 +83,13 @@
   }
 
   override async start(): Promise<void> {
-    await new Promise<void>((resolve, reject) => {
-      this.server.once('error', reject);
+    const { log } = this.host;
+    await new Promise<void>((resolve) => {
+      // Accepting a connection may fail later, too, for example for lack of file descriptors.
+      this.server.on('error', (error) => {
+        log.error('cannot accept links', { address: this.address, error: String(error) });
+        resolve();
+      });
       this.server.listen(this.address, resolve);
     });
   }
--- a/packages/forwarding/src/home.ts
+++ b/packages/forwarding/src/home.ts
@@ -138,13 +138,14 @@
 
   /** True when a VM of this name has registered the address that the link comes from. */
   private async verify(vm: string): Promise<boolean> {
+    const { remoteAddress = '' } = this.rawSocket;
     try {
-      const known = await this.host.findVm(vm);
-      if (known?.host === this.rawSocket.remoteAddress) return true;
+      const known = await this.host.findVm(vm, remoteAddress);
+      if (known?.host === remoteAddress) return true;
     } catch (error) {
       this.host.log.info('peer not verified', { vm, error: String(error) });
     }
-    this.host.log.warn('link of an unknown VM refused', { vm, from: this.rawSocket.remoteAddress });
+    this.host.log.warn('link of an unknown VM refused', { vm, from: remoteAddress });
     this.socket.close('unknown VM');
     return false;
   }
@@ -185,7 +186,9 @@
       if (!(error instanceof NotRunError)) throw error;
       if (this.held.get(id) !== held) return;
       this.held.delete(id);
-      const mayTryOther = this.host.readStatus().isIsolated;
+      // A group that has moved to other homes stops with the work that waited here.
+      const hasMoved = this.host.findLocalGroup(held.group.name) !== held.group;
+      const mayTryOther = hasMoved || this.host.readStatus().isIsolated;
       this.send({ type: 'refused', lease: id, reason: error.message, mayTryOther });
     }
   }
--- a/packages/forwarding/test/fleet.ts
+++ b/packages/forwarding/test/fleet.ts
@@ -3,10 +3,12 @@
 import {
   createEngineLog,
   createProxy,
+  type ForwardingHost,
   Metrics,
   type ServiceConfiguration,
   type Session,
   type Statement,
+  SystemClock,
   wait,
 } from '@shallotpick/engine';
 /* eslint-disable import-x/no-relative-packages -- Test code of the engine is not in its package. */
@@ -114,6 +116,22 @@
   };
 }
 
+/** Creates the forwarding service of a VM without groups, and the errors that it logs. */
+export function createForwarding(port: number) {
+  const errors: string[] = [];
+  const log = createEngineLog('error', 'test');
+  log.on('data', ({ message }: { readonly message: string }) => errors.push(message));
+  const host: ForwardingHost = {
+    ...{ vm: 'test', zone: 'z', clock: new SystemClock(), log, metrics: new Metrics() },
+    findLocalGroup: () => undefined,
+    readStatus: () => ({ isIsolated: false, isDraining: false }),
+    findHomes: () => [],
+    listNearHomes: () => [],
+    findVm: async () => undefined,
+  };
+  return { forwarding: new LinkForwarding(host, { host: '127.0.0.1', port }), errors };
+}
+
 /** Starts a fleet and waits until its VMs know each other. */
 export async function startFleet(vmCount = CONNECTION_LIMIT + 1): Promise<FakeFleet> {
   const leader = new FakeInstance('leader');
--- a/packages/forwarding/test/forwarding.spec.ts
+++ b/packages/forwarding/test/forwarding.spec.ts
@@ -2,7 +2,16 @@
 import { expect } from 'earl';
 import { type Command, type Reply, type Session, wait } from '@shallotpick/engine';
 import { encodeFrame, LINK_VERSION } from '../src/index.js';
-import { BEGIN, COMMIT, type FakeFleet, type FleetVm, READ, startFleet, WRITE } from './fleet.js';
+import {
+  BEGIN,
+  COMMIT,
+  createForwarding,
+  type FakeFleet,
+  type FleetVm,
+  READ,
+  startFleet,
+  WRITE,
+} from './fleet.js';
 
 const describeReply = ({ rows, failure }: Reply): unknown => failure?.verdict ?? [...rows];
 
@@ -125,6 +134,16 @@
     await Promise.all(drains);
   }).timeout(20_000);
 
+  // An error of a listening socket, such as a lack of file descriptors, ended the process.
+  it('is served although the VM cannot accept links itself', async () => {
+    const taken = homes[0]?.port ?? 0;
+    const { forwarding, errors } = createForwarding(taken);
+    await forwarding.start();
+    expect(errors).toEqual(['cannot accept links']);
+    forwarding.stop();
+    expect(await run(entry.openSession('fresh'), READ)).toEqual(['row of leader']);
+  }).timeout(10_000);
+
   // A malformed message or an unknown peer must end its link and nothing else.
   it('goes on beside links that send malformed messages or come from unknown VMs', async () => {
     const port = homes[0]?.port ?? 0;
