Let a VM wait longer to order again after a promotion without an answer

The platform saw two holders take turns within its lease.

Change: a superseded VM whose last order got no answer waits for 12 s longer; the other VMs act.

--- a/packages/bench/test/takeover.spec.ts
+++ b/packages/bench/test/takeover.spec.ts
@@ -133,6 +133,20 @@
     expect(fail(-136_234_507, ...faults)).toEqual(undefined);
   });
 
+  // A promotion that was carried out seconds late made its VM a holder again, just before that VM
+  // ordered the next one.
+  it('let a VM whose order may still be carried out wait before it orders again', () => {
+    const faults = [
+      pickFault('pauseVm', 1_026, 4_532, 1),
+      pickFault('cutLeaderFromReplicas', 2_140, 5_426, 3),
+      pickFault('replaceReplica', 1_536, 5_791, 2),
+      pickFault('losePromotions', 3_889, 5_551, 2),
+      pickFault('leaveBesideDeafReplica', 4_324, 1_654, 3),
+      pickFault('cutLeaderFromVms', 1_163, 3_506, 4),
+    ];
+    expect(fail(1_970_719_150, ...faults)).toEqual(undefined);
+  });
+
   // A handover chose a replica that was ahead of two empty ones but behind the leader.
   it('hand over only to a replica that holds the whole log of the leader', () => {
     const faults = [
--- a/packages/core/src/takeover.ts
+++ b/packages/core/src/takeover.ts
@@ -25,6 +25,7 @@
   HANDOVER_TIMEOUT_MS,
   RECORD_TTL_MS,
   PROMOTION_TIMEOUT_MS,
+  LATE_CALL_MS,
   LEASE_MS,
   LEASE_MARGIN_MS,
   RANK_STAGGER_MS,
@@ -65,8 +66,11 @@
 
   private readonly orders: FencingOrders;
 
-  /** When this VM last ordered a promotion. */
-  private orderedAt: Millis = Number.NEGATIVE_INFINITY;
+  /** When this VM may order again after another one has taken over the record. */
+  private mayOrderAt: Millis = Number.NEGATIVE_INFINITY;
+
+  /** Generation of this VM's last order. */
+  private orderedGeneration = 0;
 
   /** True when another VM has taken over the record since this VM's last order. */
   private isSuperseded = false;
@@ -134,6 +138,10 @@
 
   handlePromotion(generation: number, answer: PromotionAnswer): void {
     const { step } = this;
+    // The platform may see the order only when it is carried out.
+    if (answer === 'unknown' && generation === this.orderedGeneration) {
+      this.mayOrderAt += LATE_CALL_MS;
+    }
     if (step.kind !== 'promoting' || generation !== this.record?.generation) return;
     this.step = { ...step, answer };
   }
@@ -177,7 +185,7 @@
     // Another VM's attempt is in progress.
     const isOpen = this.record?.phase === 'open' && this.record.holder !== this.options.vm;
     if (isOpen && now - this.recordSeenAt < ATTEMPT_TIMEOUT_MS) return [];
-    if (this.isSuperseded && now - this.orderedAt < LEASE_MS + LEASE_MARGIN_MS) return [];
+    if (this.isSuperseded && now < this.mayOrderAt) return [];
     if (plan !== 'handover' || this.completeness.isComplete(instances, now)) {
       return this.claim(plan, now);
     }
@@ -331,7 +339,8 @@
     const generation = this.record?.generation ?? 0;
     // Another VM may have taken over a record of this age.
     if (now - this.recordSeenAt >= RECORD_TTL_MS) return this.claim('takeover', now);
-    this.orderedAt = now;
+    this.orderedGeneration = generation;
+    this.mayOrderAt = now + LEASE_MS + LEASE_MARGIN_MS;
     this.isSuperseded = false;
     const members = new Set(instances.map(({ id }) => id));
     this.updateStep({ kind: 'promoting', candidate, members, sentAt: now, answer: undefined });
--- a/packages/core/src/takeoverstep.ts
+++ b/packages/core/src/takeoverstep.ts
@@ -21,6 +21,8 @@
 export const PROMOTION_TIMEOUT_MS: Millis = 2_000;
 /** Set by the platform: a superseded VM orders no further promotion of the group for this long. */
 export const LEASE_MS: Millis = 3_000;
+/** A call to the platform without an answer may be carried out this much later. */
+export const LATE_CALL_MS: Millis = 12_000;
 /** Margin for the network latency of an order. */
 export const LEASE_MARGIN_MS: Millis = 400;
 /** A claim whose answer took longer is based on outdated information and is abandoned. */
