Drive the links between VMs in the fault soak

Two faulty programs are found: a home that runs a passed-on write twice, and one that reports a write without a response as not run. A third, homes that together open more connections than an instance accepts, is left to placement.spec.ts: the soak has no check of it yet.

--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -15,6 +15,7 @@
       vms: { type: 'string', default: '4' },
       groups: { type: 'string', default: '2' },
       callers: { type: 'string', default: '24' },
+      connections: { type: 'string' },
       window: { type: 'string', default: String(DEFAULT_WINDOW_MS) },
       series: { type: 'string' },
       program: { type: 'string', default: join('target', 'shallotpick.cjs') },
@@ -28,6 +29,7 @@
     const report = await runSoak({
       ...{ seed, windowMs, series, vms: Number(values.vms), groups: Number(values.groups) },
       callers: Number(values.callers),
+      ...(values.connections ? { connections: Number(values.connections) } : {}),
       program: resolve(values.program),
       directory: resolve(values.logs),
     });
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -10,7 +10,8 @@
 import { SoakVm } from './vm.js';
 
 const ZONES = ['zone-a', 'zone-b', 'zone-c'];
-const CONNECTIONS = 24;
+/** Connections of an instance; so few VMs all serve every group with as many. */
+const DEFAULT_CONNECTIONS = 24;
 const STARTUP_MS: Millis = 2_500;
 /** Limit from the end of the last fault until callers are served again. */
 const RECOVERY_MS: Millis = 12_000;
@@ -26,7 +27,7 @@
 const MAX_BYTE = 253;
 const BYTE_BITS = 8;
 
-const INSTANCE = { slots: 3, connectionLimit: CONNECTIONS, statementCostMs: 3, connectCostMs: 6 };
+const INSTANCE = { slots: 3, statementCostMs: 3, connectCostMs: 6 };
 
 /** Size, program and faults of a run. */
 export interface SoakOptions {
@@ -42,6 +43,11 @@
   readonly series: number;
   /** Apply lag of the replicas; random by default. */
   readonly applyLagMs?: Millis;
+  /**
+   * Connections that an instance accepts. With fewer than three a VM, some VMs pass work on to
+   * others over links.
+   */
+  readonly connections?: number;
   /** Faults to inject; drawn at random by default. */
   readonly faults?: readonly SoakFault[];
 }
@@ -129,7 +135,8 @@
     const applyLagMs = this.options.applyLagMs ?? 10 + this.random.nextInt(30);
     const lags = { replicationDelayMs: 2, applyLagMs };
     const name = `group${index}`;
-    return { name, synchronousReplicas: 1, promoteMs: 400, ...lags, instance: INSTANCE };
+    const instance = { ...INSTANCE, connectionLimit: this.connections };
+    return { name, synchronousReplicas: 1, promoteMs: 400, ...lags, instance };
   }
 
   private async start(): Promise<void> {
@@ -137,7 +144,7 @@
     await mkdir(options.directory, { recursive: true });
     await platform.start();
     const groups = platform.groups.map(({ name }): GroupSettings => ({
-      ...{ name, connectionLimit: CONNECTIONS, synchronousReplicas: 1 },
+      ...{ name, connectionLimit: this.connections, synchronousReplicas: 1 },
     }));
     platform.writeConfiguration({ version: 1, routes, groups, transactionIdleMs: 3_000 });
     this.vms = Array.from({ length: options.vms }, (_, index) => this.createVm(index));
@@ -153,12 +160,21 @@
     });
   }
 
+  private get connections(): number {
+    return this.options.connections ?? DEFAULT_CONNECTIONS;
+  }
+
   private createVm(index: number): SoakVm {
-    const { program, directory } = this.options;
+    const { program, directory, connections } = this.options;
+    const hasLinks = connections !== undefined;
+    // A link comes from the address that its VM has registered, which on loopback is one for all.
     const { storeService, promotionService } = this.platform;
     return new SoakVm({
       ...{ name: `vm-${index}`, zone: ZONES[index % ZONES.length] ?? '', program, directory },
-      host: `127.${1 + (process.pid % MAX_BYTE)}.${1 + (process.pid >> BYTE_BITS)}.${index + 1}`,
+      host: hasLinks
+        ? '127.0.0.1'
+        : `127.${1 + (process.pid % MAX_BYTE)}.${1 + (process.pid >> BYTE_BITS)}.${index + 1}`,
+      hasLinks,
       storePort: storeService.port,
       promotionPort: promotionService.port,
       reportViolation: (invariant, detail) => this.checker.addViolation(invariant, detail),
--- a/packages/soak/src/vm.ts
+++ b/packages/soak/src/vm.ts
@@ -31,6 +31,8 @@
   readonly zone: string;
   /** Loopback address of the VM, so that VMs don't share a metrics port. */
   readonly host: string;
+  /** True when the VM may pass work on to other VMs. */
+  readonly hasLinks: boolean;
   /** Path of the bundled program. */
   readonly program: string;
   readonly directory: string;
@@ -87,7 +89,7 @@
       this.promotionProxy.start(),
       this.callerProxy.start(),
     ]);
-    this.ports = await findFreePorts(2);
+    this.ports = await findFreePorts(3);
     const { directory, name } = this.options;
     await writeFile(join(directory, `${name}.json`), JSON.stringify(this.createSettings()));
     await writeFile(join(directory, 'clock.cjs'), CLOCK_STEP_SCRIPT);
@@ -202,12 +204,13 @@
   }
 
   private createSettings(): unknown {
-    const { name, zone, host } = this.options;
-    const [callers, readiness] = this.ports;
+    const { name, zone, host, hasLinks } = this.options;
+    const [callers, readiness, link] = this.ports;
     return {
       node: name,
       zone,
       listen: { front: `${host}:${callers}`, ready: `${host}:${readiness}` },
+      ...(hasLinks ? { port_range: [link, link] } : {}),
       bounds: {
         grace_s: GRACE_MS / 1_000,
         drain_ms: DRAIN_MS,
--- a/packages/soak/test/soak.spec.ts
+++ b/packages/soak/test/soak.spec.ts
@@ -10,13 +10,20 @@
 const LONG_LAG_MS = 400;
 /** A reset rarely coincides with a write in flight, so it is repeated. */
 const RESET_TIMES_MS = Array.from({ length: 40 }, (_, index) => 300 + index * 90);
+/** Two VMs a zone and too few connections for all, so that one VM of each zone is a home. */
+const LINKED_SIZE = { vms: 6, connections: 12 };
 const SIZE = { vms: 3, groups: 1, callers: 12, series: 4, windowMs: 4_000 };
 
-async function run(seed: number, mutant?: Mutant, faults?: Faults): Promise<SoakReport> {
+async function run(
+  seed: number,
+  mutant?: Mutant,
+  faults?: Faults,
+  size: Partial<typeof LINKED_SIZE> = {},
+): Promise<SoakReport> {
   const program = await buildProgram(mutant);
   const lag = mutant ? { applyLagMs: LONG_LAG_MS } : {};
   const directory = dirname(program);
-  return runSoak({ ...SIZE, ...lag, seed, program, directory, ...(faults && { faults }) });
+  return runSoak({ ...SIZE, ...size, ...lag, seed, program, directory, ...(faults && { faults }) });
 }
 
 const createFaults = (kind: Faults[number]['kind'], ...times: readonly number[]): Faults =>
@@ -53,6 +60,28 @@
   },
 };
 
+/** Faults in the forwarding between VMs, with the faults that provoke them. */
+const LINK_MUTANTS: typeof MUTANTS = {
+  'runs a passed-on write twice': {
+    mutant: {
+      file: 'forwarding/src/home.ts',
+      from: 'const reply = await connection.run(command);',
+      to: 'await connection.run(command); const reply = await connection.run(command);',
+    },
+    faults: [],
+    invariant: 'a write is committed at most once',
+  },
+  'reports a passed-on write without a response as not run': {
+    mutant: {
+      file: 'forwarding/src/home.ts',
+      from: "this.send({ type: 'broken', lease: message.lease, reason: String(error) });",
+      to: "this.sendReply(message.lease, { rows: [], digest: undefined, failure: { verdict: 'tooManyConnections', reason: '' }, state: 'idle', position: undefined });",
+    },
+    faults: createFaults('resetLeader', ...RESET_TIMES_MS),
+    invariant: 'a refused write is not committed',
+  },
+};
+
 describe('fault soak', () => {
   it('holds all invariants without faults', async () => {
     const { violations, counts } = await run(1, undefined, []);
@@ -64,6 +93,21 @@
     expect((await run(2)).violations).toEqual([]);
   }).timeout(RUN_TIMEOUT_MS);
 
+  it('holds all invariants where VMs are killed and paused with passed-on work', async () => {
+    const faults = [
+      ...createFaults('killVm', 400, 1_900, 3_000),
+      ...createFaults('pauseVm', 900, 2_400),
+    ].map((fault, index) => ({ ...fault, targetSeed: index }));
+    expect((await run(4, undefined, faults, LINKED_SIZE)).violations).toEqual([]);
+  }).timeout(RUN_TIMEOUT_MS);
+
+  Object.entries(LINK_MUTANTS).forEach(([name, { mutant, faults, invariant }]) => {
+    it(`detects a program that ${name}`, async () => {
+      const { violations } = await run(5, mutant, faults, LINKED_SIZE);
+      expect(violations.map((violation) => violation.invariant)).toInclude(invariant);
+    }).timeout(RUN_TIMEOUT_MS);
+  });
+
   // Guards against a checker that detects nothing.
   Object.entries(MUTANTS).forEach(([name, { mutant, faults, invariant }]) => {
     it(`detects a program that ${name}`, async () => {
