Share the state of a lease and the kinds of passed-on operations

The remote lease repeated the running, idle and released states of the local one; the remote connection listed the operations that the message schema names; the guard against a prepared statement's further properties stood at the home in place of where the name is given; EntryLink kept a flag that nothing read.

Change: createLeaseUse serves both leases; isForwardedOperation reads the schema; applySetup names the properties that it sends. No behaviour changed.

Result: types, linter, formatter; 37 specs of engine and forwarding pass.

--- a/packages/engine/src/lease.ts
+++ b/packages/engine/src/lease.ts
@@ -18,6 +18,34 @@
   release(): void;
 }
 
+/** The part of a lease that tells whether a statement runs. */
+export type LeaseUse = Pick<Lease, 'updateBusy' | 'release'>;
+
+/**
+ * Creates the use of a connection, which begins with a running statement. The callbacks get only
+ * real changes; `onRelease` is told whether the last statement had already ended.
+ */
+export function createLeaseUse(
+  onBusy: (isBusy: boolean) => void,
+  onRelease: (isIdle: boolean) => void,
+): LeaseUse {
+  let state: 'running' | 'idle' | 'released' = 'running';
+  return {
+    updateBusy: (isBusy) => {
+      const next = isBusy ? 'running' : 'idle';
+      if (state === 'released' || state === next) return;
+      state = next;
+      onBusy(isBusy);
+    },
+    release: () => {
+      if (state === 'released') return;
+      const isIdle = state === 'idle';
+      state = 'released';
+      onRelease(isIdle);
+    },
+  };
+}
+
 /** What a lease consists of. */
 export interface LeaseParts {
   readonly admitted: AdmittedWork;
@@ -31,27 +59,23 @@
 /** Creates the lease of a member's connection for admitted work. */
 export function createLease(parts: LeaseParts): Lease {
   const { admitted, member, connection, dispatcher, clock, after } = parts;
-  let state: 'running' | 'idle' | 'released' = 'running';
-  return {
-    instance: member.id,
-    connection,
-    isLeader: member.probe.leads,
-    after,
-    latencyMs: member.estimateLatency(clock.readNow()),
-    updateBusy: (isBusy) => {
-      const next = isBusy ? 'running' : 'idle';
-      if (state === 'released' || state === next) return;
-      state = next;
+  const use = createLeaseUse(
+    (isBusy) => {
       member.updateRunning(isBusy);
       dispatcher.updateBusy(admitted, isBusy);
     },
-    release: () => {
-      if (state === 'released') return;
-      const isIdle = state === 'idle';
-      state = 'released';
+    (isIdle) => {
       if (!isIdle) member.updateRunning(false);
       member.pool.release(connection);
       dispatcher.remove(admitted, isIdle);
     },
+  );
+  return {
+    ...use,
+    instance: member.id,
+    connection,
+    isLeader: member.probe.leads,
+    after,
+    latencyMs: member.estimateLatency(clock.readNow()),
   };
 }
--- a/packages/engine/src/setup.ts
+++ b/packages/engine/src/setup.ts
@@ -44,7 +44,8 @@
   if (!prepared || key === undefined || connection.statements.has(key)) return operations;
   const name = `p${connection.statements.size + 1}`;
   connection.statements.set(key, name);
-  return [...operations, { kind: 'prepare', name, ...prepared }];
+  const { access, shape } = prepared;
+  return [...operations, { kind: 'prepare', name, access, shape }];
 }
 
 /** Replaces the session's name of a prepared statement by the connection's name. */
--- a/packages/forwarding/src/home.ts
+++ b/packages/forwarding/src/home.ts
@@ -6,7 +6,6 @@
   type HomeStatus,
   type Lease,
   NotRunError,
-  type PreparedStatement,
   type Reply,
   type SessionState,
   type WorkRequest,
@@ -33,16 +32,14 @@
 interface HeldLease {
   readonly group: GroupService;
   /** Absent until the work has been admitted. */
-  lease: Lease | undefined;
+  readonly lease: Lease | undefined;
 }
 
 const EMPTY_SESSION: ForwardedSession = { variables: [] };
 
 function toSessionState({ variables, prepared }: ForwardedSession): SessionState {
-  const statements = new Map<string, PreparedStatement>();
-  // A further property would replace the name that the connection gives the statement.
-  if (prepared) statements.set(prepared.name, { access: prepared.access, shape: prepared.shape });
-  return { variables: new Map(variables), statements };
+  const statements = prepared ? [[prepared.name, prepared] as const] : [];
+  return { variables: new Map(variables), statements: new Map(statements) };
 }
 
 function toWorkRequest(request: ForwardedRequest, now: Millis): WorkRequest {
@@ -68,8 +65,6 @@
   /** Settles once the peer is known to be a VM of the fleet. */
   private verified: Promise<boolean> | undefined;
 
-  private isClosed = false;
-
   private peer = 'unknown';
 
   constructor(
@@ -111,7 +106,6 @@
   }
 
   handleClose(reason: string): void {
-    this.isClosed = true;
     if (this.held.size > 0) {
       this.host.log.info('link with work closed', {
         vm: this.peer,
--- a/packages/forwarding/src/message.ts
+++ b/packages/forwarding/src/message.ts
@@ -1,3 +1,4 @@
+import type { Operation } from '@shallotpick/engine';
 import * as z from 'zod';
 import { LinkProtocolError } from './errors.js';
 
@@ -119,6 +120,15 @@
 /** The session part of a `run` message. */
 export type ForwardedSession = z.infer<typeof session>;
 
+const FORWARDED_KINDS: ReadonlySet<string> = new Set(
+  operation.options.map(({ shape }) => shape.kind.value),
+);
+
+/** True for an operation that may stand in a `run` message. */
+export function isForwardedOperation(candidate: Operation): candidate is ForwardedOperation {
+  return FORWARDED_KINDS.has(candidate.kind);
+}
+
 function decode<T>(schema: z.ZodType<T>, message: unknown): T {
   const parsed = schema.safeParse(message);
   if (parsed.success) return parsed.data;
--- a/packages/forwarding/src/remote.ts
+++ b/packages/forwarding/src/remote.ts
@@ -2,6 +2,7 @@
 import {
   type Command,
   ConnectionError,
+  createLeaseUse,
   type DataStatement,
   InstanceConnection,
   type Lease,
@@ -11,7 +12,12 @@
   type Statement,
   type TransactionState,
 } from '@shallotpick/engine';
-import type { EntryMessage, ForwardedOperation, ForwardedSession, HomeMessage } from './message.js';
+import {
+  type EntryMessage,
+  type ForwardedSession,
+  type HomeMessage,
+  isForwardedOperation,
+} from './message.js';
 
 type Granted = HomeMessage & { readonly type: 'granted' };
 type ReplyMessage = HomeMessage & { readonly type: 'reply' };
@@ -22,14 +28,6 @@
   readonly reject: (error: Error) => void;
 }
 
-const FORWARDED: ReadonlySet<Operation['kind']> = new Set<Operation['kind']>([
-  ...(['begin', 'commit', 'rollback', 'read', 'write', 'execute'] as const),
-]);
-
-function isForwarded(operation: Operation): operation is ForwardedOperation {
-  return FORWARDED.has(operation.kind);
-}
-
 /** A connection of a home to an instance, used over a link. */
 export class RemoteConnection extends InstanceConnection {
   state: TransactionState = 'idle';
@@ -65,7 +63,8 @@
 
   override async run({ id, operation, after }: Command): Promise<Reply> {
     if (!this.isOpen) throw new ConnectionError('the link is closed');
-    if (!isForwarded(operation)) throw new ConnectionError(`${operation.kind} is not passed on`);
+    if (!isForwardedOperation(operation))
+      { throw new ConnectionError(`${operation.kind} is not passed on`); }
     const { session } = this;
     this.session = undefined;
     return new Promise((resolve, reject) => {
@@ -114,24 +113,14 @@
   send: (message: EntryMessage) => void,
   onRelease: () => void,
 ): Lease {
-  let state: 'running' | 'idle' | 'released' = 'running';
-  return {
-    ...{ instance, connection, isLeader },
-    after,
-    latencyMs: latencyMs + hopMs,
-    updateBusy: (isBusy) => {
-      const next = isBusy ? 'running' : 'idle';
-      if (state === 'released' || state === next) return;
-      state = next;
-      send({ type: 'busy', lease, isBusy });
-    },
-    release: () => {
-      if (state === 'released') return;
-      state = 'released';
+  const use = createLeaseUse(
+    (isBusy) => send({ type: 'busy', lease, isBusy }),
+    () => {
       // A lease that was closed has ended at the home already.
       if (connection.isUsable()) send({ type: 'release', lease });
       connection.fail('released');
       onRelease();
     },
-  };
+  );
+  return { ...use, instance, connection, isLeader, after, latencyMs: latencyMs + hopMs };
 }
