--- a/packages/forwarding/src/remote.ts
+++ b/packages/forwarding/src/remote.ts
@@ -63,8 +63,9 @@
 
   override async run({ id, operation, after }: Command): Promise<Reply> {
     if (!this.isOpen) throw new ConnectionError('the link is closed');
-    if (!isForwardedOperation(operation))
-      { throw new ConnectionError(`${operation.kind} is not passed on`); }
+    if (!isForwardedOperation(operation)) {
+      throw new ConnectionError(`${operation.kind} is not passed on`);
+    }
     const { session } = this;
     this.session = undefined;
     return new Promise((resolve, reject) => {
