Read the record in one place, and count passed-on groups only when there are any

The coordinator had the same end of two steps twice; Placement listed the fleet once a zone and wrapped one call in another; every tick listed the groups of the configuration even where nothing is passed on.

Change: awaitRecord serves both steps; choosePool gets the VMs; the check stands before the work. No behaviour changed.

--- a/packages/core/src/takeover.ts
+++ b/packages/core/src/takeover.ts
@@ -151,7 +151,7 @@
     this.selector.updateInstances(instances, now);
     this.completeness.updateInstances(instances, now);
     const { step } = this;
-    if (!this.isKnown) return this.awaitRecord(instances, now);
+    if (!this.isKnown) return this.awaitRecord('read', instances, now);
     switch (step.kind) {
       case 'claiming':
         return this.checkClaim(step, instances, now);
@@ -246,17 +246,16 @@
   ): TakeoverActions {
     // A write that takes effect late fails its condition or is found by the next claim.
     if (now - step.sentAt >= CLAIM_TIMEOUT_MS) return this.restart(now);
-    const reads = this.timer.isDue('claim', now, READ_INTERVAL_MS)
-      ? [{ kind: 'read' } as const]
-      : [];
-    return [...reads, ...this.stopFormerLeader(instances, now)];
+    return this.awaitRecord('claim', instances, now);
   }
 
-  /** Waits for the record, which the store may not return for seconds. */
-  private awaitRecord(instances: readonly InstanceView[], now: Millis): TakeoverActions {
-    const reads = this.timer.isDue('read', now, READ_INTERVAL_MS)
-      ? [{ kind: 'read' } as const]
-      : [];
+  /** Reads the record at intervals, since the store may not return it for seconds. */
+  private awaitRecord(
+    order: 'read' | 'claim',
+    instances: readonly InstanceView[],
+    now: Millis,
+  ): TakeoverActions {
+    const reads = this.timer.isDue(order, now, READ_INTERVAL_MS) ? [{ kind: 'read' } as const] : [];
     return [...reads, ...this.stopFormerLeader(instances, now)];
   }
 
--- a/packages/engine/src/directory.ts
+++ b/packages/engine/src/directory.ts
@@ -69,9 +69,9 @@
   /** Counts the groups that other VMs serve, and those among them that this VM reaches. */
   countForwarded(): { readonly total: number; readonly reachable: number } {
     const { forwarding } = this.options;
+    if (!forwarding || !this.mustForward()) return { total: 0, reachable: 0 };
     const names = [...(this.configuration?.groups.keys() ?? [])];
     const forwarded = names.filter((name) => !this.local.has(name));
-    if (!forwarding || !this.mustForward()) return { total: 0, reachable: 0 };
     const reachable = forwarded.filter((name) => forwarding.isReachable(name));
     return { total: forwarded.length, reachable: reachable.length };
   }
--- a/packages/engine/src/placement.ts
+++ b/packages/engine/src/placement.ts
@@ -42,6 +42,15 @@
   return Math.max(1, Math.min(MAX_HOMES_PER_ZONE, Math.floor(connections / zones)));
 }
 
+/** Chooses the VMs of one zone that may become homes. */
+function choosePool(vms: readonly VmAddress[], size: number): readonly VmAddress[] {
+  const ranked = rankVms(
+    POOL_DUTY,
+    vms.map(({ id }) => id),
+  ).slice(0, Math.max(MIN_POOL_PER_ZONE, size));
+  return vms.filter(({ id }) => ranked.includes(id));
+}
+
 /**
  * Decides which VMs are homes of a group: all of them while the connections of an instance suffice
  * for that, otherwise some in each zone.
@@ -74,17 +83,23 @@
     if (!configuration) return;
     const vms = fleet.listLiveVms();
     const limits = [...configuration.groups.values()].map((group) => group.connectionLimit);
+    const limit = Math.min(...limits);
     const reachable = vms.filter(({ port }) => port !== undefined);
     // VMs of a build that doesn't forward keep connections to every instance.
     const needed = vms.length * (MIN_CONNECTIONS + RESTART_CONNECTIONS);
-    this.isForwarding = reachable.length === vms.length && needed > Math.min(...limits);
+    this.isForwarding = reachable.length === vms.length && needed > limit;
     this.version += 1;
     if (!this.isForwarding) return;
     const zones = [...new Set(vms.map(({ zone }) => zone))];
     const names = [...configuration.groups.keys()];
-    const homesPerZone = countHomesPerZone(Math.min(...limits), zones.length);
+    const homesPerZone = countHomesPerZone(limit, zones.length);
     const size = Math.ceil((names.length * homesPerZone) / GROUPS_PER_HOME_VM);
-    const pool = zones.flatMap((zone) => this.choosePool(zone, size));
+    const pool = zones.flatMap((zone) =>
+      choosePool(
+        vms.filter((one) => one.zone === zone),
+        size,
+      ),
+    );
     this.pool = new Map(pool.map((one) => [one.id, one]));
     this.table = new HomeTable({ homesPerZone, allHomeVms: 0 });
     // VMs of a zone without instances share their homes, too, and don't cross a zone to reach them.
@@ -114,7 +129,8 @@
 
   /** Lists the homes of a group, nearest first, without this VM. */
   findHomes(group: string, zone: string): readonly VmAddress[] {
-    return this.listHomeIds(group, zone)
+    return this.table
+      .findHomes(group, zone)
       .filter((id) => id !== this.vm)
       .flatMap((id) => this.pool.get(id) ?? []);
   }
@@ -126,28 +142,15 @@
   /** Number of VMs that keep connections to the group's instances; undefined while unknown. */
   countHomes(group: string): number | undefined {
     if (!this.isForwarding) return this.fleet.countLiveVms();
-    return this.listHomeIds(group, '').length;
+    return this.table.findHomes(group, '').length;
   }
 
   /** This VM's rank for a duty of the group among its homes in reachable zones. */
   findRank(group: string, lostZones: ReadonlySet<string>): number {
     if (!this.isForwarding) return this.fleet.findRank(group, lostZones);
-    const homes = this.listHomeIds(group, '').filter(
-      (id) => id === this.vm || !lostZones.has(this.pool.get(id)?.zone ?? ''),
-    );
+    const homes = this.table
+      .findHomes(group, '')
+      .filter((id) => id === this.vm || !lostZones.has(this.pool.get(id)?.zone ?? ''));
     return rankVms(group, homes).indexOf(this.vm);
   }
-
-  private listHomeIds(group: string, zone: string): readonly string[] {
-    return this.table.findHomes(group, zone);
-  }
-
-  private choosePool(zone: string, size: number): readonly VmAddress[] {
-    const vms = this.fleet.listLiveVms().filter((one) => one.zone === zone);
-    const ranked = rankVms(
-      POOL_DUTY,
-      vms.map(({ id }) => id),
-    ).slice(0, Math.max(MIN_POOL_PER_ZONE, size));
-    return vms.filter(({ id }) => ranked.includes(id));
-  }
 }
