Notice a VM that has registered another host

Fleet kept a flag for a changed address beside one for the first list and compared ports only, which are the same on all VMs; a VM that came back at another host was taken in only with the next change of the live VMs.

Change: the list of live VMs with their addresses is compared with the one last reported, in place of three pieces of state.

Result: fleet.spec.ts fails on the code before (one report in place of two) and passes now; 38 specs of engine and forwarding pass.

--- a/packages/engine/src/fleet.ts
+++ b/packages/engine/src/fleet.ts
@@ -72,11 +72,12 @@
 
   private live: readonly string[];
 
+  /** The live VMs and their addresses as of the last `onChange`. */
+  private reported: string | undefined;
+
   /** Cached ranks of this VM, by duty and lost zones. */
   private readonly ranks = new Map<string, number>();
 
-  private isKnown = false;
-
   /** Rounds in which the heartbeats were read. */
   private rounds = 0;
 
@@ -86,9 +87,6 @@
 
   private isStopped = false;
 
-  /** True when a VM that was known before has registered another address. */
-  private isAddressChanged = false;
-
   constructor(private readonly options: FleetOptions) {
     this.live = [options.vm];
   }
@@ -106,7 +104,7 @@
 
   /** Number of live VMs; undefined until the heartbeats have been read. */
   countLiveVms(): number | undefined {
-    return this.isKnown ? this.live.length : undefined;
+    return this.rounds > 0 ? this.live.length : undefined;
   }
 
   /** True once the list of live VMs is expected to be complete. */
@@ -190,14 +188,13 @@
     const live = [...this.seen]
       .filter(([, { at }]) => now - at < HEARTBEAT_EXPIRY_MS)
       .map(([name]) => name);
-    const next = [...new Set([vm, ...live])].sort();
-    const isFirst = !this.isKnown;
     this.rounds += 1;
-    this.isKnown = true;
-    if (next.join() === this.live.join() && !isFirst && !this.isAddressChanged) return;
-    log.info('live VMs', { vms: next, before: this.live });
-    this.isAddressChanged = false;
-    this.live = next;
+    const before = this.live;
+    this.live = [...new Set([vm, ...live])].sort();
+    const addresses = JSON.stringify(this.listLiveVms());
+    if (addresses === this.reported) return;
+    this.reported = addresses;
+    log.info('live VMs', { vms: this.live, before });
     this.ranks.clear();
     this.options.onChange();
   }
@@ -207,8 +204,6 @@
     const text = `${startedAt}/${beat}`;
     const known = this.seen.get(name);
     if (known?.beat === text) return;
-    const address = decodeAddress(name, spec);
-    this.isAddressChanged ||= known?.address.port !== address.port;
-    this.seen.set(name, { beat: text, address, at: now });
+    this.seen.set(name, { beat: text, address: decodeAddress(name, spec), at: now });
   }
 }
--- a/packages/engine/src/index.ts
+++ b/packages/engine/src/index.ts
@@ -13,7 +13,7 @@
   StoreError,
   WrongInstanceError,
 } from './errors.js';
-export { VMS_KIND } from './fleet.js';
+export { Fleet, VMS_KIND } from './fleet.js';
 export type { VmAddress } from './fleet.js';
 export { Forwarding } from './forwarding.js';
 export type { CreateForwarding, ForwardingHost, HomeStatus } from './forwarding.js';
