Observe a reply in one place, here and at a home

The home repeated what runCommand and runStatement do with a reply: tell the connection's observer, and close a connection that does not know its prepared statement. Every tick listed the near homes twice; the spec fixtures of engine and forwarding stood twice.

Change: runObserved serves the time-limited path and the home; the list is passed on; the loop over homes ends where no further one may be asked; createConfiguration and registerInstances serve both specs. The soak's mutant of the home quotes the new line and does the same to it.

--- a/packages/engine/src/index.ts
+++ b/packages/engine/src/index.ts
@@ -36,6 +36,7 @@
 export { Proxy } from './proxy.js';
 export type { CallerHandle } from './proxy.js';
 export type { PreparedStatement, SessionState } from './setup.js';
+export { runObserved } from './run.js';
 export { Session } from './session.js';
 export type {
   Access,
--- a/packages/engine/src/run.ts
+++ b/packages/engine/src/run.ts
@@ -5,7 +5,25 @@
 import { waitAtMost } from './timing.js';
 
 /**
- * Runs one command.
+ * Runs one command and passes its reply to the connection's observer.
+ *
+ * @throws ConnectionError when no complete reply arrives.
+ */
+export async function runObserved(
+  connection: InstanceConnection,
+  command: Command,
+): Promise<Reply> {
+  const { observer } = connection;
+  const sentAt = observer?.readNow() ?? 0;
+  const reply = await connection.run(command);
+  observer?.handleReply(command, reply, sentAt);
+  // The recorded prepared statements don't match those that the instance has.
+  if (reply.failure?.verdict === 'unknownStatement') connection.close();
+  return reply;
+}
+
+/**
+ * Runs one command within a time limit.
  *
  * @throws ConnectionError when no complete reply arrives in time; the connection is then closed.
  */
@@ -14,12 +32,8 @@
   command: Command,
   timeoutMs: Millis,
 ): Promise<Reply> {
-  const { observer } = connection;
-  const sentAt = observer?.readNow() ?? 0;
   try {
-    const reply = await waitAtMost(connection.run(command), timeoutMs);
-    observer?.handleReply(command, reply, sentAt);
-    return reply;
+    return await waitAtMost(runObserved(connection, command), timeoutMs);
   } catch (error) {
     connection.close();
     throw error;
@@ -40,10 +54,7 @@
 ): Promise<Reply> {
   connection.setUp(state, statement);
   const operation = connection.toOperation(state, statement);
-  const reply = await runCommand(connection, { ...command, operation }, timeoutMs);
-  // The recorded prepared statements don't match those that the instance has.
-  if (reply.failure?.verdict === 'unknownStatement') connection.close();
-  return reply;
+  return runCommand(connection, { ...command, operation }, timeoutMs);
 }
 
 /** Rolls back an open transaction; closes the connection when that fails. */
--- a/packages/engine/src/wiring.ts
+++ b/packages/engine/src/wiring.ts
@@ -97,7 +97,7 @@
 
 /** Creates a proxy and its watchers from the parts of a protocol adapter. */
 export function createProxy(parts: ProxyParts): RunningProxy {
-  const { vm, zone, log, metrics, store, drainMs } = parts;
+  const { vm, zone, log, metrics, store, drainMs, isFirstStart = false } = parts;
   const clock = new SystemClock();
   const suspicion = new Suspicion();
   const shared: SharedServices = { clock, ageClock: new SuspendAwareClock(), suspicion };
@@ -106,7 +106,7 @@
   const fleet = new Fleet({
     ...{ vm, zone, store, clock, log, link: parts.link },
     startedAt: Date.now(),
-    isFirstStart: parts.isFirstStart ?? false,
+    isFirstStart,
     onChange: () => holder.placement?.update(),
   });
   const placement = new Placement(vm, fleet);
@@ -185,7 +185,7 @@
     ...{ clock, log, placement, forwarding },
     createGroup: (name) => createGroup(name, parts, shared, placement, refreshInstances),
     isFleetKnown: () => fleet.hasSettled(),
-    isFirstStart: parts.isFirstStart ?? false,
+    isFirstStart,
   });
   holder.groups = groups;
   const proxy = new Proxy({
--- a/packages/engine/test/session.spec.ts
+++ b/packages/engine/test/session.spec.ts
@@ -1,4 +1,4 @@
-import { DEFAULT_CONTRACT, type RegisteredInstance } from '@shallotpick/core';
+import type { RegisteredInstance } from '@shallotpick/core';
 import { expect } from 'earl';
 import {
   createEngineLog,
@@ -10,21 +10,13 @@
   wait,
 } from '../src/index.js';
 import { FakeConnector, FakeInstance } from './fake.js';
-import { FakePromotions, FakeStore } from './store.js';
-
-const ROUTE = {
-  ...{ group: 'g', readsOwnWrites: true, timeoutMs: 600, targetLatencyMs: 100, priority: 1 },
-};
-
-const CONFIGURATION: ServiceConfiguration = {
-  version: 1,
-  routes: new Map([
-    ['fresh', { ...ROUTE, database: 'fresh', contract: DEFAULT_CONTRACT }],
-    ['aged', { ...ROUTE, database: 'aged', contract: { ...DEFAULT_CONTRACT, maxAgeMs: 2_000 } }],
-  ]),
-  groups: new Map([['g', { name: 'g', connectionLimit: 20, synchronousReplicas: 1 }]]),
+import { createConfiguration, FakePromotions, FakeStore, registerInstances } from './store.js';
+
+const CONNECTION_LIMIT = 20;
+const CONFIGURATION = createConfiguration(CONNECTION_LIMIT, {
+  timeoutMs: 600,
   transactionIdleMs: 300,
-};
+});
 
 const READ: Statement = { kind: 'read', text: 'READ a' };
 const WRITE: Statement = { kind: 'write', text: 'WRITE a b' };
@@ -45,12 +37,7 @@
   leader.isLeader = true;
   const store = new FakeStore();
   store.put('configurations', 'main', CONFIGURATION);
-  [leader, replica].forEach(({ id, isLeader }) =>
-    store.put('instances', id, {
-      ...{ id, group: 'g', zone: 'z', host: 'h', port: 1, slots: 2, connectionLimit: 20 },
-      ...{ leaving: false, role: isLeader ? 'primary' : 'replica', startedAt: 1 },
-    } satisfies RegisteredInstance),
-  );
+  registerInstances(store, [leader, replica], CONNECTION_LIMIT);
   const running = createProxy({
     ...{
       vm: 'vm',
--- a/packages/engine/test/store.ts
+++ b/packages/engine/test/store.ts
@@ -1,6 +1,9 @@
+import { DEFAULT_CONTRACT, type RegisteredInstance } from '@shallotpick/core';
 import {
+  type GroupSettings,
   ObjectStore,
   PromotionService,
+  type ServiceConfiguration,
   type StoreChanges,
   type StoredObject,
   type StoreListing,
@@ -58,3 +61,36 @@
     return 'unknown';
   }
 }
+
+/** Creates a configuration of the group `g` with a route for fresh reads and one for aged ones. */
+export function createConfiguration(
+  connectionLimit: number,
+  { timeoutMs, transactionIdleMs }: Record<'timeoutMs' | 'transactionIdleMs', number>,
+): ServiceConfiguration {
+  const route = { group: 'g', readsOwnWrites: true, timeoutMs, targetLatencyMs: 100, priority: 1 };
+  const aged = { ...DEFAULT_CONTRACT, maxAgeMs: 2_000 };
+  const settings: GroupSettings = { name: 'g', connectionLimit, synchronousReplicas: 1 };
+  return {
+    version: 1,
+    routes: new Map([
+      ['fresh', { ...route, database: 'fresh', contract: DEFAULT_CONTRACT }],
+      ['aged', { ...route, database: 'aged', contract: aged }],
+    ]),
+    groups: new Map([['g', settings]]),
+    transactionIdleMs,
+  };
+}
+
+/** Registers instances of the group `g` in the store. */
+export function registerInstances(
+  store: FakeStore,
+  instances: readonly { readonly id: string; readonly isLeader: boolean }[],
+  connectionLimit: number,
+): void {
+  instances.forEach(({ id, isLeader }) =>
+    store.put('instances', id, {
+      ...{ id, group: 'g', zone: 'z', host: 'h', port: 1, slots: 2, connectionLimit },
+      ...{ leaving: false, role: isLeader ? 'primary' : 'replica', startedAt: 1 },
+    } satisfies RegisteredInstance),
+  );
+}
--- a/packages/forwarding/src/forwarder.ts
+++ b/packages/forwarding/src/forwarder.ts
@@ -122,8 +122,9 @@
 
   override handleTick(): void {
     const now = this.host.clock.readNow();
-    this.host.listNearHomes().forEach((home) => this.findLink(home, now));
-    this.closeUnused(now);
+    const nearHomes = this.host.listNearHomes();
+    nearHomes.forEach((home) => this.findLink(home, now));
+    this.closeUnused(nearHomes, now);
     this.links.forEach((link) => link.handleTick(now));
     this.publishStatus();
   }
@@ -139,8 +140,9 @@
     let tried = 0;
     for (const home of this.listCandidates(group)) {
       const now = clock.readNow();
+      if (tried >= MAX_HOMES_TRIED || now >= request.deadline) break;
       const link = this.mayUse(home, now) ? this.findLink(home, now) : undefined;
-      if (!link || tried >= MAX_HOMES_TRIED || now >= request.deadline) continue;
+      if (!link) continue;
       tried += 1;
       const admission = await link.admit(group, request);
       this.forwarded.inc({ outcome: admission.kind });
@@ -187,8 +189,8 @@
   }
 
   /** Closes links to VMs that are no near home and have no work. */
-  private closeUnused(now: Millis): void {
-    const near = new Set(this.host.listNearHomes().map(({ id }) => id));
+  private closeUnused(nearHomes: readonly VmAddress[], now: Millis): void {
+    const near = new Set(nearHomes.map(({ id }) => id));
     this.links.forEach((link, id) => {
       if (near.has(id) || now - link.usedAt < UNUSED_LINK_MS) return;
       link.close('unused');
--- a/packages/forwarding/src/home.ts
+++ b/packages/forwarding/src/home.ts
@@ -7,6 +7,7 @@
   type Lease,
   NotRunError,
   type Reply,
+  runObserved,
   type SessionState,
   type WorkRequest,
 } from '@shallotpick/engine';
@@ -216,15 +217,10 @@
       operation: isData ? connection.toOperation(state, operation) : operation,
       ...(after ? { after } : {}),
     };
-    const { observer } = connection;
-    const observedAt = observer?.readNow() ?? 0;
     const startedAt = host.clock.readNow();
-    const reply = await connection.run(command);
-    observer?.handleReply(command, reply, observedAt);
+    const reply = await runObserved(connection, command);
     if (isData) group.recordLatency(instance, host.clock.readNow() - startedAt);
     if (reply.failure?.verdict === 'readOnly') group.handleDemotion(instance);
-    // The recorded prepared statements don't match those that the instance has.
-    if (reply.failure?.verdict === 'unknownStatement') connection.close();
     this.sendReply(id, reply);
   }
 
--- a/packages/forwarding/test/fleet.ts
+++ b/packages/forwarding/test/fleet.ts
@@ -1,5 +1,5 @@
 import { createServer } from 'node:net';
-import { DEFAULT_CONTRACT, type RegisteredInstance } from '@shallotpick/core';
+import type { RegisteredInstance } from '@shallotpick/core';
 import {
   createEngineLog,
   createProxy,
@@ -13,26 +13,21 @@
 } from '@shallotpick/engine';
 /* eslint-disable import-x/no-relative-packages -- Test code of the engine is not in its package. */
 import { FakeConnector, FakeInstance } from '../../engine/test/fake.js';
-import { FakePromotions, FakeStore } from '../../engine/test/store.js';
+import {
+  createConfiguration,
+  FakePromotions,
+  FakeStore,
+  registerInstances,
+} from '../../engine/test/store.js';
 /* eslint-enable import-x/no-relative-packages */
 import { LinkForwarding } from '../src/index.js';
 
 /** Fewer connections than VMs, so that only some VMs are homes. */
 const CONNECTION_LIMIT = 6;
-const ROUTE = {
-  ...{ group: 'g', readsOwnWrites: true, timeoutMs: 900, targetLatencyMs: 100, priority: 1 },
-};
-const CONFIGURATION: ServiceConfiguration = {
-  version: 1,
-  routes: new Map([
-    ['fresh', { ...ROUTE, database: 'fresh', contract: DEFAULT_CONTRACT }],
-    ['aged', { ...ROUTE, database: 'aged', contract: { ...DEFAULT_CONTRACT, maxAgeMs: 2_000 } }],
-  ]),
-  groups: new Map([
-    ['g', { name: 'g', connectionLimit: CONNECTION_LIMIT, synchronousReplicas: 1 }],
-  ]),
+const CONFIGURATION = createConfiguration(CONNECTION_LIMIT, {
+  timeoutMs: 900,
   transactionIdleMs: 5_000,
-};
+});
 
 export const READ: Statement = { kind: 'read', text: 'READ a' };
 export const WRITE: Statement = { kind: 'write', text: 'WRITE a b' };
@@ -68,16 +63,6 @@
   return address && typeof address === 'object' ? address.port : 0;
 }
 
-function registerInstances(store: FakeStore, instances: readonly FakeInstance[]): void {
-  instances.forEach(({ id, isLeader }) =>
-    store.put('instances', id, {
-      ...{ id, group: 'g', zone: 'z', host: 'h', port: 1, slots: 2, startedAt: 1 },
-      ...{ connectionLimit: CONNECTION_LIMIT, leaving: false },
-      role: isLeader ? 'primary' : 'replica',
-    } satisfies RegisteredInstance),
-  );
-}
-
 async function startVm(
   index: number,
   store: FakeStore,
@@ -139,7 +124,7 @@
   leader.isLeader = true;
   const store = new FakeStore();
   store.put('configurations', 'main', CONFIGURATION);
-  registerInstances(store, [leader, replica]);
+  registerInstances(store, [leader, replica], CONNECTION_LIMIT);
   const vms = await Promise.all(
     Array.from({ length: vmCount }, (_, index) => startVm(index, store, [leader, replica])),
   );
--- a/packages/soak/test/soak.spec.ts
+++ b/packages/soak/test/soak.spec.ts
@@ -65,8 +65,8 @@
   'runs a passed-on write twice': {
     mutant: {
       file: 'forwarding/src/home.ts',
-      from: 'const reply = await connection.run(command);',
-      to: 'await connection.run(command); const reply = await connection.run(command);',
+      from: 'const reply = await runObserved(connection, command);',
+      to: 'await runObserved(connection, command); const reply = await runObserved(connection, command);',
     },
     faults: [],
     invariant: 'a write is committed at most once',
