Log and count returns of the store from an older copy

Cause: the logs could not tell a lost promotion record from an ordinary conflict, since no answer's era or revision was kept. Change: every answer of the store carries its era; one line and a counter at each change of era, era and revision at each record that is read or written. No decision depends on it yet.

--- a/packages/engine/src/fleet.ts
+++ b/packages/engine/src/fleet.ts
@@ -121,7 +121,7 @@
   async findVm(vm: string, host: string): Promise<VmAddress | undefined> {
     const known = this.seen.get(vm);
     if (known?.address.host === host) return known.address;
-    const object = await this.options.store.find(VMS_KIND, vm);
+    const { object } = await this.options.store.find(VMS_KIND, vm);
     return object && decodeAddress(vm, object.spec);
   }
 
@@ -175,8 +175,8 @@
     if (outcome.kind === 'written') {
       this.revision = outcome.revision;
     } else {
-      const known = await store.find(VMS_KIND, vm);
-      this.revision = known?.revision ?? 0;
+      const { object } = await store.find(VMS_KIND, vm);
+      this.revision = object?.revision ?? 0;
     }
   }
 
--- a/packages/engine/src/index.ts
+++ b/packages/engine/src/index.ts
@@ -4,6 +4,8 @@
 export type { DatabaseRoute, GroupSettings, ServiceConfiguration } from './configuration.js';
 export { InstanceConnection, InstanceConnector } from './connection.js';
 export type { ReplyObserver } from './connection.js';
+export { EraAwareStore } from './era.js';
+export type { EraAwareStoreOptions } from './era.js';
 export {
   ConnectionError,
   ConnectionLimitError,
@@ -51,7 +53,14 @@
   Verdict,
 } from './statement.js';
 export { ObjectStore, PromotionService } from './store.js';
-export type { StoreChange, StoreChanges, StoredObject, StoreListing, StoreWrite } from './store.js';
+export type {
+  StoreChange,
+  StoreChanges,
+  StoredObject,
+  StoreListing,
+  StoreLookup,
+  StoreWrite,
+} from './store.js';
 export { Suspicion } from './suspicion.js';
 export { PROMOTIONS_KIND } from './takeover.js';
 export { wait, waitAtMost } from './timing.js';
--- a/packages/engine/src/metrics.ts
+++ b/packages/engine/src/metrics.ts
@@ -37,6 +37,14 @@
     'outcome',
   ]);
 
+  /** Returns of the platform's store from an older copy, as seen by this process. */
+  readonly storeEras = createCounter(
+    this.registry,
+    'store_restorations_total',
+    'Returns of the store from an older copy',
+    [],
+  );
+
   /** Steps of takeovers, by `action`. */
   readonly takeoverSteps = createCounter(this.registry, 'takeover_steps_total', 'Takeover steps', [
     'action',
--- a/packages/engine/src/store.ts
+++ b/packages/engine/src/store.ts
@@ -1,3 +1,5 @@
+import type { StoreVersion } from '@shallotpick/core';
+
 /** An object of the platform's store. */
 export interface StoredObject {
   readonly name: string;
@@ -6,11 +8,15 @@
   readonly spec: unknown;
 }
 
-/** All objects of a kind at a revision of the store. */
-export interface StoreListing {
+/** An object, or its absence, in an era of the store. */
+export interface StoreLookup {
+  readonly object: StoredObject | undefined;
+  readonly era: number;
+}
+
+/** All objects of a kind at a version of the store, at which a watch can start. */
+export interface StoreListing extends StoreVersion {
   readonly objects: readonly StoredObject[];
-  /** Revision of the store at which a watch can start. */
-  readonly revision: number;
 }
 
 /** A change of one object. */
@@ -19,16 +25,15 @@
   readonly isDeleted: boolean;
 }
 
-/** The changes of a kind up to a revision of the store. */
-export interface StoreChanges {
+/** The changes of a kind up to a version of the store. */
+export interface StoreChanges extends StoreVersion {
   readonly changes: readonly StoreChange[];
-  readonly revision: number;
 }
 
 /** Outcome of a write to the store. */
 export type StoreWrite =
-  | { readonly kind: 'written'; readonly revision: number }
-  | { readonly kind: 'conflict' }
+  | ({ readonly kind: 'written' } & StoreVersion)
+  | { readonly kind: 'conflict'; readonly era: number }
   /** No answer: the write may have taken effect or may do so later. */
   | { readonly kind: 'unknown' }
   /** The store refused the call before it had any effect. */
@@ -36,7 +41,7 @@
 
 /** The platform's object store. Reads reject with StoreError when they get no usable response. */
 export abstract class ObjectStore {
-  abstract find(kind: string, name: string): Promise<StoredObject | undefined>;
+  abstract find(kind: string, name: string): Promise<StoreLookup>;
 
   /** Lists a kind; with `mayBeStale` the list is cheaper but may be seconds old. */
   abstract list(kind: string, mayBeStale?: boolean): Promise<StoreListing>;
--- a/packages/engine/src/takeover.ts
+++ b/packages/engine/src/takeover.ts
@@ -56,14 +56,14 @@
   }
 
   /** Handles the group's promotion record from the store; undefined when there is none. */
-  handleRecordObject(object: StoredObject | undefined): void {
+  handleRecordObject(object: StoredObject | undefined, era: number): void {
     const record = object?.spec as PromotionRecord | undefined;
     const now = this.options.clock.readNow();
     if (record) {
       const { generation, holder, phase } = record;
       this.options.log.info('promotion record read', {
         group: this.group.name,
-        ...{ generation, holder, phase, revision: object?.revision },
+        ...{ generation, holder, phase, era, revision: object?.revision },
       });
     }
     this.runActions(this.coordinator.handleRecord(record, object?.revision ?? 0, now));
@@ -148,13 +148,15 @@
   }
 
   private async readRecord(): Promise<void> {
-    this.handleRecordObject(await this.options.store.find(PROMOTIONS_KIND, this.group.name));
+    const { object, era } = await this.options.store.find(PROMOTIONS_KIND, this.group.name);
+    this.handleRecordObject(object, era);
   }
 
   private async writeRecord(record: PromotionRecord, expectedVersion: number): Promise<void> {
     const { store, log, clock } = this.options;
     const outcome = await store.write(PROMOTIONS_KIND, record.group, record, expectedVersion);
-    log.info('promotion record write', { group: record.group, outcome: outcome.kind });
+    const { kind, ...version } = outcome;
+    log.info('promotion record write', { group: record.group, outcome: kind, ...version });
     if (outcome.kind === 'written') {
       const now = clock.readNow();
       this.runActions(this.coordinator.handleRecord(record, outcome.revision, now));
--- a/packages/engine/src/watcher.ts
+++ b/packages/engine/src/watcher.ts
@@ -26,9 +26,9 @@
   /** Number of VMs that watch the kind. */
   readonly countWatchers?: () => number;
   /** Receives all objects after each listing. */
-  readonly onListing: (objects: readonly StoredObject[]) => void;
+  readonly onListing: (objects: readonly StoredObject[], era: number) => void;
   /** Receives one change; for a deletion, `object.spec` is the last content. */
-  readonly onChange: (object: StoredObject, isDeleted: boolean) => void;
+  readonly onChange: (object: StoredObject, isDeleted: boolean, era: number) => void;
 }
 
 /** Watches the objects of one kind: lists them, watches for changes, and lists again on errors. */
@@ -95,15 +95,15 @@
 
   private async list(): Promise<void> {
     const { store, kind, onListing } = this.options;
-    const { objects, revision } = await store.list(kind);
-    onListing(objects);
+    const { objects, revision, era } = await store.list(kind);
+    onListing(objects, era);
     this.revision = revision;
   }
 
   private async watch(revision: number): Promise<void> {
     const { store, kind, watchMs, onChange } = this.options;
-    const { changes, revision: next } = await store.watch(kind, revision, watchMs);
-    changes.forEach(({ object, isDeleted }) => onChange(object, isDeleted));
+    const { changes, revision: next, era } = await store.watch(kind, revision, watchMs);
+    changes.forEach(({ object, isDeleted }) => onChange(object, isDeleted, era));
     this.revision = next;
     if (changes.length > 0) await wait(this.computePause());
   }
--- a/packages/engine/src/wiring.ts
+++ b/packages/engine/src/wiring.ts
@@ -4,7 +4,8 @@
 import { ConfigurationHolder, type ServiceConfiguration } from './configuration.js';
 import type { InstanceConnector } from './connection.js';
 import { Fleet } from './fleet.js';
-import { ObjectWatcher } from './watcher.js';
+import { ObjectWatcher, type ObjectWatcherOptions } from './watcher.js';
+import { EraAwareStore } from './era.js';
 import { GroupDirectory } from './directory.js';
 import type { CreateForwarding } from './forwarding.js';
 import { GroupService } from './group.js';
@@ -97,7 +98,8 @@
 
 /** Creates a proxy and its watchers from the parts of a protocol adapter. */
 export function createProxy(parts: ProxyParts): RunningProxy {
-  const { vm, zone, log, metrics, store, drainMs, isFirstStart = false } = parts;
+  const { vm, zone, log, metrics, drainMs, isFirstStart = false } = parts;
+  const store = new EraAwareStore({ store: parts.store, log, metrics });
   const clock = new SystemClock();
   const suspicion = new Suspicion();
   const shared: SharedServices = { clock, ageClock: new SuspendAwareClock(), suspicion };
@@ -115,8 +117,8 @@
   const createWatcher = (
     kind: string,
     watchMs: Millis,
-    onListing: (objects: readonly StoredObject[]) => void,
-    onChange: (object: StoredObject, isDeleted: boolean) => void,
+    onListing: ObjectWatcherOptions['onListing'],
+    onChange: ObjectWatcherOptions['onChange'],
   ): ObjectWatcher =>
     new ObjectWatcher({
       kind,
@@ -163,14 +165,14 @@
       else holder.proxy?.roster.remove(object.name, clock.readNow());
     },
   );
-  const handlePromotion = (object: StoredObject): void =>
-    holder.groups?.findLocal(object.name)?.takeover.handleRecordObject(object);
+  const handlePromotion = (object: StoredObject, era: number): void =>
+    holder.groups?.findLocal(object.name)?.takeover.handleRecordObject(object, era);
   const promotions = createWatcher(
     PROMOTIONS_KIND,
     PROMOTIONS_WATCH_MS,
-    (objects) => objects.forEach(handlePromotion),
-    (object, isDeleted) => {
-      if (!isDeleted) handlePromotion(object);
+    (objects, era) => objects.forEach((object) => handlePromotion(object, era)),
+    (object, isDeleted, era) => {
+      if (!isDeleted) handlePromotion(object, era);
     },
   );
   const forwarding = parts.createForwarding?.({
@@ -183,7 +185,8 @@
   });
   const groups = new GroupDirectory({
     ...{ clock, log, placement, forwarding },
-    createGroup: (name) => createGroup(name, parts, shared, placement, refreshInstances),
+    createGroup: (name) =>
+      createGroup(name, { ...parts, store }, shared, placement, refreshInstances),
     isFleetKnown: () => fleet.hasSettled(),
     isFirstStart,
   });
--- a/packages/engine/test/store.ts
+++ b/packages/engine/test/store.ts
@@ -7,6 +7,7 @@
   type StoreChanges,
   type StoredObject,
   type StoreListing,
+  type StoreLookup,
   type StoreWrite,
   wait,
 } from '../src/index.js';
@@ -17,6 +18,9 @@
 
   private revision = 1;
 
+  /** Rises when a test restores the store from an older copy. */
+  era = 1;
+
   put(kind: string, name: string, spec: unknown): number {
     this.revision += 1;
     const objects = this.kinds.get(kind) ?? new Map<string, StoredObject>();
@@ -25,12 +29,13 @@
     return this.revision;
   }
 
-  override async find(kind: string, name: string): Promise<StoredObject | undefined> {
-    return this.kinds.get(kind)?.get(name);
+  override async find(kind: string, name: string): Promise<StoreLookup> {
+    return { object: this.kinds.get(kind)?.get(name), era: this.era };
   }
 
   override async list(kind: string): Promise<StoreListing> {
-    return { objects: [...(this.kinds.get(kind)?.values() ?? [])], revision: this.revision };
+    const objects = [...(this.kinds.get(kind)?.values() ?? [])];
+    return { objects, revision: this.revision, era: this.era };
   }
 
   override async watch(kind: string, revision: number): Promise<StoreChanges> {
@@ -40,6 +45,7 @@
     return {
       changes: changed.map((object) => ({ object, isDeleted: false })),
       revision: this.revision,
+      era: this.era,
     };
   }
 
@@ -50,8 +56,8 @@
     revision: number,
   ): Promise<StoreWrite> {
     const known = this.kinds.get(kind)?.get(name)?.revision ?? 0;
-    if (known !== revision) return { kind: 'conflict' };
-    return { kind: 'written', revision: this.put(kind, name, spec) };
+    if (known !== revision) return { kind: 'conflict', era: this.era };
+    return { kind: 'written', revision: this.put(kind, name, spec), era: this.era };
   }
 }
 
--- a/packages/engine/test/watcher.spec.ts
+++ b/packages/engine/test/watcher.spec.ts
@@ -25,10 +25,10 @@
 
   override async watch(kind: string, revision: number): Promise<StoreChanges> {
     await wait(10);
-    const { objects, revision: now } = await super.list(kind);
+    const { objects, revision: now, era } = await super.list(kind);
     const changed = objects.filter((object) => object.revision > revision);
     if (changed.length > 0) this.returned += 1;
-    return { changes: changed.map((object) => ({ object, isDeleted: false })), revision: now };
+    return { changes: changed.map((object) => ({ object, isDeleted: false })), revision: now, era };
   }
 }
 
