Drive takeovers while the store comes back from an older copy

The takeover model learns the fault: the store goes away for up to 1.2 s and comes back with the record and the revision of some seconds before. It has scenarios of its own, so that the seeds of the other runs keep their meaning.

--- a/packages/bench/src/invariants.ts
+++ b/packages/bench/src/invariants.ts
@@ -5,7 +5,8 @@
 import { type Scenario, scenarioArbitrary } from './harness/scenario.js';
 import { Simulation } from './harness/simulation.js';
 import type { TakeoverViolation } from './takeover/group.js';
-import { runTakeovers } from './takeover/invariants.js';
+import { runTakeovers, type TAKEOVER_SCENARIOS } from './takeover/invariants.js';
+import { DEFAULT_TAKEOVER_RULES } from './takeover/simulation.js';
 
 const SHRINK_LIMIT_MS = 30_000;
 
@@ -87,21 +88,34 @@
   process.exitCode = 1;
 }
 
-function checkTakeovers(seed: number, runs: number): void {
-  const report = runTakeovers(seed, runs);
+function checkTakeovers(
+  seed: number,
+  runs: number,
+  scenarios: keyof typeof TAKEOVER_SCENARIOS,
+): void {
+  const report = runTakeovers(seed, runs, DEFAULT_TAKEOVER_RULES, scenarios);
   if (report.failure) {
     reportViolation(seed, report.runs, report.failure);
     return;
   }
   process.stdout.write(
-    `seed ${seed}: ${report.runs} takeover runs, ${report.acknowledged} acknowledged writes, ${report.promotions} promotions, no violation\n`,
+    `seed ${seed}: ${report.runs} runs of ${scenarios}, ${report.acknowledged} acknowledged writes, ${report.promotions} promotions, no violation\n`,
   );
 }
 
 function runCommand(): void {
   const { values } = parseArgs({
-    options: { seed: { type: 'string', default: '1' }, runs: { type: 'string', default: '200' } },
+    options: {
+      seed: { type: 'string', default: '1' },
+      runs: { type: 'string', default: '200' },
+      /** Runs only takeovers while the store comes back from an older copy. */
+      restorations: { type: 'boolean', default: false },
+    },
   });
+  if (values.restorations) {
+    checkTakeovers(Number(values.seed), Number(values.runs), 'restorations');
+    return;
+  }
   const report = runInvariants(Number(values.seed), Number(values.runs), DEFAULT_RULES, true);
   const { seed, runs, acknowledged, promotions, failure } = report;
   if (failure) {
@@ -111,7 +125,7 @@
       `seed ${seed}: ${runs} runs, ${acknowledged} acknowledged writes, ${promotions} promotions, no violation\n`,
     );
   }
-  checkTakeovers(seed, Math.ceil(Number(values.runs) * TAKEOVER_PART));
+  checkTakeovers(seed, Math.ceil(Number(values.runs) * TAKEOVER_PART), 'takeovers');
 }
 
 if (process.argv[1]?.endsWith('invariants.ts')) runCommand();
--- a/packages/bench/src/takeover/invariants.ts
+++ b/packages/bench/src/takeover/invariants.ts
@@ -1,6 +1,6 @@
 import * as fc from 'fast-check';
 import type { TakeoverViolation } from './group.js';
-import { takeoverArbitrary, type TakeoverScenario } from './scenario.js';
+import { restorationArbitrary, takeoverArbitrary, type TakeoverScenario } from './scenario.js';
 import { DEFAULT_TAKEOVER_RULES, type TakeoverRules, TakeoverSimulation } from './simulation.js';
 
 /** Summary of the runs of the takeover simulation. */
@@ -13,16 +13,23 @@
     { readonly scenario: TakeoverScenario; readonly violation: TakeoverViolation } | undefined;
 }
 
+/** Random scenarios, by the name that the command line gives them. */
+export const TAKEOVER_SCENARIOS = {
+  takeovers: takeoverArbitrary,
+  restorations: restorationArbitrary,
+} as const;
+
 /** Runs random takeover scenarios until one violates a guarantee. */
 export function runTakeovers(
   seed: number,
   runs: number,
   rules: TakeoverRules = DEFAULT_TAKEOVER_RULES,
+  scenarios: keyof typeof TAKEOVER_SCENARIOS = 'takeovers',
 ): TakeoverReport {
   let acknowledged = 0;
   let promotions = 0;
   let failure: TakeoverReport['failure'];
-  const property = fc.property(takeoverArbitrary, (scenario) => {
+  const property = fc.property(TAKEOVER_SCENARIOS[scenarios], (scenario) => {
     const simulation = new TakeoverSimulation(scenario, rules);
     const violation = simulation.run();
     acknowledged += simulation.group.acknowledged.length;
--- a/packages/bench/src/takeover/platform.ts
+++ b/packages/bench/src/takeover/platform.ts
@@ -24,6 +24,13 @@
   readonly at: number;
 }
 
+/** The record at some time, and the store's revision at its last change. */
+interface RecordCopy {
+  readonly record: PromotionRecord | undefined;
+  readonly version: number;
+  readonly at: number;
+}
+
 /** Simulates the store with one record, the promotion service and the delivery of orders. */
 export class SimulatedPlatform {
   record: PromotionRecord | undefined;
@@ -40,6 +47,8 @@
 
   violation: TakeoverViolation | undefined;
 
+  private readonly history: RecordCopy[] = [];
+
   private highestGeneration = 0;
 
   private readonly promotionOrders: PromotionOrder[] = [];
@@ -60,6 +69,7 @@
       if (this.rules.checksVersions && expected !== this.version) return false;
       this.version += 1;
       this.record = record;
+      this.history.push({ record, version: this.version, at: this.clock.now });
       return true;
     };
     const isLost = this.losesAnswers && this.random.next() < LOSS_RATE;
@@ -75,6 +85,20 @@
     });
   }
 
+  /** Finds the record as it was at a time. */
+  findCopy(at: number): RecordCopy {
+    const copy = this.history.findLast((one) => one.at <= at);
+    return copy ?? { record: undefined, version: 0, at };
+  }
+
+  /** Comes back from an older copy, which loses what was written since. */
+  restore({ record, version, at }: RecordCopy): void {
+    this.isDown = false;
+    this.record = record;
+    this.version = version;
+    this.history.splice(0, this.history.length, { record, version, at });
+  }
+
   read(answer: (record: PromotionRecord | undefined, version: number) => void): void {
     if (this.isDown) return;
     this.clock.schedule(CALL_MS, () => answer(this.record, this.version));
--- a/packages/bench/src/takeover/scenario.ts
+++ b/packages/bench/src/takeover/scenario.ts
@@ -33,8 +33,24 @@
   'losePromotions',
 ] as const;
 
+/** Faults of runs in which the store comes back from an older copy. */
+const RESTORATION_KINDS = [
+  'restoreStore',
+  'restoreStore',
+  'crashLeader',
+  'crashLeader',
+  'cutLeaderFromVms',
+  'replaceLeader',
+  'pauseVm',
+  'killVm',
+  'killVm',
+  'cutVmFromStore',
+  'loseStoreAnswers',
+  'losePromotions',
+] as const;
+
 /** Name of a fault. */
-export type TakeoverFaultKind = (typeof FAULT_KINDS)[number];
+export type TakeoverFaultKind = (typeof FAULT_KINDS)[number] | (typeof RESTORATION_KINDS)[number];
 
 /** One fault of a run; `pick` chooses what it affects. */
 export interface TakeoverFault {
@@ -56,13 +72,15 @@
   readonly isNearMoment: boolean;
 }
 
-const relativeFault: fc.Arbitrary<RelativeFault> = fc.record({
-  kind: fc.constantFrom(...FAULT_KINDS),
-  offset: fc.integer({ min: 0, max: FAULT_WINDOW_MS - MIN_FAULT_AT_MS }),
-  isNearMoment: fc.boolean(),
-  duration: fc.integer({ min: 200, max: MAX_FAULT_MS }),
-  pick: fc.nat({ max: 5 }),
-});
+function createFaultArbitrary(kinds: readonly TakeoverFaultKind[]): fc.Arbitrary<RelativeFault> {
+  return fc.record({
+    kind: fc.constantFrom(...kinds),
+    offset: fc.integer({ min: 0, max: FAULT_WINDOW_MS - MIN_FAULT_AT_MS }),
+    isNearMoment: fc.boolean(),
+    duration: fc.integer({ min: 200, max: MAX_FAULT_MS }),
+    pick: fc.nat({ max: 5 }),
+  });
+}
 
 function placeFault(
   moment: number,
@@ -76,13 +94,23 @@
  * Generates random scenarios. Half of the faults fall together within the time of one change of the
  * leader, since most violations need several faults during it.
  */
-export const takeoverArbitrary: fc.Arbitrary<TakeoverScenario> = fc
-  .record({
-    seed: fc.integer(),
-    moment: fc.integer({ min: MIN_FAULT_AT_MS, max: FAULT_WINDOW_MS - MOMENT_MS }),
-    faults: fc.array(relativeFault, { minLength: 1, maxLength: 6, size: 'max' }),
-  })
-  .map(({ seed, moment, faults }) => ({
-    seed,
-    faults: faults.map((one) => placeFault(moment, one)),
-  }));
+function createScenarioArbitrary(
+  kinds: readonly TakeoverFaultKind[],
+  maxLength: number,
+): fc.Arbitrary<TakeoverScenario> {
+  return fc
+    .record({
+      seed: fc.integer(),
+      moment: fc.integer({ min: MIN_FAULT_AT_MS, max: FAULT_WINDOW_MS - MOMENT_MS }),
+      faults: fc.array(createFaultArbitrary(kinds), { minLength: 1, maxLength, size: 'max' }),
+    })
+    .map(({ seed, moment, faults }) => ({
+      seed,
+      faults: faults.map((one) => placeFault(moment, one)),
+    }));
+}
+
+export const takeoverArbitrary = createScenarioArbitrary(FAULT_KINDS, 6);
+
+/** The same with a store that comes back from an older copy. */
+export const restorationArbitrary = createScenarioArbitrary(RESTORATION_KINDS, 8);
--- a/packages/bench/src/takeover/simulation.ts
+++ b/packages/bench/src/takeover/simulation.ts
@@ -11,6 +11,7 @@
 const VM_TICK_MS = 30;
 const VMS = 3;
 const RESTART_MS = 500;
+const RESTORE_STEP_MS = 200;
 /** The VMs have watched the group for this long when the faults begin. */
 const WARM_UP_MS = 11_000;
 /** Once the faults have ended, the group must have a leader and replicating replicas in this time. */
@@ -144,12 +145,21 @@
         end(() => Object.assign(vm, { isCutFromStore: false }));
       })
       .with('storeDown', () => this.setPlatformFault(platform, 'isDown', duration))
+      .with('restoreStore', () => this.restoreStore(duration, pick))
       .with('loseStoreAnswers', () => this.setPlatformFault(platform, 'losesAnswers', duration))
       .with('loseOrders', () => this.setPlatformFault(platform, 'losesOrders', duration))
       .with('losePromotions', () => this.setPlatformFault(platform, 'losesPromotions', duration))
       .exhaustive();
   }
 
+  /** Takes the store away for a moment; it comes back as it was `age` milliseconds before. */
+  private restoreStore(age: number, pick: number): void {
+    const { platform, clock } = this;
+    const copy = platform.findCopy(clock.now - age);
+    platform.isDown = true;
+    clock.schedule((pick + 1) * RESTORE_STEP_MS, () => platform.restore(copy));
+  }
+
   private setPlatformFault(
     platform: SimulatedPlatform,
     name: 'isDown' | 'losesAnswers' | 'losesOrders' | 'losesPromotions',
