Rest fencing tokens on the store's era and revision

Cause: the next token was the last record's number plus one. The store had lost the record, so two holders derived the same number, one before and one after its return. A coordinator also ignored every record whose revision was below the one that it remembered, and nobody raised the fence or resumed replicas for a claim that was lost. Change: a token is the era and the revision of the claim's own write, which the store gives once. A claim counts only if it is written in the era that it was made in view of. In a new era a VM waits until nobody can act on a lost claim, then the group gets a record of that era (plan raise), which outdates late orders and resumes stopped replicas. What is known of the record moves from the coordinator to PromotionRecordView.

--- a/packages/bench/src/takeover/platform.ts
+++ b/packages/bench/src/takeover/platform.ts
@@ -1,4 +1,4 @@
-import type { PromotionRecord } from '@shallotpick/core';
+import type { PromotionRecord, StoreVersion } from '@shallotpick/core';
 import type { Random } from '../random.js';
 import type { SyncGroup, TakeoverViolation } from './group.js';
 import type { VirtualClock } from './clock.js';
@@ -13,14 +13,14 @@
 export interface PlatformRules {
   /** Whether the store rejects a write whose expected version is not the current one. */
   readonly checksVersions: boolean;
-  /** Whether a promotion is refused if its generation is lower than one already seen. */
+  /** Whether a promotion is refused if its token is lower than one already seen. */
   readonly checksFence: boolean;
 }
 
 /** A promotion that the platform accepted from a VM. */
 interface PromotionOrder {
   readonly vm: string;
-  readonly generation: number;
+  readonly token: number;
   readonly at: number;
 }
 
@@ -37,6 +37,9 @@
 
   version = 0;
 
+  /** Rises each time the store comes back from an older copy. */
+  era = 1;
+
   isDown = false;
 
   losesAnswers = false;
@@ -49,7 +52,7 @@
 
   private readonly history: RecordCopy[] = [];
 
-  private highestGeneration = 0;
+  private highestToken = 0;
 
   private readonly promotionOrders: PromotionOrder[] = [];
 
@@ -63,7 +66,7 @@
   write(
     record: PromotionRecord,
     expected: number,
-    answer: (outcome: 'written' | 'conflict' | 'unknown', version: number) => void,
+    answer: (outcome: 'written' | 'conflict' | 'unknown', version: StoreVersion) => void,
   ): void {
     const apply = (): boolean => {
       if (this.rules.checksVersions && expected !== this.version) return false;
@@ -75,12 +78,12 @@
     const isLost = this.losesAnswers && this.random.next() < LOSS_RATE;
     if (this.isDown || isLost) {
       if (!this.isDown) this.clock.schedule(this.random.nextInt(MAX_LATE_MS / 2), apply);
-      this.clock.schedule(1_000, () => answer('unknown', 0));
+      this.clock.schedule(1_000, () => answer('unknown', { era: 0, revision: 0 }));
       return;
     }
     this.clock.schedule(CALL_MS, () => {
       const isWritten = apply();
-      const { version } = this;
+      const version = this.readVersion();
       this.clock.schedule(CALL_MS, () => answer(isWritten ? 'written' : 'conflict', version));
     });
   }
@@ -94,24 +97,29 @@
   /** Comes back from an older copy, which loses what was written since. */
   restore({ record, version, at }: RecordCopy): void {
     this.isDown = false;
+    this.era += 1;
     this.record = record;
     this.version = version;
     this.history.splice(0, this.history.length, { record, version, at });
   }
 
-  read(answer: (record: PromotionRecord | undefined, version: number) => void): void {
+  readVersion(): StoreVersion {
+    return { era: this.era, revision: this.version };
+  }
+
+  read(answer: (record: PromotionRecord | undefined, version: StoreVersion) => void): void {
     if (this.isDown) return;
-    this.clock.schedule(CALL_MS, () => answer(this.record, this.version));
+    this.clock.schedule(CALL_MS, () => answer(this.record, this.readVersion()));
   }
 
   promote(
     vm: string,
     instance: string,
-    generation: number,
+    token: number,
     answer: (result: 'accepted' | 'refused' | 'unknown') => void,
   ): void {
     const isLate = this.losesPromotions && this.random.next() < LOSS_RATE;
-    const apply = (): 'accepted' | 'refused' => this.applyPromotion(vm, instance, generation);
+    const apply = (): 'accepted' | 'refused' => this.applyPromotion(vm, instance, token);
     if (isLate) {
       this.clock.schedule(2_000 + this.random.nextInt(MAX_LATE_MS - 2_000), apply);
       this.clock.schedule(400, () => answer('unknown'));
@@ -135,23 +143,23 @@
     });
   }
 
-  private applyPromotion(vm: string, instance: string, generation: number): 'accepted' | 'refused' {
-    if (this.rules.checksFence && generation < this.highestGeneration) return 'refused';
-    this.highestGeneration = Math.max(this.highestGeneration, generation);
-    this.checkPromotionOrder({ vm, generation, at: this.clock.now });
+  private applyPromotion(vm: string, instance: string, token: number): 'accepted' | 'refused' {
+    if (this.rules.checksFence && token < this.highestToken) return 'refused';
+    this.highestToken = Math.max(this.highestToken, token);
+    this.checkPromotionOrder({ vm, token, at: this.clock.now });
     return this.group.promote(instance, this.clock.now) ? 'accepted' : 'refused';
   }
 
   private checkPromotionOrder(order: PromotionOrder): void {
     const shared = this.promotionOrders.find(
-      ({ vm, generation }) => generation === order.generation && vm !== order.vm,
+      ({ vm, token }) => token === order.token && vm !== order.vm,
     );
     const last = this.promotionOrders.at(-1);
     const own = this.promotionOrders.findLast(({ vm }) => vm === order.vm);
     const isTurn = last !== undefined && last.vm !== order.vm && own !== undefined;
     this.promotionOrders.push(order);
     if (shared) {
-      this.report(`${shared.vm} and ${order.vm} share generation ${order.generation}`, order.at);
+      this.report(`${shared.vm} and ${order.vm} share token ${order.token}`, order.at);
     } else if (isTurn && order.at - own.at < LEASE_MS) {
       this.report(`${order.vm} and ${last.vm} alternate as holder`, order.at);
     }
--- a/packages/bench/src/takeover/simulation.ts
+++ b/packages/bench/src/takeover/simulation.ts
@@ -1,4 +1,4 @@
-import { SuccessorSelector } from '@shallotpick/core';
+import { PromotionRecordView, SuccessorSelector } from '@shallotpick/core';
 import { match } from 'ts-pattern';
 import { createRandom, type Random } from '../random.js';
 import { SyncGroup, type SyncInstance, type TakeoverViolation } from './group.js';
@@ -20,6 +20,7 @@
 /** The components under test. Specs replace them by broken ones. */
 export interface TakeoverRules extends PlatformRules {
   readonly createSelector: () => SuccessorSelector;
+  readonly createView: () => PromotionRecordView;
 }
 
 /** The components that the product uses. */
@@ -27,6 +28,7 @@
   checksVersions: true,
   checksFence: true,
   createSelector: () => new SuccessorSelector(),
+  createView: () => new PromotionRecordView(),
 };
 
 /** Simulates a group with a synchronous replica, three VMs and faults in virtual time. */
@@ -54,7 +56,7 @@
       { length: VMS },
       (_, rank) =>
         new SimulatedVm({
-          ...{ id: `vm-${rank}`, rank, createSelector: rules.createSelector },
+          ...{ id: `vm-${rank}`, rank, ...rules },
           ...{ clock: this.clock, group: this.group, platform: this.platform },
           createAttempt: () => this.createAttempt(),
         }),
--- a/packages/bench/src/takeover/vm.ts
+++ b/packages/bench/src/takeover/vm.ts
@@ -1,4 +1,5 @@
 import {
+  type PromotionRecordView,
   type SuccessorSelector,
   type InstanceView,
   type TakeoverAction,
@@ -35,6 +36,7 @@
   readonly platform: SimulatedPlatform;
   readonly createAttempt: () => string;
   readonly createSelector: () => SuccessorSelector;
+  readonly createView: () => PromotionRecordView;
 }
 
 /** Simulates a VM with a TakeoverCoordinator, which learns of the group by probes and the store. */
@@ -50,7 +52,7 @@
 
   private readonly probeResults = new Map<string, ProbeResult>();
 
-  private seenVersion = -1;
+  private seenVersion = '';
 
   /** The instances of the last listing from the store. */
   private listedInstances: readonly SyncInstance[] = [];
@@ -68,7 +70,7 @@
   /** Replaces the process by a new one without any state. */
   restart(): void {
     this.epoch += 1;
-    this.seenVersion = -1;
+    this.seenVersion = '';
     this.probeResults.clear();
     this.listedInstances = [];
     this.listedAt = Number.NEGATIVE_INFINITY;
@@ -95,10 +97,11 @@
   }
 
   private createCoordinator(): TakeoverCoordinator {
-    const { id: vm, rank, createAttempt, createSelector } = this.options;
+    const { id: vm, rank, createAttempt, createSelector, createView } = this.options;
     const coordinator = new TakeoverCoordinator(
       { group: 'group', vm, createAttempt },
       createSelector(),
+      createView(),
     );
     coordinator.updateRank(rank);
     return coordinator;
@@ -116,9 +119,11 @@
 
   private watchRecord(now: number): void {
     const { platform, clock } = this.options;
-    const { version, record } = platform;
-    if (this.isCutFromStore || platform.isDown || version === this.seenVersion) return;
-    this.seenVersion = version;
+    const { record } = platform;
+    const version = platform.readVersion();
+    const text = `${version.era}/${version.revision}`;
+    if (this.isCutFromStore || platform.isDown || text === this.seenVersion) return;
+    this.seenVersion = text;
     const run = this.deliver(() =>
       this.runActions(this.coordinator.handleRecord(record, version, clock.now)),
     );
@@ -203,10 +208,10 @@
           })(),
         );
       })
-      .with({ kind: 'promote' }, ({ instance, generation }) => {
+      .with({ kind: 'promote' }, ({ instance, token }) => {
         if (this.isCutFromStore) return;
-        platform.promote(vm, instance, generation, (answer) =>
-          this.deliver(() => this.coordinator.handlePromotion(generation, answer))(),
+        platform.promote(vm, instance, token, (answer) =>
+          this.deliver(() => this.coordinator.handlePromotion(token, answer))(),
         );
       })
       .with({ kind: P.union('pause', 'stepDown') }, ({ kind, instance, term }) =>
--- a/packages/bench/test/mutants/takeover.ts
+++ b/packages/bench/test/mutants/takeover.ts
@@ -1,5 +1,6 @@
-import { SuccessorSelector } from '@shallotpick/core';
+import { type PromotionRecordView, SuccessorSelector } from '@shallotpick/core';
 import { DEFAULT_TAKEOVER_RULES, type TakeoverRules } from '../../src/takeover/simulation.js';
+import { CountingTokenView, EraBlindView, RevisionTokenView } from './recordview.js';
 import { UncheckedHandoverSelector, StaleReportSelector } from './selector.js';
 
 /** The reports of the fenced instances, most advanced first. */
@@ -27,6 +28,11 @@
   }
 }
 
+const withView = (View: new () => PromotionRecordView): TakeoverRules => ({
+  ...DEFAULT_TAKEOVER_RULES,
+  createView: () => new View(),
+});
+
 const withSelector = (Selector: new () => SuccessorSelector): TakeoverRules => ({
   ...DEFAULT_TAKEOVER_RULES,
   createSelector: () => new Selector(),
@@ -39,6 +45,16 @@
   'promotes a log that lacks entries of the former leader': withSelector(UncoveredSelector),
   'hands over to a log that is behind': withSelector(UncheckedHandoverSelector),
   'counts answers of an earlier attempt': withSelector(StaleReportSelector),
-  'writes the record unconditionally': { ...DEFAULT_TAKEOVER_RULES, checksVersions: false },
+  // The condition alone makes no difference while tokens are revisions, which are given once.
+  'writes the record unconditionally and counts tokens itself': {
+    ...withView(CountingTokenView),
+    checksVersions: false,
+  },
   'ignores the fencing token': { ...DEFAULT_TAKEOVER_RULES, checksFence: false },
 };
+
+/** The same, for runs in which the store comes back from an older copy. */
+export const RESTORATION_MUTANTS: Readonly<Record<string, TakeoverRules>> = {
+  'derives tokens from revisions without their era': withView(RevisionTokenView),
+  'takes any record for one of the present era': withView(EraBlindView),
+};
--- a/packages/bench/test/takeover.spec.ts
+++ b/packages/bench/test/takeover.spec.ts
@@ -1,17 +1,26 @@
 import { expect } from 'earl';
 import { runTakeovers } from '../src/takeover/invariants.js';
 import type { TakeoverFault } from '../src/takeover/scenario.js';
-import { TakeoverSimulation } from '../src/takeover/simulation.js';
-import { TAKEOVER_MUTANTS } from './mutants/takeover.js';
+import { DEFAULT_TAKEOVER_RULES, TakeoverSimulation } from '../src/takeover/simulation.js';
+import { RESTORATION_MUTANTS, TAKEOVER_MUTANTS } from './mutants/takeover.js';
 
 const SEED = 7;
 const KEPT_RUNS = 25;
 const MAX_RUNS = 250;
+const RESTORATION_SEED = 1;
+const RESTORATION_RUNS = 80;
 
 const createFault = (kind: TakeoverFault['kind'], at: number, duration: number): TakeoverFault => ({
   ...{ kind, at, duration, pick: 0 },
 });
 
+const pickFault = (
+  kind: TakeoverFault['kind'],
+  at: number,
+  duration: number,
+  pick: number,
+): TakeoverFault => ({ ...{ kind, at, duration, pick } });
+
 const runWith = (...faults: readonly TakeoverFault[]): TakeoverSimulation => {
   const simulation = new TakeoverSimulation({ seed: 1, faults });
   expect(simulation.run()).toEqual(undefined);
@@ -30,6 +39,25 @@
     }).timeout(120_000);
   });
 
+  // Two VMs ordered promotions with the same fencing token, one before and one after the store had
+  // come back from a copy without the first one's claim.
+  it('hold the invariants when the store comes back from an older copy', () => {
+    const { failure } = runTakeovers(
+      RESTORATION_SEED,
+      RESTORATION_RUNS,
+      DEFAULT_TAKEOVER_RULES,
+      'restorations',
+    );
+    expect(failure).toEqual(undefined);
+  }).timeout(120_000);
+
+  Object.entries(RESTORATION_MUTANTS).forEach(([name, rules]) => {
+    it(`violate them after a return of the store in a version that ${name}`, () => {
+      const report = runTakeovers(RESTORATION_SEED, RESTORATION_RUNS, rules, 'restorations');
+      expect(report.failure).not.toEqual(undefined);
+    }).timeout(120_000);
+  });
+
   // Guards against more than one takeover, as when the leader became reachable again for some VMs
   // while their claim was in progress.
   it('replace a crashed leader exactly once', () => {
@@ -72,13 +100,6 @@
   const fail = (seed: number, ...faults: readonly TakeoverFault[]): unknown =>
     new TakeoverSimulation({ seed, faults }).run();
 
-  const pickFault = (
-    kind: TakeoverFault['kind'],
-    at: number,
-    duration: number,
-    pick: number,
-  ): TakeoverFault => ({ ...{ kind, at, duration, pick } });
-
   // The VM that held the record did not reach the former leader. A replica that joined before the
   // promotion was carried out let that leader acknowledge further commits, which were lost.
   it('step the former leader down from a VM that reaches it', () => {
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -126,6 +126,7 @@
 export { SuccessorSelector } from './successor.js';
 export { GroupCompleteness } from './handover.js';
 export { findRequiredPlan } from './requiredplan.js';
+export { PromotionRecordView } from './recordview.js';
 export { TakeoverCoordinator } from './takeover.js';
 export type { TakeoverOptions } from './takeover.js';
 export type {
--- a/packages/core/src/takeover.ts
+++ b/packages/core/src/takeover.ts
@@ -8,6 +8,8 @@
   mayReplicaBeReplaced,
 } from './handover.js';
 import { OrderTimer } from './ordertimer.js';
+import { PromotionRecordView } from './recordview.js';
+import type { StoreVersion } from './storeversion.js';
 import { SuccessorSelector } from './successor.js';
 import { findLeader, findRequiredPlan } from './requiredplan.js';
 import type {
@@ -43,6 +45,15 @@
   readonly createAttempt: () => string;
 }
 
+/** A claim of the record that this VM has made. */
+interface Claim {
+  readonly record: PromotionRecord;
+  /** Fencing token of the orders that rest on it. */
+  readonly token: number;
+  /** When this VM learnt that it had been written. */
+  readonly at: Millis;
+}
+
 /**
  * Replaces the leader of a group whose commits are acknowledged by one synchronous replica. An
  * acknowledged commit is on the leader and on at least one replica, so a candidate is safe when
@@ -50,13 +61,8 @@
  * when the former leader has stepped down and reported its own. docs/failover.md explains why.
  */
 export class TakeoverCoordinator {
-  private record: PromotionRecord | undefined;
-
-  private version = 0;
-
-  private isKnown = false;
-
-  private recordSeenAt: Millis = 0;
+  /** The claim on which the present attempt rests. */
+  private claimed: Claim | undefined;
 
   private step: TakeoverStep = WATCHING;
 
@@ -69,10 +75,10 @@
   /** When this VM may order again after another one has taken over the record. */
   private mayOrderAt: Millis = Number.NEGATIVE_INFINITY;
 
-  /** Generation of this VM's last order. */
-  private orderedGeneration = 0;
+  /** Fencing token of this VM's last order. */
+  private orderedToken = 0;
 
-  /** True when another VM has taken over the record since this VM's last order. */
+  /** True when another VM may have taken over the record since this VM's last order. */
   private isSuperseded = false;
 
   /** True once the instances have been listed again since the claim. */
@@ -85,14 +91,14 @@
   constructor(
     private readonly options: TakeoverOptions,
     private readonly selector: SuccessorSelector = new SuccessorSelector(),
+    private readonly view: PromotionRecordView = new PromotionRecordView(),
   ) {
     this.orders = new FencingOrders(selector, this.timer);
   }
 
   /** True while this VM or, as far as known, another one is changing the leader. */
   isChanging(now: Millis): boolean {
-    const isOpen = this.record?.phase === 'open' && now - this.recordSeenAt < ATTEMPT_TIMEOUT_MS;
-    return isOpen || this.step.kind !== 'watching';
+    return this.view.isAttemptOpen(now) || this.step.kind !== 'watching';
   }
 
   /** Sets this VM's rank among the live VMs; 0 acts first. */
@@ -100,21 +106,35 @@
     this.rank = rank;
   }
 
-  /** Handles the record, or its absence (version 0). */
-  handleRecord(record: PromotionRecord | undefined, version: number, now: Millis): TakeoverActions {
-    if (this.isKnown && version <= this.version) return [];
-    this.isKnown = true;
-    this.version = version;
-    this.record = record;
-    this.recordSeenAt = now;
-    if (record && record.holder !== this.options.vm) this.isSuperseded = true;
-    const { step } = this;
+  /** Handles the record, or its absence (revision 0). */
+  handleRecord(
+    record: PromotionRecord | undefined,
+    version: StoreVersion,
+    now: Millis,
+  ): TakeoverActions {
+    const { step, view } = this;
+    const isNewEra = version.era > view.version.era;
+    if (!view.update(record, version, now)) return [];
+    const isOwn = record?.holder === this.options.vm;
+    // A claim of another VM may be among the writes that the store has lost.
+    if (isNewEra || (record && !isOwn)) this.isSuperseded = true;
     if (step.kind === 'watching') return [];
-    if (step.kind === 'claiming' && record?.attempt === step.record.attempt) {
-      return this.startAttempt(step, now);
-    }
-    // A newer generation of another VM ends the attempt of this one.
-    if (record?.holder !== this.options.vm) this.updateStep(WATCHING);
+    if (step.kind === 'claiming') return this.handleClaimResult(step, isOwn, now);
+    // Another VM's claim ends the attempt of this one. One of an earlier era, written late, has no
+    // holder that acts on it.
+    if (!isOwn && view.isCurrent()) this.updateStep(WATCHING);
+    return [];
+  }
+
+  private handleClaimResult(
+    step: StepOf<'claiming'>,
+    isOwn: boolean,
+    now: Millis,
+  ): TakeoverActions {
+    const isClaimed = this.view.record?.attempt === step.record.attempt;
+    // A claim that was made in view of an earlier era's record has met the condition by chance.
+    if (isClaimed && this.view.isCurrent()) return this.startAttempt(step, now);
+    if (isClaimed || !isOwn) this.updateStep(WATCHING);
     return [];
   }
 
@@ -129,20 +149,18 @@
 
   /** Notes that the instances listed for `attempt` are in use from now on. */
   handleRefreshed(attempt: string): void {
-    if (attempt === this.record?.attempt) this.isRefreshed = true;
+    if (attempt === this.claimed?.record.attempt) this.isRefreshed = true;
   }
 
   handleResumed(instance: string): void {
     this.orders.handleResumed(instance);
   }
 
-  handlePromotion(generation: number, answer: PromotionAnswer): void {
+  handlePromotion(token: number, answer: PromotionAnswer): void {
     const { step } = this;
     // The platform may see the order only when it is carried out.
-    if (answer === 'unknown' && generation === this.orderedGeneration) {
-      this.mayOrderAt += LATE_CALL_MS;
-    }
-    if (step.kind !== 'promoting' || generation !== this.record?.generation) return;
+    if (answer === 'unknown' && token === this.orderedToken) this.mayOrderAt += LATE_CALL_MS;
+    if (step.kind !== 'promoting' || token !== this.claimed?.token) return;
     this.step = { ...step, answer };
   }
 
@@ -151,7 +169,7 @@
     this.selector.updateInstances(instances, now);
     this.completeness.updateInstances(instances, now);
     const { step } = this;
-    if (!this.isKnown) return this.awaitRecord('read', instances, now);
+    if (!this.view.isKnown()) return this.awaitRecord('read', instances, now);
     switch (step.kind) {
       case 'claiming':
         return this.checkClaim(step, instances, now);
@@ -172,7 +190,7 @@
   }
 
   private watch(instances: readonly InstanceView[], now: Millis): TakeoverActions {
-    if (this.rank === 0 && this.record) {
+    if (this.rank === 0 && this.view.record) {
       const checks = this.orders.checkLagging(instances, now);
       if (checks.length > 0) return checks;
     }
@@ -181,10 +199,10 @@
     const plan = this.findPlan(instances, now);
     if (plan !== this.planSince?.plan) this.planSince = plan && { plan, at: now };
     if (!plan || !this.planSince) return [];
-    if (now - this.planSince.at < this.rank * RANK_STAGGER_MS) return [];
+    const since = Math.max(this.planSince.at, this.view.findClaimableAt());
+    if (now - since < this.rank * RANK_STAGGER_MS) return [];
     // Another VM's attempt is in progress.
-    const isOpen = this.record?.phase === 'open' && this.record.holder !== this.options.vm;
-    if (isOpen && now - this.recordSeenAt < ATTEMPT_TIMEOUT_MS) return [];
+    if (this.view.isAttemptOpen(now) && !this.isHolder()) return [];
     if (this.isSuperseded && now < this.mayOrderAt) return [];
     if (plan !== 'handover' || this.completeness.isComplete(instances, now)) {
       return this.claim(plan, now);
@@ -198,17 +216,21 @@
    * replica that has just joined.
    */
   private assistHolder(instances: readonly InstanceView[], now: Millis): TakeoverActions {
-    const isRecent = now - this.recordSeenAt < ATTEMPT_TIMEOUT_MS;
-    return isRecent && !this.isHolder() ? this.stopFormerLeader(instances, now) : [];
+    if (this.isHolder() || !this.view.isAttemptOpen(now)) return [];
+    return this.stopFormerLeader(this.view.readCurrent(), instances, now);
   }
 
   private isHolder(): boolean {
-    return this.record?.holder === this.options.vm;
+    return this.view.record?.holder === this.options.vm;
   }
 
-  private stopFormerLeader(instances: readonly InstanceView[], now: Millis): TakeoverActions {
-    const { record } = this;
-    const leader = record && findLeaderToStop(record, instances, this.isHolder());
+  private stopFormerLeader(
+    record: PromotionRecord | undefined,
+    instances: readonly InstanceView[],
+    now: Millis,
+  ): TakeoverActions {
+    const isHolder = record?.holder === this.options.vm;
+    const leader = record && findLeaderToStop(record, instances, isHolder);
     if (!leader || !this.timer.isDue('stop leader', now)) return [];
     // The instance that the holder promotes leads in a newer term and ignores this.
     return [{ kind: 'stepDown', instance: leader.id, term: record.term + 1 }];
@@ -217,17 +239,24 @@
   private findPlan(instances: readonly InstanceView[], now: Millis): TakeoverPlan | undefined {
     const required = findRequiredPlan(instances, this.selector.findFormerLeader(instances), now);
     if (required || !findLeader(instances)) return required;
-    const isAbandoned =
-      this.record?.phase === 'open' && now - this.recordSeenAt >= ATTEMPT_TIMEOUT_MS;
+    const { view } = this;
+    const isAbandoned = view.record?.phase === 'open' && !view.isAttemptOpen(now);
     const isStuck = instances.some(({ id }) => (this.selector.findReport(id)?.heldTerm ?? 0) > 0);
-    return isAbandoned || isStuck ? 'raise' : undefined;
+    // Orders of a claim that the store has lost may still be in flight.
+    return isAbandoned || isStuck || !view.isCurrent() ? 'raise' : undefined;
   }
 
   private claim(plan: TakeoverPlan, now: Millis): TakeoverActions {
+    const { view } = this;
+    if (now < view.findClaimableAt()) {
+      this.updateStep(WATCHING);
+      return [];
+    }
     const { group, vm, createAttempt } = this.options;
     const record: PromotionRecord = {
       group,
-      generation: (this.record?.generation ?? 0) + 1,
+      era: view.version.era,
+      generation: (view.record?.generation ?? 0) + 1,
       holder: vm,
       attempt: createAttempt(),
       phase: 'open',
@@ -236,7 +265,7 @@
     };
     this.updateStep({ kind: 'claiming', plan, record, sentAt: now });
     this.timer.isDue('claim', now);
-    return [{ kind: 'write', record, expectedVersion: this.version }];
+    return [{ kind: 'write', record, expectedVersion: view.version.revision }];
   }
 
   private checkClaim(
@@ -256,10 +285,12 @@
     now: Millis,
   ): TakeoverActions {
     const reads = this.timer.isDue(order, now, READ_INTERVAL_MS) ? [{ kind: 'read' } as const] : [];
-    return [...reads, ...this.stopFormerLeader(instances, now)];
+    return [...reads, ...this.stopFormerLeader(this.view.readCurrent(), instances, now)];
   }
 
-  private startAttempt({ plan, sentAt }: StepOf<'claiming'>, now: Millis): TakeoverActions {
+  private startAttempt({ plan, record, sentAt }: StepOf<'claiming'>, now: Millis): TakeoverActions {
+    const token = this.view.computeToken(this.view.version);
+    this.claimed = { record, token, at: now };
     this.selector.clearReports();
     this.isRefreshed = false;
     if (now - sentAt >= MAX_CLAIM_LATENCY_MS) return this.startSettling(now);
@@ -280,7 +311,7 @@
     }
     // An instance unknown to this VM may lead by now, or hold entries that the others lack.
     if (!this.isRefreshed) {
-      const attempt = this.record?.attempt ?? '';
+      const attempt = this.claimed?.record.attempt ?? '';
       return this.timer.isDue('refresh', now, READ_INTERVAL_MS)
         ? [{ kind: 'refresh', attempt }]
         : [];
@@ -335,15 +366,15 @@
     instances: readonly InstanceView[],
     now: Millis,
   ): TakeoverActions {
-    const generation = this.record?.generation ?? 0;
+    const { claimed } = this;
     // Another VM may have taken over a record of this age.
-    if (now - this.recordSeenAt >= RECORD_TTL_MS) return this.claim('takeover', now);
-    this.orderedGeneration = generation;
+    if (!claimed || now - claimed.at >= RECORD_TTL_MS) return this.claim('takeover', now);
+    this.orderedToken = claimed.token;
     this.mayOrderAt = now + LEASE_MS + LEASE_MARGIN_MS;
     this.isSuperseded = false;
     const members = new Set(instances.map(({ id }) => id));
     this.updateStep({ kind: 'promoting', candidate, members, sentAt: now, answer: undefined });
-    return [{ kind: 'promote', instance: candidate, generation }];
+    return [{ kind: 'promote', instance: candidate, token: claimed.token }];
   }
 
   private checkPromotion(
@@ -359,7 +390,7 @@
       return this.claim('takeover', now);
     }
     if (step.answer === 'refused') return this.restart(now);
-    // The order may still be in flight; a newer generation invalidates it before the next step.
+    // The order may still be in flight; a newer claim's order invalidates it before the next step.
     if (elapsed < PROMOTION_ANSWER_TIMEOUT_MS) return this.guardPromotion(step, instances, now);
     const leader = findLeader(instances);
     return this.claim(leader ? 'raise' : 'takeover', now);
@@ -373,7 +404,7 @@
   ): TakeoverActions {
     return [
       ...this.pauseNewReplicas(step, instances, now),
-      ...this.stopFormerLeader(instances, now),
+      ...this.stopFormerLeader(this.claimed?.record, instances, now),
     ];
   }
 
@@ -383,7 +414,7 @@
     instances: readonly InstanceView[],
     now: Millis,
   ): TakeoverActions {
-    if (this.record?.plan === 'raise') return [];
+    if (this.claimed?.record.plan === 'raise') return [];
     const unknown = instances.filter(({ id }) => !members.has(id) && !this.selector.findReport(id));
     return this.orders.pause(unknown, now);
   }
@@ -393,7 +424,7 @@
     this.updateStep(WATCHING);
     this.planSince = undefined;
     this.timer.isDue('read', now);
-    this.isKnown = false;
+    this.view.reset();
     return [{ kind: 'read' }];
   }
 
@@ -402,19 +433,20 @@
     return this.settle(now, now);
   }
 
-  /** Resumes the stopped instances, then records that this generation has no order in flight. */
+  /** Resumes the stopped instances, then records that this claim has no order in flight. */
   private settle(since: Millis, now: Millis): TakeoverActions {
     if (this.orders.hasStopped() && now - since < ATTEMPT_TIMEOUT_MS) {
       return this.orders.resumeAll(now);
     }
     this.orders.clear();
     this.selector.clearReports();
-    const { record } = this;
+    const { claimed, view } = this;
     this.updateStep(WATCHING);
     this.planSince = undefined;
-    if (!record) return [];
+    // The store has lost a claim of an earlier era; its group gets a new one.
+    if (!claimed || claimed.record.era !== view.version.era) return [];
     const attempt = this.options.createAttempt();
-    const settled: PromotionRecord = { ...record, attempt, phase: 'settled' };
-    return [{ kind: 'write', record: settled, expectedVersion: this.version }];
+    const settled: PromotionRecord = { ...claimed.record, attempt, phase: 'settled' };
+    return [{ kind: 'write', record: settled, expectedVersion: view.version.revision }];
   }
 }
--- a/packages/core/src/takeovertypes.ts
+++ b/packages/core/src/takeovertypes.ts
@@ -1,16 +1,18 @@
 import type { Millis } from './clock.js';
 import type { LogPosition } from './position.js';
 
-/** A group's record in the platform's store: the VM that may order a promotion, and generation. */
+/** A group's record in the platform's store: which VM may order a promotion. */
 export interface PromotionRecord {
   readonly group: string;
-  /** Increases with each attempt; sent as the fencing token of the promotion. */
+  /** Era of the store in which the holder claimed the record. */
+  readonly era: number;
+  /** Counts the attempts; builds without eras send it as fencing token. */
   readonly generation: number;
-  /** The VM that holds this generation. */
+  /** The VM that may order a promotion. */
   readonly holder: string;
   /** Identifies the write, so that reading back shows the outcome when the answer was lost. */
   readonly attempt: string;
-  /** `open`: orders of this generation may still be in flight. */
+  /** `open`: orders of this holder may still be in flight. */
   readonly phase: 'open' | 'settled';
   /** The change that the holder intends. */
   readonly plan: TakeoverPlan;
@@ -59,11 +61,12 @@
   | { readonly kind: 'stepDown'; readonly instance: string; readonly term: number }
   | { readonly kind: 'status'; readonly instance: string }
   | { readonly kind: 'resume'; readonly instance: string }
-  | { readonly kind: 'promote'; readonly instance: string; readonly generation: number };
+  /** Promotes an instance; the platform refuses a token below one that it has seen. */
+  | { readonly kind: 'promote'; readonly instance: string; readonly token: number };
 
 /**
  * `takeover`: the leader is lost. `handover`: it is leaving. `raise`: the leader stays and only
- * the generation is raised, which invalidates earlier orders.
+ * the fencing token is raised, which invalidates earlier orders.
  */
 export type TakeoverPlan = 'takeover' | 'handover' | 'raise';
 
--- a/packages/core/test/handover.spec.ts
+++ b/packages/core/test/handover.spec.ts
@@ -43,7 +43,7 @@
   const runUntilClaim = (instances: readonly InstanceView[]): unknown => {
     const createAttempt = (): string => 'attempt';
     const coordinator = new TakeoverCoordinator({ group: 'g', vm: 'vm', createAttempt });
-    coordinator.handleRecord(undefined, 0, STARTED_AT);
+    coordinator.handleRecord(undefined, { era: 0, revision: 0 }, STARTED_AT);
     coordinator.handleTick([{ ...LEADER, leaving: false }, B, C], STARTED_AT);
     for (let now = WARM_MS; now < 2 * WARM_MS; now += 100) {
       const [action] = coordinator.handleTick(instances, now);
--- a/packages/engine/src/store.ts
+++ b/packages/engine/src/store.ts
@@ -57,11 +57,11 @@
   abstract write(kind: string, name: string, spec: unknown, revision: number): Promise<StoreWrite>;
 }
 
-/** Requests promotions from the platform. */
+/** Requests promotions from the platform, which refuses a fencing token below one it has seen. */
 export abstract class PromotionService {
   abstract promote(
     group: string,
     instance: string,
-    generation: number,
+    token: number,
   ): Promise<'accepted' | 'refused' | 'unknown'>;
 }
--- a/packages/engine/src/takeover.ts
+++ b/packages/engine/src/takeover.ts
@@ -66,7 +66,8 @@
         ...{ generation, holder, phase, era, revision: object?.revision },
       });
     }
-    this.runActions(this.coordinator.handleRecord(record, object?.revision ?? 0, now));
+    const version = { era, revision: object?.revision ?? 0 };
+    this.runActions(this.coordinator.handleRecord(record, version, now));
   }
 
   handleTick(now: Millis): void {
@@ -111,7 +112,7 @@
       .with({ kind: 'write' }, ({ record, expectedVersion }) =>
         this.writeRecord(record, expectedVersion),
       )
-      .with({ kind: 'promote' }, ({ instance, generation }) => this.promote(instance, generation))
+      .with({ kind: 'promote' }, ({ instance, token }) => this.promote(instance, token))
       .with({ kind: 'resume' }, async ({ instance }) => {
         const reply = await this.send(instance, { kind: 'resume' });
         if (!reply.failure) this.coordinator.handleResumed(instance);
@@ -140,11 +141,11 @@
     if (report) this.coordinator.handleReport(instance, report);
   }
 
-  private async promote(instance: string, generation: number): Promise<void> {
+  private async promote(instance: string, token: number): Promise<void> {
     const { promotions, log } = this.options;
-    const answer = await promotions.promote(this.group.name, instance, generation);
-    log.info('promotion result', { group: this.group.name, instance, generation, answer });
-    this.coordinator.handlePromotion(generation, answer);
+    const answer = await promotions.promote(this.group.name, instance, token);
+    log.info('promotion result', { group: this.group.name, instance, token, answer });
+    this.coordinator.handlePromotion(token, answer);
   }
 
   private async readRecord(): Promise<void> {
@@ -159,7 +160,7 @@
     log.info('promotion record write', { group: record.group, outcome: kind, ...version });
     if (outcome.kind === 'written') {
       const now = clock.readNow();
-      this.runActions(this.coordinator.handleRecord(record, outcome.revision, now));
+      this.runActions(this.coordinator.handleRecord(record, outcome, now));
     } else {
       this.runActions(this.coordinator.handleWriteFailure());
     }
