Leave watches of an earlier era and list anew

Cause: a watch continues from a revision. The restored store reaches that revision again, so that a watch from it returns only what came later, and a watch that is already waiting is not told anything. Change: a watch names the version, era and revision, that it continues from; an answer of another era, or any answer of a later era while it waits, ends it as when history is gone, and the objects are listed anew. Measured: era.spec.ts, 'fails a watch that is answered in a later era' and 'fails waiting watches' fail before the change and pass after it.

--- a/packages/engine/src/era.ts
+++ b/packages/engine/src/era.ts
@@ -1,4 +1,5 @@
-import { compareStoreVersions, type StoreVersion } from '@shallotpick/core';
+import { compareStoreVersions, type Millis, type StoreVersion } from '@shallotpick/core';
+import { HistoryGoneError } from './errors.js';
 import type { Log } from './log.js';
 import type { Metrics } from './metrics.js';
 import {
@@ -16,11 +17,17 @@
   readonly metrics: Metrics;
 }
 
-/** Notices in the answers of another store when that store was restored from an older copy. */
+/**
+ * Passes calls to another store and notices in its answers when that store was restored from an
+ * older copy. Watches of the era before fail then.
+ */
 export class EraAwareStore extends ObjectStore {
   /** The newest version of the store seen in any answer. */
   private newest: StoreVersion | undefined;
 
+  /** Fail the watches that wait for an answer. */
+  private readonly waiting = new Set<() => void>();
+
   constructor(private readonly options: EraAwareStoreOptions) {
     super();
   }
@@ -37,9 +44,11 @@
     return listing;
   }
 
-  override async watch(kind: string, revision: number, waitMs: number): Promise<StoreChanges> {
-    const changes = await this.options.store.watch(kind, revision, waitMs);
+  override async watch(kind: string, from: StoreVersion, waitMs: Millis): Promise<StoreChanges> {
+    const changes = await this.watchInEra(kind, from, waitMs);
     this.handleVersion(changes);
+    // The revision has been given out again, so changes before it are missing from the answer.
+    if (changes.era !== from.era) throw new HistoryGoneError('the watch began in an earlier era');
     return changes;
   }
 
@@ -55,16 +64,33 @@
     return outcome;
   }
 
+  /** Waits for the answer of a watch, or fails at the first answer of a later era. */
+  private async watchInEra(
+    kind: string,
+    from: StoreVersion,
+    waitMs: Millis,
+  ): Promise<StoreChanges> {
+    return new Promise((resolve, reject) => {
+      const fail = (): void => reject(new HistoryGoneError('the store was restored'));
+      this.waiting.add(fail);
+      this.options.store
+        .watch(kind, from, waitMs)
+        .then(resolve, reject)
+        .finally(() => this.waiting.delete(fail));
+    });
+  }
+
   private handleVersion({ era, revision }: StoreVersion): void {
     const before = this.newest;
     if (before && compareStoreVersions({ era, revision }, before) <= 0) return;
     this.newest = { era, revision };
     if (!before || before.era === era) return;
     const { log, metrics } = this.options;
-    metrics.storeEras.inc();
+    metrics.storeRestorations.inc();
     log.warn('store restored from an older copy', {
-      ...{ era, revision },
+      ...{ era, revision, watches: this.waiting.size },
       ...{ eraBefore: before.era, revisionBefore: before.revision },
     });
+    this.waiting.forEach((fail) => fail());
   }
 }
--- a/packages/engine/src/metrics.ts
+++ b/packages/engine/src/metrics.ts
@@ -38,7 +38,7 @@
   ]);
 
   /** Returns of the platform's store from an older copy, as seen by this process. */
-  readonly storeEras = createCounter(
+  readonly storeRestorations = createCounter(
     this.registry,
     'store_restorations_total',
     'Returns of the store from an older copy',
--- a/packages/engine/src/store.ts
+++ b/packages/engine/src/store.ts
@@ -1,4 +1,4 @@
-import type { StoreVersion } from '@shallotpick/core';
+import type { Millis, StoreVersion } from '@shallotpick/core';
 
 /** An object of the platform's store. */
 export interface StoredObject {
@@ -47,11 +47,11 @@
   abstract list(kind: string, mayBeStale?: boolean): Promise<StoreListing>;
 
   /**
-   * Waits up to `waitMs` for changes of a kind after `revision`.
+   * Waits up to `waitMs` for changes of a kind after a version of the store.
    *
-   * @throws HistoryGoneError when the store no longer keeps the changes after `revision`.
+   * @throws HistoryGoneError when the store no longer has the changes after that version.
    */
-  abstract watch(kind: string, revision: number, waitMs: number): Promise<StoreChanges>;
+  abstract watch(kind: string, from: StoreVersion, waitMs: Millis): Promise<StoreChanges>;
 
   /** Writes an object if its revision is still `revision`; 0 means that it must not exist. */
   abstract write(kind: string, name: string, spec: unknown, revision: number): Promise<StoreWrite>;
--- a/packages/engine/src/watcher.ts
+++ b/packages/engine/src/watcher.ts
@@ -1,4 +1,4 @@
-import { Backoff, type Clock, type Millis } from '@shallotpick/core';
+import { Backoff, type Clock, type Millis, type StoreVersion } from '@shallotpick/core';
 import { HistoryGoneError } from './errors.js';
 import type { Log } from './log.js';
 import type { ObjectStore, StoredObject } from './store.js';
@@ -35,7 +35,8 @@
 export class ObjectWatcher {
   private isStopped = false;
 
-  private revision: number | undefined;
+  /** Version from which the next watch starts; undefined when the objects must be listed. */
+  private position: StoreVersion | undefined;
 
   private isUnreachable = false;
 
@@ -74,8 +75,8 @@
     while (!this.isStopped) {
       try {
         await this.waitUntilNeeded();
-        if (this.revision === undefined) await this.list();
-        else await this.watch(this.revision);
+        if (this.position === undefined) await this.list();
+        else await this.watch(this.position);
         this.handleAnswer();
       } catch (error) {
         await this.handleFailure(error);
@@ -87,7 +88,7 @@
   private async waitUntilNeeded(): Promise<void> {
     const isNeeded = this.options.isNeeded ?? (() => true);
     while (!isNeeded() && !this.isStopped) {
-      this.revision = undefined;
+      this.position = undefined;
       this.answeredAt = undefined;
       await wait(NEED_POLL_MS);
     }
@@ -97,14 +98,14 @@
     const { store, kind, onListing } = this.options;
     const { objects, revision, era } = await store.list(kind);
     onListing(objects, era);
-    this.revision = revision;
+    this.position = { era, revision };
   }
 
-  private async watch(revision: number): Promise<void> {
+  private async watch(from: StoreVersion): Promise<void> {
     const { store, kind, watchMs, onChange } = this.options;
-    const { changes, revision: next, era } = await store.watch(kind, revision, watchMs);
+    const { changes, revision: next, era } = await store.watch(kind, from, watchMs);
     changes.forEach(({ object, isDeleted }) => onChange(object, isDeleted, era));
-    this.revision = next;
+    this.position = { era, revision: next };
     if (changes.length > 0) await wait(this.computePause());
   }
 
@@ -125,7 +126,7 @@
   private async handleFailure(error: unknown): Promise<void> {
     const { clock, log, kind } = this.options;
     // Changes may have been missed, since the next call may reach another server of the store.
-    this.revision = undefined;
+    this.position = undefined;
     if (error instanceof HistoryGoneError) {
       log.info('watch revision no longer available, listing again', { kind });
       return;
--- /dev/null
+++ b/packages/engine/test/era.spec.ts
@@ -0,0 +1,77 @@
+import { expect } from 'earl';
+import {
+  createEngineLog,
+  EraAwareStore,
+  HistoryGoneError,
+  Metrics,
+  ObjectWatcher,
+  type StoreChanges,
+  SystemClock,
+  wait,
+} from '../src/index.js';
+import { FakeStore } from './store.js';
+
+const KIND = 'instances';
+const LONG_WATCH_MS = 60_000;
+
+/** Store whose watches are not answered. */
+class SlowStore extends FakeStore {
+  override async watch(): Promise<StoreChanges> {
+    await wait(LONG_WATCH_MS);
+    throw new Error('the watch was not left');
+  }
+}
+
+function createStore<T extends FakeStore>(store: T): { inner: T; outer: EraAwareStore } {
+  const options = { log: createEngineLog('error', 'test'), metrics: new Metrics() };
+  return { inner: store, outer: new EraAwareStore({ store, ...options }) };
+}
+
+async function describeOutcome(call: Promise<unknown>): Promise<string> {
+  return call.then(
+    () => 'answered',
+    (error: Error) => error.constructor.name,
+  );
+}
+
+describe('EraAwareStore', () => {
+  // The restored store had reached the watched revision again, so that a watch told only what came
+  // later: a configuration that was written in between stayed unknown.
+  it('fails a watch that is answered in a later era than its revision', async () => {
+    const { inner, outer } = createStore(new FakeStore());
+    inner.put(KIND, 'a', {});
+    const from = await outer.list(KIND);
+    inner.restore(KIND, [['b', {}]], from.revision);
+    expect(await describeOutcome(outer.watch(KIND, from, 100))).toEqual(HistoryGoneError.name);
+  });
+
+  it('fails waiting watches once another answer names a later era', async () => {
+    const { inner, outer } = createStore(new SlowStore());
+    const from = await outer.list(KIND);
+    const watch = describeOutcome(outer.watch(KIND, from, LONG_WATCH_MS));
+    inner.restore(KIND, [], from.revision);
+    await outer.find(KIND, 'a');
+    expect(await watch).toEqual(HistoryGoneError.name);
+  });
+});
+
+describe('ObjectWatcher on a store that comes back from an older copy', () => {
+  // Guards against a configuration or a leaving instance that is noticed only seconds later.
+  it('lists the objects anew, whatever revision the store has reached', async () => {
+    const { inner, outer } = createStore(new FakeStore());
+    inner.put(KIND, 'a', {});
+    const seen: string[] = [];
+    const watcher = new ObjectWatcher({
+      ...{ kind: KIND, watchMs: 1_000, store: outer, clock: new SystemClock() },
+      ...{ log: createEngineLog('error', 'test'), random: () => 0 },
+      onListing: (objects) => seen.push(objects.map(({ name }) => name).join()),
+      onChange: () => undefined,
+    });
+    watcher.start();
+    await wait(100);
+    inner.restore(KIND, [['b', {}]], 90);
+    await wait(300);
+    watcher.stop();
+    expect(seen).toEqual(['a', 'b']);
+  });
+});
--- a/packages/engine/test/store.ts
+++ b/packages/engine/test/store.ts
@@ -1,4 +1,9 @@
-import { DEFAULT_CONTRACT, type RegisteredInstance } from '@shallotpick/core';
+import {
+  DEFAULT_CONTRACT,
+  type PromotionAnswer,
+  type RegisteredInstance,
+  type StoreVersion,
+} from '@shallotpick/core';
 import {
   type GroupSettings,
   ObjectStore,
@@ -21,6 +26,14 @@
   /** Rises when a test restores the store from an older copy. */
   era = 1;
 
+  /** Comes back with only the given objects, as from an older copy. */
+  restore(kind: string, objects: readonly (readonly [string, unknown])[], revision: number): void {
+    this.era += 1;
+    this.revision = revision;
+    this.kinds.set(kind, new Map());
+    objects.forEach(([name, spec]) => this.put(kind, name, spec));
+  }
+
   put(kind: string, name: string, spec: unknown): number {
     this.revision += 1;
     const objects = this.kinds.get(kind) ?? new Map<string, StoredObject>();
@@ -38,7 +51,7 @@
     return { objects, revision: this.revision, era: this.era };
   }
 
-  override async watch(kind: string, revision: number): Promise<StoreChanges> {
+  override async watch(kind: string, { revision }: StoreVersion): Promise<StoreChanges> {
     await wait(10);
     const { objects } = await this.list(kind);
     const changed = objects.filter((object) => object.revision > revision);
@@ -63,8 +76,10 @@
 
 /** Promotion service that never answers a promotion. */
 export class FakePromotions extends PromotionService {
-  override async promote(): Promise<'unknown'> {
-    return 'unknown';
+  answer: PromotionAnswer = 'unknown';
+
+  override async promote(): Promise<PromotionAnswer> {
+    return this.answer;
   }
 }
 
--- a/packages/engine/test/watcher.spec.ts
+++ b/packages/engine/test/watcher.spec.ts
@@ -1,3 +1,4 @@
+import type { StoreVersion } from '@shallotpick/core';
 import { expect } from 'earl';
 import {
   createEngineLog,
@@ -23,7 +24,7 @@
     return super.list(kind);
   }
 
-  override async watch(kind: string, revision: number): Promise<StoreChanges> {
+  override async watch(kind: string, { revision }: StoreVersion): Promise<StoreChanges> {
     await wait(10);
     const { objects, revision: now, era } = await super.list(kind);
     const changed = objects.filter((object) => object.revision > revision);
