Reject answers of an earlier era that arrive late

Cause: a list or a record that left the store before its return and arrived after a newer answer undid what that one had told; a write acknowledged before the return counted as durable. Change: such an answer is an error, such a write one without an answer, so that it is read back.

--- a/packages/engine/src/era.ts
+++ b/packages/engine/src/era.ts
@@ -1,5 +1,5 @@
 import { compareStoreVersions, type Millis, type StoreVersion } from '@shallotpick/core';
-import { HistoryGoneError } from './errors.js';
+import { HistoryGoneError, StoreError } from './errors.js';
 import type { Log } from './log.js';
 import type { Metrics } from './metrics.js';
 import {
@@ -19,7 +19,7 @@
 
 /**
  * Passes calls to another store and notices in its answers when that store was restored from an
- * older copy. Watches of the era before fail then.
+ * older copy. Watches of the era before fail then, and answers of it that arrive late are rejected.
  */
 export class EraAwareStore extends ObjectStore {
   /** The newest version of the store seen in any answer. */
@@ -34,19 +34,19 @@
 
   override async find(kind: string, name: string): Promise<StoreLookup> {
     const lookup = await this.options.store.find(kind, name);
-    this.handleVersion({ era: lookup.era, revision: lookup.object?.revision ?? 0 });
+    this.checkEra({ era: lookup.era, revision: lookup.object?.revision ?? 0 });
     return lookup;
   }
 
   override async list(kind: string, mayBeStale = false): Promise<StoreListing> {
     const listing = await this.options.store.list(kind, mayBeStale);
-    this.handleVersion(listing);
+    this.checkEra(listing);
     return listing;
   }
 
   override async watch(kind: string, from: StoreVersion, waitMs: Millis): Promise<StoreChanges> {
     const changes = await this.watchInEra(kind, from, waitMs);
-    this.handleVersion(changes);
+    this.checkEra(changes);
     // The revision has been given out again, so changes before it are missing from the answer.
     if (changes.era !== from.era) throw new HistoryGoneError('the watch began in an earlier era');
     return changes;
@@ -59,8 +59,11 @@
     revision: number,
   ): Promise<StoreWrite> {
     const outcome = await this.options.store.write(kind, name, spec, revision);
-    if (outcome.kind === 'written') this.handleVersion(outcome);
-    if (outcome.kind === 'conflict') this.handleVersion({ era: outcome.era, revision: 0 });
+    if (outcome.kind !== 'written' && outcome.kind !== 'conflict') return outcome;
+    const version = { revision: 0, ...outcome };
+    // The store may have lost what it acknowledged in an earlier era.
+    if (this.isOfEarlierEra(version)) return { kind: 'unknown' };
+    this.handleVersion(version);
     return outcome;
   }
 
@@ -80,6 +83,16 @@
     });
   }
 
+  /** @throws StoreError when the answer is of an earlier era than the newest seen. */
+  private checkEra(version: StoreVersion): void {
+    if (this.isOfEarlierEra(version)) throw new StoreError('late answer of an earlier era');
+    this.handleVersion(version);
+  }
+
+  private isOfEarlierEra({ era }: StoreVersion): boolean {
+    return this.newest !== undefined && era < this.newest.era;
+  }
+
   private handleVersion({ era, revision }: StoreVersion): void {
     const before = this.newest;
     if (before && compareStoreVersions({ era, revision }, before) <= 0) return;
--- a/packages/engine/test/era.spec.ts
+++ b/packages/engine/test/era.spec.ts
@@ -6,6 +6,8 @@
   Metrics,
   ObjectWatcher,
   type StoreChanges,
+  type StoreListing,
+  StoreError,
   SystemClock,
   wait,
 } from '../src/index.js';
@@ -14,8 +16,16 @@
 const KIND = 'instances';
 const LONG_WATCH_MS = 60_000;
 
-/** Store whose watches are not answered. */
+/** Store whose watches wait until they are answered by hand, and whose lists may be delayed. */
 class SlowStore extends FakeStore {
+  heldList: Promise<void> | undefined;
+
+  override async list(kind: string): Promise<StoreListing> {
+    const listing = await super.list(kind);
+    await this.heldList;
+    return listing;
+  }
+
   override async watch(): Promise<StoreChanges> {
     await wait(LONG_WATCH_MS);
     throw new Error('the watch was not left');
@@ -53,6 +63,31 @@
     await outer.find(KIND, 'a');
     expect(await watch).toEqual(HistoryGoneError.name);
   });
+
+  // A list of before the return arrived after one of after it, and undid what that one had told.
+  it('rejects an answer of an earlier era that arrives late', async () => {
+    const { inner, outer } = createStore(new SlowStore());
+    let release = (): void => undefined;
+    inner.heldList = new Promise((resolve) => {
+      release = resolve;
+    });
+    const late = describeOutcome(outer.list(KIND));
+    await wait(1);
+    inner.heldList = undefined;
+    inner.restore(KIND, [], 0);
+    await outer.list(KIND);
+    release();
+    expect(await late).toEqual(StoreError.name);
+  });
+
+  // The write may be lost, so that it must not count.
+  it('takes a write that was acknowledged in an earlier era for one without an answer', async () => {
+    const { inner, outer } = createStore(new FakeStore());
+    inner.era = 2;
+    await outer.list(KIND);
+    inner.era = 1;
+    expect(await outer.write(KIND, 'a', {}, 0)).toEqual({ kind: 'unknown' });
+  });
 });
 
 describe('ObjectWatcher on a store that comes back from an older copy', () => {
