Write a conflicting heartbeat again in the same round

Cause: a heartbeat is written on condition of the revision that this VM wrote last. After a return of the store from an older copy that write conflicted, and only the next round, 10 s later, made it good; up to 10 s of heartbeats were lost before, so that other VMs could drop a live VM (25 s), and with it its ranks and its part of the connections. Change: after a conflict the heartbeat is written on the object that the store holds. A restarted process registers in its first round as well.

--- a/packages/engine/src/fleet.ts
+++ b/packages/engine/src/fleet.ts
@@ -1,6 +1,6 @@
 import { type Clock, type Millis, rankVms } from '@shallotpick/core';
 import type { Log } from './log.js';
-import type { ObjectStore, StoredObject } from './store.js';
+import type { ObjectStore, StoredObject, StoreWrite } from './store.js';
 
 /** Store kind of the objects that hold the VMs' heartbeats. */
 export const VMS_KIND = 'proxies';
@@ -168,9 +168,17 @@
   }
 
   private async writeHeartbeat(): Promise<void> {
-    const { store, vm, zone, startedAt, link } = this.options;
+    const { zone, startedAt, link } = this.options;
     this.beat += 1;
     const spec: VmSpec = { beat: this.beat, startedAt, zone, ...link };
+    const outcome = await this.writeSpec(spec);
+    // The store holds the object of a former process, or an older one after a restoration.
+    if (outcome === 'conflict') await this.writeSpec(spec);
+  }
+
+  /** Writes this VM's object; when that fails, notes the revision on which the next write rests. */
+  private async writeSpec(spec: VmSpec): Promise<StoreWrite['kind']> {
+    const { store, vm } = this.options;
     const outcome = await store.write(VMS_KIND, vm, spec, this.revision);
     if (outcome.kind === 'written') {
       this.revision = outcome.revision;
@@ -178,6 +186,7 @@
       const { object } = await store.find(VMS_KIND, vm);
       this.revision = object?.revision ?? 0;
     }
+    return outcome.kind;
   }
 
   private async readHeartbeats(): Promise<void> {
--- a/packages/engine/src/index.ts
+++ b/packages/engine/src/index.ts
@@ -16,7 +16,7 @@
   WrongInstanceError,
 } from './errors.js';
 export { Fleet, VMS_KIND } from './fleet.js';
-export type { VmAddress } from './fleet.js';
+export type { FleetOptions, VmAddress } from './fleet.js';
 export { Forwarding } from './forwarding.js';
 export type { CreateForwarding, ForwardingHost, HomeStatus } from './forwarding.js';
 export { ObjectWatcher } from './watcher.js';
