Take only a later heartbeat for a sign of life

Cause: any change of a VM's object counted as a heartbeat. A store that comes back from an older copy, or a list that may be stale, returns older beats, so that a VM that had left was counted, ranked and chosen as a home for 25 s more. Change: a heartbeat counts if its VM has restarted or its number is higher. Measured: fleet.spec.ts, 'does not take an older heartbeat', fails before the change and passes after it.

--- a/packages/engine/src/fleet.ts
+++ b/packages/engine/src/fleet.ts
@@ -48,13 +48,17 @@
 
 /** The last heartbeat of a VM and when this VM first read it. */
 interface SeenHeartbeat {
-  readonly beat: string;
+  readonly spec: Partial<VmSpec>;
   readonly address: VmAddress;
   readonly at: Millis;
 }
 
-function decodeAddress(id: string, spec: unknown): VmAddress {
-  const { zone, host, port } = (spec ?? {}) as Partial<VmSpec>;
+/** True when `spec` tells of a later moment than `known`: a restart of the VM or a later beat. */
+function isNewHeartbeat({ startedAt, beat = 0 }: Partial<VmSpec>, known: Partial<VmSpec>): boolean {
+  return startedAt !== known.startedAt || beat > (known.beat ?? 0);
+}
+
+function decodeAddress(id: string, { zone, host, port }: Partial<VmSpec>): VmAddress {
   const hasAddress = typeof host === 'string' && Number.isInteger(port);
   return {
     id,
@@ -122,7 +126,7 @@
     const known = this.seen.get(vm);
     if (known?.address.host === host) return known.address;
     const { object } = await this.options.store.find(VMS_KIND, vm);
-    return object && decodeAddress(vm, object.spec);
+    return object && decodeAddress(vm, object.spec as Partial<VmSpec>);
   }
 
   /** This VM's rank for a duty among the VMs of reachable zones; rank 0 acts first. */
@@ -208,11 +212,11 @@
     this.options.onChange();
   }
 
-  private handleHeartbeat({ name, spec }: StoredObject, now: Millis): void {
-    const { beat, startedAt } = spec as Partial<VmSpec>;
-    const text = `${startedAt}/${beat}`;
+  private handleHeartbeat({ name, spec: content }: StoredObject, now: Millis): void {
+    const spec = content as Partial<VmSpec>;
     const known = this.seen.get(name);
-    if (known?.beat === text) return;
-    this.seen.set(name, { beat: text, address: decodeAddress(name, spec), at: now });
+    // A list that may be stale, or a store restored from an older copy, returns older beats.
+    if (known && !isNewHeartbeat(spec, known.spec)) return;
+    this.seen.set(name, { spec, address: decodeAddress(name, spec), at: now });
   }
 }
--- a/packages/engine/test/fleet.spec.ts
+++ b/packages/engine/test/fleet.spec.ts
@@ -1,3 +1,4 @@
+import { Clock } from '@shallotpick/core';
 import { expect } from 'earl';
 import {
   createEngineLog,
@@ -11,6 +12,15 @@
 
 const HEARTBEAT_ROUND_MS = 1_700;
 
+/** Clock that a test moves. */
+class ManualClock extends Clock {
+  now = 0;
+
+  override readNow(): number {
+    return this.now;
+  }
+}
+
 function createFleet(store: FakeStore, options: Partial<FleetOptions> = {}): Fleet {
   return new Fleet({
     ...{ vm: 'vm-1', zone: 'z', store, clock: new SystemClock(), startedAt: 1 },
@@ -34,6 +44,27 @@
     expect((object?.spec as { beat?: number }).beat).toEqual(2);
   });
 
+  // Each change of the object counted as a sign of life, so that a VM that had left was live again
+  // for 25 s after a return of the store from an older copy.
+  it('does not take an older heartbeat for a sign of life', async () => {
+    const store = new FakeStore();
+    const clock = new ManualClock();
+    const register = (beat: number): void => {
+      store.put(VMS_KIND, 'vm-2', { beat, startedAt: 1, zone: 'z' });
+    };
+    register(5);
+    const fleet = createFleet(store, { clock });
+    fleet.start();
+    await wait(100);
+    clock.now = 20_000;
+    register(4);
+    await wait(HEARTBEAT_ROUND_MS);
+    clock.now = 30_000;
+    await wait(HEARTBEAT_ROUND_MS);
+    fleet.stop();
+    expect(fleet.listLiveVms().map(({ id }) => id)).toEqual(['vm-1']);
+  });
+
   // Ports are the same on all VMs, so that a VM that came back at another host under its name and
   // port went unnoticed, and its links were opened to the old host.
   it('reports a VM that has registered another host', async () => {
