Ignore heartbeat objects without content

Cause: one object of the kind whose spec was null made every round of every VM fail, so that the list of live VMs stood still. Change: heartbeats are decoded; an unusable one is no VM. Measured: fleet.spec.ts, 'goes on when another writer has left', fails before the change and passes after it.

--- a/packages/engine/src/fleet.ts
+++ b/packages/engine/src/fleet.ts
@@ -48,21 +48,28 @@
 
 /** The last heartbeat of a VM and when this VM first read it. */
 interface SeenHeartbeat {
-  readonly spec: Partial<VmSpec>;
+  readonly spec: VmSpec;
   readonly address: VmAddress;
   readonly at: Millis;
 }
 
 /** True when `spec` tells of a later moment than `known`: a restart of the VM or a later beat. */
-function isNewHeartbeat({ startedAt, beat = 0 }: Partial<VmSpec>, known: Partial<VmSpec>): boolean {
-  return startedAt !== known.startedAt || beat > (known.beat ?? 0);
+function isNewHeartbeat({ startedAt, beat }: VmSpec, known: VmSpec): boolean {
+  return startedAt !== known.startedAt || beat > known.beat;
 }
 
-function decodeAddress(id: string, { zone, host, port }: Partial<VmSpec>): VmAddress {
+/** Decodes a heartbeat; undefined when the object isn't a usable one. */
+function decodeHeartbeat({ spec }: StoredObject): VmSpec | undefined {
+  const { beat, startedAt, ...rest } = (spec ?? {}) as Partial<VmSpec>;
+  if (typeof beat !== 'number' || typeof startedAt !== 'number') return undefined;
+  return { ...rest, beat, startedAt, zone: typeof rest.zone === 'string' ? rest.zone : '' };
+}
+
+function decodeAddress(id: string, { zone, host, port }: VmSpec): VmAddress {
   const hasAddress = typeof host === 'string' && Number.isInteger(port);
   return {
     id,
-    zone: typeof zone === 'string' ? zone : '',
+    zone,
     ...(hasAddress ? { host, port } : { host: '', port: undefined }),
   };
 }
@@ -126,7 +133,8 @@
     const known = this.seen.get(vm);
     if (known?.address.host === host) return known.address;
     const { object } = await this.options.store.find(VMS_KIND, vm);
-    return object && decodeAddress(vm, object.spec as Partial<VmSpec>);
+    const spec = object && decodeHeartbeat(object);
+    return spec && decodeAddress(vm, spec);
   }
 
   /** This VM's rank for a duty among the VMs of reachable zones; rank 0 acts first. */
@@ -212,8 +220,10 @@
     this.options.onChange();
   }
 
-  private handleHeartbeat({ name, spec: content }: StoredObject, now: Millis): void {
-    const spec = content as Partial<VmSpec>;
+  private handleHeartbeat(object: StoredObject, now: Millis): void {
+    const { name } = object;
+    const spec = decodeHeartbeat(object);
+    if (!spec) return;
     const known = this.seen.get(name);
     // A list that may be stale, or a store restored from an older copy, returns older beats.
     if (known && !isNewHeartbeat(spec, known.spec)) return;
--- a/packages/engine/test/fleet.spec.ts
+++ b/packages/engine/test/fleet.spec.ts
@@ -65,6 +65,17 @@
     expect(fleet.listLiveVms().map(({ id }) => id)).toEqual(['vm-1']);
   });
 
+  // One object that was null ended every round of this VM.
+  it('goes on when another writer has left a heartbeat without content', async () => {
+    const store = new FakeStore();
+    store.put(VMS_KIND, 'vm-2', null);
+    const fleet = createFleet(store);
+    fleet.start();
+    await wait(100);
+    fleet.stop();
+    expect(fleet.countLiveVms()).toEqual(1);
+  });
+
   // Ports are the same on all VMs, so that a VM that came back at another host under its name and
   // port went unnoticed, and its links were opened to the old host.
   it('reports a VM that has registered another host', async () => {
