Keep an instance leaving when its entry is from an older copy

Cause: the newest entry decided. An entry of a store that came back from an older copy says 'ready' for an instance that has announced that it leaves, or lists one that has left, until the instance has written again. Change: the roster keeps an instance leaving while its start time is the same, also after its entry was removed. Measured: roster.spec.ts, 'keeps an instance leaving', fails before the change and passes after it.

--- a/packages/core/src/roster.ts
+++ b/packages/core/src/roster.ts
@@ -4,6 +4,9 @@
 /** Time within which live instances whose entries expired in a store outage register again. */
 const MISSING_TIMEOUT_MS: Millis = 2_500;
 
+/** Number of departed instances that are remembered. */
+const MAX_DEPARTED = 1_000;
+
 /** An instance as it registered itself. */
 export interface RegisteredInstance extends DatabaseInstance {
   readonly group: string;
@@ -27,6 +30,9 @@
 export class InstanceRoster {
   private readonly listed = new Map<string, RosterEntry>();
 
+  /** Start times of instances that were leaving when they were dropped. */
+  private readonly departed = new Map<string, number>();
+
   constructor(private readonly onChange: () => void) {}
 
   /** Lists all instances, including those whose entry went missing recently. */
@@ -51,11 +57,21 @@
     instances.forEach((instance) => this.update(instance));
   }
 
-  update(instance: RegisteredInstance): void {
+  update(registered: RegisteredInstance): void {
+    const instance = this.hasAnnouncedLeaving(registered)
+      ? { ...registered, leaving: true }
+      : registered;
     this.listed.set(instance.id, { instance, missingSince: undefined });
     this.onChange();
   }
 
+  /** An instance that leaves never stays, but a registry restored from an older copy says so. */
+  private hasAnnouncedLeaving({ id, startedAt }: RegisteredInstance): boolean {
+    const known = this.find(id);
+    if (known?.startedAt === startedAt) return known.leaving === true;
+    return this.departed.get(id) === startedAt;
+  }
+
   /** Handles a removed entry; the instance stays listed for a while unless it was leaving. */
   remove(id: string, now: Millis): void {
     const listed = this.listed.get(id);
@@ -78,7 +94,16 @@
   }
 
   private drop(id: string): void {
+    const instance = this.find(id);
     this.listed.delete(id);
+    if (instance?.leaving) this.rememberDeparture(instance);
     this.onChange();
   }
+
+  private rememberDeparture({ id, startedAt }: RegisteredInstance): void {
+    this.departed.delete(id);
+    this.departed.set(id, startedAt);
+    const [oldest] = this.departed.keys();
+    if (this.departed.size > MAX_DEPARTED && oldest !== undefined) this.departed.delete(oldest);
+  }
 }
--- a/packages/core/test/roster.spec.ts
+++ b/packages/core/test/roster.spec.ts
@@ -1,9 +1,9 @@
 import { expect } from 'earl';
 import { InstanceRoster, type RegisteredInstance } from '../src/index.js';
 
-const createInstance = (id: string, leaving = false): RegisteredInstance => ({
+const createInstance = (id: string, leaving = false, startedAt = 1): RegisteredInstance => ({
   ...{ id, group: 'g', zone: 'z', host: 'h', port: 1, slots: 2, connectionLimit: 16 },
-  ...{ leaving, role: 'replica', startedAt: 1 },
+  ...{ leaving, role: 'replica', startedAt },
 });
 
 const listIds = (roster: InstanceRoster): readonly string[] => roster.list().map(({ id }) => id);
@@ -40,4 +40,23 @@
     roster.remove('a', 0);
     expect(listIds(roster)).toEqual([]);
   });
+
+  // Guards against new work on an instance that is leaving, after the registry came back from a
+  // copy that is older than its announcement.
+  it('keeps an instance leaving, also when its entry says otherwise later', () => {
+    const roster = new InstanceRoster(() => undefined);
+    roster.update(createInstance('a', true));
+    roster.update(createInstance('a'));
+    expect(roster.find('a')?.leaving).toEqual(true);
+    roster.remove('a', 0);
+    roster.update(createInstance('a'));
+    expect(roster.find('a')?.leaving).toEqual(true);
+  });
+
+  it('takes an instance that was leaving into service again once it has restarted', () => {
+    const roster = new InstanceRoster(() => undefined);
+    roster.update(createInstance('a', true));
+    roster.update(createInstance('a', false, 2));
+    expect(roster.find('a')?.leaving).toEqual(false);
+  });
 });
