Bring the stand-in of the object API back from older copies

Change: StandinPlatform.restore goes back by some seconds; every response names the era, a write may name the era that it belongs to and conflicts in another one. The log of changes that can be undone is shared with the emulated store.

--- a/packages/emulator/src/store.ts
+++ b/packages/emulator/src/store.ts
@@ -1,7 +1,5 @@
 import type { Millis } from '@shallotpick/core';
-
-/** How long changes can be undone. */
-const UNDO_MS: Millis = 30_000;
+import { UndoLog } from '@shallotpick/standin';
 
 /** Metadata of a stored object. */
 export interface ObjectMeta {
@@ -32,8 +30,7 @@
   | { readonly kind: 'notFound' };
 
 /** A change and what it replaced. */
-interface UndoEntry {
-  readonly at: Millis;
+interface Change {
   readonly kind: string;
   readonly name: string;
   /** The object before the change; undefined when it did not exist. */
@@ -48,8 +45,7 @@
   /** Rises with each restoration. */
   era = 1;
 
-  /** Recent changes, oldest first. */
-  private undoLog: UndoEntry[] = [];
+  private readonly undoLog = new UndoLog<Change>();
 
   /** Revision up to which the change history has been compacted. */
   private compactedRevision = 0;
@@ -89,7 +85,7 @@
     if (known && JSON.stringify(known.spec) === JSON.stringify(spec)) {
       return { kind: 'written', object: known };
     }
-    this.addUndoEntry(kind, name, known);
+    this.undoLog.add({ kind, name, before: known, revisionBefore: this.revision });
     this.revision += 1;
     const created = known?.meta.created ?? this.revision;
     const object: EmulatedObject = { meta: { name, revision: this.revision, created }, spec };
@@ -102,7 +98,7 @@
   remove(kind: string, name: string): WriteResult {
     const known = this.find(kind, name);
     if (!known) return { kind: 'notFound' };
-    this.addUndoEntry(kind, name, known);
+    this.undoLog.add({ kind, name, before: known, revisionBefore: this.revision });
     this.revision += 1;
     this.kinds.get(kind)?.delete(name);
     const object = { ...known, meta: { ...known.meta, revision: this.revision } };
@@ -112,10 +108,7 @@
 
   /** Comes back as it was `ageMs` ago: later changes are lost and revisions are given out again. */
   restore(ageMs: Millis): void {
-    const copiedAt = performance.now() - ageMs;
-    const lost = this.undoLog.filter(({ at }) => at > copiedAt);
-    this.undoLog = this.undoLog.filter(({ at }) => at <= copiedAt);
-    lost.reverse().forEach((entry) => this.undo(entry));
+    this.undoLog.takeRecent(ageMs).forEach((change) => this.undo(change));
     this.events = this.events.filter(({ revision }) => revision <= this.revision);
     this.compactedRevision = Math.min(this.compactedRevision, this.revision);
     this.era += 1;
@@ -152,13 +145,7 @@
     });
   }
 
-  private addUndoEntry(kind: string, name: string, before: EmulatedObject | undefined): void {
-    const at = performance.now();
-    const recent = this.undoLog.filter((entry) => at - entry.at < UNDO_MS);
-    this.undoLog = [...recent, { at, kind, name, before, revisionBefore: this.revision }];
-  }
-
-  private undo({ kind, name, before, revisionBefore }: UndoEntry): void {
+  private undo({ kind, name, before, revisionBefore }: Change): void {
     const objects = this.kinds.get(kind);
     if (before) objects?.set(name, before);
     else objects?.delete(name);
--- a/packages/standin/src/index.ts
+++ b/packages/standin/src/index.ts
@@ -6,3 +6,4 @@
 export type { StandinInstanceOptions } from './instance.js';
 export { StandinPlatform } from './platform.js';
 export type { PlatformFaults } from './platform.js';
+export { UndoLog } from './undolog.js';
--- a/packages/standin/src/platform.ts
+++ b/packages/standin/src/platform.ts
@@ -1,5 +1,6 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { PlatformObject, ListedVm } from '@shallotpick/core';
+import { UndoLog } from './undolog.js';
 
 const WATCH_TIMEOUT_MS = 5_000;
 const MAX_VALUE_BYTES = 1_048_576;
@@ -44,6 +45,14 @@
   readonly version: number;
 }
 
+/** A change and what it replaced. */
+interface Change {
+  readonly key: string;
+  /** The object before the change; undefined when it did not exist. */
+  readonly before: StoredObject | undefined;
+  readonly revisionBefore: number;
+}
+
 async function readBody(request: IncomingMessage): Promise<string> {
   const chunks: Buffer[] = [];
   for await (const chunk of request) chunks.push(chunk as Buffer);
@@ -69,6 +78,11 @@
 
   private revision = 0;
 
+  /** Rises with each restoration; sent with every response. */
+  private era = 1;
+
+  private readonly undoLog = new UndoLog<Change>();
+
   /** Revision up to which the change history has been compacted. */
   private compactedRevision = 0;
 
@@ -100,11 +114,20 @@
 
   /** Writes an object unconditionally, as the platform's own processes do. */
   set(key: string, value: string): void {
+    this.undoLog.add({ key, before: this.objects.get(key), revisionBefore: this.revision });
     this.revision += 1;
     this.objects.set(key, { value, version: this.revision });
     this.watchers.forEach((wake) => wake());
   }
 
+  /** Comes back as it was `ageMs` ago: later changes are lost and versions are given out again. */
+  restore(ageMs: number): void {
+    this.undoLog.takeRecent(ageMs).forEach((change) => this.undo(change));
+    this.compactedRevision = Math.min(this.compactedRevision, this.revision);
+    this.era += 1;
+    this.watchers.forEach((wake) => wake());
+  }
+
   /** Drops the change history, so that a watch from an older revision gets 410. */
   compactHistory(): void {
     this.compactedRevision = this.revision;
@@ -123,6 +146,7 @@
         setTimeout(resolve, this.faults.delayMs);
       });
     }
+    response.setHeader('store-era', this.era);
     if (this.faults.isDown) {
       response.writeHead(503).end();
       return;
@@ -151,6 +175,7 @@
   private respond(response: ServerResponse, status: number, value: unknown): void {
     const text = JSON.stringify(value);
     this.callCounts.bytes += Buffer.byteLength(text);
+    response.setHeader('store-era', this.era);
     response.writeHead(status, { 'content-type': 'application/json' });
     response.end(text);
   }
@@ -183,7 +208,10 @@
     }
     const expected = request.headers['if-none-match'] === '*' ? 0 : request.headers['if-match'];
     const version = this.objects.get(key)?.version ?? 0;
-    if (expected !== undefined && Number(expected) !== version) {
+    const isOfEra = [undefined, String(this.era)].includes(
+      request.headers['store-era']?.toString(),
+    );
+    if (!isOfEra || (expected !== undefined && Number(expected) !== version)) {
       this.respond(response, 412, { version });
       return;
     }
@@ -207,7 +235,9 @@
     }
     const deadline = Date.now() + WATCH_TIMEOUT_MS;
     let objects = this.listObjectsAfter(prefix, from);
-    while (objects.length === 0 && Date.now() < deadline && !response.destroyed) {
+    const { era } = this;
+    const isWaiting = (): boolean => this.era === era && Date.now() < deadline;
+    while (objects.length === 0 && isWaiting() && !response.destroyed) {
       await this.waitForChange(deadline - Date.now(), response);
       objects = this.listObjectsAfter(prefix, from);
     }
@@ -215,6 +245,12 @@
     else this.respond(response, 200, { revision: this.revision, objects });
   }
 
+  private undo({ key, before, revisionBefore }: Change): void {
+    if (before) this.objects.set(key, before);
+    else this.objects.delete(key);
+    this.revision = revisionBefore;
+  }
+
   private async waitForChange(timeoutMs: number, response: ServerResponse): Promise<void> {
     await new Promise<void>((resolve) => {
       const wake = (): void => {
