Include the store's era in the versions of the object API

Callers' view: none seen; after a return of the store no failover of a group, since each VM ignored its record, until the counter had caught up. Cause: versions and revisions were compared as if they only rose. After a return from an older copy a record with a lower version was ignored, a conditional write met its condition by chance, and a watch missed what lay before the revision that the store had reached again. Change: HttpPlatform encodes the era as the leading part of versions and revisions; a write or a watch names its era and conflicts, or ends, in another one; responses of an earlier era that arrive late are errors.

--- a/packages/core/src/recordview.ts
+++ b/packages/core/src/recordview.ts
@@ -1,11 +1,8 @@
 import type { Millis } from './clock.js';
-import { compareStoreVersions, type StoreVersion } from './storeversion.js';
+import { compareStoreVersions, encodeStoreVersion, type StoreVersion } from './storeversion.js';
 import { ATTEMPT_TIMEOUT_MS } from './takeoverstep.js';
 import type { PromotionRecord } from './takeovertypes.js';
 
-/** Revisions of one era in the range of fencing tokens; tokens of later eras are above it. */
-const TOKENS_PER_ERA = 2 ** 32;
-
 /** What one VM knows of a group's promotion record in the store. */
 export class PromotionRecordView {
   record: PromotionRecord | undefined;
@@ -73,8 +70,8 @@
    * Fencing token of a claim that was written at `version`. The store gives each revision of an era
    * to one write, so tokens are unique and rise, also across eras.
    */
-  computeToken({ era, revision }: StoreVersion): number {
-    return era * TOKENS_PER_ERA + revision;
+  computeToken(version: StoreVersion): number {
+    return encodeStoreVersion(version);
   }
 
   protected isOutdated(version: StoreVersion): boolean {
--- a/packages/core/src/storeversion.ts
+++ b/packages/core/src/storeversion.ts
@@ -1,3 +1,6 @@
+/** Revisions of one era in the range of encoded versions; those of later eras are above it. */
+const REVISIONS_PER_ERA = 2 ** 32;
+
 /** A point in the history of the platform's store. */
 export interface StoreVersion {
   /**
@@ -12,3 +15,14 @@
 export function compareStoreVersions(a: StoreVersion, b: StoreVersion): number {
   return a.era - b.era || a.revision - b.revision;
 }
+
+/** Encodes a version as a number that rises across eras. */
+export function encodeStoreVersion({ era, revision }: StoreVersion): number {
+  return era * REVISIONS_PER_ERA + revision;
+}
+
+/** Decodes a number that {@link encodeStoreVersion} returned. */
+export function decodeStoreVersion(encoded: number): StoreVersion {
+  const revision = encoded % REVISIONS_PER_ERA;
+  return { era: (encoded - revision) / REVISIONS_PER_ERA, revision };
+}
--- a/packages/daemon/src/platform.ts
+++ b/packages/daemon/src/platform.ts
@@ -1,5 +1,7 @@
 import {
   CompactedError,
+  decodeStoreVersion,
+  encodeStoreVersion,
   type Millis,
   Platform,
   type PlatformListing,
@@ -32,6 +34,8 @@
 const MAX_BREAK_MS: Millis = 2_000;
 const STATUS_TOO_MANY = 429;
 const STATUS_GONE = 410;
+/** Rises by one each time the store comes back from an older copy. */
+const ERA_HEADER = 'store-era';
 
 const objectSchema = z.object({ key: z.string(), value: z.string(), version: z.number() });
 const listingSchema = z.object({ revision: z.number(), objects: z.array(objectSchema) });
@@ -54,6 +58,18 @@
   readonly timeoutMs?: Millis;
 }
 
+/** Reads the era of a response; a store that is never restored from a copy names none. */
+function readEra({ headers }: Response): number {
+  const era = Number(headers.get(ERA_HEADER) ?? 0);
+  if (!Number.isSafeInteger(era)) throw new PlatformError('invalid store era');
+  return era;
+}
+
+/** Formats the header that lets a request fail in another era; none for a store without eras. */
+function formatEra(era: number): Record<string, string> {
+  return era === 0 ? {} : { [ERA_HEADER]: String(era) };
+}
+
 /** Creates a circuit breaker that opens after consecutive failures, for longer each time. */
 function createBreaker(): IPolicy {
   const halfOpenAfter = new ExponentialBackoff({ initialDelay: BREAK_MS, maxDelay: MAX_BREAK_MS });
@@ -71,6 +87,9 @@
  * are retried with jittered backoff; a write is retried only when it was throttled, because after
  * any other failure it may have taken effect. Watches have their own circuit breaker, so that a
  * long-running watch does not occupy the call that probes whether the platform is back.
+ *
+ * Versions and revisions include the era of the store, so that they rise also when the store comes
+ * back from an older copy and gives its revisions out again.
  */
 export class HttpPlatform extends Platform {
   private readonly breaker = createBreaker();
@@ -92,6 +111,9 @@
 
   private readonly closing = new AbortController();
 
+  /** Newest era of the store seen in any response. */
+  private era = 0;
+
   constructor(private readonly options: HttpPlatformOptions) {
     super();
   }
@@ -104,7 +126,8 @@
   override async read(key: string): Promise<PlatformObject | undefined> {
     const response = await this.request('read', `/objects/${encodeURIComponent(key)}`);
     if (response.status === 404) return undefined;
-    return objectSchema.parse(await this.readJson(response));
+    const object = objectSchema.parse(await this.readJson(response));
+    return { ...object, version: this.encodeVersion(object.version, response) };
   }
 
   override async write(
@@ -112,15 +135,16 @@
     value: string,
     expectedVersion: number,
   ): Promise<PlatformWriteOutcome> {
+    const { era, revision } = decodeStoreVersion(expectedVersion);
     const condition: Record<string, string> =
-      expectedVersion === 0 ? { 'if-none-match': '*' } : { 'if-match': String(expectedVersion) };
+      revision === 0 ? { 'if-none-match': '*' } : { 'if-match': String(revision) };
+    const headers = { ...condition, ...formatEra(era) };
     try {
       const path = `/objects/${encodeURIComponent(key)}`;
-      const init = { method: 'PUT', body: value, headers: condition };
-      const response = await this.request('write', path, init);
+      const response = await this.request('write', path, { method: 'PUT', body: value, headers });
       if (response.status === 412) return { kind: 'conflict' };
       const { version } = versionSchema.parse(await this.readJson(response));
-      return { kind: 'written', version };
+      return { kind: 'written', version: this.encodeVersion(version, response) };
     } catch {
       return { kind: 'lost' };
     }
@@ -128,16 +152,18 @@
 
   override async list(prefix: string): Promise<PlatformListing> {
     const response = await this.request('list', `/objects?prefix=${encodeURIComponent(prefix)}`);
-    return listingSchema.parse(await this.readJson(response));
+    return this.readListing(response);
   }
 
-  override async watch(prefix: string, revision: number): Promise<PlatformListing> {
+  override async watch(prefix: string, from: number): Promise<PlatformListing> {
+    const { era, revision } = decodeStoreVersion(from);
     const path = `/watch?prefix=${encodeURIComponent(prefix)}&from=${revision}`;
-    const response = await this.request('watch', path);
-    if (response.status === STATUS_GONE) {
-      throw new CompactedError(`the changes after revision ${revision} were compacted`);
+    const response = await this.request('watch', path, { headers: formatEra(era) });
+    // In a later era the revision has been given out again, so changes before it are missing.
+    if (response.status === STATUS_GONE || readEra(response) !== era) {
+      throw new CompactedError(`the changes after revision ${revision} are gone`);
     }
-    return listingSchema.parse(await this.readJson(response));
+    return this.readListing(response);
   }
 
   override async listVms(): Promise<readonly ListedVm[]> {
@@ -167,9 +193,32 @@
     onCall?.(call, String(response.status));
     if (response.status === STATUS_TOO_MANY) throw new ThrottledError('too many calls');
     if (response.status >= 500) throw new PlatformError(`status ${response.status}`);
+    this.checkEra(response);
     return response;
   }
 
+  /** @throws PlatformError when the response is of an earlier era than the newest seen. */
+  private checkEra(response: Response): void {
+    const era = readEra(response);
+    if (era < this.era) throw new PlatformError('late response of an earlier era');
+    this.era = era;
+  }
+
+  private encodeVersion(revision: number, response: Response): number {
+    return encodeStoreVersion({ era: readEra(response), revision });
+  }
+
+  private async readListing(response: Response): Promise<PlatformListing> {
+    const { revision, objects } = listingSchema.parse(await this.readJson(response));
+    return {
+      revision: this.encodeVersion(revision, response),
+      objects: objects.map((object) => ({
+        ...object,
+        version: this.encodeVersion(object.version, response),
+      })),
+    };
+  }
+
   private async readJson(response: Response): Promise<unknown> {
     if (!response.ok) throw new PlatformError(`status ${response.status}`);
     return response.json();
--- a/packages/daemon/test/platform.spec.ts
+++ b/packages/daemon/test/platform.spec.ts
@@ -1,4 +1,5 @@
 import {
+  CompactedError,
   formatNoteKey,
   type GroupRecord,
   NoteGossip,
@@ -12,6 +13,9 @@
 import { PlatformWatcher } from '../src/watcher.js';
 
 const POLL_MS = 5;
+const PAUSE_MS = 60;
+/** Age of a copy that lacks what was written after a pause. */
+const COPY_AGE_MS = 30;
 const VMS: readonly Vm[] = ['a', 'b', 'c', 'd', 'e'].map((letter) => ({
   id: `vm-${letter}`,
   zone: 'nyali',
@@ -22,12 +26,13 @@
 const createText = (number: number): string =>
   JSON.stringify({ id: `id-${number}`, base: number - 1 });
 
+const wait = async (durationMs: number): Promise<void> =>
+  new Promise((resolve) => {
+    setTimeout(resolve, durationMs);
+  });
+
 const waitUntil = async (isTrue: () => boolean): Promise<void> => {
-  while (!isTrue()) {
-    await new Promise((resolve) => {
-      setTimeout(resolve, POLL_MS);
-    });
-  }
+  while (!isTrue()) await wait(POLL_MS);
 };
 
 describe('HttpPlatform', () => {
@@ -83,6 +88,54 @@
   });
 });
 
+describe('HttpPlatform on a store that comes back from an older copy', () => {
+  const standin = new StandinPlatform();
+  let platform: HttpPlatform;
+
+  beforeEach(async () => {
+    platform = new HttpPlatform({ url: await standin.start() });
+    standin.set('groups/g', 'kept');
+    await wait(PAUSE_MS);
+    standin.set('groups/g', 'lost');
+  });
+
+  afterEach(() => standin.stop());
+
+  // A VM ignored each record whose version was below the one that it remembered.
+  it('gives versions that rise across eras', async () => {
+    const before = await platform.read('groups/g');
+    standin.restore(COPY_AGE_MS);
+    const after = await platform.read('groups/g');
+    expect([before?.value, after?.value]).toEqual(['lost', 'kept']);
+    expect((after?.version ?? 0) > (before?.version ?? 0)).toEqual(true);
+  });
+
+  // The version had been given out again, so that a write met its condition by chance.
+  it('reports a conflict for a write that belongs to an earlier era', async () => {
+    const before = await platform.read('groups/g');
+    standin.restore(COPY_AGE_MS);
+    standin.set('groups/g', 'other');
+    const outcome = await platform.write('groups/g', 'mine', before?.version ?? 0);
+    expect([outcome.kind, standin.find('groups/g')]).toEqual(['conflict', 'other']);
+  });
+
+  // The watched revision had been reached again, so that a change before it was never told.
+  it('ends a watch that began in an earlier era', async () => {
+    const { revision } = await platform.list('groups/');
+    standin.restore(COPY_AGE_MS);
+    standin.set('groups/g', 'other');
+    await expect(platform.watch('groups/', revision)).toBeRejectedWith(CompactedError);
+  });
+
+  it('ends a watch that waits while the store comes back', async () => {
+    const { revision } = await platform.list('groups/');
+    const watch = platform.watch('groups/', revision);
+    await wait(PAUSE_MS);
+    standin.restore(COPY_AGE_MS);
+    await expect(watch).toBeRejectedWith(CompactedError);
+  });
+});
+
 describe('PlatformWatcher', () => {
   let standin: StandinPlatform;
   let url = '';
--- a/packages/soak/test/soak.spec.ts
+++ b/packages/soak/test/soak.spec.ts
@@ -74,8 +74,8 @@
   'counts fencing tokens from the record that it reads': {
     mutant: {
       file: 'core/src/recordview.ts',
-      from: 'return era * TOKENS_PER_ERA + revision;',
-      to: 'return this.record?.generation ?? era + revision;',
+      from: 'return encodeStoreVersion(version);',
+      to: 'return this.record?.generation ?? version.revision;',
     },
     faults: LOST_CLAIM_FAULTS,
     invariant: 'one holder per generation requests promotions',
--- a/packages/standin/src/platform.ts
+++ b/packages/standin/src/platform.ts
@@ -159,7 +159,7 @@
     }
     const key = decodeURIComponent(url.pathname.slice('/objects/'.length));
     if (url.pathname === '/vms') this.respond(response, 200, this.vms);
-    else if (url.pathname === '/watch') await this.respondToWatch(url, response);
+    else if (url.pathname === '/watch') await this.respondToWatch(url, request, response);
     else if (request.method === 'PUT') this.respondToWrite(key, body, request, response);
     else if (url.pathname === '/objects') this.respondToList(url, response);
     else this.respondToRead(key, response);
@@ -208,10 +208,7 @@
     }
     const expected = request.headers['if-none-match'] === '*' ? 0 : request.headers['if-match'];
     const version = this.objects.get(key)?.version ?? 0;
-    const isOfEra = [undefined, String(this.era)].includes(
-      request.headers['store-era']?.toString(),
-    );
-    if (!isOfEra || (expected !== undefined && Number(expected) !== version)) {
+    if (!this.isOfEra(request) || (expected !== undefined && Number(expected) !== version)) {
       this.respond(response, 412, { version });
       return;
     }
@@ -224,12 +221,22 @@
     this.respond(response, 200, { version: this.revision });
   }
 
-  private async respondToWatch(url: URL, response: ServerResponse): Promise<void> {
+  /** A request that names another era than the present one rests on a state that is gone. */
+  private isOfEra({ headers }: IncomingMessage): boolean {
+    const era = headers['store-era'];
+    return era === undefined || Number(era) === this.era;
+  }
+
+  private async respondToWatch(
+    url: URL,
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
     this.callCounts.watches += 1;
     const prefix = url.searchParams.get('prefix') ?? '';
     const from = Number(url.searchParams.get('from') ?? 0);
     const oldest = Math.max(this.compactedRevision, this.revision - KEPT_REVISIONS);
-    if (from > this.revision || from < oldest) {
+    if (!this.isOfEra(request) || from > this.revision || from < oldest) {
       this.respond(response, 410, { revision: this.revision });
       return;
     }
