Write lost group records again and read their absence with its era

Callers' view: none seen; a group whose record the platform had lost could not fail over: writes of its callers failed until the store had given out as many versions again. Cause: absence was version 0, below any version that a VM remembered, so that it was ignored; and an older record, taken for the truth, named a primary that had been replaced, so that the present one was replaced again. Change: absence has the version of its era. A VM that remembers a later term, with its primary named, writes that record again on condition of what it found; terms stay safe, since a majority of the instances has granted them once.

--- a/packages/core/src/failover.ts
+++ b/packages/core/src/failover.ts
@@ -14,6 +14,7 @@
 import { PrimaryMonitor, type PrimaryObservation, UNREACHABLE_AFTER_MS } from './primarymonitor.js';
 import { RepeatLimiter } from './repeatlimiter.js';
 import { FenceQuorum } from './fencequorum.js';
+import { decodeStoreVersion } from './storeversion.js';
 
 /** A VM of rank n takes over a failover that has made no progress for n times this long. */
 export const RANK_STAGGER_MS: Millis = 250;
@@ -80,12 +81,17 @@
     this.monitor.updateZones(zones);
   }
 
-  /** Handles the group's record, or its absence (version 0), from the platform or a peer. */
+  /**
+   * Handles the group's record, or its absence, from the platform or a peer.
+   *
+   * @param version encoded store version; its revision is 0 when the record is absent
+   */
   handleRecord(record: GroupRecord | undefined, version: number, now: Millis): FailoverActions {
     if (version < this.version) return [];
     const changed = version > this.version || !this.isKnown;
     this.isKnown = true;
     if (!changed) return [];
+    const { record: known, version: knownVersion } = this;
     this.readBackoff.reset();
     this.version = version;
     this.record = record;
@@ -93,7 +99,20 @@
     this.hasLed = false;
     this.agreedAt = undefined;
     this.followers.reset();
-    return this.advanceStep(now);
+    const actions = this.advanceStep(now);
+    const isNewEra = decodeStoreVersion(version).era > decodeStoreVersion(knownVersion).era;
+    return isNewEra && known ? [...actions, ...this.rewriteLost(known, record)] : actions;
+  }
+
+  /**
+   * Writes a record again that a platform restored from an older copy has lost. A majority of the
+   * instances has granted its term, so no other attempt of that term can name a primary.
+   */
+  private rewriteLost(lost: GroupRecord, found: GroupRecord | undefined): FailoverActions {
+    if (lost.phase !== 'named' || (found?.term ?? 0) >= lost.term) return [];
+    const { vm: writer, createAttempt } = this.options;
+    const record: GroupRecord = { ...lost, attempt: createAttempt(), writer };
+    return [{ kind: 'writeRecord', record, expectedVersion: this.version }];
   }
 
   handleStatus(status: InstanceStatus, now: Millis): FailoverActions {
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -121,7 +121,12 @@
 export type { PositionSample } from './samples.js';
 export { InstanceRoster } from './roster.js';
 export type { RegisteredInstance } from './roster.js';
-export { compareStoreVersions, decodeStoreVersion, encodeStoreVersion } from './storeversion.js';
+export {
+  compareStoreVersions,
+  computeAbsentVersion,
+  decodeStoreVersion,
+  encodeStoreVersion,
+} from './storeversion.js';
 export type { StoreVersion } from './storeversion.js';
 export { SuccessorSelector } from './successor.js';
 export { GroupCompleteness } from './handover.js';
--- a/packages/core/src/storeversion.ts
+++ b/packages/core/src/storeversion.ts
@@ -26,3 +26,8 @@
   const revision = encoded % REVISIONS_PER_ERA;
   return { era: (encoded - revision) / REVISIONS_PER_ERA, revision };
 }
+
+/** Returns the version, encoded, of an object that is absent in the era of an encoded version. */
+export function computeAbsentVersion(encoded: number): number {
+  return encodeStoreVersion({ era: decodeStoreVersion(encoded).era, revision: 0 });
+}
--- a/packages/core/test/failover.spec.ts
+++ b/packages/core/test/failover.spec.ts
@@ -1,5 +1,6 @@
 import { expect } from 'earl';
 import {
+  encodeStoreVersion,
   FailoverCoordinator,
   type FailoverAction,
   type GroupRecord,
@@ -121,4 +122,25 @@
     const actions = coordinator.handleStatus(createStatus('a', 1_200, 5), 1_200);
     expect(actions).toEqual([{ kind: 'readRecord', group: 'g' }]);
   });
+
+  // A platform that came back from an older copy named a replaced primary, or none, so that the
+  // present one was replaced for nothing.
+  it('writes a record again that a restored platform has lost', () => {
+    const current: GroupRecord = { ...RECORD, term: 2, primary: 'b', attempt: 'lost' };
+    coordinator.handleRecord(current, 2, 1_170);
+    const version = encodeStoreVersion({ era: 1, revision: 1 });
+    expect(coordinator.handleRecord(RECORD, version, 1_200)).toEqual([
+      {
+        kind: 'writeRecord',
+        record: { ...current, attempt: 'attempt 2', writer: 'vm' },
+        expectedVersion: version,
+      },
+    ]);
+  });
+
+  it('accepts a later record of a restored platform', () => {
+    const version = encodeStoreVersion({ era: 1, revision: 1 });
+    const later: GroupRecord = { ...RECORD, term: 3, primary: 'c', attempt: 'later' };
+    expect(coordinator.handleRecord(later, version, 1_200)).toEqual([]);
+  });
 });
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -118,6 +118,10 @@
     this.dependencies.groups.handleRecord(record, version);
   }
 
+  handleListedRecords(listed: ReadonlySet<string>, version: number): void {
+    this.dependencies.groups.handleListedRecords(listed, version);
+  }
+
   /** Stops accepting sessions, waits for running requests up to the drain limit, and stops. */
   async drain(): Promise<void> {
     const { clock, settings, log } = this.dependencies;
--- a/packages/daemon/src/failover.ts
+++ b/packages/daemon/src/failover.ts
@@ -1,5 +1,6 @@
 import {
   type Clock,
+  computeAbsentVersion,
   type DatabaseGroup,
   type FailoverAction,
   FailoverCoordinator,
@@ -59,6 +60,12 @@
     this.runActions(this.coordinator.handleRecord(record, version, this.options.clock.readNow()));
   }
 
+  /** Handles that the platform has no record of the group, as of `version`. */
+  handleMissingRecord(version: number): void {
+    const now = this.options.clock.readNow();
+    this.runActions(this.coordinator.handleRecord(undefined, version, now));
+  }
+
   handleObservation(observation: PrimaryObservation): void {
     this.coordinator.handleObservation(observation, this.options.clock.readNow());
   }
@@ -147,8 +154,10 @@
   }
 
   private async readRecord(): Promise<void> {
-    const object = await this.options.platform.read(formatGroupKey(this.name));
+    const key = formatGroupKey(this.name);
+    const { objects, revision } = await this.options.platform.list(key);
+    const object = objects.find((one) => one.key === key);
     if (object) this.handleRecord(JSON.parse(object.value) as GroupRecord, object.version);
-    else this.runActions(this.coordinator.handleRecord(undefined, 0, this.options.clock.readNow()));
+    else this.handleMissingRecord(computeAbsentVersion(revision));
   }
 }
--- a/packages/daemon/src/group.ts
+++ b/packages/daemon/src/group.ts
@@ -141,6 +141,11 @@
     this.failover.handleRecord(record, version);
   }
 
+  /** Handles that the platform has no record of the group, as of `version`. */
+  handleMissingRecord(version: number): void {
+    this.failover.handleMissingRecord(version);
+  }
+
   /**
    * Waits for a slot and opens a connection.
    *
--- a/packages/daemon/src/groupmanager.ts
+++ b/packages/daemon/src/groupmanager.ts
@@ -131,6 +131,13 @@
     this.served.get(record.group)?.server.handleRecord(record, version);
   }
 
+  /** Handles a full listing of the records: groups that are not `listed` have none. */
+  handleListedRecords(listed: ReadonlySet<string>, version: number): void {
+    this.served.forEach(({ server }, name) => {
+      if (!listed.has(name)) server.handleMissingRecord(version);
+    });
+  }
+
   hasInstance(id: string): boolean {
     return this.configuration.groups.some(({ instances }) =>
       instances.some((instance) => instance.id === id),
--- a/packages/daemon/src/watcher.ts
+++ b/packages/daemon/src/watcher.ts
@@ -1,5 +1,6 @@
 import {
   CompactedError,
+  computeAbsentVersion,
   type GroupRecord,
   loadNotes,
   loadSnapshot,
@@ -29,6 +30,8 @@
   readonly membership: MembershipView;
   readonly noteGossip: NoteGossip;
   readonly onRecord: (record: GroupRecord, version: number) => void;
+  /** Called after each full listing with the listed groups and the version of an absent record. */
+  readonly onRecordsListed: (listed: ReadonlySet<string>, version: number) => void;
   /** Returns a number in [0, 1), for the jitter of retries. */
   readonly createRandom: () => number;
 }
@@ -153,6 +156,9 @@
   private async loadRecords(): Promise<number> {
     const listing = await this.options.platform.list('groups/');
     this.handleRecords(listing);
+    const records = listing.objects.map(({ value }) => JSON.parse(value) as GroupRecord);
+    const listed = new Set(records.map(({ group }) => group));
+    this.options.onRecordsListed(listed, computeAbsentVersion(listing.revision));
     return listing.revision;
   }
 
--- a/packages/daemon/src/wiring.ts
+++ b/packages/daemon/src/wiring.ts
@@ -227,6 +227,7 @@
       noteGossip,
       createRandom: Math.random,
       onRecord: (record, version) => target.handleRecord(record, version),
+      onRecordsListed: (listed, version) => target.handleListedRecords(listed, version),
     });
     watcher.start();
     return () => {
--- a/packages/daemon/test/platform.spec.ts
+++ b/packages/daemon/test/platform.spec.ts
@@ -159,6 +159,7 @@
       noteGossip,
       createRandom: () => 0,
       onRecord: (record: GroupRecord) => record,
+      onRecordsListed: () => undefined,
     });
     watchers.push(watcher);
     watcher.start();
