Write lost release notes again

Callers' view: none seen; an operator's note that had been accepted was gone, and daemons with and without it could have had different configurations under one number. Cause: an accepted note counted as durable. After a return of the platform from an older copy nobody wrote it again, and the next note took its number. Change: a relay that loads the notes checks that the newest one it knows is stored, and writes lost ones again, in order, if they are absent. A number that another note has taken by then is logged as an error.

--- a/packages/bench/test/restoration.spec.ts
+++ b/packages/bench/test/restoration.spec.ts
@@ -12,6 +12,10 @@
 const MAX_WAIT_MS = 8_000;
 /** Age of a copy that holds neither note nor records. */
 const EMPTY_COPY_MS = 60_000;
+const PAUSE_MS = 200;
+
+const EMPTY = { groups: [], contracts: [] };
+const NOTE: ReleaseNote = { id: 'second', base: 1, added: EMPTY, changed: EMPTY, withdrawn: EMPTY };
 
 /** Waits until a condition holds; false when it does not in time. */
 async function waitUntil(isTrue: () => boolean): Promise<boolean> {
@@ -49,4 +53,19 @@
     expect(await waitUntil(() => (readRecord(name)?.term ?? 0) > 1)).toEqual(true);
     expect(await waitUntil(() => group?.findPrimary()?.isUp() === true)).toEqual(true);
   }).timeout(30_000);
+
+  // A note that an operator had been told of was gone, and the next one took its number, so that
+  // daemons with and without the lost one had different configurations under one number.
+  it('writes a release note again that is lost', async () => {
+    await sleep(PAUSE_MS);
+    cluster.platform.set(formatNoteKey(2), JSON.stringify(NOTE));
+    const isInForce = (): boolean =>
+      cluster.daemons.every((daemon) => daemon.readConfiguration().number === 2);
+    expect(await waitUntil(isInForce)).toEqual(true);
+    cluster.platform.restore(EMPTY_COPY_MS);
+    const isThere = (): boolean => cluster.platform.find(formatNoteKey(2)) !== undefined;
+    expect(await waitUntil(isThere)).toEqual(true);
+    expect(cluster.platform.find(formatNoteKey(2))).toEqual(JSON.stringify(NOTE));
+    expect(cluster.platform.find(formatNoteKey(1)) !== undefined).toEqual(true);
+  }).timeout(30_000);
 });
--- a/packages/core/src/notegossip.ts
+++ b/packages/core/src/notegossip.ts
@@ -49,6 +49,11 @@
     return this.chain.configuration;
   }
 
+  /** Finds the text of a recent note. */
+  findText(number: number): string | undefined {
+    return this.texts.get(number);
+  }
+
   /** Adds an accepted note; false unless it is the next one. */
   addNote(number: number, text: string): boolean {
     if (!this.chain.add(number, text)) return false;
--- a/packages/daemon/src/watcher.ts
+++ b/packages/daemon/src/watcher.ts
@@ -1,6 +1,7 @@
 import {
   CompactedError,
   computeAbsentVersion,
+  formatNoteKey,
   type GroupRecord,
   loadNotes,
   loadSnapshot,
@@ -8,7 +9,9 @@
   type Millis,
   parseNoteKey,
   type Platform,
+  type NoteUpdate,
   type PlatformListing,
+  type PlatformObject,
   rankVms,
   SNAPSHOT_INTERVAL,
   type NoteGossip,
@@ -147,12 +150,47 @@
 
   private async loadNotes(): Promise<number> {
     const { platform, noteGossip } = this.options;
+    await this.rewriteLostNotes();
     if (noteGossip.configuration.number === 0) noteGossip.addSnapshot(await loadSnapshot(platform));
     return loadNotes(platform, noteGossip.configuration.number, (number, text) =>
       this.addNote(number, text),
     );
   }
 
+  /** Writes notes again that this VM knows and that a platform restored from a copy has lost. */
+  private async rewriteLostNotes(): Promise<void> {
+    const { platform, log } = this.options;
+    for (const { number, text } of await this.findLostNotes()) {
+      const key = formatNoteKey(number);
+      const { kind } = await platform.write(key, text, 0);
+      if (kind === 'written') log.warn('lost release note written again', { number });
+      else this.checkNote(number, text, await platform.read(key));
+    }
+  }
+
+  /** Lists the known notes that the platform lacks, in order. */
+  private async findLostNotes(): Promise<readonly NoteUpdate[]> {
+    const { platform, noteGossip } = this.options;
+    const lost: NoteUpdate[] = [];
+    for (let { number } = noteGossip.configuration; number > 0; number--) {
+      const text = noteGossip.findText(number);
+      if (text === undefined) break;
+      const stored = await platform.read(formatNoteKey(number));
+      if (stored) {
+        this.checkNote(number, text, stored);
+        break;
+      }
+      lost.unshift({ number, text });
+    }
+    return lost;
+  }
+
+  /** Another note may have taken the number of a lost one before that was written again. */
+  private checkNote(number: number, text: string, stored: PlatformObject | undefined): void {
+    if (stored?.value === text) return;
+    this.options.log.error('release note in force differs from the platform', { number });
+  }
+
   private async loadRecords(): Promise<number> {
     const listing = await this.options.platform.list('groups/');
     this.handleRecords(listing);
