Invite no callers before a home has told its state

Callers' view: a VM that passes work on was ready for some milliseconds after its start, and refused what it got: 'no home of the group is reachable'. Cause: a link without a status counted as usable, so that a group was reachable until the home told that it did not reach the instances yet. Change: a group whose near homes have all told nothing yet isn't reachable. Work that arrives is still passed on. Measured: forwarding.spec.ts, 'is not invited before a home has told', fails before the change and passes after it.

--- a/packages/forwarding/src/forwarder.ts
+++ b/packages/forwarding/src/forwarder.ts
@@ -113,7 +113,8 @@
     // Homes of a partitioned zone say so; those of other zones are out of reach for this VM too.
     const isPartitioned =
       near.length > 0 && near.every(({ id }) => this.links.get(id)?.isIsolated() === true);
-    return !isPartitioned && homes.some((home) => this.mayUse(home, now));
+    const isOpening = near.length > 0 && near.every(({ id }) => this.isOpening(id, now));
+    return !isPartitioned && !isOpening && homes.some((home) => this.mayUse(home, now));
   }
 
   override countLeases(): number {
@@ -167,6 +168,12 @@
     return [...near.slice(first), ...near.slice(0, first), ...far];
   }
 
+  /** True until the first answer of a home, or the first failure of a link to it. */
+  private isOpening(id: string, now: Millis): boolean {
+    const link = this.links.get(id);
+    return link ? link.isOpening(now) : !this.failedAt.has(id);
+  }
+
   private mayUse({ id }: VmAddress, now: Millis): boolean {
     const link = this.links.get(id);
     if (link) return link.isUsable(now);
--- a/packages/forwarding/src/link.ts
+++ b/packages/forwarding/src/link.ts
@@ -63,7 +63,8 @@
 
   private roundTripMs: Millis = 1;
 
-  private status: HomeStatus = { isIsolated: false, isDraining: false };
+  /** What the home has told last; undefined before its first status. */
+  private status: HomeStatus | undefined;
 
   constructor(private readonly options: HomeLinkOptions) {
     const { home, vm, clock } = options;
@@ -80,13 +81,18 @@
 
   /** True when the home is expected to admit work. */
   isUsable(now: Millis): boolean {
-    const { isIsolated, isDraining } = this.status;
-    return !this.isClosed && !isIsolated && !isDraining && !this.isSilent(now);
+    const isServing = !this.status?.isIsolated && !this.status?.isDraining;
+    return !this.isClosed && isServing && !this.isSilent(now);
+  }
+
+  /** True while the home's first status is expected. */
+  isOpening(now: Millis): boolean {
+    return !this.status && !this.isClosed && !this.isSilent(now);
   }
 
   /** True when the home has said that it doesn't reach the instances. */
   isIsolated(): boolean {
-    return this.status.isIsolated;
+    return this.status?.isIsolated === true;
   }
 
   /** Asks the home for a connection. */
--- a/packages/forwarding/test/fleet.ts
+++ b/packages/forwarding/test/fleet.ts
@@ -50,6 +50,8 @@
   readonly leader: FakeInstance;
   readonly replica: FakeInstance;
   readonly vms: readonly FleetVm[];
+  /** Messages of the log lines of all VMs. */
+  readonly messages: readonly string[];
   stop(): void;
 }
 
@@ -67,12 +69,16 @@
   index: number,
   store: FakeStore,
   instances: readonly FakeInstance[],
+  onMessage: (message: string) => void,
 ): Promise<FleetVm> {
   const id = `vm-${index}`;
+  const log = createEngineLog('info', id);
+  log.transports.forEach((transport) => Object.assign(transport, { silent: true }));
+  log.on('data', ({ message }: { readonly message: string }) => onMessage(message));
   const link = { host: '127.0.0.1', port: await findFreePort() };
   const running = createProxy({
     ...{ vm: id, zone: 'z', drainMs: 7_000, stableWindowMs: 4_000, configurationApplyMs: 3_000 },
-    ...{ store, link, metrics: new Metrics(), log: createEngineLog('error', id) },
+    ...{ store, link, metrics: new Metrics(), log },
     createForwarding: (host) => new LinkForwarding(host, link),
     promotions: new FakePromotions(),
     connector: new FakeConnector(new Map(instances.map((one) => [one.id, one]))),
@@ -125,10 +131,12 @@
   const store = new FakeStore();
   store.put('configurations', 'main', CONFIGURATION);
   registerInstances(store, [leader, replica], CONNECTION_LIMIT);
-  const vms = await Promise.all(
-    Array.from({ length: vmCount }, (_, index) => startVm(index, store, [leader, replica])),
+  const messages: string[] = [];
+  const starts = Array.from({ length: vmCount }, (_, index) =>
+    startVm(index, store, [leader, replica], (message) => messages.push(message)),
   );
+  const vms = await Promise.all(starts);
   while (vms.filter(({ isHome }) => isHome).length !== 2) await wait(20);
   while (!vms.every(({ isReady }) => isReady)) await wait(20);
-  return { leader, replica, vms, stop: () => vms.forEach((vm) => vm.stop()) };
+  return { leader, replica, vms, messages, stop: () => vms.forEach((vm) => vm.stop()) };
 }
--- a/packages/forwarding/test/forwarding.spec.ts
+++ b/packages/forwarding/test/forwarding.spec.ts
@@ -34,6 +34,13 @@
 
   afterEach(() => fleet.stop());
 
+  // A VM was ready before its homes had told that they reach the instances, and refused the first
+  // work that it got.
+  it('is not invited before a home has told its state', () => {
+    expect(fleet.messages).toInclude('most instances reachable');
+    expect(fleet.messages.includes('most instances unreachable')).toEqual(false);
+  });
+
   it('is answered as on the home itself', async () => {
     const session = entry.openSession('fresh');
     expect(await run(session, READ)).toEqual(['row of leader']);
