Claim a term above the fences of a lost claim

Callers' view: none seen; writes of a group stopped for good. Cause: a store that had lost the claim of a term named the former primary in its older record, while replicas were fenced in the lost term and accepted nothing from it. A higher fence only made the VMs read the record again. Change: a group with an instance that is fenced above the record's term gets a new claim above it once the record has stood for a second.

--- a/packages/bench/src/harness/rules.ts
+++ b/packages/bench/src/harness/rules.ts
@@ -14,6 +14,8 @@
   ) => FakeInstance;
   /** Whether the platform rejects a write whose expected version is not the current one. */
   readonly checksVersions: boolean;
+  /** Whether versions include the era of the platform's store. */
+  readonly includesEras: boolean;
 }
 
 /** The components that the product uses. */
@@ -22,4 +24,5 @@
   createQuorum: (options) => new FenceQuorum(options),
   createInstance: (...args) => new FakeInstance(...args),
   checksVersions: true,
+  includesEras: true,
 };
--- a/packages/bench/src/harness/scenario.ts
+++ b/packages/bench/src/harness/scenario.ts
@@ -31,9 +31,15 @@
   'loseAnswers',
 ] as const;
 
+/** Kinds of runs in which the platform's store comes back from older copies. */
+const RESTORATION_KINDS = [
+  ...FAULT_KINDS,
+  ...Array.from({ length: 8 }, () => 'restorePlatform' as const),
+] as const;
+
 /** One fault of a run; `pick` and `secondPick` choose what it affects. */
 export interface Fault {
-  readonly kind: (typeof FAULT_KINDS)[number];
+  readonly kind: (typeof RESTORATION_KINDS)[number];
   readonly at: number;
   readonly duration: number;
   readonly pick: number;
@@ -50,23 +56,32 @@
 
 const rate = fc.constantFrom(0, 0, 0.02, 0.08);
 
-const fault: fc.Arbitrary<Fault> = fc.record({
-  kind: fc.constantFrom(...FAULT_KINDS),
-  at: fc.integer({ min: 50, max: FAULT_WINDOW_MS }),
-  duration: fc.integer({ min: 20, max: MAX_FAULT_MS }),
-  pick: fc.nat({ max: 3 }),
-  secondPick: fc.nat({ max: 3 }),
-});
+function createFaultArbitrary(kinds: readonly Fault['kind'][]): fc.Arbitrary<Fault> {
+  return fc.record({
+    kind: fc.constantFrom(...kinds),
+    at: fc.integer({ min: 50, max: FAULT_WINDOW_MS }),
+    duration: fc.integer({ min: 20, max: MAX_FAULT_MS }),
+    pick: fc.nat({ max: 3 }),
+    secondPick: fc.nat({ max: 3 }),
+  });
+}
 
 /** Generates random scenarios with three or four zones. */
-export const scenarioArbitrary: fc.Arbitrary<Scenario> = fc.record({
-  seed: fc.integer(),
-  zones: fc.constantFrom(3, 4),
-  messageFaults: fc.record({
-    lossRate: rate,
-    duplicateRate: rate,
-    lateRate: rate,
-    delayFactor: fc.constantFrom(1, 1, 5, 15),
-  }),
-  faults: fc.array(fault, { minLength: 1, maxLength: 10, size: 'max' }),
-});
+function createScenarioArbitrary(kinds: readonly Fault['kind'][]): fc.Arbitrary<Scenario> {
+  return fc.record({
+    seed: fc.integer(),
+    zones: fc.constantFrom(3, 4),
+    messageFaults: fc.record({
+      lossRate: rate,
+      duplicateRate: rate,
+      lateRate: rate,
+      delayFactor: fc.constantFrom(1, 1, 5, 15),
+    }),
+    faults: fc.array(createFaultArbitrary(kinds), { minLength: 1, maxLength: 10, size: 'max' }),
+  });
+}
+
+export const scenarioArbitrary = createScenarioArbitrary(FAULT_KINDS);
+
+/** The same with a store that comes back from older copies. */
+export const restorationArbitrary = createScenarioArbitrary(RESTORATION_KINDS);
--- a/packages/bench/src/harness/simulation.ts
+++ b/packages/bench/src/harness/simulation.ts
@@ -46,7 +46,7 @@
     const { seed, zones, messageFaults } = scenario;
     this.network = new SimulatedNetwork(seed, messageFaults, FAULTS_END_MS);
     this.zones = Array.from({ length: zones }, (_, index) => `zone-${index}`);
-    this.platform = new FakePlatform(this.network, rules.checksVersions, this.checker);
+    this.platform = new FakePlatform(this.network, rules, this.checker);
     this.instances = Array.from({ length: INSTANCES }, (_, index) =>
       rules.createInstance(`db-${index}`, this.zones[index] ?? '', this.network, (instance, term) =>
         this.checker.handlePromotion(instance, term),
@@ -87,15 +87,14 @@
     this.instances.forEach((instance) => instance.fence(1));
     first?.promote(1);
     rest.forEach((instance) => instance.follow(1, primary));
-    this.platform.record = {
+    this.platform.put({
       group: 'group',
       term: 1,
       phase: 'named',
       primary,
       attempt: 'created',
       writer: 'platform',
-    };
-    this.platform.version = 1;
+    });
     this.instances.forEach((instance) => this.scheduleReplication(instance));
   }
 
@@ -199,6 +198,11 @@
         network.cut(zones[pick % zones.length] ?? '', platform.zone, until),
       )
       .with('platformDown', () => network.cut(platform.id, '*', until))
+      .with('restorePlatform', () => {
+        network.cut(platform.id, '*', until);
+        const copiedAt = network.now - duration * (1 + pick);
+        network.schedule(until - network.now, () => platform.restore(copiedAt));
+      })
       .with('loseAnswers', () => {
         platform.losesAnswersUntil = until;
       })
--- a/packages/bench/src/invariants.ts
+++ b/packages/bench/src/invariants.ts
@@ -2,7 +2,7 @@
 import * as fc from 'fast-check';
 import type { Violation } from './harness/checker.js';
 import { DEFAULT_RULES, type SimulationRules } from './harness/rules.js';
-import { type Scenario, scenarioArbitrary } from './harness/scenario.js';
+import { restorationArbitrary, type Scenario, scenarioArbitrary } from './harness/scenario.js';
 import { Simulation } from './harness/simulation.js';
 import type { TakeoverViolation } from './takeover/group.js';
 import { runTakeovers, type TAKEOVER_SCENARIOS } from './takeover/invariants.js';
@@ -27,8 +27,9 @@
 function findSmaller(
   failed: fc.RunDetails<[Scenario]>,
   rules: SimulationRules,
+  scenarios: fc.Arbitrary<Scenario>,
 ): Scenario | undefined {
-  const property = fc.property(scenarioArbitrary, (scenario) => isKept(scenario, rules));
+  const property = fc.property(scenarios, (scenario) => isKept(scenario, rules));
   const details = fc.check(property, {
     seed: failed.seed,
     path: failed.counterexamplePath ?? '',
@@ -47,10 +48,11 @@
   runs: number,
   rules: SimulationRules = DEFAULT_RULES,
   shrinks = false,
+  scenarios = scenarioArbitrary,
 ): InvariantReport {
   let acknowledged = 0;
   let promotions = 0;
-  const property = fc.property(scenarioArbitrary, (scenario) => {
+  const property = fc.property(scenarios, (scenario) => {
     const simulation = new Simulation(scenario, rules);
     const violation = simulation.run();
     acknowledged += simulation.checker.acknowledged.length;
@@ -58,7 +60,7 @@
     return violation === undefined;
   });
   const details = fc.check(property, { seed, numRuns: runs, endOnFailure: true });
-  const smaller = details.failed && shrinks ? findSmaller(details, rules) : undefined;
+  const smaller = details.failed && shrinks ? findSmaller(details, rules, scenarios) : undefined;
   const scenario = smaller ?? details.counterexample?.[0];
   const violation = scenario && new Simulation(scenario, rules).run();
   const failure = scenario && violation ? { scenario, violation } : undefined;
@@ -108,15 +110,13 @@
     options: {
       seed: { type: 'string', default: '1' },
       runs: { type: 'string', default: '200' },
-      /** Runs only takeovers while the store comes back from an older copy. */
+      /** Lets the platform's store come back from older copies. */
       restorations: { type: 'boolean', default: false },
     },
   });
-  if (values.restorations) {
-    checkTakeovers(Number(values.seed), Number(values.runs), 'restorations');
-    return;
-  }
-  const report = runInvariants(Number(values.seed), Number(values.runs), DEFAULT_RULES, true);
+  const scenarios = values.restorations ? restorationArbitrary : scenarioArbitrary;
+  const [firstSeed, maxRuns] = [Number(values.seed), Number(values.runs)];
+  const report = runInvariants(firstSeed, maxRuns, DEFAULT_RULES, true, scenarios);
   const { seed, runs, acknowledged, promotions, failure } = report;
   if (failure) {
     reportViolation(seed, runs, failure);
@@ -125,7 +125,8 @@
       `seed ${seed}: ${runs} runs, ${acknowledged} acknowledged writes, ${promotions} promotions, no violation\n`,
     );
   }
-  checkTakeovers(seed, Math.ceil(Number(values.runs) * TAKEOVER_PART), 'takeovers');
+  if (values.restorations) checkTakeovers(seed, maxRuns, 'restorations');
+  else checkTakeovers(seed, Math.ceil(maxRuns * TAKEOVER_PART), 'takeovers');
 }
 
 if (process.argv[1]?.endsWith('invariants.ts')) runCommand();
--- a/packages/bench/test/invariants.spec.ts
+++ b/packages/bench/test/invariants.spec.ts
@@ -1,5 +1,6 @@
 import { expect } from 'earl';
-import type { Fault, Scenario } from '../src/harness/scenario.js';
+import { DEFAULT_RULES } from '../src/harness/rules.js';
+import { type Fault, restorationArbitrary, type Scenario } from '../src/harness/scenario.js';
 import { Simulation } from '../src/harness/simulation.js';
 import { runInvariants } from '../src/invariants.js';
 import { MUTANTS } from './mutants/index.js';
@@ -27,6 +28,19 @@
     }).timeout(120_000);
   });
 
+  // Records, or their absence, of a store that came back from an older copy were ignored, and
+  // replicas stayed fenced in a term whose claim the store had lost.
+  it('hold when the platform comes back from older copies', () => {
+    const report = runInvariants(SEED, KEPT_RUNS, DEFAULT_RULES, false, restorationArbitrary);
+    expect(report.failure).toEqual(undefined);
+  });
+
+  it('are violated then by a version that ignores eras', () => {
+    const rules = { ...DEFAULT_RULES, includesEras: false };
+    const report = runInvariants(SEED, MAX_RUNS, rules, false, restorationArbitrary);
+    expect(report.failure).not.toEqual(undefined);
+  }).timeout(120_000);
+
   // A daemon in a zone that was cut off together with the primary read from that primary, although
   // its data was older than the contract's maximum age.
   it('hold for reads with a maximum age in a zone that is cut off with the primary', () => {
--- a/packages/core/src/failover.ts
+++ b/packages/core/src/failover.ts
@@ -191,6 +191,8 @@
     if (!record) return idle >= stagger;
     if (record.phase === 'fencing') return idle >= RANK_STAGGER_MS + stagger;
     if (idle < (this.hasLed ? COOLDOWN_MS : RANK_STAGGER_MS + stagger)) return false;
+    // The platform has lost the claim of a later term, whose fences refuse the named primary.
+    if (monitor.findFenceTerm() > record.term) return idle >= COOLDOWN_MS + stagger;
     const primary = record.primary ?? '';
     const isReachable = monitor.isReachable(primary, now);
     const status = monitor.findStatus(primary);
--- a/packages/core/test/failover.spec.ts
+++ b/packages/core/test/failover.spec.ts
@@ -37,10 +37,11 @@
   from: number,
   until: number,
   reachable: readonly string[],
+  findTerm: (instance: string) => number = () => 1,
 ): readonly FailoverAction[] => {
   const actions: FailoverAction[] = [];
   for (let now = from; now <= until; now += 20) {
-    reachable.forEach((id) => coordinator.handleStatus(createStatus(id, now), now));
+    reachable.forEach((id) => coordinator.handleStatus(createStatus(id, now, findTerm(id)), now));
     actions.push(...coordinator.handleTick(now));
   }
   return actions;
@@ -143,4 +144,13 @@
     const later: GroupRecord = { ...RECORD, term: 3, primary: 'c', attempt: 'later' };
     expect(coordinator.handleRecord(later, version, 1_200)).toEqual([]);
   });
+
+  // The platform had lost the claim of a term in which replicas were fenced, so that they accepted
+  // nothing more from the primary that its record still named, and writes stopped for good.
+  it('claims a term above that of replicas whose fence the record does not know', () => {
+    const restored = encodeStoreVersion({ era: 1, revision: 1 });
+    coordinator.handleRecord(RECORD, restored, 1_200);
+    const actions = runUntil(coordinator, 1_220, 3_000, IDS, (id) => (id === 'a' ? 1 : 2));
+    expect(actions.find(isWrite)?.record.term).toEqual(3);
+  });
 });
