--- a/packages/core/src/failover.ts
+++ b/packages/core/src/failover.ts
@@ -104,17 +104,6 @@
     return isNewEra && known ? [...actions, ...this.rewriteLost(known, record)] : actions;
   }
 
-  /**
-   * Writes a record again that a platform restored from an older copy has lost. A majority of the
-   * instances has granted its term, so no other attempt of that term can name a primary.
-   */
-  private rewriteLost(lost: GroupRecord, found: GroupRecord | undefined): FailoverActions {
-    if (lost.phase !== 'named' || (found?.term ?? 0) >= lost.term) return [];
-    const { vm: writer, createAttempt } = this.options;
-    const record: GroupRecord = { ...lost, attempt: createAttempt(), writer };
-    return [{ kind: 'writeRecord', record, expectedVersion: this.version }];
-  }
-
   handleStatus(status: InstanceStatus, now: Millis): FailoverActions {
     if (!this.monitor.updateStatus(status, now)) return [];
     const { record } = this;
@@ -232,6 +221,17 @@
     return this.write('claiming', record, now);
   }
 
+  /**
+   * Writes a record again that a platform restored from an older copy has lost. A majority of the
+   * instances has granted its term, so no other attempt of that term can name a primary.
+   */
+  private rewriteLost(lost: GroupRecord, found: GroupRecord | undefined): FailoverActions {
+    if (lost.phase !== 'named' || (found?.term ?? 0) >= lost.term) return [];
+    const { vm: writer, createAttempt } = this.options;
+    const record: GroupRecord = { ...lost, attempt: createAttempt(), writer };
+    return [{ kind: 'writeRecord', record, expectedVersion: this.version }];
+  }
+
   private write(kind: 'claiming' | 'naming', record: GroupRecord, now: Millis): FailoverActions {
     const write: WriteAction = { kind: 'writeRecord', record, expectedVersion: this.version };
     this.backoff.schedule(now);
--- a/packages/core/src/roster.ts
+++ b/packages/core/src/roster.ts
@@ -65,7 +65,7 @@
     this.onChange();
   }
 
-  /** An instance that leaves never stays, but a registry restored from an older copy says so. */
+  /** Leaving is final, but an entry of a registry restored from an older copy may not show it. */
   private hasAnnouncedLeaving({ id, startedAt }: RegisteredInstance): boolean {
     const known = this.find(id);
     if (known?.startedAt === startedAt) return known.leaving === true;
