Parse listed group records once

Cause: a listing was parsed to pass its records on and again for their names. Change: handleRecords returns what it has parsed. No behaviour changes. Result: restoration.spec.ts and platform.spec.ts pass.

--- a/packages/daemon/src/watcher.ts
+++ b/packages/daemon/src/watcher.ts
@@ -193,9 +193,7 @@
 
   private async loadRecords(): Promise<number> {
     const listing = await this.options.platform.list('groups/');
-    this.handleRecords(listing);
-    const records = listing.objects.map(({ value }) => JSON.parse(value) as GroupRecord);
-    const listed = new Set(records.map(({ group }) => group));
+    const listed = new Set(this.handleRecords(listing).map(({ group }) => group));
     this.options.onRecordsListed(listed, computeAbsentVersion(listing.revision));
     return listing.revision;
   }
@@ -229,9 +227,12 @@
     });
   }
 
-  private handleRecords({ objects }: PlatformListing): void {
-    objects.forEach(({ value, version }) => {
-      this.options.onRecord(JSON.parse(value) as GroupRecord, version);
+  /** Passes the listed records on and returns them. */
+  private handleRecords({ objects }: PlatformListing): readonly GroupRecord[] {
+    return objects.map(({ value, version }) => {
+      const record = JSON.parse(value) as GroupRecord;
+      this.options.onRecord(record, version);
+      return record;
     });
   }
 }
