--- a/packages/bench/src/takeover/vm.ts
+++ b/packages/bench/src/takeover/vm.ts
@@ -1,4 +1,5 @@
 import {
+  encodeStoreVersion,
   type PromotionRecordView,
   type SuccessorSelector,
   type InstanceView,
@@ -52,7 +53,7 @@
 
   private readonly probeResults = new Map<string, ProbeResult>();
 
-  private seenVersion = '';
+  private seenVersion = -1;
 
   /** The instances of the last listing from the store. */
   private listedInstances: readonly SyncInstance[] = [];
@@ -70,7 +71,7 @@
   /** Replaces the process by a new one without any state. */
   restart(): void {
     this.epoch += 1;
-    this.seenVersion = '';
+    this.seenVersion = -1;
     this.probeResults.clear();
     this.listedInstances = [];
     this.listedAt = Number.NEGATIVE_INFINITY;
@@ -121,9 +122,9 @@
     const { platform, clock } = this.options;
     const { record } = platform;
     const version = platform.readVersion();
-    const text = `${version.era}/${version.revision}`;
-    if (this.isCutFromStore || platform.isDown || text === this.seenVersion) return;
-    this.seenVersion = text;
+    const encoded = encodeStoreVersion(version);
+    if (this.isCutFromStore || platform.isDown || encoded === this.seenVersion) return;
+    this.seenVersion = encoded;
     const run = this.deliver(() =>
       this.runActions(this.coordinator.handleRecord(record, version, clock.now)),
     );
