Drop old changes from the undo log in place

Cause: each write of the stand-in and of the emulated store copied the changes of the last 30 s, which grows with the square of the write rate. Change: the log is appended to, and old entries leave at its front. Result: store.spec.ts and restoration.spec.ts pass.

--- a/packages/standin/src/undolog.ts
+++ b/packages/standin/src/undolog.ts
@@ -8,12 +8,13 @@
 
 /** Recent changes of a store, with which it can be brought back to an earlier state. */
 export class UndoLog<T> {
-  private entries: readonly UndoEntry<T>[] = [];
+  /** Oldest first. */
+  private entries: UndoEntry<T>[] = [];
 
   add(change: T): void {
     const at = performance.now();
-    const recent = this.entries.filter((entry) => at - entry.at < UNDO_MS);
-    this.entries = [...recent, { at, change }];
+    this.entries.push({ at, change });
+    while (at - (this.entries[0]?.at ?? at) >= UNDO_MS) this.entries.shift();
   }
 
   /** Removes the changes of the last `ageMs` and returns them, newest first. */
