Show commits lost to a replica that restarts during a promotion

Cause: an accepted order rests on the pause of the other replicas, which a restart ends, and a VM without the store still acknowledges what the former leader commits.

--- a/review/lib/store.mjs
+++ b/review/lib/store.mjs
@@ -98,7 +98,7 @@
     if (verdict === 'lost') response.end = () => undefined;
     if (request.method === 'GET' && name !== undefined) this.sendObject(response, kind, name, view);
     else if (request.method === 'GET' && url.searchParams.has('watch')) {
-      this.watch(request, response, kind, url.searchParams, view);
+      this.watch(request, response, kind, url.searchParams, { machine, view });
     } else if (request.method === 'GET') {
       const items = this.list(kind).map((object) => view(object, kind));
       answer(response, STATUS.ok, { items, more: false, store_revision: this.revision });
@@ -123,7 +123,7 @@
     }
   }
 
-  watch(request, response, kind, query, view) {
+  watch(request, response, kind, query, { machine, view }) {
     const from = Number(query.get('watch'));
     const watch = { kind };
     const leave = () => {
@@ -135,6 +135,7 @@
         .filter((one) => one.kind === kind && one.revision > from)
         .map(({ event }) => ({ ...event, object: view(event.object, kind) }));
       if (events.length === 0 && !isOver) return;
+      if (this.filter({ method: 'GET', kind, machine }) === 'silent') return;
       answer(response, STATUS.ok, { events, store_revision: this.revision });
       leave();
     };
