Show that one odd entry of a whole page ends the list of instances

Cause: the next page of a list begins after the last name that can be read, and a page without one fails the list for good.

--- a/review/lib/store.mjs
+++ b/review/lib/store.mjs
@@ -2,6 +2,9 @@
 import { createServer } from 'node:http';
 
 const HISTORY = 10_000;
+/** A page of a list holds about 500 items or 1 MB at most. */
+const PAGE_ITEMS = 500;
+const PAGE_BYTES = 1_000_000;
 const STATUS = { ok: 200, created: 201, notFound: 404, conflict: 409, gone: 410 };
 
 async function readBody(request) {
@@ -17,6 +20,20 @@
   response.end(JSON.stringify(body));
 }
 
+/** Takes the items of one page from those that are left. */
+function takePage(entries) {
+  const page = [];
+  let bytes = 0;
+  for (const entry of entries) {
+    if (page.length > 0 && (page.length >= PAGE_ITEMS || bytes + entry.json.length > PAGE_BYTES)) {
+      break;
+    }
+    page.push(entry);
+    bytes += entry.json.length;
+  }
+  return page;
+}
+
 /** One revision counter, kinds of named objects, conditional writes and watches. */
 export class Store {
   revision = 1;
@@ -25,6 +42,8 @@
 
   events = [];
 
+  raw = [];
+
   watches = new Set();
 
   /** Decides what happens to a call: undefined serves it, 'silent' does nothing, 'lost' loses the answer. */
@@ -55,6 +74,28 @@
     return [...objects.values()].sort((a, b) => (a.meta.name < b.meta.name ? -1 : 1));
   }
 
+  /** Adds an entry whose JSON holds bytes that are no UTF-8; lists return it by its name. */
+  putRaw(kind, name, json) {
+    this.raw.push({ kind, name, json });
+  }
+
+  sendList(response, kind, after, view) {
+    const items = this.list(kind).map((object) => {
+      const json = Buffer.from(JSON.stringify(view(object, kind)));
+      return { name: object.meta.name, json };
+    });
+    const all = [...items, ...this.raw.filter((one) => one.kind === kind)]
+      .filter(({ name }) => name > after)
+      .sort((a, b) => (a.name < b.name ? -1 : 1));
+    const page = takePage(all);
+    const more = page.length < all.length;
+    const separated = page.flatMap(({ json }) => [Buffer.from(','), json]).slice(1);
+    const end = `],"more":${more},"store_revision":${this.revision}}`;
+    const body = Buffer.concat([Buffer.from('{"items":['), ...separated, Buffer.from(end)]);
+    response.writeHead(STATUS.ok, { 'content-type': 'application/json' });
+    response.end(body);
+  }
+
   find(kind, name) {
     return this.kinds.get(kind)?.get(name);
   }
@@ -100,8 +141,7 @@
     else if (request.method === 'GET' && url.searchParams.has('watch')) {
       this.watch(request, response, kind, url.searchParams, { machine, view });
     } else if (request.method === 'GET') {
-      const items = this.list(kind).map((object) => view(object, kind));
-      answer(response, STATUS.ok, { items, more: false, store_revision: this.revision });
+      this.sendList(response, kind, url.searchParams.get('after') ?? '', view);
     } else this.write(request, response, kind, name ?? body.meta?.name, body);
   }
 
--- a/review/lib/vm.mjs
+++ b/review/lib/vm.mjs
@@ -79,7 +79,7 @@
   handleExit(child, code, signal) {
     if (this.child !== child) return;
     this.child = undefined;
-    const [reason = ''] = /FATAL ERROR.*|Error.*/.exec(this.errors ?? '') ?? [];
+    const [reason = ''] = /shallotpick: .*|FATAL ERROR.*/.exec(this.errors ?? '') ?? [];
     const isOwn = !this.isStopping;
     this.note({ vm: this.name, exited: signal ?? code, byItself: isOwn, reason });
     if (!isOwn) return;
