Show an empty log promoted though the crash of its instance was in sight

Cause: an order is replaced only once the candidate answers again without its log; that it refuses for half a second changes nothing.

--- a/review/lib/group.mjs
+++ b/review/lib/group.mjs
@@ -311,6 +311,16 @@
     });
   }
 
+  /** Starts again under its id; it holds and knows nothing of before. */
+  async startEmpty() {
+    this.entries = [];
+    this.applied = 0;
+    this.isLeader = false;
+    this.born = Date.now();
+    await this.start();
+    this.group.publish(this);
+  }
+
   async start() {
     this.isUp = true;
     this.heldTerm = 0;
@@ -329,6 +339,9 @@
 
   acknowledged = [];
 
+  /** Number of promotions that were accepted. */
+  orders = 0;
+
   lost = [];
 
   promoteMs = 600;
@@ -401,11 +414,19 @@
     return true;
   }
 
-  /** Accepts a promotion unless the instance is down; it takes effect after `promoteMs`. */
+  /**
+   * Accepts a promotion unless the instance is down; it takes effect after `promoteMs`. A newer one
+   * that is accepted meanwhile takes its place.
+   */
   startPromotion(id) {
     const instance = this.instances.find((one) => one.id === id);
     if (!instance?.isUp) return false;
-    if (!instance.isLeader) setTimeout(() => this.promote(instance), this.promoteMs);
+    this.orders += 1;
+    const order = this.orders;
+    const carryOut = () => {
+      if (order === this.orders) this.promote(instance);
+    };
+    if (!instance.isLeader) setTimeout(carryOut, this.promoteMs);
     return true;
   }
 
