--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -10,6 +10,8 @@
 import { checkLost, startWriters } from '../lib/writers.mjs';
 
 const DIRECTORY = dirname(fileURLToPath(import.meta.url));
+/** TROUBLE=0 leaves out all disruptions. */
+const hasTrouble = process.env.TROUBLE !== '0';
 const SETTLE_MS = 12_000;
 const STORE_CUT_MS = 5_000;
 const PRIMARY_CUT_MS = 4_500;
@@ -30,7 +32,7 @@
   note({ back: other.id });
 }
 
-await runCase(DIRECTORY, async (deployment, { hasTrouble, note }) => {
+await runCase(DIRECTORY, async (deployment, note) => {
   await deployment.start({ vms: 2 });
   const [group] = deployment.groups;
   const { promotions, store } = deployment;
--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -187,7 +187,6 @@
 export async function runCase(directory, play) {
   const note = createRecord(directory);
   const deployment = new Deployment(note);
-  const hasTrouble = process.env.TROUBLE !== '0';
   let code = 2;
   const stop = async () => {
     await deployment.end();
@@ -198,7 +197,7 @@
   process.once('SIGTERM', stop);
   process.once('SIGINT', stop);
   try {
-    const broken = await play(deployment, { note, hasTrouble });
+    const broken = await play(deployment, note);
     broken.forEach((line) => note({ broken: line }));
     note({ verdict: broken.length > 0 ? 'broken' : 'held' });
     code = broken.length > 0 ? 1 : 0;
