--- a/packages/bench/src/invariants.ts
+++ b/packages/bench/src/invariants.ts
@@ -149,6 +149,7 @@
   readonly restorations: boolean;
   readonly restarts: boolean;
   readonly outages: boolean;
+  readonly partitions: boolean;
   readonly 'data-losses': boolean;
 }
 
@@ -160,6 +161,7 @@
   options: ScenarioOptions,
 ): readonly SeedReport[] {
   if (options.outages) return [checkTakeovers(seed, runs, 'outages')];
+  if (options.partitions) return [checkTakeovers(seed, runs, 'partitions')];
   if (options.restarts) return [checkTakeovers(seed, runs, 'restarts')];
   const withDataLosses = options['data-losses'];
   const faults = options.restorations ? restorationArbitrary : scenarioArbitrary;
@@ -183,6 +185,8 @@
       restarts: { type: 'boolean', default: false },
       /** The same with outages of several instances, of all VMs, and of candidates; takeovers only. */
       outages: { type: 'boolean', default: false },
+      /** Lets VMs differ in what they reach while instances start again; takeovers only. */
+      partitions: { type: 'boolean', default: false },
       /** Lets instances lose their data and come back empty under their ids. */
       'data-losses': { type: 'boolean', default: false },
     },
--- a/packages/bench/src/takeover/acknowledgements.ts
+++ b/packages/bench/src/takeover/acknowledgements.ts
@@ -1,13 +1,17 @@
+import type { LogPosition } from '@shallotpick/core';
 import type { AcceptedOrder } from './acceptedorder.js';
 
-/** A connection on which the outcome of a commit reaches its caller while it is open. */
+/** A connection of a VM to the leader, on which acknowledgements reach the VM while it is open. */
 export interface CallerConnection {
   readonly isOpen: () => boolean;
+  /** Tells the VM of an acknowledgement; it calls `confirm` when it hands that on to its caller. */
+  readonly acknowledge: (position: LogPosition, confirm: () => void) => void;
 }
 
-/** An entry that a group acknowledges. */
+/** An entry that a group acknowledges, with its position in the log. */
 interface AcknowledgedEntry {
   readonly id: number;
+  readonly position: LogPosition;
   readonly connections: readonly CallerConnection[];
 }
 
@@ -59,25 +63,36 @@
    */
   readonly lostInPromotion = new Set<number>();
 
-  /** Lost entries whose callers got an unknown outcome, since their connection had been closed. */
+  /** Lost entries whose callers got an unknown outcome. */
   readonly unconfirmed = new Set<number>();
 
   /** Entries of which a caller may have been told that they are committed. */
   private readonly confirmed = new Set<number>();
 
+  /** The first entry that a caller was told of after a promotion had lost it. */
+  confirmedLate: number | undefined;
+
   private readonly acknowledged = new Set<number>();
 
   /** Entries in logs that restarts have lost. */
   private readonly droppedByRestarts = new Set<number>();
 
   add(entries: readonly AcknowledgedEntry[]): void {
-    entries.forEach(({ id, connections }) => {
+    entries.forEach(({ id, position, connections }) => {
       this.ids.push(id);
       this.acknowledged.add(id);
-      if (connections.some(({ isOpen }) => isOpen())) this.confirmed.add(id);
+      connections
+        .filter(({ isOpen }) => isOpen())
+        .forEach(({ acknowledge }) => acknowledge(position, () => this.confirm(id)));
     });
   }
 
+  /** Notes that a caller has been told of the commit. */
+  private confirm(id: number): void {
+    this.confirmed.add(id);
+    if (this.unconfirmed.has(id)) this.confirmedLate ??= id;
+  }
+
   isAcknowledged(id: number): boolean {
     return this.acknowledged.has(id);
   }
--- a/packages/bench/src/takeover/armedfaults.ts
+++ b/packages/bench/src/takeover/armedfaults.ts
@@ -67,6 +67,21 @@
     this.orderWatches = [...this.orderWatches, { until: this.clock.now + duration, run }];
   }
 
+  /**
+   * Restarts an instance with its log before the promotion of the next order takes effect: a replica
+   * that the order does not name, or for an odd pick the named one.
+   */
+  restartInPromotion(duration: number, pick: number): void {
+    const run = (candidate: SyncInstance): void =>
+      this.clock.schedule(this.random.nextInt(MAX_AFTER_ORDER_MS), () => {
+        const isOther = (one: SyncInstance): boolean => one !== candidate && !one.isLeader;
+        const other = this.restarts.pickInstance(pick, isOther);
+        const instance = pick % 2 === 0 ? other : candidate;
+        if (instance) this.restarts.crash(instance, 1 + this.random.nextInt(MAX_DOWN_MS));
+      });
+    this.orderWatches = [...this.orderWatches, { until: this.clock.now + duration, run }];
+  }
+
   /** Runs the faults that wait for a new leader, once there is one. */
   handleStep(now: number): void {
     const { promotions } = this.group;
--- a/packages/bench/src/takeover/faultinjector.ts
+++ b/packages/bench/src/takeover/faultinjector.ts
@@ -105,6 +105,9 @@
       .with('losePower', () => outages.losePower(duration))
       .with('loseLogsInTakeover', () => outages.loseLogsInTakeover(duration, pick))
       .with('restartCandidate', () => armed.restartCandidate(duration, pick % 2 === 0))
+      .with('restartInPromotion', () => armed.restartInPromotion(duration, pick))
+      .with('splitVm', () => leader && this.splitVm(leader, duration, pick))
+      .with('delayStore', () => vmFaults.delayStore(pick, duration))
       .with('crashNewLeader', () => armed.crashNewLeader(duration, pick % 2 === 0))
       .with('changeLeaderTwice', () => {
         armed.crashNewLeader(duration, pick % 2 === 0);
@@ -146,6 +149,15 @@
     clock.schedule(duration, () => Object.assign(group, { isLeaderPartitioned: false }));
   }
 
+  /**
+   * Cuts a VM from the store and the others from the leader, and restarts an instance while the
+   * promotion that follows is in progress.
+   */
+  private splitVm(leader: SyncInstance, duration: number, pick: number): void {
+    this.vmFaults.split(leader, pick, duration);
+    this.armed.restartInPromotion(duration, pick);
+  }
+
   private cutInstanceFromStore(duration: number, pick: number): void {
     const instance = this.restarts.pickInstance(pick, () => true);
     const cutMs = Math.min(duration * STORE_CUT_FACTOR, MAX_STORE_CUT_MS);
--- a/packages/bench/src/takeover/group.ts
+++ b/packages/bench/src/takeover/group.ts
@@ -48,7 +48,8 @@
 
   violation: TakeoverViolation | undefined;
 
-  private pendingPromotion: AcceptedOrder | undefined;
+  /** Accepted orders that have not taken effect, oldest first. */
+  private pendingPromotions: readonly AcceptedOrder[] = [];
 
   private nextEntry = 1;
 
@@ -89,11 +90,13 @@
 
   /** Ends an instance's process, which loses its log. */
   crashWithLog(instance: SyncInstance, now: number): void {
-    const { pendingPromotion: order, acknowledgements } = this;
+    const { acknowledgements } = this;
     this.crash(instance);
-    if (order?.instance === instance) {
-      order.handleLoss(now, instance.log, (id) => acknowledgements.isAcknowledged(id));
-    }
+    this.pendingPromotions
+      .filter((order) => order.instance === instance)
+      .forEach((order) =>
+        order.handleLoss(now, instance.log, (id) => acknowledgements.isAcknowledged(id)),
+      );
     acknowledgements.addRestartLoss(instance.log.map(({ id }) => id));
     Object.assign(instance, { hasLostLead: instance.isLeader, isLeader: false });
     Object.assign(instance, { log: [], lostLog: instance.log, lostLogAt: now });
@@ -133,7 +136,8 @@
     now: number,
     listConnections: (instance: SyncInstance) => readonly CallerConnection[],
   ): void {
-    this.finishPromotion(now);
+    this.finishPromotions(now);
+    this.checkLateConfirmation(now);
     this.registry.update(now);
     const leader = this.findLeader();
     if (!leader?.isAlive) return;
@@ -172,16 +176,17 @@
     const { endsByCallForPrimary, endsByCallForStopped } = this.promotionRules;
     const instance = this.instances.find((one) => one.id === id);
     if (!instance?.isAlive) {
-      if (endsByCallForStopped) this.endEarlierOrder(token);
+      if (endsByCallForStopped) this.endEarlierOrders(token);
       return false;
     }
     if (instance.isLeader) {
-      if (endsByCallForPrimary) this.endEarlierOrder(token);
+      if (endsByCallForPrimary) this.endEarlierOrders(token);
       return true;
     }
     const order = new AcceptedOrder(instance, token, now, this.instances, this.nextEntry);
     if (now - instance.lostLogAt <= UNSEEN_LOSS_MS) this.noteLostLog(order, instance);
-    this.pendingPromotion = order;
+    const earlier = this.promotionRules.endsByLaterOrder ? [] : this.pendingPromotions;
+    this.pendingPromotions = [...earlier, order];
     return true;
   }
 
@@ -191,13 +196,12 @@
 
   /** Notes whether one of the VMs could outdate the accepted order if its instance lost its log. */
   watchOrder(now: number, vms: readonly ActingVm[]): void {
-    this.pendingPromotion?.watch(now, this.instances, vms);
+    this.pendingPromotions.forEach((order) => order.watch(now, this.instances, vms));
   }
 
-  /** Ends the accepted order, if any, that was given under a lower token. */
-  private endEarlierOrder(token: number): void {
-    const { pendingPromotion: pending } = this;
-    if (pending && pending.token < token) this.pendingPromotion = undefined;
+  /** Ends the accepted orders that were given under a lower token. */
+  private endEarlierOrders(token: number): void {
+    this.pendingPromotions = this.pendingPromotions.filter((order) => order.token >= token);
   }
 
   private createSuccessor(instance: SyncInstance): SyncInstance {
@@ -216,15 +220,30 @@
     const length = Math.max(0, ...replicas.map(({ log }) => log.length));
     const newest = this.acknowledgements.ids.at(-1) ?? 0;
     const first = leader.log.findLastIndex(({ id }) => id <= newest) + 1;
-    this.acknowledgements.add(leader.log.slice(first, length));
+    const entries = leader.log.slice(first, length).map((entry, index) => ({
+      ...entry,
+      position: { term: entry.term, offset: first + index + 1 },
+    }));
+    this.acknowledgements.add(entries);
+  }
+
+  /** Reports an entry that a caller was told of although a promotion had lost it. */
+  private checkLateConfirmation(now: number): void {
+    const { confirmedLate } = this.acknowledgements;
+    if (confirmedLate === undefined) return;
+    const detail = `a caller was told of entry ${confirmedLate} after it had been lost`;
+    this.violation ??= { guarantee: 'nothing acknowledged is lost', at: now, detail };
+  }
+
+  private finishPromotions(now: number): void {
+    const due = this.pendingPromotions.filter(({ at }) => at <= now);
+    this.pendingPromotions = this.pendingPromotions.filter(({ at }) => at > now);
+    due.forEach((order) => this.finishPromotion(order, now));
   }
 
-  private finishPromotion(now: number): void {
-    const { pendingPromotion: pending } = this;
-    if (!pending || pending.at > now) return;
-    this.pendingPromotion = undefined;
+  private finishPromotion(pending: AcceptedOrder, now: number): void {
     const { instance, processNumber } = pending;
-    if (!instance.isAlive) return;
+    if (!instance.isAlive || instance.isLeader) return;
     const hasRestarted = instance.processNumber !== processNumber;
     if (hasRestarted && !this.promotionRules.outlastsRestart) return;
     this.term += 1;
--- a/packages/bench/src/takeover/invariants.ts
+++ b/packages/bench/src/takeover/invariants.ts
@@ -1,8 +1,14 @@
 import * as fc from 'fast-check';
 import type { TakeoverViolation } from './group.js';
-import { DEFAULT_RUN_SETTINGS, OUTAGE_RUN_SETTINGS, RESTART_RUN_SETTINGS } from './runsettings.js';
+import {
+  DEFAULT_RUN_SETTINGS,
+  OUTAGE_RUN_SETTINGS,
+  PARTITION_RUN_SETTINGS,
+  RESTART_RUN_SETTINGS,
+} from './runsettings.js';
 import {
   outageArbitrary,
+  partitionArbitrary,
   restartArbitrary,
   restorationArbitrary,
   takeoverArbitrary,
@@ -31,6 +37,7 @@
   takeovers: { scenarios: takeoverArbitrary, settings: DEFAULT_RUN_SETTINGS },
   restorations: { scenarios: restorationArbitrary, settings: DEFAULT_RUN_SETTINGS },
   restarts: { scenarios: restartArbitrary, settings: RESTART_RUN_SETTINGS },
+  partitions: { scenarios: partitionArbitrary, settings: PARTITION_RUN_SETTINGS },
   outages: { scenarios: outageArbitrary, settings: OUTAGE_RUN_SETTINGS },
 } as const;
 
--- a/packages/bench/src/takeover/promotionrules.ts
+++ b/packages/bench/src/takeover/promotionrules.ts
@@ -17,6 +17,8 @@
    * 409, ends an accepted order that has not taken effect yet.
    */
   readonly endsByCallForStopped: boolean;
+  /** A later order under a higher token that is accepted ends one that has not taken effect yet. */
+  readonly endsByLaterOrder: boolean;
   /** A call that is refused since its instance is not running outdates lower tokens. */
   readonly raisesFenceWhenStopped: boolean;
 }
@@ -26,6 +28,7 @@
   outlastsRestart: true,
   endsByCallForPrimary: false,
   endsByCallForStopped: false,
+  endsByLaterOrder: true,
   raisesFenceWhenStopped: true,
 };
 
@@ -37,6 +40,8 @@
   lastingWithoutTrace: { ...LASTING_ORDERS, raisesFenceWhenStopped: false },
   /** An order is for the process that ran when it was accepted. */
   boundToProcess: { ...LASTING_ORDERS, outlastsRestart: false },
+  /** Every accepted order takes effect, whatever is ordered later. */
+  allCarriedOut: { ...LASTING_ORDERS, endsByLaterOrder: false },
   /** Every later call under a higher token ends an order. */
   endedByLaterCalls: {
     ...LASTING_ORDERS,
@@ -45,16 +50,26 @@
   },
 } as const satisfies Readonly<Record<string, PromotionRules>>;
 
-/** Chooses the rules of a run by its seed alone, without the generator of the run. */
+/** Draws bits by a seed alone, without the generator of the run. */
+function drawBits(seed: number): readonly boolean[] {
+  const bytes = createHash('sha256').update(`promotion rules ${seed}`).digest();
+  return [...bytes].map((byte) => byte % 2 === 1);
+}
+
+/** Chooses the rules of a run in which a later order that is accepted ends an earlier one. */
 export function choosePromotionRules(seed: number): PromotionRules {
-  const [first = 0, second = 0, third = 0, fourth = 0] = createHash('sha256')
-    .update(`promotion rules ${seed}`)
-    .digest();
-  const isSet = (byte: number): boolean => byte % 2 === 1;
+  const [first = false, second = false, third = false, fourth = false] = drawBits(seed);
   return {
-    outlastsRestart: isSet(first),
-    endsByCallForPrimary: isSet(second),
-    endsByCallForStopped: isSet(third),
-    raisesFenceWhenStopped: isSet(fourth),
+    ...LASTING_ORDERS,
+    outlastsRestart: first,
+    endsByCallForPrimary: second,
+    endsByCallForStopped: third,
+    raisesFenceWhenStopped: fourth,
   };
 }
+
+/** Chooses the rules of a run in which earlier orders may be carried out beside later ones. */
+export function chooseOverlapRules(seed: number): PromotionRules {
+  const [, , , , endsByLaterOrder = false] = drawBits(seed);
+  return { ...choosePromotionRules(seed), endsByLaterOrder };
+}
--- a/packages/bench/src/takeover/runsettings.ts
+++ b/packages/bench/src/takeover/runsettings.ts
@@ -1,5 +1,5 @@
 import { LOST_LOG_TIMEOUT_MS } from '@shallotpick/core';
-import { choosePromotionRules, type PromotionRules } from './promotionrules.js';
+import { chooseOverlapRules, choosePromotionRules, type PromotionRules } from './promotionrules.js';
 
 /** Every fault starts within this time. */
 export const FAULT_WINDOW_MS = 8_000;
@@ -45,6 +45,13 @@
   hasOutages: false,
 };
 
+/** Settings of runs in which VMs differ in what they reach. */
+export const PARTITION_RUN_SETTINGS: RunSettings = {
+  ...DEFAULT_RUN_SETTINGS,
+  showsCrashes: true,
+  choosePromotionRules: chooseOverlapRules,
+};
+
 /**
  * Settings of runs with faults of up to MAX_OUTAGE_FAULT_MS. Two of them in a row, as of a new leader
  * that crashes, end within MAX_STORE_CUT_MS, and so does the delay of their last orders.
--- a/packages/bench/src/takeover/scenario.ts
+++ b/packages/bench/src/takeover/scenario.ts
@@ -100,8 +100,27 @@
   'crashLeaving',
 ] as const;
 
+/** Faults of runs in which VMs differ in what they reach, while instances start again with their logs. */
+const PARTITION_KINDS = [
+  ...FAULT_KINDS,
+  'splitVm',
+  'splitVm',
+  'splitVm',
+  'splitVm',
+  'restartInPromotion',
+  'restartInPromotion',
+  'restartInPromotion',
+  'delayStore',
+  'delayStore',
+  'cutVmFromStore',
+  'deafReplica',
+] as const;
+
 /** Name of a fault. */
-export type TakeoverFaultKind = (typeof OUTAGE_KINDS)[number] | (typeof RESTORATION_KINDS)[number];
+export type TakeoverFaultKind =
+  | (typeof OUTAGE_KINDS)[number]
+  | (typeof RESTORATION_KINDS)[number]
+  | (typeof PARTITION_KINDS)[number];
 
 /** One fault of a run; `pick` chooses what it affects. */
 export interface TakeoverFault {
@@ -177,6 +196,9 @@
 /** The same with instances that start again without their log or under another id. */
 export const restartArbitrary = createScenarioArbitrary(RESTART_KINDS, 6);
 
+/** The same with VMs that differ in what they reach. */
+export const partitionArbitrary = createScenarioArbitrary(PARTITION_KINDS, 6);
+
 /** The same in groups of several sizes, with longer faults, and several instances or all VMs failing. */
 export const outageArbitrary: fc.Arbitrary<TakeoverScenario> = fc
   .tuple(
--- a/packages/bench/src/takeover/simulation.ts
+++ b/packages/bench/src/takeover/simulation.ts
@@ -1,4 +1,9 @@
-import { PromotionGate, PromotionRecordView, SuccessorSelector } from '@shallotpick/core';
+import {
+  CommitGate,
+  PromotionGate,
+  PromotionRecordView,
+  SuccessorSelector,
+} from '@shallotpick/core';
 import { createRandom, type Random } from '../random.js';
 import { SyncGroup, type TakeoverViolation } from './group.js';
 import { type PlatformRules, SimulatedPlatform } from './platform.js';
@@ -20,6 +25,7 @@
   readonly createSelector: () => SuccessorSelector;
   readonly createView: () => PromotionRecordView;
   readonly createGate: (selector: SuccessorSelector) => PromotionGate;
+  readonly createCommitGate: () => CommitGate;
 }
 
 /** The components that the product uses. */
@@ -29,6 +35,7 @@
   createSelector: () => new SuccessorSelector(),
   createView: () => new PromotionRecordView(),
   createGate: (selector) => new PromotionGate(selector),
+  createCommitGate: () => new CommitGate(),
 };
 
 /** Simulates a group with a synchronous replica, three VMs and faults in virtual time. */
--- a/packages/bench/src/takeover/vm.ts
+++ b/packages/bench/src/takeover/vm.ts
@@ -1,5 +1,9 @@
 import {
+  type CommitGate,
   encodeStoreVersion,
+  formatSettledClaim,
+  type ConnectionTrace,
+  type InstanceView,
   type PromotionGate,
   type PromotionRecord,
   type PromotionRecordView,
@@ -11,14 +15,17 @@
 import { match, P } from 'ts-pattern';
 import type { ActingVm } from './acceptedorder.js';
 import type { CallerConnection } from './acknowledgements.js';
+import { CommitConfirmation } from './commitconfirmation.js';
 import type { SyncGroup } from './group.js';
 import type { SyncInstance } from './syncinstance.js';
 import { type Member, MemberList } from './memberlist.js';
-import type { SimulatedPlatform } from './platform.js';
+import { INSTANCE_CALL_MS, type SimulatedPlatform } from './platform.js';
 import { InstanceProber } from './prober.js';
 import type { VirtualClock } from './clock.js';
 
 const RECORD_LAG_MS = 20;
+/** A watch of the record returns by then, with or without a change. */
+const WATCH_MS = 12_000;
 /** Longer than RECORD_LAG_MS, so that a VM may act on a newer record with an outdated list. */
 const LIST_INTERVAL_MS = 1_000;
 /** Time until the store answers a listing. */
@@ -41,6 +48,7 @@
   readonly createSelector: () => SuccessorSelector;
   readonly createView: () => PromotionRecordView;
   readonly createGate: (selector: SuccessorSelector) => PromotionGate;
+  readonly createCommitGate: () => CommitGate;
 }
 
 /** Simulates a VM with a TakeoverCoordinator, which learns of the group by probes and the store. */
@@ -49,6 +57,9 @@
 
   isCutFromStore = false;
 
+  /** How late the answers of the store reach this VM. */
+  storeDelayMs = 0;
+
   /** How old the periodic listings are that the store answers with. */
   staleMs = 0;
 
@@ -57,6 +68,11 @@
 
   private coordinator: TakeoverCoordinator;
 
+  private confirmation: CommitConfirmation;
+
+  /** When the present watch of the record was sent. */
+  private watchedAt = 0;
+
   private readonly prober: InstanceProber;
 
   private readonly members = new MemberList();
@@ -76,6 +92,7 @@
     const { group, showsCrashes } = options;
     this.prober = new InstanceProber(group, this.unreachable, showsCrashes);
     this.coordinator = this.createCoordinator();
+    this.confirmation = this.createConfirmation();
   }
 
   /** Replaces the process by a new one without any state. */
@@ -87,14 +104,22 @@
     this.listedAt = Number.NEGATIVE_INFINITY;
     this.queuedDeliveries.length = 0;
     this.coordinator = this.createCoordinator();
+    this.confirmation = this.createConfirmation();
   }
 
   /** Opens a connection for writes; undefined if the instance isn't reached or is being replaced. */
   openConnection(instance: SyncInstance): CallerConnection | undefined {
     if (this.isPaused || this.unreachable.has(instance.id)) return undefined;
     if (this.coordinator.isBeingReplaced(instance)) return undefined;
-    const opened = this.describeConnection(instance);
-    return { isOpen: () => this.describeConnection(instance) === opened };
+    const trace = this.findTrace(instance);
+    return {
+      isOpen: trace.isUsable,
+      acknowledge: (position, confirm) =>
+        this.deliver(() => {
+          const { now } = this.options.clock;
+          this.confirmation.add(instance.id, trace, position, now, confirm);
+        })(),
+    };
   }
 
   resume(): void {
@@ -106,8 +131,61 @@
     if (this.isPaused) return;
     this.watchRecord(now);
     this.refreshInstances();
-    const views = this.listMembers(now).map((member) => this.prober.probe(member, now));
+    const views = this.listMembers(now).map((member) => this.probe(member, now));
     this.runActions(this.coordinator.handleTick(views, now));
+    const ids = views.map(({ id }) => id).filter((id) => this.coordinator.isEligible(id));
+    this.confirmation.handleTick(ids, now);
+  }
+
+  private probe(member: Member, now: number): InstanceView {
+    const { instance } = member;
+    const view = this.prober.probe(member, now);
+    if (view.positionAt === now && view.health === 'answering') {
+      this.confirmation.handleProbe(instance.id, this.findTrace(instance), view, now);
+    }
+    return view;
+  }
+
+  private findTrace(instance: SyncInstance): ConnectionTrace {
+    const describe = (): string => this.describeConnection(instance);
+    return this.confirmation.findTrace(instance.id, describe, this.options.clock.now);
+  }
+
+  private createConfirmation(): CommitConfirmation {
+    return new CommitConfirmation(this.options.createCommitGate(), {
+      askStatus: (instance) => this.askWitness(instance),
+      readRecord: () => this.readForCommits(),
+    });
+  }
+
+  /** Reads whether a claim is open, for the commits that wait. */
+  private readForCommits(): void {
+    if (this.isCutFromStore) return;
+    const sentAt = this.options.clock.now;
+    this.options.platform.read((record, { era }) =>
+      this.answerLate(() => {
+        const claim = record?.era === era ? formatSettledClaim(record) : undefined;
+        if (claim === undefined) return;
+        this.confirmation.handleSettledRecord(claim, sentAt, this.options.clock.now);
+      }),
+    );
+  }
+
+  /** Asks an instance whether it holds the commits that wait. */
+  private askWitness(id: string): void {
+    if (this.unreachable.has(id)) return;
+    const { group, clock } = this.options;
+    const instance = group.instances.find((one) => one.id === id);
+    if (!instance) return;
+    const trace = this.findTrace(instance);
+    const sentAt = clock.now;
+    clock.schedule(INSTANCE_CALL_MS, () => {
+      const report = trace.isUsable() ? group.handleOrder('status', id, 0) : undefined;
+      if (!report) return;
+      const handle = (): void =>
+        this.confirmation.handleReport(id, trace, report, sentAt, clock.now);
+      clock.schedule(INSTANCE_CALL_MS, this.deliver(handle));
+    });
   }
 
   /** Describes what this VM could act on now; undefined if it can't order, or calls may be lost. */
@@ -145,9 +223,15 @@
   }
 
   /** Handles the record, and closes the connections to a leader that is being replaced. */
-  private handleRecord(record: PromotionRecord | undefined, version: StoreVersion): void {
+  private handleRecord(
+    record: PromotionRecord | undefined,
+    version: StoreVersion,
+    readAt: number,
+  ): void {
     const { now } = this.options.clock;
     this.runActions(this.coordinator.handleRecord(record, version, now));
+    const claim = this.coordinator.findSettledClaim();
+    if (claim !== undefined) this.confirmation.handleSettledRecord(claim, readAt, now);
     this.listMembers(now).forEach(({ instance }) => {
       const { id } = instance;
       if (!this.coordinator.isBeingReplaced(instance)) return;
@@ -170,10 +254,13 @@
     const { record } = platform;
     const version = platform.readVersion();
     const encoded = encodeStoreVersion(version);
-    if (this.isCutFromStore || platform.isDown || encoded === this.seenVersion) return;
+    const isDue = encoded !== this.seenVersion || now - this.watchedAt >= WATCH_MS;
+    if (this.isCutFromStore || platform.isDown || !isDue) return;
+    const { watchedAt } = this;
     this.seenVersion = encoded;
-    const run = this.deliver(() => this.handleRecord(record, version));
-    if (now >= 0) clock.schedule(RECORD_LAG_MS, run);
+    this.watchedAt = now;
+    const run = this.deliver(() => this.handleRecord(record, version, watchedAt));
+    if (now >= 0) clock.schedule(RECORD_LAG_MS + this.storeDelayMs, run);
   }
 
   private refreshInstances(): void {
@@ -211,11 +298,12 @@
       )
       .with({ kind: 'write' }, ({ record, expectedVersion }) => {
         if (this.isCutFromStore) return;
+        const sentAt = this.options.clock.now;
         platform.write(record, expectedVersion, (outcome, version) =>
-          this.deliver(() => {
-            if (outcome === 'written') this.handleRecord(record, version);
+          this.answerLate(() => {
+            if (outcome === 'written') this.handleRecord(record, version, sentAt);
             else this.runActions(this.coordinator.handleWriteFailure());
-          })(),
+          }),
         );
       })
       .with({ kind: 'promote' }, ({ instance, token }) => {
@@ -239,7 +327,17 @@
   private read(): void {
     const { platform } = this.options;
     if (this.isCutFromStore) return;
-    platform.read((record, version) => this.deliver(() => this.handleRecord(record, version))());
+    const sentAt = this.options.clock.now;
+    platform.read((record, version) =>
+      this.answerLate(() => this.handleRecord(record, version, sentAt)),
+    );
+  }
+
+  /** Delivers an answer of the store, as late as a fault has it. */
+  private answerLate(run: () => void): void {
+    const deliver = this.deliver(run);
+    if (this.storeDelayMs === 0) deliver();
+    else this.options.clock.schedule(this.storeDelayMs, deliver);
   }
 
   private sendOrder(kind: string, instance: string, term: number): void {
--- a/packages/bench/src/takeover/vmfaults.ts
+++ b/packages/bench/src/takeover/vmfaults.ts
@@ -5,6 +5,7 @@
 
 const RESTART_MS = 500;
 const STALE_STEP_MS = 700;
+const STORE_DELAY_STEP_MS = 300;
 /** VMs that are killed at about one moment are killed within this time. */
 const KILL_SPREAD_MS = 300;
 
@@ -39,6 +40,26 @@
     this.clock.schedule(duration, () => Object.assign(vm, { isCutFromStore: false }));
   }
 
+  /** Delays the store's answers to a VM. */
+  delayStore(pick: number, duration: number): void {
+    const vm = this.pick(pick);
+    vm.storeDelayMs = (pick + 1) * STORE_DELAY_STEP_MS;
+    this.clock.schedule(duration, () => Object.assign(vm, { storeDelayMs: 0 }));
+  }
+
+  /**
+   * Cuts all VMs but one from an instance, and that one from the store, or delays the store's
+   * answers to it. The cuts end together.
+   */
+  split(instance: SyncInstance, pick: number, duration: number): void {
+    const index = pick % this.vms.length;
+    if (pick < this.vms.length) this.cutFromStore(pick, duration);
+    else this.delayStore(pick, duration);
+    const cut = this.vms.filter((_, other) => other !== index);
+    cut.forEach((vm) => vm.unreachable.add(instance.id));
+    this.clock.schedule(duration, () => cut.forEach((vm) => vm.unreachable.delete(instance.id)));
+  }
+
   /** Lets the store answer a VM with lists that are out of date. */
   delayLists(pick: number, duration: number): void {
     const vm = this.pick(pick);
--- a/packages/bench/test/acceptedorder.spec.ts
+++ b/packages/bench/test/acceptedorder.spec.ts
@@ -3,11 +3,11 @@
 import { type ActingVm, PROMOTE_MS, REACTION_MS } from '../src/takeover/acceptedorder.js';
 import { SyncGroup } from '../src/takeover/group.js';
 import type { SyncInstance } from '../src/takeover/syncinstance.js';
+import { OPEN_CONNECTION } from './openconnection.js';
 
 const STEP_MS = 10;
 /** Time in which the leader gets its first entries acknowledged. */
 const WRITE_MS = 400;
-const OPEN = { isOpen: () => true };
 
 /** A VM that reaches all instances but the given ones. */
 const createVm = (process: string, ...unreachable: readonly SyncInstance[]): ActingVm => ({
@@ -39,7 +39,7 @@
     const end = this.now + duration;
     for (; this.now < end; this.now += STEP_MS) {
       this.group.watchOrder(this.now, this.vms);
-      this.group.handleStep(this.now, () => [OPEN]);
+      this.group.handleStep(this.now, () => [OPEN_CONNECTION]);
     }
   }
 
--- a/packages/bench/test/mutants/report.ts
+++ b/packages/bench/test/mutants/report.ts
@@ -8,6 +8,7 @@
 } from '../../src/takeover/simulation.js';
 import {
   OUTAGE_MUTANTS,
+  PARTITION_MUTANTS,
   RESTART_MUTANTS,
   RESTORATION_MUTANTS,
   TAKEOVER_MUTANTS,
@@ -30,6 +31,7 @@
     restorations: RESTORATION_MUTANTS,
     restarts: RESTART_MUTANTS,
     outages: OUTAGE_MUTANTS,
+    partitions: PARTITION_MUTANTS,
   };
 
 /**
--- a/packages/bench/test/mutants/takeover.ts
+++ b/packages/bench/test/mutants/takeover.ts
@@ -1,5 +1,11 @@
-import { type PromotionGate, type PromotionRecordView, SuccessorSelector } from '@shallotpick/core';
+import {
+  type CommitGate,
+  type PromotionGate,
+  type PromotionRecordView,
+  SuccessorSelector,
+} from '@shallotpick/core';
 import { DEFAULT_TAKEOVER_RULES, type TakeoverRules } from '../../src/takeover/simulation.js';
+import { AnyHolderCommitGate, TrustingCommitGate } from './commitgate.js';
 import { FurthestGate, TrustingGate, UnaskedLeaderGate, UnconfirmedGate } from './gate.js';
 import {
   AnyStartSelector,
@@ -45,6 +51,11 @@
   createGate: (selector) => new Gate(selector),
 });
 
+const withCommitGate = (Gate: new () => CommitGate): TakeoverRules => ({
+  ...DEFAULT_TAKEOVER_RULES,
+  createCommitGate: () => new Gate(),
+});
+
 const withSelector = (Selector: new () => SuccessorSelector): TakeoverRules => ({
   ...DEFAULT_TAKEOVER_RULES,
   createSelector: () => new Selector(),
@@ -87,3 +98,9 @@
   'raises the fence with a leader that has not told its role': withGate(UnaskedLeaderGate),
   'takes a missing instance that was leaving for one that has ended': withSelector(LeavingSelector),
 };
+
+/** The same, for runs in which VMs differ in what they reach while instances start again. */
+export const PARTITION_MUTANTS: Readonly<Record<string, TakeoverRules>> = {
+  'hands on whatever the leader acknowledges': withCommitGate(TrustingCommitGate),
+  'counts a replica whose order to stop may be gone': withCommitGate(AnyHolderCommitGate),
+};
--- a/packages/bench/test/takeoverfaults.spec.ts
+++ b/packages/bench/test/takeoverfaults.spec.ts
@@ -10,6 +10,7 @@
 import { DEFAULT_TAKEOVER_RULES, TakeoverSimulation } from '../src/takeover/simulation.js';
 import type { SyncInstance } from '../src/takeover/syncinstance.js';
 import { SimulatedVm } from '../src/takeover/vm.js';
+import { OPEN_CONNECTION } from './openconnection.js';
 
 const STEP_MS = 10;
 const VMS = 3;
@@ -78,7 +79,7 @@
     for (let now = this.clock.now + STEP_MS; now <= end; now += STEP_MS) {
       this.clock.advanceTo(now);
       this.reports.handleStep(now);
-      this.group.handleStep(now, () => [{ isOpen: () => true }]);
+      this.group.handleStep(now, () => [OPEN_CONNECTION]);
       this.faults.handleStep(now);
       observe();
     }
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -145,9 +145,13 @@
 export { hasAnswered, isAlive } from './instanceview.js';
 export { FenceReports } from './fencereports.js';
 export { LogHolders } from './logholders.js';
-export { PromotionRecordView } from './recordview.js';
+export { formatSettledClaim, PromotionRecordView } from './recordview.js';
 export { PromotionGate } from './promotiongate.js';
 export type { GateAnswer, PromotionGrant } from './promotiongate.js';
+export { CommitGate, isDurable } from './commitgate.js';
+export type { AcknowledgedCommit, CommitVerdict, InstanceAnswer } from './commitgate.js';
+export { ProcessContinuity } from './processcontinuity.js';
+export type { ConnectionTrace } from './processcontinuity.js';
 export { TakeoverCoordinator } from './takeover.js';
 export type { TakeoverOptions } from './takeover.js';
 export type {
--- a/packages/core/src/recordview.ts
+++ b/packages/core/src/recordview.ts
@@ -12,6 +12,12 @@
   return describe(a) === describe(b);
 }
 
+/** Identifies the claim of a settled record; undefined for an open one. */
+export function formatSettledClaim(record: PromotionRecord): string | undefined {
+  const { era, generation, holder, phase } = record;
+  return phase === 'settled' ? `${era}/${generation}/${holder}` : undefined;
+}
+
 /** What one VM knows of a group's promotion record in the store. */
 export class PromotionRecordView {
   record: PromotionRecord | undefined;
--- a/packages/core/src/takeover.ts
+++ b/packages/core/src/takeover.ts
@@ -9,7 +9,7 @@
 import { PromotionGate, type PromotionGrant } from './promotiongate.js';
 import { PromotionOrders } from './promotionorders.js';
 import { PromotingStep } from './promotingstep.js';
-import { hasSameMembers, PromotionRecordView } from './recordview.js';
+import { formatSettledClaim, hasSameMembers, PromotionRecordView } from './recordview.js';
 import { compareStoreVersions, type StoreVersion } from './storeversion.js';
 import { SuccessorSelector } from './successor.js';
 import { findRequiredPlan } from './requiredplan.js';
@@ -116,6 +116,12 @@
     return this.view.listReplaced().some((one) => isSamePlace(instance, one));
   }
 
+  /** Identifies the settled claim of the group's record; undefined unless none is open. */
+  findSettledClaim(): string | undefined {
+    const record = this.view.readCurrent();
+    return record && this.view.isKnown() ? formatSettledClaim(record) : undefined;
+  }
+
   /** Sets this VM's rank among the live VMs; 0 acts first. */
   updateRank(rank: number): void {
     this.rank = rank;
--- a/packages/engine/src/connection.ts
+++ b/packages/engine/src/connection.ts
@@ -1,4 +1,4 @@
-import type { FenceReport, Millis, RegisteredInstance } from '@shallotpick/core';
+import type { ConnectionTrace, FenceReport, Millis, RegisteredInstance } from '@shallotpick/core';
 import type { PooledConnection } from './pool.js';
 import { applySetup, type SessionState, toOperation } from './setup.js';
 import type {
@@ -17,7 +17,7 @@
 export interface ReplyObserver {
   /** Current time of the clock that includes suspensions of the VM. */
   readNow(): Millis;
-  handleReply(command: Command, reply: Reply, sentAt: Millis): void;
+  handleReply(connection: ConnectionTrace, command: Command, reply: Reply, sentAt: Millis): void;
 }
 
 /** A reply, and when the connection was opened on which it came. */
@@ -26,7 +26,7 @@
 }
 
 /** A connection to an instance. Commands can be pipelined. */
-export abstract class InstanceConnection implements PooledConnection {
+export abstract class InstanceConnection implements PooledConnection, ConnectionTrace {
   /** Session variables that are set on this connection. */
   readonly variables = new Map<string, string>();
 
@@ -35,6 +35,9 @@
 
   observer: ReplyObserver | undefined;
 
+  /** When this VM began to connect. */
+  dialedAt: Millis = Number.NEGATIVE_INFINITY;
+
   /** When the instance had accepted the connection; all its replies are of one process. */
   openedAt: Millis = Number.NEGATIVE_INFINITY;
 
--- a/packages/engine/src/errors.ts
+++ b/packages/engine/src/errors.ts
@@ -12,6 +12,9 @@
 /** Another instance answers at the registered address. */
 export const WrongInstanceError = ConnectionError.subclass('WrongInstanceError');
 
+/** The instance has acknowledged a commit that a takeover may lose; its outcome is unknown. */
+export const UnconfirmedCommitError = ConnectionError.subclass('UnconfirmedCommitError');
+
 /** The platform's store didn't answer, or its response can't be used. */
 export const StoreError = EngineError.subclass('StoreError');
 
--- a/packages/engine/src/group.ts
+++ b/packages/engine/src/group.ts
@@ -6,6 +6,7 @@
   type RegisteredInstance,
 } from '@shallotpick/core';
 import { GroupAccess } from './access.js';
+import { CommitConfirmation } from './commitconfirmation.js';
 import type { GroupSettings } from './configuration.js';
 import type { InstanceConnector } from './connection.js';
 import { type AdmittedWork, Dispatcher, type WorkRequest } from './dispatcher.js';
@@ -61,6 +62,8 @@
 
   readonly takeover: TakeoverDriver;
 
+  readonly confirmation: CommitConfirmation;
+
   private readonly members: GroupMembers;
 
   private readonly dispatcher: Dispatcher;
@@ -86,6 +89,13 @@
         this.dispatcher.handleTick();
       },
       onRemove: (instance) => this.dispatcher.removeInstance(instance),
+      onReply: (...reply) => this.confirmation.handleReply(...reply),
+    });
+    this.confirmation = new CommitConfirmation({
+      ...{ group: name, clock, log, metrics, connector },
+      hasSynchronousReplica: () => this.settings.synchronousReplicas > 0,
+      listMembers: () => this.listEligible(),
+      readRecord: () => this.takeover.readRecord(),
     });
     this.router = new WorkRouter(
       {
@@ -135,6 +145,7 @@
   findLeader(now: Millis): Member | undefined {
     const leader = this.members.findLeading();
     if (!leader || this.takeover.isBeingReplaced(leader)) return undefined;
+    if (this.confirmation.isLeaderDoubted(now)) return undefined;
     return this.members.isDrainEnding(leader.id, now) ? undefined : leader;
   }
 
@@ -157,6 +168,7 @@
   handleTick(): void {
     const now = this.options.clock.readNow();
     this.router.handleTick(now);
+    this.confirmation.handleTick();
     const share = this.computeShare();
     this.listMembers().forEach((member) => {
       if (member.isExpired && !member.probe.isAlive()) this.members.remove(member);
@@ -174,6 +186,7 @@
   stop(): void {
     this.listMembers().forEach((member) => this.members.remove(member));
     this.dispatcher.stop();
+    this.confirmation.stop();
   }
 
   /** This proxy's share of an instance's connections. */
@@ -212,7 +225,8 @@
     try {
       const connection = await member.pool.connect();
       const { after } = this.router.findPositions(request);
-      return createLease({ admitted, member, connection, dispatcher, clock, after });
+      const { confirmation } = this;
+      return createLease({ admitted, member, connection, dispatcher, clock, after, confirmation });
     } catch (error) {
       member.updateRunning(false);
       member.handleConnectionFailure(error, clock.readNow());
--- a/packages/engine/src/index.ts
+++ b/packages/engine/src/index.ts
@@ -14,6 +14,7 @@
   HistoryGoneError,
   NotRunError,
   StoreError,
+  UnconfirmedCommitError,
   WrongInstanceError,
 } from './errors.js';
 export { Fleet, VMS_KIND } from './fleet.js';
@@ -25,6 +26,9 @@
 export type { ObjectWatcherOptions } from './watcher.js';
 export { GroupService } from './group.js';
 export type { WorkRequest } from './dispatcher.js';
+export { CommitConfirmation } from './commitconfirmation.js';
+export { classifyCommand, WriteTracker } from './writetracker.js';
+export { findAccess } from './setup.js';
 export { createLeaseUse } from './lease.js';
 export type { Lease, LeaseUse } from './lease.js';
 export { createEngineLog } from './log.js';
--- a/packages/engine/src/lease.ts
+++ b/packages/engine/src/lease.ts
@@ -1,4 +1,5 @@
 import type { Clock, LogPosition, Millis } from '@shallotpick/core';
+import type { CommitConfirmation } from './commitconfirmation.js';
 import type { InstanceConnection } from './connection.js';
 import type { AdmittedWork, Dispatcher } from './dispatcher.js';
 import type { Member } from './member.js';
@@ -16,6 +17,13 @@
   recordLatency(tookMs: Millis): void;
   /** Clears the leadership of that start, which refused a statement as read-only. */
   handleDemotion(): void;
+  /**
+   * Waits until a commit that the instance has acknowledged may be handed on.
+   *
+   * @param position a log position that includes it, as the instance has told
+   * @throws UnconfirmedCommitError when a takeover may lose it, or nothing proves in time that none can
+   */
+  confirmCommit(position: LogPosition | undefined, timeoutMs: Millis): Promise<void>;
   /** Records that a statement starts or has ended while the lease is held. */
   updateBusy(isBusy: boolean): void;
   /** Returns the connection and frees the slot; further calls have no effect. */
@@ -58,11 +66,12 @@
   readonly dispatcher: Dispatcher;
   readonly clock: Clock;
   readonly after: LogPosition | undefined;
+  readonly confirmation: CommitConfirmation;
 }
 
 /** Creates the lease of a member's connection for admitted work. */
 export function createLease(parts: LeaseParts): Lease {
-  const { admitted, member, connection, dispatcher, clock, after } = parts;
+  const { admitted, member, connection, dispatcher, clock, after, confirmation } = parts;
   const use = createLeaseUse(
     (isBusy) => {
       member.updateRunning(isBusy);
@@ -83,5 +92,9 @@
     latencyMs: member.estimateLatency(clock.readNow()),
     recordLatency: (tookMs) => member.recordLatency(tookMs, clock.readNow()),
     handleDemotion: () => member.probe.clearLeadership(),
+    confirmCommit: (position, timeoutMs) => {
+      const commit = { leader: member.id, connection, position, acknowledgedAt: clock.readNow() };
+      return confirmation.confirm(commit, timeoutMs);
+    },
   };
 }
--- a/packages/engine/src/member.ts
+++ b/packages/engine/src/member.ts
@@ -33,7 +33,9 @@
   }
 
   protected override async openConnection(): Promise<InstanceConnection> {
+    const dialedAt = this.steadyClock.readNow();
     const connection = await this.connector.open(this.instance, CONNECT_TIMEOUT_MS);
+    connection.dialedAt = dialedAt;
     connection.openedAt = this.steadyClock.readNow();
     connection.observer = this.observer;
     return connection;
--- a/packages/engine/src/members.ts
+++ b/packages/engine/src/members.ts
@@ -32,6 +32,8 @@
   readonly countVms: () => number;
   readonly onProbeResult: ProbeOptions['onResult'];
   readonly onRemove: (instance: string) => void;
+  /** Receives every reply of an instance; see `ProbeOptions`. */
+  readonly onReply: (instance: string, ...reply: Parameters<ProbeOptions['onReply']>) => void;
 }
 
 /** The members of one group: adds, changes and removes them, and tracks which are leaving. */
@@ -151,6 +153,7 @@
       ...{ instance, pool, clock, ageClock, log, suspicion },
       ...{ isChangingLeader, countVms, onResult },
       hasLeader: () => this.findLeading() !== undefined,
+      onReply: (...reply) => this.options.onReply(id, ...reply),
     });
     pool.observer = probe;
     this.members.set(id, new Member(instance, { pool, probe }));
--- a/packages/engine/src/metrics.ts
+++ b/packages/engine/src/metrics.ts
@@ -58,6 +58,11 @@
     'action',
   ]);
 
+  /** Acknowledged commits, by what proved them durable, or why they were not handed on. */
+  readonly commits = createCounter(this.registry, 'commits_total', 'Acknowledged commits', [
+    'verdict',
+  ]);
+
   readonly callers = new Gauge({
     name: 'shallotpick_callers',
     help: 'Open caller connections',
--- a/packages/engine/src/pool.ts
+++ b/packages/engine/src/pool.ts
@@ -71,8 +71,9 @@
     return this.takeIdle() ?? this.openOne();
   }
 
-  /** Takes an idle connection; undefined when there is none. */
-  takeIdle(): C | undefined {
+  /** Takes an idle connection, a preferred one if possible; undefined when there is none. */
+  takeIdle(isPreferred?: (connection: C) => boolean): C | undefined {
+    if (isPreferred) this.movePreferredToEnd(isPreferred);
     for (let next = this.idle.pop(); next; next = this.idle.pop()) {
       if (next.connection.isUsable()) return next.connection;
       this.open.delete(next.connection);
@@ -149,6 +150,13 @@
     this.closePresent();
   }
 
+  private movePreferredToEnd(isPreferred: (connection: C) => boolean): void {
+    const index = this.idle.findLastIndex(
+      ({ connection }) => connection.isUsable() && isPreferred(connection),
+    );
+    if (index >= 0) this.idle.push(...this.idle.splice(index, 1));
+  }
+
   private closeOne(connection: C): void {
     connection.close();
     this.open.delete(connection);
--- a/packages/engine/src/probe.ts
+++ b/packages/engine/src/probe.ts
@@ -1,4 +1,4 @@
-import type { LogPosition, Millis } from '@shallotpick/core';
+import type { ConnectionTrace, LogPosition, Millis } from '@shallotpick/core';
 import type { InstanceConnection, InstanceReply, ReplyObserver } from './connection.js';
 import { ProbedState, type ProbedStateOptions } from './probedstate.js';
 import type { ConnectionPool } from './pool.js';
@@ -27,6 +27,13 @@
   /** Connections to the instance; a probe borrows an idle one. */
   readonly pool: ConnectionPool<InstanceConnection>;
   readonly onResult: (result: ProbeResult) => void;
+  /** Receives every reply, and when its request was sent on the steady clock. */
+  readonly onReply: (
+    connection: ConnectionTrace,
+    command: Command,
+    reply: Reply,
+    sentAt: Millis,
+  ) => void;
 }
 
 /**
@@ -62,6 +69,11 @@
     return this.state.leads;
   }
 
+  /** When the instance last answered. */
+  get answeredAt(): Millis {
+    return this.state.answeredAt;
+  }
+
   /** End of the instance's log, as its last reply told it. */
   get position(): LogPosition | undefined {
     return this.state.position;
@@ -103,10 +115,51 @@
    * @throws ConnectionError when the instance doesn't answer in time.
    */
   async send(operation: Operation, timeoutMs: Millis): Promise<InstanceReply> {
-    const { pool } = this.options;
-    const connection = await pool.connect();
+    return this.sendOn(await this.options.pool.connect(), operation, timeoutMs);
+  }
+
+  /**
+   * Asks for the status on an idle connection, a preferred one if possible; false if none is idle.
+   *
+   * @throws ConnectionError when the instance doesn't answer in time.
+   */
+  async askStatus(
+    isPreferred: (connection: ConnectionTrace) => boolean,
+    timeoutMs: Millis,
+  ): Promise<boolean> {
+    const connection = this.options.pool.takeIdle(isPreferred);
+    if (!connection) return false;
+    const sentAt = this.readNow();
+    const command = { operation: { kind: 'status' } } as const;
+    const reply = await this.sendOn(connection, command.operation, timeoutMs);
+    // Such an answer makes the next probe of a replica unnecessary.
+    if (!this.isStopped) this.state.handleReply(command, reply, sentAt);
+    return true;
+  }
+
+  readNow(): Millis {
+    return this.options.ageClock.readNow();
+  }
+
+  /** Updates the state from a reply to a caller's work. */
+  handleReply(connection: ConnectionTrace, command: Command, reply: Reply, sentAt: Millis): void {
+    if (this.isStopped) return;
+    const { clock, ageClock, onReply } = this.options;
+    onReply(connection, command, reply, clock.readNow() - (ageClock.readNow() - sentAt));
+    if (!this.state.handleReply(command, reply, sentAt)) return;
+    this.options.onResult({ leads: true, position: reply.position, sentAt });
+  }
+
+  private async sendOn(
+    connection: InstanceConnection,
+    operation: Operation,
+    timeoutMs: Millis,
+  ): Promise<InstanceReply> {
+    const { pool, clock, onReply } = this.options;
+    const sentAt = clock.readNow();
     try {
       const reply = await waitAtMost(connection.run({ operation }), timeoutMs);
+      onReply(connection, { operation }, reply, sentAt);
       return { ...reply, openedAt: connection.openedAt };
     } catch (error) {
       connection.close();
@@ -116,16 +169,6 @@
     }
   }
 
-  readNow(): Millis {
-    return this.options.ageClock.readNow();
-  }
-
-  /** Updates the state from a reply to a caller's work. */
-  handleReply(command: Command, reply: Reply, sentAt: Millis): void {
-    if (this.isStopped || !this.state.handleReply(command, reply, sentAt)) return;
-    this.options.onResult({ leads: true, position: reply.position, sentAt });
-  }
-
   private start(): void {
     const { clock, log } = this.options;
     this.isRunning = true;
@@ -181,6 +224,7 @@
       throw error;
     });
     if (!reply) return;
+    this.options.onReply(connection, begin, reply, startedAt);
     await this.endProbe(connection, reply);
     if (this.isStopped) return;
     const leads = this.state.handleProbeReply(reply, sentAt);
--- a/packages/engine/src/run.ts
+++ b/packages/engine/src/run.ts
@@ -16,7 +16,7 @@
   const { observer } = connection;
   const sentAt = observer?.readNow() ?? 0;
   const reply = await connection.run(command);
-  observer?.handleReply(command, reply, sentAt);
+  observer?.handleReply(connection, command, reply, sentAt);
   // The recorded prepared statements don't match those that the instance has.
   if (reply.failure?.verdict === 'unknownStatement') connection.close();
   return reply;
--- a/packages/engine/src/setup.ts
+++ b/packages/engine/src/setup.ts
@@ -13,6 +13,12 @@
   readonly statements: ReadonlyMap<string, PreparedStatement>;
 }
 
+/** Whether a statement of the session reads or writes. */
+export function findAccess(state: SessionState, statement: DataStatement): Access {
+  if (statement.kind !== 'execute') return statement.kind;
+  return state.statements.get(statement.name)?.access ?? 'read';
+}
+
 function hasForeignVariable(connection: InstanceConnection, { variables }: SessionState): boolean {
   return [...connection.variables.keys()].some((name) => !variables.has(name));
 }
--- a/packages/engine/src/single.ts
+++ b/packages/engine/src/single.ts
@@ -64,12 +64,15 @@
       const reply = await runStatement(lease.connection, context, statement, { id }, remaining);
       attempts.recordLatency(lease, startedAt);
       lease.release();
-      if (!reply.failure) context.handleCommit(reply.position);
+      if (!reply.failure) {
+        await lease.confirmCommit(reply.position, attempts.readRemaining());
+        context.handleCommit(reply.position);
+      }
       return this.createOutcome(reply);
     } catch (error) {
       lease.release();
       if (!(error instanceof ConnectionError)) throw error;
-      const reason = `no whole answer to a write from ${lease.instance}: ${error.message}`;
+      const reason = `no confirmed answer to a write from ${lease.instance}: ${error.message}`;
       return {
         kind: 'answered',
         reply: createLocalReply('idle', { verdict: 'unknownOutcome', reason }),
--- a/packages/engine/src/takeover.ts
+++ b/packages/engine/src/takeover.ts
@@ -79,6 +79,12 @@
     this.coordinator.updateRank(rank);
   }
 
+  /** Notes that what a request sent at `askedAt` has returned of the record has been handled. */
+  handleAnswer(askedAt: Millis): void {
+    const claim = this.coordinator.findSettledClaim();
+    if (claim !== undefined) this.group.confirmation.handleSettledRecord(claim, askedAt);
+  }
+
   /** Handles the group's promotion record from the store; undefined when there is none. */
   handleRecordObject(object: StoredObject | undefined, era: number): void {
     const record = object && decodePromotionRecord(object.spec);
@@ -223,9 +229,16 @@
     this.coordinator.handlePromotion(token, answer, this.options.clock.readNow());
   }
 
-  private async readRecord(): Promise<void> {
+  /**
+   * Reads the group's record.
+   *
+   * @throws StoreError when the store gives no usable answer.
+   */
+  async readRecord(): Promise<void> {
+    const askedAt = this.options.clock.readNow();
     const { object, era } = await this.options.store.find(PROMOTIONS_KIND, this.group.name);
     this.handleRecordObject(object, era);
+    this.handleAnswer(askedAt);
   }
 
   private async writeRecord(record: PromotionRecord, expectedVersion: number): Promise<void> {
--- a/packages/engine/src/transaction.ts
+++ b/packages/engine/src/transaction.ts
@@ -5,8 +5,10 @@
 import type { Lease } from './lease.js';
 import { rollBack, runCommand, runStatement } from './run.js';
 import { createLocalReply, type SessionContext } from './context.js';
+import { findAccess } from './setup.js';
 import type { DataStatement, Failure, Reply } from './statement.js';
 import { wait } from './timing.js';
+import { classifyCommand, WriteTracker } from './writetracker.js';
 
 const ROLLBACK_TIMEOUT_MS: Millis = 1_000;
 /** Delay before a COMMIT that was refused for lack of a slot is sent again. */
@@ -28,6 +30,8 @@
 
   private isRunning = false;
 
+  private readonly writes = new WriteTracker();
+
   private usedAt: Millis;
 
   constructor(
@@ -61,12 +65,14 @@
   }
 
   async run(id: string, statement: DataStatement): Promise<Reply> {
+    const access = findAccess(this.context, statement);
     const reply = await this.runWithLease(id, (lease) => {
       const limit = this.route.timeoutMs * REPLY_TIMEOUT_FRACTION;
       return runStatement(lease.connection, this.context, statement, { id }, limit);
     });
-    if (!reply.failure) return reply;
-    return this.fail(reply.failure);
+    if (reply.failure) return this.fail(reply.failure);
+    this.writes.handleReply(classifyCommand(statement.kind, access), reply);
+    return reply;
   }
 
   /** Commits; the transaction has ended afterwards, whatever the reply. */
@@ -80,7 +86,7 @@
     const reply = await this.runWithLease(id, (lease) => {
       if (!lease.connection.isUsable()) throw new ConnectionError('it broke before COMMIT');
       isSent = true;
-      return this.sendCommit(id, lease);
+      return this.sendConfirmedCommit(id, lease);
     });
     const { lease } = this;
     if (!reply.failure && lease) {
@@ -105,6 +111,21 @@
     return createLocalReply('failed', failure);
   }
 
+  /**
+   * Commits, and waits until what was written may be handed on.
+   *
+   * @throws ConnectionError when the outcome is unknown.
+   */
+  private async sendConfirmedCommit(id: string, lease: Lease): Promise<Reply> {
+    const deadline = this.context.readNow() + this.route.timeoutMs;
+    const reply = await this.sendCommit(id, lease);
+    if (!this.writes.handleReply('commit', reply)) return reply;
+    lease.updateBusy(false);
+    const remaining = Math.max(1, deadline - this.context.readNow());
+    await lease.confirmCommit(reply.position, remaining);
+    return reply;
+  }
+
   private async sendCommit(id: string, lease: Lease): Promise<Reply> {
     const deadline = this.context.readNow() + this.route.timeoutMs;
     for (;;) {
--- a/packages/engine/src/watcher.ts
+++ b/packages/engine/src/watcher.ts
@@ -29,6 +29,11 @@
   readonly onListing: (objects: readonly StoredObject[], era: number) => void;
   /** Receives one change; for a deletion, `object.spec` is the last content. */
   readonly onChange: (object: StoredObject, isDeleted: boolean, era: number) => void;
+  /**
+   * Called when all changes up to an answer have been passed on; `askedAt` is when its request was
+   * sent, so that none from before then is missing.
+   */
+  readonly onAnswer?: (askedAt: Millis) => void;
 }
 
 /** Watches the objects of one kind: lists them, watches for changes, and lists again on errors. */
@@ -75,9 +80,11 @@
     while (!this.isStopped) {
       try {
         await this.waitUntilNeeded();
+        const askedAt = this.options.clock.readNow();
         if (this.position === undefined) await this.list();
         else await this.watch(this.position);
         this.handleAnswer();
+        this.options.onAnswer?.(askedAt);
       } catch (error) {
         await this.handleFailure(error);
       }
--- a/packages/engine/src/wiring.ts
+++ b/packages/engine/src/wiring.ts
@@ -123,6 +123,7 @@
     watchMs: Millis,
     onListing: ObjectWatcherOptions['onListing'],
     onChange: ObjectWatcherOptions['onChange'],
+    onAnswer: ObjectWatcherOptions['onAnswer'] = () => undefined,
   ): ObjectWatcher =>
     new ObjectWatcher({
       kind,
@@ -135,6 +136,7 @@
       isNeeded: () => kind === parts.configurationKind || isHomeNow(),
       onListing,
       onChange,
+      onAnswer,
     });
 
   const handleConfiguration = (object: StoredObject): void => {
@@ -183,6 +185,8 @@
     (object, isDeleted, era) => {
       if (!isDeleted) handlePromotion(object, era);
     },
+    (askedAt) =>
+      holder.groups?.listLocal().forEach(({ takeover }) => takeover.handleAnswer(askedAt)),
   );
   const forwarding = parts.createForwarding?.({
     ...{ vm, zone, clock, log, metrics },
--- a/packages/engine/test/fake.ts
+++ b/packages/engine/test/fake.ts
@@ -23,6 +23,12 @@
 
   position = { term: 1, offset: 100 };
 
+  /** Term up to which it receives nothing; 0 while it receives. */
+  heldTerm = 0;
+
+  /** Replicas that receive each commit at once. */
+  replicas: readonly FakeInstance[] = [];
+
   /** Received commands as `id kind text`, without the proxy's own BEGIN, ROLLBACK and STATUS. */
   readonly received: string[] = [];
 
@@ -36,6 +42,14 @@
 
   constructor(readonly id: string) {}
 
+  /** Appends a commit to the log, and to those of the replicas that receive. */
+  commit(): void {
+    this.position = { ...this.position, offset: this.position.offset + 1 };
+    this.replicas
+      .filter(({ heldTerm }) => heldTerm === 0)
+      .forEach((replica) => Object.assign(replica, { position: this.position }));
+  }
+
   /** Closes all connections. */
   breakConnections(): void {
     this.connections.forEach((connection) => connection.close());
@@ -88,8 +102,8 @@
   }
 
   private createRows(kind: Command['operation']['kind']): readonly string[] {
-    const { id, isLeader } = this.target;
-    if (kind === 'status') return [isLeader ? 'primary' : 'replica'];
+    const { id, isLeader, heldTerm } = this.target;
+    if (kind === 'status') return [isLeader ? 'primary' : 'replica', String(heldTerm)];
     return kind === 'read' ? [`row of ${id}`] : [];
   }
 
@@ -118,7 +132,7 @@
     }
     if (kind === 'commit' || kind === 'rollback') this.state = 'idle';
     const isCommit = kind === 'commit' || (kind === 'write' && this.state === 'idle');
-    if (isCommit) target.position = { ...target.position, offset: target.position.offset + 1 };
+    if (isCommit) target.commit();
     const rows = this.createRows(kind);
     const digest = `digest of ${target.id}`;
     return { rows, digest, failure: undefined, state: this.state, position: target.position };
@@ -140,8 +154,8 @@
 
   /** Parses the reply to a status request; orders to stop get none. */
   override parseFenceReport({ rows, position }: Reply): FenceReport | undefined {
-    const [role] = rows;
+    const [role, heldTerm] = rows;
     if (!position || (role !== 'primary' && role !== 'replica')) return undefined;
-    return { role, term: position.term, received: position, heldTerm: 0 };
+    return { role, term: position.term, received: position, heldTerm: Number(heldTerm) };
   }
 }
--- a/packages/engine/test/fixture.ts
+++ b/packages/engine/test/fixture.ts
@@ -24,19 +24,24 @@
   readonly promotions: FakePromotions;
   readonly leader: FakeInstance;
   readonly replica: FakeInstance;
+  /** A second replica, if the fixture was created with one. */
+  readonly other: FakeInstance;
   createSession(database: string): Session;
   stop(): void;
 }
 
-/** Creates a proxy with a leader and a replica and waits for the first probes. */
-export async function createFixture(): Promise<Fixture> {
+/** Creates a proxy with a leader and a replica, or two, and waits for the first probes. */
+export async function createFixture(hasOther = false): Promise<Fixture> {
   const leader = new FakeInstance('leader');
   const replica = new FakeInstance('replica');
+  const other = new FakeInstance('other');
   leader.isLeader = true;
+  leader.replicas = hasOther ? [replica, other] : [replica];
+  const instances = [leader, ...leader.replicas];
   const store = new FakeStore();
   const promotions = new FakePromotions();
   store.put('configurations', 'main', CONFIGURATION);
-  registerInstances(store, [leader, replica], CONNECTION_LIMIT);
+  registerInstances(store, instances, CONNECTION_LIMIT);
   const log = createEngineLog('error', 'test');
   const metrics = new Metrics();
   const running = createProxy({
@@ -52,12 +57,7 @@
     },
     oddEntries: new OddEntryReporter({ clock: new SystemClock(), log, metrics }),
     promotions,
-    connector: new FakeConnector(
-      new Map([
-        ['leader', leader],
-        ['replica', replica],
-      ]),
-    ),
+    connector: new FakeConnector(new Map(instances.map((one) => [one.id, one]))),
     configurationKind: 'configurations',
     instancesKind: 'instances',
     decodeConfiguration: ({ spec }) => spec as ServiceConfiguration,
@@ -66,7 +66,7 @@
   running.start();
   await wait(250);
   return {
-    ...{ store, promotions, leader, replica },
+    ...{ store, promotions, leader, replica, other },
     createSession: (database) => running.proxy.createSession(database, 'caller'),
     stop: () => {
       running.stopWatchers();
--- a/packages/engine/test/probe.spec.ts
+++ b/packages/engine/test/probe.spec.ts
@@ -17,6 +17,7 @@
   ...{ leaving: false, role: 'replica', startedAt: 1 },
 };
 const READ = { operation: { kind: 'read', text: 'READ a' } } as const;
+const CONNECTION = { dialedAt: 0, openedAt: 0, isUsable: () => true };
 const BEGIN = { operation: { kind: 'begin', isReadOnly: false } } as const;
 /** Longer than the interval between two probes. */
 const LONG_MS = 400;
@@ -62,6 +63,7 @@
     onResult: () => {
       probed.samples += 1;
     },
+    onReply: () => undefined,
   });
   const tick = async (duration: number): Promise<number> => {
     probe.handleTick(clock.advance(duration));
@@ -76,7 +78,7 @@
   it('sends no probe while replies to callers give the same information', async () => {
     const { clock, probe, tick } = createProbe(false);
     expect(await tick(0)).toEqual(1);
-    probe.handleReply(READ, createReply(7), clock.advance(LONG_MS));
+    probe.handleReply(CONNECTION, READ, createReply(7), clock.advance(LONG_MS));
     expect(probe.position).toEqual({ term: 1, offset: 7 });
     expect(await tick(0)).toEqual(1);
     expect(await tick(LONG_MS)).toEqual(2);
@@ -87,7 +89,7 @@
     const { clock, probe, state, tick } = createProbe(false);
     await tick(0);
     state.hasLeader = false;
-    probe.handleReply(READ, createReply(7), clock.advance(LONG_MS));
+    probe.handleReply(CONNECTION, READ, createReply(7), clock.advance(LONG_MS));
     expect(await tick(0)).toEqual(2);
     state.hasLeader = true;
     state.isUrgent = true;
@@ -140,10 +142,10 @@
     const { clock, probe, probed, tick } = createProbe(true);
     await tick(0);
     const { samples } = probed;
-    probe.handleReply(READ, createReply(7), clock.advance(LONG_MS));
+    probe.handleReply(CONNECTION, READ, createReply(7), clock.advance(LONG_MS));
     expect(probed.samples).toEqual(samples);
     expect(await tick(0)).toEqual(2);
-    probe.handleReply(BEGIN, createReply(8), clock.advance(LONG_MS));
+    probe.handleReply(CONNECTION, BEGIN, createReply(8), clock.advance(LONG_MS));
     expect(probed.samples).toEqual(samples + 2);
     expect(await tick(0)).toEqual(2);
   });
--- a/packages/engine/test/session.spec.ts
+++ b/packages/engine/test/session.spec.ts
@@ -36,8 +36,9 @@
     const session = fixture.createSession('aged');
     await run(session, WRITE);
     const read = await run(session, READ);
-    expect(read.digest).toEqual('digest of leader');
-    expect(fixture.leader.received.at(-1)).toEqual('q2 read after 1.101 READ a');
+    // The replica has shown that it holds the commit, before the caller was told of it.
+    expect(read.digest).toEqual('digest of replica');
+    expect(fixture.replica.received.at(-1)).toEqual('q2 read after 1.101 READ a');
   });
 
   // A position that an earlier start told must not let its empty log answer.
--- a/packages/engine/test/store.ts
+++ b/packages/engine/test/store.ts
@@ -11,6 +11,7 @@
   type ServiceConfiguration,
   type StoreChanges,
   type StoredObject,
+  StoreError,
   type StoreListing,
   type StoreLookup,
   type StoreWrite,
@@ -23,6 +24,9 @@
 
   private revision = 1;
 
+  /** True while reads of single objects fail. */
+  isCut = false;
+
   /** Rises when a test restores the store from an older copy. */
   era = 1;
 
@@ -43,6 +47,7 @@
   }
 
   override async find(kind: string, name: string): Promise<StoreLookup> {
+    if (this.isCut) throw new StoreError('the store is cut off');
     return { object: this.kinds.get(kind)?.get(name), era: this.era };
   }
 
--- a/packages/forwarding/src/home.ts
+++ b/packages/forwarding/src/home.ts
@@ -1,6 +1,8 @@
 import type { Socket } from 'node:net';
 import { DEFAULT_CONTRACT, type Millis } from '@shallotpick/core';
 import {
+  classifyCommand,
+  findAccess,
   type ForwardingHost,
   type GroupService,
   type HomeStatus,
@@ -10,6 +12,7 @@
   runObserved,
   type SessionState,
   type WorkRequest,
+  WriteTracker,
 } from '@shallotpick/engine';
 import { match } from 'ts-pattern';
 import { LinkProtocolError } from './errors.js';
@@ -23,6 +26,8 @@
 } from './message.js';
 import { type MessageHandler, MessageSocket } from './socket.js';
 
+/** Longer than callers wait; the VM that passed the work on ends it before. */
+const CONFIRMATION_TIMEOUT_MS: Millis = 5_000;
 /** Bounds the work that one VM has at a home. */
 const MAX_LEASES_PER_LINK = 256;
 
@@ -34,6 +39,7 @@
   readonly group: GroupService;
   /** Absent until the work has been admitted. */
   readonly lease: Lease | undefined;
+  readonly writes: WriteTracker;
 }
 
 const EMPTY_SESSION: ForwardedSession = { variables: [] };
@@ -154,7 +160,7 @@
       this.send({ type: 'refused', lease, reason, mayTryOther: true });
       return;
     }
-    const held: HeldLease = { group, lease: undefined };
+    const held: HeldLease = { group, lease: undefined, writes: new WriteTracker() };
     this.held.set(lease, held);
     this.admit(admit, held).catch((error: unknown) => {
       this.host.log.error('admission failed', { vm: this.peer, error: String(error) });
@@ -194,7 +200,7 @@
       this.send({ type: 'broken', lease: message.lease, reason: 'the lease has ended' });
       return;
     }
-    this.run(message, held.lease).catch((error: unknown) => {
+    this.run(message, held, held.lease).catch((error: unknown) => {
       this.end(message.lease, true);
       this.send({ type: 'broken', lease: message.lease, reason: String(error) });
     });
@@ -202,6 +208,7 @@
 
   private async run(
     { lease: id, id: requestId, operation, after, session = EMPTY_SESSION }: RunMessage,
+    held: HeldLease,
     lease: Lease,
   ): Promise<void> {
     const { host } = this;
@@ -221,6 +228,11 @@
     const reply = await runObserved(connection, command);
     if (isData) lease.recordLatency(host.clock.readNow() - startedAt);
     if (reply.failure?.verdict === 'readOnly') lease.handleDemotion();
+    const access = isData ? findAccess(state, operation) : 'read';
+    if (held.writes.handleReply(classifyCommand(operation.kind, access), reply)) {
+      lease.updateBusy(false);
+      await lease.confirmCommit(reply.position, CONFIRMATION_TIMEOUT_MS);
+    }
     this.sendReply(id, reply);
   }
 
--- a/packages/forwarding/src/remote.ts
+++ b/packages/forwarding/src/remote.ts
@@ -125,8 +125,9 @@
   );
   return {
     ...{ ...use, instance, connection, isLeader, after, latencyMs: latencyMs + hopMs },
-    // The home measures the latency, and notices a demotion from the reply.
+    // The home measures the latency, notices a demotion, and passes on only what it has confirmed.
     recordLatency: () => undefined,
     handleDemotion: () => undefined,
+    confirmCommit: async () => undefined,
   };
 }
--- a/packages/forwarding/test/fleet.ts
+++ b/packages/forwarding/test/fleet.ts
@@ -132,6 +132,7 @@
   const leader = new FakeInstance('leader');
   const replica = new FakeInstance('replica');
   leader.isLeader = true;
+  leader.replicas = [replica];
   const store = new FakeStore();
   store.put('configurations', 'main', CONFIGURATION);
   registerInstances(store, [leader, replica], CONNECTION_LIMIT);
--- a/packages/forwarding/test/forwarding.spec.ts
+++ b/packages/forwarding/test/forwarding.spec.ts
@@ -13,6 +13,9 @@
   WRITE,
 } from './fleet.js';
 
+/** Longer than a home sends no work to a leader that may lose commits. */
+const DOUBT_MS = 400;
+
 const describeReply = ({ rows, failure }: Reply): unknown => failure?.verdict ?? [...rows];
 
 describe('work that is passed on to a home', () => {
@@ -69,6 +72,19 @@
     expect(reads.at(-1) ?? '').toInclude(`after ${position.term}.${position.offset}`);
   }).timeout(10_000);
 
+  // The VM that passed a commit on told its caller of it, although only its home could see that a
+  // takeover may lose it.
+  it('has an unknown outcome when its home sees a takeover that may lose it', async () => {
+    const session = entry.openSession('fresh');
+    fleet.replica.heldTerm = fleet.leader.position.term + 1;
+    expect(await run(session, WRITE)).toEqual('unknownOutcome');
+    const other = entry.openSession('fresh');
+    await wait(DOUBT_MS);
+    await run(other, BEGIN);
+    await run(other, WRITE);
+    expect(await run(other, COMMIT)).toEqual('unknownOutcome');
+  }).timeout(10_000);
+
   it('keeps within the connections of an instance together', async () => {
     const sessions = fleet.vms.flatMap((vm) =>
       Array.from({ length: 4 }, () => vm.openSession('fresh')),
