Keep an order whose candidate holds its log

Change: only the loss of the candidate's own log makes an order invalid. The spec "keeps its order when another replica has received more since" failed before.

--- a/packages/core/src/promotiongate.ts
+++ b/packages/core/src/promotiongate.ts
@@ -134,13 +134,12 @@
   }
 
   /**
-   * False once a ground is gone: the candidate has lost the log for which it was chosen, or a stopped
-   * replica has received more since, and may have acknowledged alone.
+   * False once the candidate has lost the log for which it was chosen. A stopped replica that has
+   * received more since its report is no reason to name another one: no VM hands on what it
+   * acknowledged since (`CommitGate`), and an accepted order may take effect beside a later one.
    */
-  isValid({ candidate, received, ground, unlistedStarts }: Grant): boolean {
-    if (!this.selector.isIntact(candidate, received, unlistedStarts)) return false;
-    const isFrozen = received !== undefined && FROZEN_GROUNDS.has(ground);
-    return !isFrozen || !this.selector.isBehind(received);
+  isValid({ candidate, received, unlistedStarts }: Grant): boolean {
+    return this.selector.isIntact(candidate, received, unlistedStarts);
   }
 
   /** True once the instance has answered again after all that a choice among them needs. */
--- a/packages/core/test/promotiongate.spec.ts
+++ b/packages/core/test/promotiongate.spec.ts
@@ -44,6 +44,17 @@
 };
 
 describe('the gate of promotions', () => {
+  // A replica that had started again received more than the candidate. Another order followed, beside
+  // which the first one may take effect, and the group had two changes of its leader, or a later one.
+  it('keeps its order when another replica has received more since', () => {
+    const driver = createPromoting();
+    driver.report('b', { offset: 12, heldTerm: 0 });
+    driver.tick(LOST);
+    driver.report('b', { offset: 12 });
+    expect(collectPromotions(driver, LOST, 5)).toEqual([]);
+    expect(driver.record.phase).toEqual('open');
+  });
+
   // The order named a former leader whose id had started again twice: an empty log led.
   it('names no former leader whose id has started again', () => {
     [2, 3].forEach((starts) => {
