Take a candidate for the leader only once it has told so after the order

Cause: a holder that named an instance which had led before, and had just stepped down, still saw its old proof of leadership, took the order for carried out 30 ms after it was accepted, resumed the replicas and settled. Only orders with the ground `leads` wanted a newer report.

After 2 s what the probes show decides as before.

The spec of instances that don't answer now has the candidate tell that it leads, as a promoted instance does.

--- a/packages/core/src/promotingstep.ts
+++ b/packages/core/src/promotingstep.ts
@@ -40,7 +40,7 @@
     return { kind: 'claim', plan };
   }
 
-  /** True once the candidate leads; one that led before has to say so again after the order. */
+  /** True once the candidate leads, as it has told after the order: it may have led before. */
   private isLeading(
     { grant, sentAt }: StepOf<'promoting'>,
     instances: readonly InstanceView[],
@@ -48,7 +48,7 @@
   ): boolean {
     const { id } = grant.candidate;
     const isSeen = instances.some((one) => one.id === id && one.leads);
-    if (!isSeen || grant.ground !== 'leads' || elapsed >= PROMOTION_TIMEOUT_MS) return isSeen;
+    if (!isSeen || elapsed >= PROMOTION_TIMEOUT_MS) return isSeen;
     const report = this.context.selector.findReport(id);
     return report?.role === 'primary' && report.at > sentAt;
   }
--- a/packages/core/test/takeover.spec.ts
+++ b/packages/core/test/takeover.spec.ts
@@ -53,12 +53,24 @@
     const { driver, token } = createPromoting();
     driver.coordinator.handlePromotion(token, 'accepted', driver.now);
     const promoted = [LOST_LEADER, createView('a', { leads: true }), B];
+    driver.tick(promoted);
+    driver.report('a', { role: 'primary' });
     expect(listKinds(driver.tick(promoted))).toEqual(['resume a', 'resume b']);
     driver.coordinator.handleResumed('a');
     driver.coordinator.handleResumed('b');
     expect(listKinds(driver.tick(promoted))).toEqual(['write']);
   });
 
+  // A leader that had stepped down was named again. It still passed for the leader that it had been,
+  // so that the record was settled while the order was in flight.
+  it('takes a candidate for the leader only once it has told so after the order', () => {
+    const { driver, token } = createPromoting();
+    driver.coordinator.handlePromotion(token, 'accepted', driver.now);
+    const seen = [LOST_LEADER, createView('a', { leads: true }), B];
+    expect(listKinds(driver.tick(seen)).filter((kind) => kind.startsWith('resume'))).toEqual([]);
+    expect(driver.record.phase).toEqual('open');
+  });
+
   // A newer claim alone does not outdate an order without an answer: it was carried out seconds
   // later, after another replica had started and had acknowledged commits.
   // The candidate itself has to show that it still holds its log.
