Settle a record only when no order for another instance can take effect

Callers of a leader that had come back could be told of commits which the promotion of another instance then lost.

Cause: an order without an answer may have been accepted. VMs take a settled record for a proof that none is in flight.

Change: PromotionOrders keeps orders without an answer for 2 s after they were sent also when a newer one is accepted, and a holder that has resumed the replicas leaves the record open until none for another instance is left. What callers commit meanwhile is proved by all instances. Orders are forgotten at once only when the candidate leads in a newer term.

The spec "keeps the record open while an order for another instance may take effect" failed before.

--- a/packages/core/src/promotingstep.ts
+++ b/packages/core/src/promotingstep.ts
@@ -28,7 +28,7 @@
     // The platform promotes an id, whatever its log holds by now.
     if (!gate.isValid(step.grant)) return { kind: 'replaceOrder' };
     if (step.answer === 'accepted' && this.isLeading(step, instances, elapsed)) {
-      promotions.settle();
+      if (this.hasPromoted(step)) promotions.settle();
       return { kind: 'settle' };
     }
     if (step.answer === 'refused') return { kind: 'restart' };
@@ -53,6 +53,12 @@
     return report?.role === 'primary' && report.at > sentAt;
   }
 
+  /** True when the candidate leads in a term that is newer than all before the order. */
+  private hasPromoted({ grant, fenceTerm }: StepOf<'promoting'>): boolean {
+    const report = this.context.selector.findReport(grant.candidate.id);
+    return (report?.term ?? 0) >= fenceTerm;
+  }
+
   /** Keeps replicas from acknowledging commits that the candidate may lack. */
   private guard(
     step: StepOf<'promoting'>,
--- a/packages/core/src/promotionorders.ts
+++ b/packages/core/src/promotionorders.ts
@@ -7,6 +7,7 @@
 export interface InFlightOrder {
   readonly token: number;
   readonly grant: PromotionGrant;
+  readonly sentAt: Millis;
   /** True once the platform has accepted it: no newer token outdates it then. */
   readonly isAccepted: boolean;
   /** Until when it may take effect. */
@@ -50,7 +51,7 @@
     this.token = token;
     this.mayOrderAt = now + LEASE_MS + LEASE_MARGIN_MS;
     this.isSuperseded = false;
-    const sent = { token, grant, isAccepted: false, until: now + LATE_CALL_MS };
+    const sent = { token, grant, sentAt: now, isAccepted: false, until: now + LATE_CALL_MS };
     this.inFlight = [...this.inFlight.filter(({ until }) => now < until), sent];
   }
 
@@ -66,6 +67,11 @@
     this.inFlight = [];
   }
 
+  /** True while an order for an instance other than `id` may still take effect. */
+  mayPromoteOther(id: string | undefined, now: Millis): boolean {
+    return this.listInFlight(now).some(({ grant }) => grant.candidate.id !== id);
+  }
+
   /** Lists the orders that may still take effect, oldest first. */
   listInFlight(now: Millis): readonly InFlightOrder[] {
     return this.inFlight.filter(({ until }) => now < until);
@@ -75,14 +81,17 @@
     this.inFlight = this.inFlight.filter((order) => order.token !== token);
   }
 
-  /** An accepted order outdates those with older tokens, and takes effect soon or not at all. */
+  /**
+   * An accepted order takes effect soon or not at all. It outdates those with older tokens that the
+   * platform has not seen yet; one that got no answer may have been accepted when it was sent.
+   */
   private acceptOrder(token: number, now: Millis): void {
-    this.inFlight = this.inFlight
-      .filter((order) => order.token >= token || order.isAccepted)
-      .map((order) =>
-        order.token === token
-          ? { ...order, isAccepted: true, until: now + PROMOTION_TIMEOUT_MS }
-          : order,
-      );
+    this.inFlight = this.inFlight.map((order) => {
+      if (order.token === token) {
+        return { ...order, isAccepted: true, until: now + PROMOTION_TIMEOUT_MS };
+      }
+      if (order.token > token || order.isAccepted) return order;
+      return { ...order, until: Math.min(order.until, order.sentAt + PROMOTION_TIMEOUT_MS) };
+    });
   }
 }
--- a/packages/core/src/takeover.ts
+++ b/packages/core/src/takeover.ts
@@ -425,8 +425,10 @@
   /** Resumes the stopped instances, then records that this claim has no order in flight. */
   private settle(since: Millis, instances: readonly InstanceView[], now: Millis): TakeoverActions {
     this.orders.dropUnreachable(instances);
-    if (this.orders.hasStopped() && now - since < ATTEMPT_TIMEOUT_MS) {
-      return this.orders.resumeAll(now);
+    if (now - since < ATTEMPT_TIMEOUT_MS) {
+      if (this.orders.hasStopped()) return this.orders.resumeAll(now);
+      // The record stays open while an order for another instance may take effect.
+      if (this.promotions.mayPromoteOther(findLeader(instances)?.id, now)) return [];
     }
     this.orders.clear();
     this.selector.clearReports();
--- a/packages/core/test/takeover.spec.ts
+++ b/packages/core/test/takeover.spec.ts
@@ -13,6 +13,8 @@
 
 /** Longer than the platform takes to answer a promotion. */
 const ANSWER_TIMEOUT_MS = 500;
+/** Longer than an accepted order needs to take effect. */
+const PROMOTION_MS = 2_000;
 
 /** A driver whose takeover has been ordered for `a`. */
 const createPromoting = (): { readonly driver: Driver; readonly token: number } => {
@@ -71,6 +73,30 @@
     expect(driver.record.phase).toEqual('open');
   });
 
+  // An order without an answer may have been accepted. The record was settled although the platform
+  // could still promote the instance that it named, without what the returned leader acknowledged.
+  it('keeps the record open while an order for another instance may take effect', () => {
+    const { driver, token } = createPromoting();
+    driver.coordinator.handlePromotion(token, 'unknown', driver.now);
+    driver.tickUntil('status', RETURNED);
+    driver.report('l', { role: 'primary' });
+    const raise = driver.tickUntil('promote', RETURNED);
+    expect(raise.kind === 'promote' && raise.instance).toEqual('l');
+    driver.coordinator.handlePromotion(
+      raise.kind === 'promote' ? raise.token : 0,
+      'accepted',
+      driver.now,
+    );
+    driver.tick(RETURNED);
+    driver.report('l', { role: 'primary' });
+    driver.tickUntil('resume', RETURNED);
+    ['a', 'b', 'l'].forEach((id) => driver.coordinator.handleResumed(id));
+    driver.tick(RETURNED);
+    expect(driver.record.phase).toEqual('open');
+    driver.tick(RETURNED, PROMOTION_MS);
+    expect(driver.record.phase).toEqual('settled');
+  });
+
   // A newer claim alone does not outdate an order without an answer: it was carried out seconds
   // later, after another replica had started and had acknowledged commits.
   // The candidate itself has to show that it still holds its log.
