--- a/packages/emulator/src/index.ts
+++ b/packages/emulator/src/index.ts
@@ -7,6 +7,8 @@
 export type { Commit, Promotion, PromotionRequest, ExecutedStatement } from './observer.js';
 export { EmulatedPlatform } from './platform.js';
 export { FaultProxy } from './faultproxy.js';
+export { InstancePaths } from './instancepaths.js';
+export { HttpService } from './httpservice.js';
 export type { EmulatedConfiguration } from './storeencoding.js';
 export { encodeOddEntry, oddHeartbeatArbitrary, oddInstanceArbitrary } from './oddentry.js';
 export type { EntryContent, OddEntryShape, OddValue } from './oddentry.js';
--- a/packages/emulator/src/platform.ts
+++ b/packages/emulator/src/platform.ts
@@ -1,12 +1,13 @@
 import type { Millis } from '@shallotpick/core';
-import { createStoreService, type StoreFaults } from './platformservices.js';
+import { createStoreService, type ItemView, type StoreFaults } from './platformservices.js';
 import { EmulatedGroup, type EmulatedGroupOptions } from './group.js';
 import type { HttpService } from './httpservice.js';
 import type { EmulatedInstance } from './instance.js';
 import type { EmulatorObserver } from './observer.js';
 import { FaultProxy } from './faultproxy.js';
+import type { InstancePaths } from './instancepaths.js';
 import { PromotionService } from './promotionservice.js';
-import { EmulatedStore } from './store.js';
+import { type EmulatedObject, EmulatedStore } from './store.js';
 import {
   type EmulatedConfiguration,
   encodeConfiguration,
@@ -130,6 +131,16 @@
     setTimeout(() => this.removeExpiredEntries(), Math.max(0, EXPIRY_MS - silentMs));
   }
 
+  /**
+   * Creates a service of the store for one VM, which reaches the instances over paths of its own. It
+   * is down while the store is.
+   */
+  createStoreService(paths: InstancePaths): HttpService {
+    const view: ItemView = async (item) => this.showInstance(item, paths);
+    const isStoreDown = (): boolean => this.storeService.isDown;
+    return createStoreService(this.store, this.faults, { view, isStoreDown });
+  }
+
   /** Returns the proxy in front of an instance. */
   findProxy(instance: EmulatedInstance): FaultProxy | undefined {
     return this.registered.get(instance)?.proxy;
@@ -175,6 +186,17 @@
     });
   }
 
+  /** Shows the entry of an instance with the address under which a VM reaches it. */
+  private async showInstance(item: unknown, paths: InstancePaths): Promise<unknown> {
+    const { meta, spec } = item as Partial<EmulatedObject>;
+    const instance = [...this.registered.keys()].find(({ id }) => id === meta?.name);
+    const proxy = instance && this.findProxy(instance);
+    const address = proxy && `127.0.0.1:${proxy.port}`;
+    const entry = spec as { readonly addr?: unknown } | undefined;
+    if (!address || entry?.addr !== address) return item;
+    return { ...(item as object), spec: { ...entry, addr: await paths.findAddress(address) } };
+  }
+
   private rewriteConfiguration(): void {
     if (this.configuration) this.writeConfiguration(this.configuration);
   }
--- a/packages/emulator/src/platformservices.ts
+++ b/packages/emulator/src/platformservices.ts
@@ -9,7 +9,7 @@
 const STATUS_NOT_FOUND = 404;
 const STATUS_CONFLICT = 409;
 const STATUS_GONE = 410;
-/** Maximum number of objects per page of a list. */
+const STATUS_UNAVAILABLE = 503;
 const PAGE_SIZE = 500;
 const MAX_WAIT_MS: Millis = 30_000;
 const MAX_WRITE_DELAY_MS: Millis = 6_000;
@@ -26,6 +26,18 @@
   random: () => number;
 }
 
+/** Shows an item as one VM sees it. */
+export type ItemView = (item: unknown) => Promise<unknown>;
+
+/** What a service of the store differs in from the usual. */
+export interface StoreServiceOptions {
+  /** Maximum number of objects per page of a list. */
+  readonly pageSize?: number;
+  readonly view?: ItemView;
+  /** True while the store is down for all its services. */
+  readonly isStoreDown?: () => boolean;
+}
+
 /** An entry of another writer may stand in lists without its metadata. */
 function toItem(object: EmulatedObject): unknown {
   return object.spec instanceof RawItem ? object.spec : object;
@@ -37,7 +49,12 @@
   return { status, body: outcome.object };
 }
 
-async function watch(store: EmulatedStore, kind: string, url: URL): Promise<HttpResult> {
+async function watch(
+  store: EmulatedStore,
+  kind: string,
+  url: URL,
+  view: ItemView,
+): Promise<HttpResult> {
   const after = Number(url.searchParams.get('watch'));
   const waitMs = Math.min(MAX_WAIT_MS, Number(url.searchParams.get('wait_ms') ?? 0));
   const deadline = performance.now() + waitMs;
@@ -46,19 +63,30 @@
     if (!events) return { status: STATUS_GONE };
     const remaining = deadline - performance.now();
     if (events.length > 0 || remaining <= 0) {
-      const changes = events.map(({ object, deleted }) => ({ object: toItem(object), deleted }));
+      const changes = await Promise.all(
+        events.map(async ({ object, deleted }) => ({
+          object: await view(toItem(object)),
+          deleted,
+        })),
+      );
       return { status: STATUS_OK, body: { events: changes, store_revision: store.revision } };
     }
     await store.waitForChange(remaining);
   }
 }
 
-function list(store: EmulatedStore, kind: string, url: URL, pageSize: number): HttpResult {
+async function list(
+  store: EmulatedStore,
+  kind: string,
+  url: URL,
+  { pageSize, view }: Required<Pick<StoreServiceOptions, 'pageSize' | 'view'>>,
+): Promise<HttpResult> {
   const after = url.searchParams.get('after') ?? '';
   const rest = store.list(kind).filter(({ meta }) => meta.name > after);
-  const items = rest.slice(0, pageSize).map(toItem);
   const more = rest.length > pageSize;
-  return { status: STATUS_OK, body: { items, more, store_revision: store.revision } };
+  const { revision } = store;
+  const items = await Promise.all(rest.slice(0, pageSize).map((one) => view(toItem(one))));
+  return { status: STATUS_OK, body: { items, more, store_revision: revision } };
 }
 
 function write(store: EmulatedStore, { method, url, body }: HttpRequest): HttpResult {
@@ -75,10 +103,11 @@
 export function createStoreService(
   store: EmulatedStore,
   faults: StoreFaults,
-  pageSize = PAGE_SIZE,
+  { pageSize = PAGE_SIZE, view = async (item) => item, isStoreDown }: StoreServiceOptions = {},
 ): HttpService {
   const handle: HttpHandler = async (request) => {
     const { method, url } = request;
+    if (isStoreDown?.()) return { status: STATUS_UNAVAILABLE };
     if (method !== 'GET') {
       if (faults.random() >= faults.unansweredWriteShare) return write(store, request);
       setTimeout(() => write(store, request), faults.random() * MAX_WRITE_DELAY_MS);
@@ -87,11 +116,12 @@
     const [, , , kind = '', name] = url.pathname.split('/').map(decodeURIComponent);
     if (name !== undefined) {
       const object = store.find(kind, name);
-      return object ? { status: STATUS_OK, body: toItem(object) } : { status: STATUS_NOT_FOUND };
+      if (!object) return { status: STATUS_NOT_FOUND };
+      return { status: STATUS_OK, body: await view(toItem(object)) };
     }
     return url.searchParams.has('watch')
-      ? watch(store, kind, url)
-      : list(store, kind, url, pageSize);
+      ? watch(store, kind, url, view)
+      : list(store, kind, url, { pageSize, view });
   };
   return new HttpService(handle, () => ({ 'store-era': String(store.era) }));
 }
--- a/packages/emulator/src/promotionorders.ts
+++ b/packages/emulator/src/promotionorders.ts
@@ -17,12 +17,15 @@
   readonly restartedInstance: RestartedInstanceRule;
   /** The later calls that end an accepted order that has not taken effect yet. */
   readonly endingCalls: readonly EndingCall[];
+  /** True when an accepted order ends those before it; otherwise each takes effect in its time. */
+  readonly endsEarlierOrders: boolean;
 }
 
 /** The rules of a group unless its options set others. */
 export const DEFAULT_PROMOTION_RULES: PromotionRules = {
   restartedInstance: 'leadsWithItsLog',
   endingCalls: [],
+  endsEarlierOrders: false,
 };
 
 /** What the platform did with a call. */
@@ -136,6 +139,8 @@
   private schedule(order: PromotionOrder, instance: EmulatedInstance): void {
     const { promoteMs, ledger, promote } = this.options;
     const { log, starts } = instance;
+    if (this.options.rules.endsEarlierOrders) this.open.clear();
+    this.open.add(order);
     order.accept();
     setTimeout(() => {
       const isOpen = this.open.delete(order);
--- a/packages/emulator/test/oddentries.spec.ts
+++ b/packages/emulator/test/oddentries.spec.ts
@@ -66,7 +66,7 @@
   private readonly service = createStoreService(
     this.store,
     { unansweredWriteShare: 0, random: () => 0 },
-    PAGE_SIZE,
+    { pageSize: PAGE_SIZE },
   );
 
   private readonly oddEntries: OddEntryReporter;
--- a/packages/emulator/test/promotions.spec.ts
+++ b/packages/emulator/test/promotions.spec.ts
@@ -1,5 +1,6 @@
 import { wait } from '@shallotpick/engine';
 import { expect } from 'earl';
+import { DEFAULT_PROMOTION_RULES } from '../src/index.js';
 import type { EmulatedInstance, EndingCall, RestartedInstanceRule } from '../src/index.js';
 import {
   PROMOTE_MS,
@@ -39,6 +40,8 @@
   await instance.start();
 }
 
+const RULES = DEFAULT_PROMOTION_RULES;
+
 describe('accepted promotion orders', () => {
   let running: RunningPlatform;
 
@@ -56,7 +59,7 @@
   restartCases.forEach(([restartedInstance, isEmpty, leads]) => {
     const log = isEmpty ? 'without' : 'with';
     it(`${leads ? 'carries' : 'does not carry'} out one for an instance that restarted ${log} its log (${restartedInstance})`, async () => {
-      running = await startPlatform({ promotionRules: { restartedInstance, endingCalls: [] } });
+      running = await startPlatform({ promotionRules: { ...RULES, restartedInstance } });
       running.group.promote(running.first.id);
       await restart(running.first, isEmpty);
       await wait(2 * PROMOTE_MS);
@@ -75,8 +78,7 @@
   ];
   endingCases.forEach(([endingCalls, call, ends]) => {
     it(`${ends ? 'end' : 'go on'} with a newer call that is ${call} (${endingCalls.join()})`, async () => {
-      const restartedInstance = 'leadsWithItsLog';
-      running = await startPlatform({ promotionRules: { restartedInstance, endingCalls } });
+      running = await startPlatform({ promotionRules: { ...RULES, endingCalls } });
       const { leader, first, second } = running;
       await second.stop();
       expect(await callPromotions(running, first.id, 1)).toEqual(STATUS_OK);
@@ -88,12 +90,21 @@
     }).timeout(TEST_TIMEOUT_MS);
   });
 
+  // Guards against a program that counts on one reading of a second order.
+  [true, false].forEach((endsEarlierOrders) => {
+    it(`${endsEarlierOrders ? 'end with' : 'go on beside'} a later one that is accepted`, async () => {
+      running = await startPlatform({ promotionRules: { ...RULES, endsEarlierOrders } });
+      const { first, second, observer } = running;
+      [first, second].forEach(({ id }) => running.group.promote(id));
+      await wait(2 * PROMOTE_MS);
+      const promoted = observer.promotions.map(({ instance }) => instance);
+      expect(promoted).toEqual(endsEarlierOrders ? [second.id] : [first.id, second.id]);
+    }).timeout(TEST_TIMEOUT_MS);
+  });
+
   // A repeated call under the same token is no newer one.
   it('go on with a call under the same token that changes nothing', async () => {
-    const promotionRules = {
-      restartedInstance: 'leadsWithItsLog',
-      endingCalls: ['unchanged', 'refused'],
-    } as const;
+    const promotionRules = { ...RULES, endingCalls: ['unchanged', 'refused'] } as const;
     running = await startPlatform({ promotionRules });
     await callPromotions(running, running.first.id, 1);
     await callPromotions(running, running.leader.id, 1);
@@ -139,7 +150,7 @@
   let running: RunningPlatform;
 
   beforeEach(async () => {
-    const promotionRules = { restartedInstance: 'leadsAnyway', endingCalls: [] } as const;
+    const promotionRules = { ...RULES, restartedInstance: 'leadsAnyway' } as const;
     running = await startPlatform({ promotionRules });
     await running.group.commit(running.leader, [WRITE]);
     await wait(REPLICATION_WAIT_MS);
--- a/packages/soak/src/faultinjector.ts
+++ b/packages/soak/src/faultinjector.ts
@@ -3,6 +3,7 @@
 import type { SoakFault } from './faultschedule.js';
 import { GROUP_KINDS, injectGroupFault } from './groupfaults.js';
 import { injectOutageFault, OUTAGE_KINDS } from './outagefaults.js';
+import { injectPartitionFault, PARTITION_KINDS } from './partitionfaults.js';
 import { injectRestartFault, RESTART_KINDS } from './restartfaults.js';
 import { injectStoreFault, STORE_KINDS } from './storefaults.js';
 import type { SoakVm } from './vm.js';
@@ -39,6 +40,9 @@
       .with(P.union(...STORE_KINDS), (one) => injectStoreFault(one, platform, group, details))
       .with(P.union(...GROUP_KINDS), (one) => injectGroupFault(one, platform, group, details))
       .with(P.union(...RESTART_KINDS), (one) => injectRestartFault(one, platform, group, details))
+      .with(P.union(...PARTITION_KINDS), (one) =>
+        injectPartitionFault(one, { platform, vms, group, ...details }, vm),
+      )
       .with(P.union(...OUTAGE_KINDS), (one) =>
         injectOutageFault(one, { platform, vms, group, ...details }),
       )
--- a/packages/soak/src/faultkinds.ts
+++ b/packages/soak/src/faultkinds.ts
@@ -1,5 +1,6 @@
 import { GROUP_KINDS, type GroupFaultKind } from './groupfaults.js';
 import { OUTAGE_KINDS, type OutageFaultKind } from './outagefaults.js';
+import { PARTITION_KINDS, type PartitionFaultKind } from './partitionfaults.js';
 import { RESTART_KINDS, type RestartFaultKind } from './restartfaults.js';
 import type { StoreFaultKind } from './storefaults.js';
 import type { VmFaultKind } from './vmfaults.js';
@@ -31,10 +32,15 @@
 
 /** The name of a fault, as the summary prints it. */
 export type SoakFaultKind =
-  VmFaultKind | StoreFaultKind | GroupFaultKind | RestartFaultKind | OutageFaultKind;
+  | VmFaultKind
+  | StoreFaultKind
+  | GroupFaultKind
+  | RestartFaultKind
+  | OutageFaultKind
+  | PartitionFaultKind;
 
 /** How often the kinds of a selection are listed. */
-const WEIGHTS = { restorations: 12, restarts: 4, oddEntries: 12, outages: 3 };
+const WEIGHTS = { restorations: 12, restarts: 4, oddEntries: 12, outages: 3, partitions: 5 };
 
 /** Kinds that a run draws beside the usual ones. */
 export interface FaultSelection {
@@ -46,6 +52,8 @@
   readonly oddEntries?: boolean | undefined;
   /** True when more than one part fails within a takeover, or longer than other faults last. */
   readonly outages?: boolean | undefined;
+  /** True when VMs also differ in which instances they reach, and how soon the store answers them. */
+  readonly partitions?: boolean | undefined;
 }
 
 /** Lists the kinds of a selection, each as often as its weight says. */
@@ -54,12 +62,16 @@
   restarts,
   oddEntries,
   outages,
+  partitions,
 }: FaultSelection): readonly SoakFaultKind[] {
   return [
     ...FAULT_KINDS,
     ...Array<SoakFaultKind>(restorations ? WEIGHTS.restorations : 0).fill('restoreStore'),
     ...Array<SoakFaultKind>(oddEntries ? WEIGHTS.oddEntries : 0).fill('writeOddEntry'),
     ...(restarts ? Array<typeof RESTART_KINDS>(WEIGHTS.restarts).fill(RESTART_KINDS).flat() : []),
+    ...(partitions
+      ? Array<typeof PARTITION_KINDS>(WEIGHTS.partitions).fill(PARTITION_KINDS).flat()
+      : []),
     ...(outages ? Array<typeof OUTAGE_KINDS>(WEIGHTS.outages).fill(OUTAGE_KINDS).flat() : []),
   ];
 }
@@ -77,7 +89,10 @@
   return NON_DISRUPTIVE_KINDS.has(kind);
 }
 
-const OUTAGE_KIND_SET: ReadonlySet<SoakFaultKind> = new Set<SoakFaultKind>(OUTAGE_KINDS);
+const OUTAGE_KIND_SET: ReadonlySet<SoakFaultKind> = new Set<SoakFaultKind>([
+  ...OUTAGE_KINDS,
+  ...PARTITION_KINDS,
+]);
 
 /** Tells whether a fault is one of the outage kinds, which end later than their duration. */
 export function isOutage({ kind }: { readonly kind: SoakFaultKind }): boolean {
--- a/packages/soak/src/faultschedule.ts
+++ b/packages/soak/src/faultschedule.ts
@@ -2,6 +2,7 @@
 import type { Millis } from '@shallotpick/core';
 import { type FaultSelection, listKinds, type SoakFaultKind } from './faultkinds.js';
 import { LONG_OUTAGE_FACTOR, LONG_OUTAGE_KINDS } from './outagefaults.js';
+import { PARTITION_FACTOR, PARTITION_KINDS } from './partitionfaults.js';
 import { STORE_CUT_FACTOR } from './restartfaults.js';
 
 /** One fault; `targetSeed` selects the VM, group or instance that it affects. */
@@ -18,6 +19,7 @@
 
 function findDurationFactor(kind: SoakFaultKind): number {
   if (kind === 'cutInstanceFromStore') return STORE_CUT_FACTOR;
+  if (PARTITION_KINDS.some((one) => one === kind)) return PARTITION_FACTOR;
   return LONG_OUTAGE_KINDS.has(kind) ? LONG_OUTAGE_FACTOR : 1;
 }
 
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -22,6 +22,8 @@
       restarts: { type: 'boolean', default: false },
       /** Draws faults of several parts within a takeover, and the platform's rules. */
       outages: { type: 'boolean', default: false },
+      /** Lets VMs differ in what they reach, and draws the platform's rules. */
+      partitions: { type: 'boolean', default: false },
       instances: { type: 'string', default: '3' },
       /** Lets another writer leave entries that can't be used. */
       'odd-entries': { type: 'boolean', default: false },
@@ -39,6 +41,7 @@
       restorations: values.restorations,
       restarts: values.restarts,
       outages: values.outages,
+      partitions: values.partitions,
       instances: Number(values.instances),
       oddEntries: values['odd-entries'],
       ...(values.connections ? { connections: Number(values.connections) } : {}),
@@ -48,7 +51,8 @@
     const isHeld = report.violations.length === 0;
     const verdict = isHeld ? 'all invariants held' : `${report.violations.length} violations`;
     const kinds = report.faults.map(({ kind, at }) => `${kind}@${at}`).join(' ');
-    const rules = values.outages ? ` rules ${JSON.stringify(report.promotionRules)};` : '';
+    const rules =
+      values.outages || values.partitions ? ` rules ${JSON.stringify(report.promotionRules)};` : '';
     process.stdout.write(
       `seed ${seed}: ${verdict}; ${JSON.stringify(report.counts)};${rules} faults ${kinds}\n`,
     );
--- a/packages/soak/src/platformrules.ts
+++ b/packages/soak/src/platformrules.ts
@@ -18,5 +18,6 @@
   return {
     restartedInstance: RESTARTED_INSTANCE[random.nextInt(RESTARTED_INSTANCE.length)]!,
     endingCalls: ENDING_CALLS[random.nextInt(ENDING_CALLS.length)]!,
+    endsEarlierOrders: random.nextInt(2) === 1,
   };
 }
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -49,7 +49,7 @@
   readonly callers: number;
   /** Instances of a group; three by default. */
   readonly instances?: number | undefined;
-  /** What the platform does with accepted orders; drawn at random in runs with outages. */
+  /** What the platform does with accepted orders; drawn at random in runs that break several parts. */
   readonly promotionRules?: PromotionRules;
   /** Time in which the series of faults start. */
   readonly windowMs: Millis;
@@ -154,8 +154,8 @@
   }
 
   private choosePromotionRules(): PromotionRules {
-    const { seed, outages } = this.options;
-    if (!outages) return DEFAULT_PROMOTION_RULES;
+    const { seed, outages, partitions } = this.options;
+    if (!outages && !partitions) return DEFAULT_PROMOTION_RULES;
     return choosePromotionRules(createSubRandom(seed));
   }
 
@@ -201,15 +201,15 @@
     const { program, directory, connections } = this.options;
     const hasLinks = connections !== undefined;
     // A link comes from the address that its VM has registered, which on loopback is one for all.
-    const { storeService, promotionService } = this.platform;
+    const { platform } = this;
     return new SoakVm({
       ...{ name: `vm-${index}`, zone: ZONES[index % ZONES.length] ?? '', program, directory },
       host: hasLinks
         ? '127.0.0.1'
         : `127.${1 + (process.pid % MAX_BYTE)}.${1 + (process.pid >> BYTE_BITS)}.${index + 1}`,
       hasLinks,
-      storePort: storeService.port,
-      promotionPort: promotionService.port,
+      createStoreService: (paths) => platform.createStoreService(paths),
+      promotionPort: platform.promotionService.port,
       reportViolation: (invariant, detail) => this.checker.addViolation(invariant, detail),
     });
   }
--- a/packages/soak/src/takeoverfaults.ts
+++ b/packages/soak/src/takeoverfaults.ts
@@ -58,6 +58,24 @@
   });
 }
 
+/** Waits for the next order to promote an instance that does not lead; undefined if none comes in time. */
+export async function waitForOrder({
+  orders,
+}: EmulatedGroup): Promise<EmulatedInstance | undefined> {
+  const { arrivalHandlers } = orders;
+  return new Promise((resolve) => {
+    const handleArrival = (named: EmulatedInstance): void => {
+      if (named.isLeader || !named.isAlive) return;
+      arrivalHandlers.delete(handleArrival);
+      resolve(named);
+    };
+    arrivalHandlers.add(handleArrival);
+    setTimeout(() => {
+      if (arrivalHandlers.delete(handleArrival)) resolve(undefined);
+    }, TAKEOVER_LIMIT_MS);
+  });
+}
+
 /**
  * The instance that the next order names starts again empty: up to 600 ms after the order has
  * arrived at the platform, or between its last report and the platform's decision.
--- a/packages/soak/src/vm.ts
+++ b/packages/soak/src/vm.ts
@@ -4,7 +4,7 @@
 import { join } from 'node:path';
 import { findFreePorts } from '@shallotpick/bench';
 import type { Millis } from '@shallotpick/core';
-import { FaultProxy } from '@shallotpick/emulator';
+import { FaultProxy, type HttpService, InstancePaths } from '@shallotpick/emulator';
 
 /** Grace period from SIGTERM to SIGKILL. */
 export const GRACE_MS: Millis = 6_000;
@@ -36,15 +36,20 @@
   /** Path of the bundled program. */
   readonly program: string;
   readonly directory: string;
-  readonly storePort: number;
+  /** Creates the service of the store that shows the VM its own paths to the instances. */
+  readonly createStoreService: (paths: InstancePaths) => HttpService;
   readonly promotionPort: number;
   readonly reportViolation: (invariant: string, detail: string) => void;
 }
 
 /** One process of the program under test, with a fault proxy on each of its connections. */
 export class SoakVm {
+  readonly paths = new InstancePaths();
+
   readonly storeProxy: FaultProxy;
 
+  private readonly storeService: HttpService;
+
   readonly promotionProxy: FaultProxy;
 
   readonly callerProxy: FaultProxy;
@@ -67,8 +72,9 @@
   private expectedExit: 'none' | 'stop' | 'kill' = 'none';
 
   constructor(private readonly options: SoakVmOptions) {
-    const { name, directory, storePort, promotionPort } = options;
-    this.storeProxy = new FaultProxy(() => storePort);
+    const { name, directory, promotionPort } = options;
+    this.storeService = options.createStoreService(this.paths);
+    this.storeProxy = new FaultProxy(() => this.storeService.port);
     this.promotionProxy = new FaultProxy(() => promotionPort);
     this.callerProxy = new FaultProxy(() => this.ports[0] ?? 0, options.host);
     this.log = createWriteStream(join(directory, `${name}.log`), { flags: 'a' });
@@ -85,6 +91,7 @@
   /** Prepares proxies, ports and settings, and starts the process. */
   async open(): Promise<void> {
     await Promise.all([
+      this.storeService.start(),
       this.storeProxy.start(),
       this.promotionProxy.start(),
       this.callerProxy.start(),
@@ -176,6 +183,7 @@
       this.promotionProxy.stop(),
       this.callerProxy.stop(),
     ]);
+    await Promise.all([this.storeService.stop(), this.paths.stop()]);
     this.log.end();
   }
 
