--- a/packages/bench/test/mutants/commitgate.ts
+++ b/packages/bench/test/mutants/commitgate.ts
@@ -14,3 +14,17 @@
     return position !== undefined && this.listHolders(commit.leader, position).length > 0;
   }
 }
+
+/** Counts a replica although late orders to receive again may be in flight. */
+export class LateOrderCommitGate extends CommitGate {
+  protected override mayCount(): boolean {
+    return true;
+  }
+}
+
+/** Counts a replica whatever became of the leader's process, and of its order to step down. */
+export class AnyLeaderCommitGate extends CommitGate {
+  protected override hasLedSince(): boolean {
+    return true;
+  }
+}
--- a/packages/core/src/commitgate.ts
+++ b/packages/core/src/commitgate.ts
@@ -219,7 +219,7 @@
   }
 
   /** True for a replica that runs since a time when no claim was open. */
-  private isCountable({ process }: InstanceEvidence): boolean {
+  protected isCountable({ process }: InstanceEvidence): boolean {
     return process.since <= this.settledAt;
   }
 
@@ -250,12 +250,15 @@
   }
 
   /** False while orders to receive again that the settled claim has sent may still be in flight. */
-  private mayCount(now: Millis): boolean {
+  protected mayCount(now: Millis): boolean {
     return this.settled !== undefined && now - this.settled.since >= LATE_CALL_MS;
   }
 
   /** True when the leader has led in the commit's term since before the last settled record. */
-  private hasLedSince({ leader, connection }: AcknowledgedCommit, { term }: LogPosition): boolean {
+  protected hasLedSince(
+    { leader, connection }: AcknowledgedCommit,
+    { term }: LogPosition,
+  ): boolean {
     const evidence = this.instances.get(leader);
     if (evidence?.lead?.term !== term || evidence.lead.since > this.settledAt) return false;
     return evidence.process.hasConnection(connection);
