Soak callers that stay at a stopping VM, and a VM that alone reaches the leader

Each has a broken program that it must detect: one that hands on whatever the leader acknowledges loses writes in the first, one that closes connections in use is caught in the second.

--- a/packages/soak/test/soak.spec.ts
+++ b/packages/soak/test/soak.spec.ts
@@ -104,6 +104,35 @@
   },
 };
 
+/** One VM alone reaches the leader, and not the store, while a replica restarts in a promotion. */
+const SPLIT_FAULTS: Faults = [{ kind: 'splitVm', at: 300, durationMs: 4_500, targetSeed: 10 }];
+/** VMs that stop one after the other, while their callers keep using their connections. */
+const STOP_FAULTS: Faults = [300, 3_100].map((at, targetSeed) => ({
+  ...{ kind: 'stopVm', at, durationMs: 0, targetSeed },
+}));
+
+/** Faults in dealing with VMs that differ in what they reach, and with callers that stay. */
+const VM_MUTANTS: typeof MUTANTS = {
+  'hands on whatever the leader acknowledges': {
+    mutant: {
+      file: 'core/src/commitgate.ts',
+      from: "if (this.wasSettledAfter(commit)) return 'settled';",
+      to: "return 'settled';",
+    },
+    faults: SPLIT_FAULTS,
+    invariant: 'an acknowledged write is not lost',
+  },
+  'closes connections in use when it is told to stop': {
+    mutant: {
+      file: 'platform/src/caller.ts',
+      from: 'isQuiescent: () => this.isQuiescent(),',
+      to: 'isQuiescent: () => { if (this.isRunning && proxy.isDraining()) this.socket.destroy(); return false; },',
+    },
+    faults: STOP_FAULTS,
+    invariant: 'a graceful shutdown interrupts no request',
+  },
+};
+
 describe('fault soak', () => {
   it('holds all invariants without faults', async () => {
     const { violations, counts } = await run(1, undefined, []);
@@ -172,6 +201,23 @@
     expect([violations, counts.unsavable]).toEqual([[], 0]);
   }).timeout(RUN_TIMEOUT_MS);
 
+  // A VM that reached the leader and not the store told callers of commits that the promotion lost.
+  it('holds all invariants where one VM alone reaches the leader while a replica restarts', async () => {
+    expect((await run(9, undefined, SPLIT_FAULTS)).violations).toEqual([]);
+  }).timeout(RUN_TIMEOUT_MS);
+
+  // A planned stop cut requests of callers that kept coming to the VM.
+  it('holds all invariants where callers keep using VMs until these have stopped', async () => {
+    expect((await run(10, undefined, STOP_FAULTS)).violations).toEqual([]);
+  }).timeout(RUN_TIMEOUT_MS);
+
+  Object.entries(VM_MUTANTS).forEach(([name, { mutant, faults, invariant }]) => {
+    it(`detects a program that ${name}`, async () => {
+      const { violations } = await run(9, mutant, faults);
+      expect(violations.map((violation) => violation.invariant)).toInclude(invariant);
+    }).timeout(RUN_TIMEOUT_MS);
+  });
+
   it('holds all invariants where VMs are killed and paused with passed-on work', async () => {
     const faults = [
       ...createFaults('killVm', 400, 1_900, 3_000),
