Ask no instance again that is known to hold a commit

One that has told that it holds the commit is not asked again; its answer adds nothing. The spec "asks no instance that is known to hold the commit" failed before.

--- a/packages/core/src/commitgate.ts
+++ b/packages/core/src/commitgate.ts
@@ -201,8 +201,8 @@
   }
 
   /**
-   * Lists the instances but the leader: first those that may prove the commit alone, and among these
-   * the one that has not answered for the longest time.
+   * Lists the instances that are not known to hold the commit: first those that may prove it alone,
+   * and among these the one that has not answered for the longest time.
    *
    * @param findAnswerTime when an instance last answered
    */
@@ -210,9 +210,12 @@
     { leader, position }: AcknowledgedCommit,
     findAnswerTime: (id: string) => Millis = () => 0,
   ): readonly string[] {
-    const others = [...this.instances].filter(([id]) => id !== leader);
+    if (!position) return [];
+    const others = [...this.instances].filter(
+      ([id, evidence]) => id !== leader && !evidence.hasReached(position),
+    );
     const rank = ([, evidence]: (typeof others)[number]): number =>
-      this.isCountable(evidence) && evidence.reached?.term === position?.term ? 0 : 1;
+      this.isCountable(evidence) && evidence.reached?.term === position.term ? 0 : 1;
     return others
       .sort((a, b) => rank(a) - rank(b) || findAnswerTime(a[0]) - findAnswerTime(b[0]))
       .map(([id]) => id);
--- a/packages/core/test/commitgate.spec.ts
+++ b/packages/core/test/commitgate.spec.ts
@@ -155,6 +155,17 @@
     expect(fixture.decide({ position: undefined })).toEqual('settled');
   });
 
+  // Guards against instances that are asked again although their answer adds nothing.
+  it('asks no instance that is known to hold the commit', () => {
+    const fixture = new Fixture(ACKNOWLEDGED_AT - 10);
+    const commit = { leader: 'l', connection: fixture.find('l'), position: COMMIT };
+    const list = (): readonly string[] =>
+      fixture.gate.listWitnesses({ ...commit, acknowledgedAt: ACKNOWLEDGED_AT });
+    expect(list()).toEqual(['a', 'b']);
+    fixture.answer('a', COMMIT);
+    expect(list()).toEqual(['b']);
+  });
+
   // Guards against callers that wait for their deadline although the outcome can't be known.
   it('tells of a takeover that a stopped replica shows', () => {
     const fixture = new Fixture();
