Let a commit outlive the service of its group, and name the parts of the models

A group that moves to other homes stops here. Commits that waited for their proof then ended with an unknown outcome at once; now the record may still prove them.

walkInterleavings has one short function for each kind of step, and what the takeover model holds back is called HeldCommits, since the engine has a CommitConfirmation of its own.

--- a/packages/bench/src/takeover/commitconfirmation.ts
+++ b/packages/bench/src/takeover/heldcommits.ts
@@ -20,7 +20,7 @@
 }
 
 /** What a simulated VM does to have a commit proved. */
-export interface ConfirmationActions {
+export interface ProofRequests {
   /** Asks an instance for its status. */
   readonly askStatus: (instance: string) => void;
   /** Reads the group's record. */
@@ -28,7 +28,7 @@
 }
 
 /** Holds the acknowledged commits of one VM's process until its gate lets them pass. */
-export class CommitConfirmation {
+export class HeldCommits {
   private pending: readonly PendingCommit[] = [];
 
   /** The last connection to each instance, by its description. */
@@ -36,7 +36,7 @@
 
   constructor(
     private readonly gate: CommitGate,
-    private readonly actions: ConfirmationActions,
+    private readonly actions: ProofRequests,
   ) {}
 
   /** Returns the connection to an instance, which lasts while its description stays the same. */
--- a/packages/bench/src/takeover/interleavings.ts
+++ b/packages/bench/src/takeover/interleavings.ts
@@ -17,6 +17,8 @@
 const FENCE_TERM = 2;
 /** Longer than an order of a settled claim may be in flight. */
 const QUIET_MS = 20_000;
+/** The caller's VM reads the record at most so often. */
+const MAX_READS = 2;
 /** When the settled record was read that the VM knows of at first. */
 const SETTLED_AT = 10;
 
@@ -43,7 +45,7 @@
   | { readonly kind: 'settled' }
   | {
       readonly kind: 'report';
-      readonly id: Replica;
+      readonly id: string;
       readonly process: number;
       readonly holds: boolean;
       readonly isHeld: boolean;
@@ -94,7 +96,7 @@
 
 const count = (world: World, id: string): number => world.restarts[id] ?? 0;
 const holds = (world: World, id: string): boolean => world.holders.includes(id);
-const isHeld = (world: World, id: Replica): boolean => world.held.includes(id);
+const isHeld = (world: World, id: string): boolean => world.held.some((one) => one === id);
 const isAcknowledged = ({ observations }: World): boolean =>
   observations.some(({ kind }) => kind === 'acknowledged');
 
@@ -155,8 +157,8 @@
   observations: [...world.observations, observation],
 });
 
-const countAsked = ({ observations }: World, id: Replica): number =>
-  observations.filter((one) => one.kind === 'report' && one.id === id).length;
+const hasAsked = ({ observations }: World, id: string): boolean =>
+  observations.some((one) => one.kind === 'report' && one.id === id);
 
 /** The instance that the holder may name; undefined while it lacks reports. */
 function chooseCandidate({ reports }: World): Replica | undefined {
@@ -167,73 +169,88 @@
   return end === undefined || (end && !(best && reports[best])) ? undefined : best;
 }
 
+/** Takes a step of one kind; undefined if it can't be taken now. */
+type TakeStep = (world: World, target: string, options: InterleavingOptions) => World | undefined;
+
+/** Drops an order to stop of a replica. */
+const release = (world: World, target: string): readonly Replica[] =>
+  world.held.filter((id) => id !== target);
+
+const append: TakeStep = (world) =>
+  world.isAppended || !world.leads ? undefined : { ...world, isAppended: true, holders: [LEADER] };
+
+const receive: TakeStep = (world, target) => {
+  const isShipped = holds(world, LEADER) && world.leads && !holds(world, target);
+  if (!isShipped || isHeld(world, target)) return undefined;
+  return { ...world, holders: [...world.holders, target] };
+};
+
+const acknowledge: TakeStep = (world) => {
+  if (isAcknowledged(world) || world.holders.length < 2 || !world.leads) return undefined;
+  return observe(world, { kind: 'acknowledged', process: count(world, LEADER) });
+};
+
+const ask: TakeStep = (world, target) => {
+  if (!isAcknowledged(world) || hasAsked(world, target)) return undefined;
+  const process = count(world, target);
+  const state = { holds: holds(world, target), isHeld: isHeld(world, target) };
+  return observe(world, { kind: 'report', id: target, process, ...state });
+};
+
+const read: TakeStep = (world, _, { hasStore }) => {
+  const reads = world.observations.filter(({ kind }) => kind === 'settled').length;
+  if (!hasStore || world.isClaimed || reads >= MAX_READS) return undefined;
+  return observe(world, { kind: 'settled' });
+};
+
+const claim: TakeStep = (world) => (world.isClaimed ? undefined : { ...world, isClaimed: true });
+
+const pause: TakeStep = (world, target) => {
+  if (!world.isClaimed || isHeld(world, target)) return undefined;
+  const held = [...world.held, target as Replica];
+  // What it tells after the order changes nothing.
+  if (world.candidate) return { ...world, held };
+  return { ...world, held, reports: { ...world.reports, [target]: holds(world, target) } };
+};
+
+const stepDown: TakeStep = (world) => {
+  if (!world.isClaimed || !world.leads || world.candidate) return undefined;
+  const reports = { ...world.reports, [LEADER]: holds(world, LEADER) };
+  return { ...world, leads: false, reports };
+};
+
+const order: TakeStep = (world) => {
+  const candidate = chooseCandidate(world);
+  return world.candidate || !candidate ? undefined : { ...world, candidate };
+};
+
+const promote: TakeStep = (world) => {
+  const { candidate, holders } = world;
+  if (!candidate || world.isPromoted) return undefined;
+  const kept = holds(world, candidate) ? holders : [];
+  return { ...world, isPromoted: true, leads: false, holders: kept };
+};
+
+const restart: TakeStep = (world, target) => ({
+  ...world,
+  restarts: { ...world.restarts, [target]: count(world, target) + 1 },
+  held: release(world, target),
+  // A leader that has stepped down leads again, unless another instance was promoted.
+  leads: target === LEADER ? !world.isPromoted : world.leads,
+});
+
+const lateResume: TakeStep = (world, target, { hasLateOrders }) =>
+  hasLateOrders && isHeld(world, target) ? { ...world, held: release(world, target) } : undefined;
+
+const STEP_KINDS: Readonly<Record<string, TakeStep>> = {
+  ...{ append, receive, acknowledge, ask, read, claim, pause, stepDown, order, promote },
+  ...{ restart, lateResume },
+};
+
 /** Takes a step; undefined if it can't be taken now. */
 function takeStep(world: World, step: Step, options: InterleavingOptions): World | undefined {
-  const [verb, target = ''] = step.split(' ');
-  const replica = target as Replica;
-  switch (verb) {
-    case 'append':
-      if (world.isAppended || !world.leads) return undefined;
-      return { ...world, isAppended: true, holders: [LEADER] };
-    case 'receive':
-      if (!holds(world, LEADER) || !world.leads || isHeld(world, replica)) return undefined;
-      if (holds(world, replica)) return undefined;
-      return { ...world, holders: [...world.holders, replica] };
-    case 'acknowledge':
-      if (isAcknowledged(world) || world.holders.length < 2 || !world.leads) return undefined;
-      return observe(world, { kind: 'acknowledged', process: count(world, LEADER) });
-    case 'ask': {
-      if (!isAcknowledged(world) || countAsked(world, replica) > 0) return undefined;
-      const process = count(world, replica);
-      const state = { holds: holds(world, replica), isHeld: isHeld(world, replica) };
-      return observe(world, { kind: 'report', id: replica, process, ...state });
-    }
-    case 'read':
-      if (!options.hasStore || world.isClaimed) return undefined;
-      if (world.observations.filter(({ kind }) => kind === 'settled').length > 1) return undefined;
-      return observe(world, { kind: 'settled' });
-    case 'claim':
-      return world.isClaimed ? undefined : { ...world, isClaimed: true };
-    case 'pause':
-      if (!world.isClaimed || isHeld(world, replica)) return undefined;
-      return {
-        ...world,
-        held: [...world.held, replica],
-        // What it tells after the order changes nothing.
-        reports: world.candidate
-          ? world.reports
-          : { ...world.reports, [replica]: holds(world, replica) },
-      };
-    case 'stepDown':
-      if (!world.isClaimed || !world.leads || world.candidate) return undefined;
-      return {
-        ...world,
-        leads: false,
-        reports: { ...world.reports, [LEADER]: holds(world, LEADER) },
-      };
-    case 'order': {
-      const candidate = chooseCandidate(world);
-      return world.candidate || !candidate ? undefined : { ...world, candidate };
-    }
-    case 'promote': {
-      const { candidate } = world;
-      if (!candidate || world.isPromoted) return undefined;
-      const isKept = holds(world, candidate);
-      return { ...world, isPromoted: true, leads: false, holders: isKept ? world.holders : [] };
-    }
-    case 'restart':
-      return {
-        ...world,
-        restarts: { ...world.restarts, [target]: count(world, target) + 1 },
-        held: world.held.filter((id) => id !== target),
-        leads: target === LEADER ? !world.isPromoted : world.leads,
-      };
-    case 'lateResume':
-      if (!options.hasLateOrders || !isHeld(world, replica)) return undefined;
-      return { ...world, held: world.held.filter((id) => id !== replica) };
-    default:
-      return undefined;
-  }
+  const [kind = '', target = ''] = step.split(' ');
+  return STEP_KINDS[kind]?.(world, target, options);
 }
 
 const STEPS: readonly Step[] = [
--- a/packages/bench/src/takeover/vm.ts
+++ b/packages/bench/src/takeover/vm.ts
@@ -15,7 +15,7 @@
 import { match, P } from 'ts-pattern';
 import type { ActingVm } from './acceptedorder.js';
 import type { CallerConnection } from './acknowledgements.js';
-import { CommitConfirmation } from './commitconfirmation.js';
+import { HeldCommits } from './heldcommits.js';
 import type { SyncGroup } from './group.js';
 import type { SyncInstance } from './syncinstance.js';
 import { type Member, MemberList } from './memberlist.js';
@@ -68,7 +68,7 @@
 
   private coordinator: TakeoverCoordinator;
 
-  private confirmation: CommitConfirmation;
+  private heldCommits: HeldCommits;
 
   /** When the present watch of the record was sent. */
   private watchedAt = 0;
@@ -92,7 +92,7 @@
     const { group, showsCrashes } = options;
     this.prober = new InstanceProber(group, this.unreachable, showsCrashes);
     this.coordinator = this.createCoordinator();
-    this.confirmation = this.createConfirmation();
+    this.heldCommits = this.createHeldCommits();
   }
 
   /** Replaces the process by a new one without any state. */
@@ -104,7 +104,7 @@
     this.listedAt = Number.NEGATIVE_INFINITY;
     this.queuedDeliveries.length = 0;
     this.coordinator = this.createCoordinator();
-    this.confirmation = this.createConfirmation();
+    this.heldCommits = this.createHeldCommits();
   }
 
   /** Opens a connection for writes; undefined if the instance isn't reached or is being replaced. */
@@ -117,7 +117,7 @@
       acknowledge: (position, confirm) =>
         this.deliver(() => {
           const { now } = this.options.clock;
-          this.confirmation.add(instance.id, trace, position, now, confirm);
+          this.heldCommits.add(instance.id, trace, position, now, confirm);
         })(),
     };
   }
@@ -134,25 +134,25 @@
     const views = this.listMembers(now).map((member) => this.probe(member, now));
     this.runActions(this.coordinator.handleTick(views, now));
     const ids = views.map(({ id }) => id).filter((id) => this.coordinator.isEligible(id));
-    this.confirmation.handleTick(ids, now);
+    this.heldCommits.handleTick(ids, now);
   }
 
   private probe(member: Member, now: number): InstanceView {
     const { instance } = member;
     const view = this.prober.probe(member, now);
     if (view.positionAt === now && view.health === 'answering') {
-      this.confirmation.handleProbe(instance.id, this.findTrace(instance), view, now);
+      this.heldCommits.handleProbe(instance.id, this.findTrace(instance), view, now);
     }
     return view;
   }
 
   private findTrace(instance: SyncInstance): ConnectionTrace {
     const describe = (): string => this.describeConnection(instance);
-    return this.confirmation.findTrace(instance.id, describe, this.options.clock.now);
+    return this.heldCommits.findTrace(instance.id, describe, this.options.clock.now);
   }
 
-  private createConfirmation(): CommitConfirmation {
-    return new CommitConfirmation(this.options.createCommitGate(), {
+  private createHeldCommits(): HeldCommits {
+    return new HeldCommits(this.options.createCommitGate(), {
       askStatus: (instance) => this.askWitness(instance),
       readRecord: () => this.readForCommits(),
     });
@@ -166,7 +166,7 @@
       this.answerLate(() => {
         const claim = record?.era === era ? formatSettledClaim(record) : undefined;
         if (claim === undefined) return;
-        this.confirmation.handleSettledRecord(claim, sentAt, this.options.clock.now);
+        this.heldCommits.handleSettledRecord(claim, sentAt, this.options.clock.now);
       }),
     );
   }
@@ -183,7 +183,7 @@
       const report = trace.isUsable() ? group.handleOrder('status', id, 0) : undefined;
       if (!report) return;
       const handle = (): void =>
-        this.confirmation.handleReport(id, trace, report, sentAt, clock.now);
+        this.heldCommits.handleReport(id, trace, report, sentAt, clock.now);
       clock.schedule(INSTANCE_CALL_MS, this.deliver(handle));
     });
   }
@@ -231,7 +231,7 @@
     const { now } = this.options.clock;
     this.runActions(this.coordinator.handleRecord(record, version, now));
     const claim = this.coordinator.findSettledClaim();
-    if (claim !== undefined) this.confirmation.handleSettledRecord(claim, readAt, now);
+    if (claim !== undefined) this.heldCommits.handleSettledRecord(claim, readAt, now);
     this.listMembers(now).forEach(({ instance }) => {
       const { id } = instance;
       if (!this.coordinator.isBeingReplaced(instance)) return;
--- a/packages/core/src/commitgate.ts
+++ b/packages/core/src/commitgate.ts
@@ -184,7 +184,7 @@
     const { leader, position } = commit;
     if (!position) return false;
     const others = [...this.instances].filter(([id]) => id !== leader);
-    if (others.every(([id]) => isAnswering(id))) return true;
+    if (others.length > 0 && others.every(([id]) => isAnswering(id))) return true;
     if (!this.mayOneProve(commit, now)) return false;
     return others.some(([id, evidence]) => isAnswering(id) && this.isCountable(evidence));
   }
--- a/packages/engine/src/commitconfirmation.ts
+++ b/packages/engine/src/commitconfirmation.ts
@@ -75,8 +75,8 @@
   /** When the present or last read of the record was sent. */
   private readSentAt: Millis = Number.NEGATIVE_INFINITY;
 
-  /** When the last read that has ended was sent. */
-  private readEndedFor: Millis = Number.NEGATIVE_INFINITY;
+  /** When the last read was sent that has ended. */
+  private endedReadSentAt: Millis = Number.NEGATIVE_INFINITY;
 
   private mayReadAt: Millis = Number.NEGATIVE_INFINITY;
 
@@ -139,11 +139,6 @@
     this.gate.updateInstances(this.options.listMembers().map(({ id }) => id));
   }
 
-  /** Ends the commits that wait with an unknown outcome. */
-  stop(): void {
-    this.waiting.forEach((one) => this.end(one, 'unproven'));
-  }
-
   /** Has the waiting commits proved, and looks at them again soon. */
   private handleWaiting(): void {
     clearTimeout(this.timer);
@@ -153,7 +148,7 @@
     if (this.waiting.size === 0) return;
     this.timer = setTimeout(() => this.handleWaiting(), POLL_MS);
     const now = this.options.clock.readNow();
-    [...this.waiting].forEach(({ commit }) => this.collect(commit, now));
+    [...this.waiting].forEach(({ commit }) => this.requestProof(commit, now));
   }
 
   private decideAll(): void {
@@ -170,7 +165,7 @@
   private isLost({ commit }: WaitingCommit, verdict: CommitVerdict, now: Millis): boolean {
     if (verdict !== 'threatened') return false;
     const { acknowledgedAt } = commit;
-    return this.readEndedFor >= acknowledgedAt || now - acknowledgedAt >= THREAT_LIMIT_MS;
+    return this.endedReadSentAt >= acknowledgedAt || now - acknowledgedAt >= THREAT_LIMIT_MS;
   }
 
   private end(one: WaitingCommit, verdict: CommitVerdict): void {
@@ -194,7 +189,7 @@
   }
 
   /** Asks for what may prove a commit. */
-  private collect(commit: AcknowledgedCommit, now: Millis): void {
+  private requestProof(commit: AcknowledgedCommit, now: Millis): void {
     const { gate } = this;
     const members = new Map(this.options.listMembers().map((member) => [member.id, member]));
     const isAnswering = (id: string): boolean => members.get(id)?.probe.isAnswering() === true;
@@ -234,7 +229,7 @@
       )
       .then((gap) => {
         this.isReading = false;
-        this.readEndedFor = this.readSentAt;
+        this.endedReadSentAt = this.readSentAt;
         this.mayReadAt = this.options.clock.readNow() + gap;
         this.decideAll();
       })
--- a/packages/engine/src/group.ts
+++ b/packages/engine/src/group.ts
@@ -186,7 +186,6 @@
   stop(): void {
     this.listMembers().forEach((member) => this.members.remove(member));
     this.dispatcher.stop();
-    this.confirmation.stop();
   }
 
   /** This proxy's share of an instance's connections. */
