Return the connection of a commit before it is proved

Suspected cause: a transaction, and a home for the VM that passes work on, kept the connection to the leader until the commit was proved. Where an instance's connections are scarcer than VMs, and its replicas have no idle connection to be asked on, that is tens of milliseconds for each commit.

Change: the lease ends with the leader's acknowledgement, as that of a single write did already; what fails afterwards closes no connection that others use.

--- a/packages/engine/src/transaction.ts
+++ b/packages/engine/src/transaction.ts
@@ -83,17 +83,17 @@
       return createLocalReply('idle', { ...failure, verdict: 'aborted' });
     }
     let isSent = false;
+    const sentAt = this.context.readNow();
     const reply = await this.runWithLease(id, (lease) => {
       if (!lease.connection.isUsable()) throw new ConnectionError('it broke before COMMIT');
       isSent = true;
-      return this.sendConfirmedCommit(id, lease);
+      return this.sendCommit(id, lease);
     });
     const { lease } = this;
     if (!reply.failure && lease) {
       this.lease = undefined;
       lease.release();
-      this.context.handleCommit(reply.position);
-      return { ...reply, state: 'idle' };
+      return this.confirmCommit(lease, reply, sentAt);
     }
     const failure = reply.failure ?? { verdict: 'aborted', reason: 'the connection is gone' };
     this.abort(failure.reason);
@@ -111,19 +111,20 @@
     return createLocalReply('failed', failure);
   }
 
-  /**
-   * Commits, and waits until what was written may be handed on.
-   *
-   * @throws ConnectionError when the outcome is unknown.
-   */
-  private async sendConfirmedCommit(id: string, lease: Lease): Promise<Reply> {
-    const deadline = this.context.readNow() + this.route.timeoutMs;
-    const reply = await this.sendCommit(id, lease);
-    if (!this.writes.handleReply('commit', reply)) return reply;
-    lease.updateBusy(false);
-    const remaining = Math.max(1, deadline - this.context.readNow());
-    await lease.confirmCommit(reply.position, remaining);
-    return reply;
+  /** Waits until what was written may be handed on; the connection has been returned by then. */
+  private async confirmCommit(lease: Lease, reply: Reply, sentAt: Millis): Promise<Reply> {
+    try {
+      if (this.writes.handleReply('commit', reply)) {
+        const elapsed = this.context.readNow() - sentAt;
+        const remaining = Math.max(1, this.route.timeoutMs - elapsed);
+        await lease.confirmCommit(reply.position, remaining);
+      }
+      this.context.handleCommit(reply.position);
+      return { ...reply, state: 'idle' };
+    } catch (error) {
+      if (!(error instanceof ConnectionError)) throw error;
+      return createLocalReply('idle', { verdict: 'unknownOutcome', reason: error.message });
+    }
   }
 
   private async sendCommit(id: string, lease: Lease): Promise<Reply> {
--- a/packages/engine/test/commitconfirmation.spec.ts
+++ b/packages/engine/test/commitconfirmation.spec.ts
@@ -1,5 +1,5 @@
 import { expect } from 'earl';
-import type { Session, Statement } from '../src/index.js';
+import { type Session, type Statement, wait } from '../src/index.js';
 import { createFixture, type Fixture } from './fixture.js';
 
 const WRITE: Statement = { kind: 'write', text: 'WRITE a b' };
@@ -7,6 +7,10 @@
 const COMMIT: Statement = { kind: 'commit' };
 /** Term of an order to stop that a takeover has sent. */
 const FENCE_TERM = 2;
+/** Callers that commit at the same time. */
+const CALLERS = 6;
+/** Time that a replica takes to answer. */
+const PROOF_MS = 200;
 
 describe('an acknowledged commit', () => {
   let fixture: Fixture;
@@ -59,6 +63,26 @@
     expect(writes).toEqual(['q1 write WRITE a b']);
   });
 
+  // Where connections are scarce, each commit kept one from others until it was proved.
+  it('keeps no connection while it is proved', async () => {
+    [fixture.replica, fixture.other].forEach((one) =>
+      Object.assign(one, { readDelayMs: () => PROOF_MS }),
+    );
+    const sessions = Array.from({ length: CALLERS }, () => fixture.createSession('fresh'));
+    const commits = sessions.map(async (one) => {
+      await one.run({ id: 'q1', statement: BEGIN });
+      await one.run({ id: 'q2', statement: WRITE });
+      return one.run({ id: 'q3', statement: COMMIT });
+    });
+    await wait(PROOF_MS / 2);
+    const open = fixture.leader.connections.size;
+    const other = fixture.createSession('fresh');
+    const read = await other.run({ id: 'q4', statement: { kind: 'read', text: 'READ a' } });
+    expect([read.failure, fixture.leader.connections.size]).toEqual([undefined, open]);
+    const failures = (await Promise.all(commits)).map(({ failure }) => failure);
+    expect(failures).toEqual(sessions.map(() => undefined));
+  });
+
   // Guards against reads that wait for a proof which only commits need.
   it('is needed for no read-only transaction', async () => {
     startUnseenTakeover();
--- a/packages/forwarding/src/home.ts
+++ b/packages/forwarding/src/home.ts
@@ -230,7 +230,9 @@
     if (reply.failure?.verdict === 'readOnly') lease.handleDemotion();
     const access = isData ? findAccess(state, operation) : 'read';
     if (held.writes.handleReply(classifyCommand(operation.kind, access), reply)) {
-      lease.updateBusy(false);
+      // The work has ended; its connection serves others while the commit is proved.
+      if (this.held.get(id) === held) this.held.set(id, { ...held, lease: undefined });
+      lease.release();
       await lease.confirmCommit(reply.position, CONFIRMATION_TIMEOUT_MS);
     }
     this.sendReply(id, reply);
