--- a/packages/bench/test/takeover.spec.ts
+++ b/packages/bench/test/takeover.spec.ts
@@ -6,7 +6,7 @@
 
 const SEED = 7;
 /** Seeds with which a mutant is found soon; all others are searched for with `SEED`. */
-const MUTANT_SEEDS: Readonly<Record<string, number>> = { 'ignores the fencing token': 18 };
+const MUTANT_SEEDS: Readonly<Record<string, number>> = { 'ignores the fencing token': 3 };
 const KEPT_RUNS = 25;
 const MAX_RUNS = 250;
 const RESTORATION_SEED = 1;
