Share what the change had written twice

Found by reading the whole change once more; the product behaves as before.

findAccess and SessionContext.isWrite were one check in two places, and classifyCommand turned an access into a word that only WriteTracker read; it has a method for a write and one for COMMIT now. CommitGate lists the other instances in one place. Reads of the record are guarded by one time instead of a flag and two. The soak waits for an order with the waiter that it had, the model cuts VMs in one place, and an unused rule is gone.

One thing of the emulator does change: scheduling an order put it back among the open ones, so that one which a newer call had ended between its arrival and its decision took effect after all; it stays ended again, as before.

--- a/packages/bench/src/takeover/promotionrules.ts
+++ b/packages/bench/src/takeover/promotionrules.ts
@@ -40,8 +40,6 @@
   lastingWithoutTrace: { ...LASTING_ORDERS, raisesFenceWhenStopped: false },
   /** An order is for the process that ran when it was accepted. */
   boundToProcess: { ...LASTING_ORDERS, outlastsRestart: false },
-  /** Every accepted order takes effect, whatever is ordered later. */
-  allCarriedOut: { ...LASTING_ORDERS, endsByLaterOrder: false },
   /** Every later call under a higher token ends an order. */
   endedByLaterCalls: {
     ...LASTING_ORDERS,
--- a/packages/bench/src/takeover/vmfaults.ts
+++ b/packages/bench/src/takeover/vmfaults.ts
@@ -56,8 +56,7 @@
     if (pick < this.vms.length) this.cutFromStore(pick, duration);
     else this.delayStore(pick, duration);
     const cut = this.vms.filter((_, other) => other !== index);
-    cut.forEach((vm) => vm.unreachable.add(instance.id));
-    this.clock.schedule(duration, () => cut.forEach((vm) => vm.unreachable.delete(instance.id)));
+    this.cutVms(cut, instance.id, duration);
   }
 
   /** Lets the store answer a VM with lists that are out of date. */
@@ -70,8 +69,12 @@
   /** Cuts all VMs from an instance, or all but one. */
   cutFromInstance({ id }: SyncInstance, pick: number, duration: number): void {
     const cut = this.vms.filter((_, index) => pick === 0 || index !== pick % this.vms.length);
-    cut.forEach((vm) => vm.unreachable.add(id));
-    this.clock.schedule(duration, () => cut.forEach((vm) => vm.unreachable.delete(id)));
+    this.cutVms(cut, id, duration);
+  }
+
+  private cutVms(vms: readonly SimulatedVm[], id: string, duration: number): void {
+    vms.forEach((vm) => vm.unreachable.add(id));
+    this.clock.schedule(duration, () => vms.forEach((vm) => vm.unreachable.delete(id)));
   }
 
   private killVm(vm: SimulatedVm): void {
--- a/packages/core/src/commitgate.ts
+++ b/packages/core/src/commitgate.ts
@@ -183,7 +183,7 @@
   ): boolean {
     const { leader, position } = commit;
     if (!position) return false;
-    const others = [...this.instances].filter(([id]) => id !== leader);
+    const others = this.listOthers(leader);
     if (others.length > 0 && others.every(([id]) => isAnswering(id))) return true;
     if (!this.mayOneProve(commit, now)) return false;
     return others.some(([id, evidence]) => isAnswering(id) && this.isCountable(evidence));
@@ -211,9 +211,7 @@
     findAnswerTime: (id: string) => Millis = () => 0,
   ): readonly string[] {
     if (!position) return [];
-    const others = [...this.instances].filter(
-      ([id, evidence]) => id !== leader && !evidence.hasReached(position),
-    );
+    const others = this.listOthers(leader).filter(([, one]) => !one.hasReached(position));
     const rank = ([, evidence]: (typeof others)[number]): number =>
       this.isCountable(evidence) && evidence.reached?.term === position.term ? 0 : 1;
     return others
@@ -233,7 +231,7 @@
 
   /** True when every other instance has received the commit. */
   protected isEverywhere({ leader, position }: AcknowledgedCommit): boolean {
-    const others = [...this.instances].filter(([id]) => id !== leader);
+    const others = this.listOthers(leader);
     if (!position || others.length === 0) return false;
     return others.every(([, evidence]) => evidence.hasReached(position));
   }
@@ -247,9 +245,13 @@
 
   /** Lists the instances but the leader that have received the log up to the position. */
   protected listHolders(leader: string, position: LogPosition): readonly InstanceEvidence[] {
-    return [...this.instances]
-      .filter(([id, evidence]) => id !== leader && evidence.hasReached(position))
-      .map(([, evidence]) => evidence);
+    return this.listOthers(leader)
+      .map(([, evidence]) => evidence)
+      .filter((evidence) => evidence.hasReached(position));
+  }
+
+  private listOthers(leader: string): readonly (readonly [string, InstanceEvidence])[] {
+    return [...this.instances].filter(([id]) => id !== leader);
   }
 
   /** False while orders to receive again that the settled claim has sent may still be in flight. */
@@ -269,8 +271,8 @@
 
   private isThreatened({ leader, position, acknowledgedAt }: AcknowledgedCommit): boolean {
     if (!position) return false;
-    return [...this.instances].some(
-      ([id, evidence]) => id !== leader && evidence.tellsOfTakeover(position, acknowledgedAt),
+    return this.listOthers(leader).some(([, evidence]) =>
+      evidence.tellsOfTakeover(position, acknowledgedAt),
     );
   }
 }
--- a/packages/emulator/src/promotionorders.ts
+++ b/packages/emulator/src/promotionorders.ts
@@ -139,8 +139,7 @@
   private schedule(order: PromotionOrder, instance: EmulatedInstance): void {
     const { promoteMs, ledger, promote } = this.options;
     const { log, starts } = instance;
-    if (this.options.rules.endsEarlierOrders) this.open.clear();
-    this.open.add(order);
+    if (this.options.rules.endsEarlierOrders) this.endOthers(order);
     order.accept();
     setTimeout(() => {
       const isOpen = this.open.delete(order);
@@ -152,6 +151,12 @@
     }, promoteMs);
   }
 
+  private endOthers(order: PromotionOrder): void {
+    this.open.forEach((one) => {
+      if (one !== order) this.open.delete(one);
+    });
+  }
+
   private mayLead(hasLog: boolean, isSameStart: boolean): boolean {
     const { restartedInstance } = this.options.rules;
     if (restartedInstance === 'leadsAnyway') return true;
--- a/packages/engine/src/commitconfirmation.ts
+++ b/packages/engine/src/commitconfirmation.ts
@@ -70,14 +70,10 @@
 
   private timer: NodeJS.Timeout | undefined;
 
-  private isReading = false;
-
-  /** When the present or last read of the record was sent. */
-  private readSentAt: Millis = Number.NEGATIVE_INFINITY;
-
   /** When the last read was sent that has ended. */
   private endedReadSentAt: Millis = Number.NEGATIVE_INFINITY;
 
+  /** When the record may be read again; infinite during a read. */
   private mayReadAt: Millis = Number.NEGATIVE_INFINITY;
 
   private doubtedUntil: Millis = Number.NEGATIVE_INFINITY;
@@ -218,9 +214,8 @@
   }
 
   private readRecord(now: Millis): void {
-    if (this.isReading || now < this.mayReadAt) return;
-    this.isReading = true;
-    this.readSentAt = now;
+    if (now < this.mayReadAt) return;
+    this.mayReadAt = Number.POSITIVE_INFINITY;
     this.options
       .readRecord()
       .then(
@@ -228,8 +223,7 @@
         () => FAILED_READ_GAP_MS,
       )
       .then((gap) => {
-        this.isReading = false;
-        this.endedReadSentAt = this.readSentAt;
+        this.endedReadSentAt = now;
         this.mayReadAt = this.options.clock.readNow() + gap;
         this.decideAll();
       })
--- a/packages/engine/src/context.ts
+++ b/packages/engine/src/context.ts
@@ -3,7 +3,7 @@
 import type { GroupAccess } from './access.js';
 import type { Log } from './log.js';
 import type { Metrics } from './metrics.js';
-import type { PreparedStatement } from './setup.js';
+import { findAccess, type PreparedStatement } from './setup.js';
 import type { DataStatement, Failure, Reply, TransactionState } from './statement.js';
 import type { SessionCommit } from './view.js';
 
@@ -44,9 +44,8 @@
 
   /** True when the statement writes; undefined when its prepared name is unknown. */
   isWrite(statement: DataStatement): boolean | undefined {
-    if (statement.kind !== 'execute') return statement.kind === 'write';
-    const prepared = this.statements.get(statement.name);
-    return prepared && prepared.access === 'write';
+    const access = findAccess(this, statement);
+    return access && access === 'write';
   }
 }
 
--- a/packages/engine/src/index.ts
+++ b/packages/engine/src/index.ts
@@ -27,7 +27,7 @@
 export { GroupService } from './group.js';
 export type { WorkRequest } from './dispatcher.js';
 export { CommitConfirmation } from './commitconfirmation.js';
-export { classifyCommand, WriteTracker } from './writetracker.js';
+export { WriteTracker } from './writetracker.js';
 export { findAccess } from './setup.js';
 export { createLeaseUse } from './lease.js';
 export type { Lease, LeaseUse } from './lease.js';
--- a/packages/engine/src/probe.ts
+++ b/packages/engine/src/probe.ts
@@ -119,22 +119,21 @@
   }
 
   /**
-   * Asks for the status on an idle connection, a preferred one if possible; false if none is idle.
+   * Asks for the status on an idle connection, a preferred one if possible, unless none is idle.
    *
    * @throws ConnectionError when the instance doesn't answer in time.
    */
   async askStatus(
     isPreferred: (connection: ConnectionTrace) => boolean,
     timeoutMs: Millis,
-  ): Promise<boolean> {
+  ): Promise<void> {
     const connection = this.options.pool.takeIdle(isPreferred);
-    if (!connection) return false;
+    if (!connection) return;
     const sentAt = this.readNow();
     const command = { operation: { kind: 'status' } } as const;
     const reply = await this.sendOn(connection, command.operation, timeoutMs);
     // Such an answer makes the next probe of a replica unnecessary.
     if (!this.isStopped) this.state.handleReply(command, reply, sentAt);
-    return true;
   }
 
   readNow(): Millis {
--- a/packages/engine/src/setup.ts
+++ b/packages/engine/src/setup.ts
@@ -13,10 +13,10 @@
   readonly statements: ReadonlyMap<string, PreparedStatement>;
 }
 
-/** Whether a statement of the session reads or writes. */
-export function findAccess(state: SessionState, statement: DataStatement): Access {
+/** Whether a statement of the session reads or writes; undefined when its prepared name is unknown. */
+export function findAccess(state: SessionState, statement: DataStatement): Access | undefined {
   if (statement.kind !== 'execute') return statement.kind;
-  return state.statements.get(statement.name)?.access ?? 'read';
+  return state.statements.get(statement.name)?.access;
 }
 
 function hasForeignVariable(connection: InstanceConnection, { variables }: SessionState): boolean {
--- a/packages/engine/src/transaction.ts
+++ b/packages/engine/src/transaction.ts
@@ -5,10 +5,9 @@
 import type { Lease } from './lease.js';
 import { rollBack, runCommand, runStatement } from './run.js';
 import { createLocalReply, type SessionContext } from './context.js';
-import { findAccess } from './setup.js';
 import type { DataStatement, Failure, Reply } from './statement.js';
 import { wait } from './timing.js';
-import { classifyCommand, WriteTracker } from './writetracker.js';
+import { WriteTracker } from './writetracker.js';
 
 const ROLLBACK_TIMEOUT_MS: Millis = 1_000;
 /** Delay before a COMMIT that was refused for lack of a slot is sent again. */
@@ -65,13 +64,12 @@
   }
 
   async run(id: string, statement: DataStatement): Promise<Reply> {
-    const access = findAccess(this.context, statement);
     const reply = await this.runWithLease(id, (lease) => {
       const limit = this.route.timeoutMs * REPLY_TIMEOUT_FRACTION;
       return runStatement(lease.connection, this.context, statement, { id }, limit);
     });
     if (reply.failure) return this.fail(reply.failure);
-    this.writes.handleReply(classifyCommand(statement.kind, access), reply);
+    if (this.context.isWrite(statement)) this.writes.handleWrite(reply);
     return reply;
   }
 
@@ -114,7 +112,7 @@
   /** Waits until what was written may be handed on; the connection has been returned by then. */
   private async confirmCommit(lease: Lease, reply: Reply, sentAt: Millis): Promise<Reply> {
     try {
-      if (this.writes.handleReply('commit', reply)) {
+      if (this.writes.handleCommit(reply)) {
         const elapsed = this.context.readNow() - sentAt;
         const remaining = Math.max(1, this.route.timeoutMs - elapsed);
         await lease.confirmCommit(reply.position, remaining);
--- a/packages/engine/src/writetracker.ts
+++ b/packages/engine/src/writetracker.ts
@@ -1,27 +1,22 @@
-import type { Access, Reply, Statement } from './statement.js';
-
-/** What a command does, as far as it matters for commits. */
-export function classifyCommand(
-  kind: Statement['kind'] | undefined,
-  access: Access,
-): 'write' | 'commit' | 'other' {
-  if (kind === 'commit') return 'commit';
-  return access === 'write' ? 'write' : 'other';
-}
+import type { Reply } from './statement.js';
 
 /** Tells which replies to the statements of one lease commit something. */
 export class WriteTracker {
   /** True once a statement of the open transaction has written. */
   private hasWritten = false;
 
-  /** Returns true for a reply that tells of a commit with at least one write. */
-  handleReply(
-    effect: ReturnType<typeof classifyCommand>,
-    { failure, state }: Pick<Reply, 'failure' | 'state'>,
-  ): boolean {
-    if (failure || effect === 'other') return false;
-    const hasCommitted = effect === 'commit' ? this.hasWritten : state === 'idle';
-    this.hasWritten = effect === 'write' && state === 'open';
-    return hasCommitted;
+  /** Handles the reply to a statement that writes; true if it has committed by itself. */
+  handleWrite({ failure, state }: Pick<Reply, 'failure' | 'state'>): boolean {
+    if (failure) return false;
+    this.hasWritten = state === 'open';
+    return state === 'idle';
+  }
+
+  /** Handles the reply to COMMIT; true if it has committed a write. */
+  handleCommit({ failure }: Pick<Reply, 'failure'>): boolean {
+    if (failure) return false;
+    const { hasWritten } = this;
+    this.hasWritten = false;
+    return hasWritten;
   }
 }
--- a/packages/forwarding/src/home.ts
+++ b/packages/forwarding/src/home.ts
@@ -1,7 +1,6 @@
 import type { Socket } from 'node:net';
 import { DEFAULT_CONTRACT, type Millis } from '@shallotpick/core';
 import {
-  classifyCommand,
   findAccess,
   type ForwardingHost,
   type GroupService,
@@ -228,8 +227,9 @@
     const reply = await runObserved(connection, command);
     if (isData) lease.recordLatency(host.clock.readNow() - startedAt);
     if (reply.failure?.verdict === 'readOnly') lease.handleDemotion();
-    const access = isData ? findAccess(state, operation) : 'read';
-    if (held.writes.handleReply(classifyCommand(operation.kind, access), reply)) {
+    const isWrite = isData && findAccess(state, operation) === 'write';
+    const isCommit = operation.kind === 'commit';
+    if (isWrite ? held.writes.handleWrite(reply) : isCommit && held.writes.handleCommit(reply)) {
       // The work has ended; its connection serves others while the commit is proved.
       if (this.held.get(id) === held) this.held.set(id, { ...held, lease: undefined });
       lease.release();
--- a/packages/soak/src/takeoverfaults.ts
+++ b/packages/soak/src/takeoverfaults.ts
@@ -43,37 +43,32 @@
   }
 }
 
-/** Waits for the next call of one of the handlers in a set; undefined if none comes in time. */
+/** Waits for a call of the handlers in a set with an accepted value; undefined if none comes in time. */
 async function waitForCall<T>(
   handlers: Set<(value: T) => void>,
   limitMs: Millis,
+  isAccepted: (value: T) => boolean = () => true,
 ): Promise<T | undefined> {
   return new Promise((resolve) => {
-    const finish = (value?: T): void => {
-      handlers.delete(finish);
+    const handle = (value: T): void => {
+      if (!isAccepted(value)) return;
+      handlers.delete(handle);
       resolve(value);
     };
-    handlers.add(finish);
-    setTimeout(finish, limitMs);
+    handlers.add(handle);
+    setTimeout(() => {
+      handlers.delete(handle);
+      resolve(undefined);
+    }, limitMs);
   });
 }
 
-/** Waits for the next order to promote an instance that does not lead; undefined if none comes in time. */
+/** Waits for the next order to promote a replica; undefined if none comes in time. */
 export async function waitForOrder({
   orders,
 }: EmulatedGroup): Promise<EmulatedInstance | undefined> {
-  const { arrivalHandlers } = orders;
-  return new Promise((resolve) => {
-    const handleArrival = (named: EmulatedInstance): void => {
-      if (named.isLeader || !named.isAlive) return;
-      arrivalHandlers.delete(handleArrival);
-      resolve(named);
-    };
-    arrivalHandlers.add(handleArrival);
-    setTimeout(() => {
-      if (arrivalHandlers.delete(handleArrival)) resolve(undefined);
-    }, TAKEOVER_LIMIT_MS);
-  });
+  const isReplica = ({ isLeader, isAlive }: EmulatedInstance): boolean => !isLeader && isAlive;
+  return waitForCall(orders.arrivalHandlers, TAKEOVER_LIMIT_MS, isReplica);
 }
 
 /**
