--- a/packages/soak/test/soak.spec.ts
+++ b/packages/soak/test/soak.spec.ts
@@ -105,7 +105,9 @@
 };
 
 /** One VM alone reaches the leader, and not the store, while a replica restarts in a promotion. */
-const SPLIT_FAULTS: Faults = [{ kind: 'splitVm', at: 300, durationMs: 4_500, targetSeed: 10 }];
+const SPLIT_FAULTS: Faults = [300, 6_500, 12_700].map((at) => ({
+  ...{ kind: 'splitVm', at, durationMs: 4_500, targetSeed: 10 },
+}));
 /** VMs that stop one after the other, while their callers keep using their connections. */
 const STOP_FAULTS: Faults = [300, 3_100].map((at, targetSeed) => ({
   ...{ kind: 'stopVm', at, durationMs: 0, targetSeed },
