Run callers' work in the name of their organisation

Change: OrganisationIndex (key to organisation, replaced whole; a key of two organisations identifies none), CallerIdentity (checked at CONNECT and before each statement; an open transaction of a lost key ends), connections that belong to one organisation with the longest idle replaced at the limit, the organisation in a link's request, and the feature names by which VMs of two builds tell each other what they know. OperationQuota, the objective and the database of a request are interfaces for the parts that follow.

--- a/packages/engine/src/attempt.ts
+++ b/packages/engine/src/attempt.ts
@@ -1,8 +1,10 @@
 import type { Millis } from '@shallotpick/core';
 import type { GroupAccess } from './access.js';
 import type { DatabaseRoute } from './configuration.js';
+import type { WorkRequest } from './dispatcher.js';
 import { NotRunError } from './errors.js';
 import type { Lease } from './lease.js';
+import type { OperationPermit } from './operationquota.js';
 import type { SessionContext } from './context.js';
 import type { Failure, Verdict } from './statement.js';
 import { wait } from './timing.js';
@@ -29,6 +31,8 @@
 export class Attempts {
   readonly deadline: Millis;
 
+  private readonly objective: Millis;
+
   private readonly excluded = new Set<string>();
 
   constructor(
@@ -36,8 +40,11 @@
     private readonly route: DatabaseRoute,
     private readonly requestId: string,
     private readonly kind: 'read' | 'write',
+    private readonly organisation: string | undefined,
   ) {
-    this.deadline = context.readNow() + route.timeoutMs;
+    const now = context.readNow();
+    this.deadline = now + route.timeoutMs;
+    this.objective = now + route.targetLatencyMs;
     context.options.retries.addRequest();
   }
 
@@ -59,22 +66,18 @@
     const group = await this.findGroup();
     if (!group) return { verdict: 'overloaded', reason: 'the group is not known' };
     const remaining = this.readRemaining();
+    const deadline = this.deadline - route.timeoutMs * (1 - ADMISSION_FRACTION);
+    let permit: OperationPermit | undefined;
     try {
-      const lease = await group.admit({
-        requestId: this.requestId,
-        kind: this.kind,
-        contract: route.contract,
-        caller: context.options.caller,
-        deadline: this.deadline - route.timeoutMs * (1 - ADMISSION_FRACTION),
-        priority: route.priority,
-        lastCommit: route.readsOwnWrites ? context.lastCommit : undefined,
-        excluded: this.excluded,
-      });
+      permit = await context.options.quota.take(this.organisation, deadline);
+      const lease = await group.admit(this.createRequest(deadline));
       if (!context.isClosed) return lease;
       lease.release();
+      permit.giveBack();
       return { verdict: 'aborted', reason: 'the caller has left' };
     } catch (error) {
       if (!(error instanceof NotRunError)) throw error;
+      permit?.giveBack();
       return {
         verdict: 'overloaded',
         reason: `${error.message} (${Math.round(remaining)} ms left)`,
@@ -82,6 +85,18 @@
     }
   }
 
+  private createRequest(deadline: Millis): WorkRequest {
+    const { context, route, requestId, kind, organisation, objective, excluded } = this;
+    return {
+      ...{ requestId, kind, organisation, objective, deadline, excluded },
+      contract: route.contract,
+      caller: organisation ?? context.options.caller,
+      database: route.database,
+      priority: route.priority,
+      lastCommit: route.readsOwnWrites ? context.lastCommit : undefined,
+    };
+  }
+
   /** Finds the group; a process that has just started may still be learning who serves it. */
   private async findGroup(): Promise<GroupAccess | undefined> {
     const { context, route } = this;
--- a/packages/engine/src/configuration.ts
+++ b/packages/engine/src/configuration.ts
@@ -1,4 +1,5 @@
 import type { Contract, Millis } from '@shallotpick/core';
+import type { OrganisationIndex } from './organisations.js';
 
 /** Routing and time limits for the callers of one database. */
 export interface DatabaseRoute {
@@ -15,6 +16,8 @@
   readonly targetLatencyMs: Millis;
   /** 0 is the highest priority. */
   readonly priority: number;
+  /** True when callers need no key. */
+  readonly isAnonymous?: boolean;
 }
 
 /** Configuration of a database group. */
@@ -33,6 +36,8 @@
   readonly groups: ReadonlyMap<string, GroupSettings>;
   /** A transaction that is idle for longer is rolled back. */
   readonly transactionIdleMs: Millis;
+  /** The organisations that may call; absent when callers need no key. */
+  readonly organisations?: OrganisationIndex | undefined;
 }
 
 /** Receives each configuration that is put in force. */
--- a/packages/engine/src/connection.ts
+++ b/packages/engine/src/connection.ts
@@ -35,6 +35,9 @@
 
   observer: ReplyObserver | undefined;
 
+  /** Organisation that the instance was told when the connection was opened. */
+  organisation: string | undefined;
+
   /** When this VM began to connect. */
   dialedAt: Millis = Number.NEGATIVE_INFINITY;
 
@@ -86,11 +89,16 @@
 /** Opens connections to instances and decodes their replication status. */
 export abstract class InstanceConnector {
   /**
-   * Opens a connection and checks that the server is the expected instance.
+   * Opens a connection in the name of an organisation, or of this VM, and checks that the server is
+   * the expected instance.
    *
    * @throws ConnectionError when the instance refuses the connection or doesn't answer in time.
    */
-  abstract open(instance: RegisteredInstance, timeoutMs: number): Promise<InstanceConnection>;
+  abstract open(
+    instance: RegisteredInstance,
+    timeoutMs: number,
+    organisation: string | undefined,
+  ): Promise<InstanceConnection>;
 
   /** Decodes the reply to a status, pause or step-down command. */
   abstract parseFenceReport(reply: Reply): FenceReport | undefined;
--- a/packages/engine/src/context.ts
+++ b/packages/engine/src/context.ts
@@ -1,8 +1,10 @@
 import type { Clock, LogPosition, Millis, RetryBudget } from '@shallotpick/core';
 import type { ConfigurationHolder } from './configuration.js';
 import type { GroupAccess } from './access.js';
+import type { CallerIdentity } from './identity.js';
 import type { Log } from './log.js';
 import type { Metrics } from './metrics.js';
+import type { OperationQuota } from './operationquota.js';
 import { findAccess, type PreparedStatement } from './setup.js';
 import type { DataStatement, Failure, Reply, TransactionState } from './statement.js';
 import type { SessionCommit } from './view.js';
@@ -10,14 +12,19 @@
 /** Properties and services of a session. */
 export interface SessionOptions {
   readonly database: string;
-  /** Caller name, by which the admission queue shares slots fairly. */
+  /**
+   * Name by which the admission queue shares slots fairly among callers without an organisation. It
+   * must not be a key, since other VMs are told.
+   */
   readonly caller: string;
+  readonly identity: CallerIdentity;
   readonly clock: Clock;
   readonly log: Log;
   readonly metrics: Metrics;
   readonly configuration: ConfigurationHolder;
   readonly findGroup: (name: string) => GroupAccess | undefined;
   readonly retries: RetryBudget;
+  readonly quota: OperationQuota;
 }
 
 /** State of a session that its statements and transactions share. */
--- a/packages/engine/src/dispatcher.ts
+++ b/packages/engine/src/dispatcher.ts
@@ -17,6 +17,12 @@
 export interface WorkRequest extends Omit<RouteRequest, 'minPosition'> {
   readonly requestId: string;
   readonly caller: string;
+  /** Organisation in whose name the work runs; undefined for callers without a key. */
+  readonly organisation: string | undefined;
+  /** Database that the caller named; work on one database has similar cost. */
+  readonly database: string;
+  /** Time by which the caller hopes for the answer to its whole operation. */
+  readonly objective: Millis;
   readonly deadline: Millis;
   readonly priority: number;
   /** The session's last commit when the work must include it. */
--- a/packages/engine/src/group.ts
+++ b/packages/engine/src/group.ts
@@ -222,7 +222,7 @@
     }
     member.updateRunning(true);
     try {
-      const connection = await member.pool.connect();
+      const connection = await member.pool.connectFor(request.organisation);
       const { after } = this.router.findPositions(request);
       const { confirmation } = this;
       return createLease({ admitted, member, connection, dispatcher, clock, after, confirmation });
--- /dev/null
+++ b/packages/engine/src/identity.ts
@@ -0,0 +1,42 @@
+import type { ConfigurationHolder, DatabaseRoute } from './configuration.js';
+import type { Failure } from './statement.js';
+
+/** Whether a caller may use a database, and in whose name its work runs. */
+export type Authorization =
+  | {
+      readonly kind: 'allowed';
+      /** Undefined when the caller needs no key. */
+      readonly organisation: string | undefined;
+    }
+  | { readonly kind: 'refused'; readonly failure: Failure };
+
+const UNKNOWN_KEY: Failure = { verdict: 'unauthenticated', reason: 'the key is not known' };
+const UNPROVED: Failure = {
+  verdict: 'overloaded',
+  reason: 'the keys in force are not known at present',
+};
+
+/** The identity of one caller: the key that it gave, which is checked again for each operation. */
+export class CallerIdentity {
+  constructor(
+    private readonly key: string,
+    private readonly configuration: ConfigurationHolder,
+    /** False while a key may have been revoked without this VM's knowledge. */
+    private readonly areKeysInForce: () => boolean,
+  ) {}
+
+  /** The organisation that holds the key now, also where the caller needs no key. */
+  findOrganisation(): string | undefined {
+    return this.configuration.read()?.organisations?.findByKey(this.key)?.name;
+  }
+
+  /** Decides whether an operation on the route may start. */
+  authorize(route: DatabaseRoute): Authorization {
+    const organisations = this.configuration.read()?.organisations;
+    if (!organisations || route.isAnonymous) return { kind: 'allowed', organisation: undefined };
+    if (!this.areKeysInForce()) return { kind: 'refused', failure: UNPROVED };
+    const organisation = organisations.findByKey(this.key);
+    if (!organisation) return { kind: 'refused', failure: UNKNOWN_KEY };
+    return { kind: 'allowed', organisation: organisation.name };
+  }
+}
--- a/packages/engine/src/member.ts
+++ b/packages/engine/src/member.ts
@@ -32,9 +32,12 @@
     super(steadyClock, IDLE_POLICY);
   }
 
-  protected override async openConnection(): Promise<InstanceConnection> {
+  protected override async openConnection(
+    organisation: string | undefined,
+  ): Promise<InstanceConnection> {
     const dialedAt = this.steadyClock.readNow();
-    const connection = await this.connector.open(this.instance, CONNECT_TIMEOUT_MS);
+    const connection = await this.connector.open(this.instance, CONNECT_TIMEOUT_MS, organisation);
+    connection.organisation = organisation;
     connection.dialedAt = dialedAt;
     connection.openedAt = this.steadyClock.readNow();
     connection.observer = this.observer;
--- a/packages/engine/src/pool.ts
+++ b/packages/engine/src/pool.ts
@@ -13,8 +13,15 @@
   readonly minOpen: number;
 }
 
+/** True for a connection in this VM's own name, which callers with an organisation can't use. */
+function isOwn({ organisation }: PooledConnection): boolean {
+  return organisation === undefined;
+}
+
 /** A connection that a pool can manage. */
 export interface PooledConnection {
+  /** Organisation that the instance was told; undefined for connections in the VM's own name. */
+  readonly organisation?: string | undefined;
   /** False once the connection is closed or has failed. */
   isUsable(): boolean;
   /** True when the connection has no transaction or reply pending, so that it can be reused. */
@@ -53,8 +60,11 @@
     private readonly idlePolicy: IdlePolicy = { idleTimeoutMs: IDLE_TIMEOUT_MS, minOpen: 0 },
   ) {}
 
-  /** Opens a connection to the instance; implementations apply their own timeout. */
-  protected abstract openConnection(): Promise<C>;
+  /**
+   * Opens a connection to the instance in the name of an organisation, or of this VM;
+   * implementations apply their own timeout.
+   */
+  protected abstract openConnection(organisation: string | undefined): Promise<C>;
 
   /** Number of connections that are open or being opened. */
   countOpen(): number {
@@ -66,9 +76,20 @@
     return this.countOpen() < this.limit;
   }
 
-  /** Takes an idle connection or opens one. */
+  /** Takes an idle connection of any organisation, or opens one in the name of this VM. */
   async connect(): Promise<C> {
-    return this.takeIdle() ?? this.openOne();
+    return this.takeIdle(isOwn) ?? this.openOne(undefined);
+  }
+
+  /**
+   * Takes an idle connection of the organisation, or opens one. At the limit it replaces the
+   * connection of another organisation that has been idle for longest.
+   */
+  async connectFor(organisation: string | undefined): Promise<C> {
+    const idle = this.takeIdleOf(organisation);
+    if (idle) return idle;
+    if (!this.hasRoom()) this.closeLongestIdle();
+    return this.openOne(organisation);
   }
 
   /** Takes an idle connection, a preferred one if possible; undefined when there is none. */
@@ -103,7 +124,8 @@
     this.limit = limit;
     const oldest = this.clock.readNow() - this.idlePolicy.idleTimeoutMs;
     this.idle = this.idle.filter(({ connection, since }) => {
-      const isRecent = since > oldest || this.countOpen() <= this.idlePolicy.minOpen;
+      const isRecent =
+        since > oldest || !isOwn(connection) || this.countOpen() <= this.idlePolicy.minOpen;
       const isKept = connection.isUsable() && isRecent && this.countOpen() <= limit;
       if (!isKept) this.closeOne(connection);
       return isKept;
@@ -116,7 +138,7 @@
     if (now - this.failedAt < WARM_UP_RETRY_MS) return;
     const missing = Math.min(count, this.limit) - this.countOpen();
     for (let index = 0; index < missing && !this.isDraining && !this.leaving; index++) {
-      this.openOne().then(
+      this.openOne(undefined).then(
         (connection) => this.release(connection),
         // Work that needs a connection reports the failure itself.
         () => {
@@ -157,15 +179,27 @@
     if (index >= 0) this.idle.push(...this.idle.splice(index, 1));
   }
 
+  private takeIdleOf(organisation: string | undefined): C | undefined {
+    const isMeant = (connection: C): boolean => connection.organisation === organisation;
+    this.movePreferredToEnd(isMeant);
+    const last = this.idle.at(-1)?.connection;
+    return last && last.isUsable() && isMeant(last) ? this.takeIdle() : undefined;
+  }
+
+  private closeLongestIdle(): void {
+    const [oldest] = this.idle.splice(0, 1);
+    if (oldest) this.closeOne(oldest.connection);
+  }
+
   private closeOne(connection: C): void {
     connection.close();
     this.open.delete(connection);
   }
 
-  private async openOne(): Promise<C> {
+  private async openOne(organisation: string | undefined): Promise<C> {
     this.opening += 1;
     try {
-      const connection = await this.openConnection();
+      const connection = await this.openConnection(organisation);
       this.open.add(connection);
       return connection;
     } finally {
--- a/packages/engine/src/proxy.ts
+++ b/packages/engine/src/proxy.ts
@@ -5,10 +5,12 @@
 import type { Fleet } from './fleet.js';
 import type { Forwarding, HomeStatus } from './forwarding.js';
 import type { GroupService } from './group.js';
+import { CallerIdentity } from './identity.js';
 import type { Log } from './log.js';
 import type { Member } from './member.js';
 import type { Metrics } from './metrics.js';
 import type { Placement } from './placement.js';
+import type { OperationQuota } from './operationquota.js';
 import { Session } from './session.js';
 import { wait } from './timing.js';
 
@@ -44,6 +46,9 @@
   readonly fleet: Fleet;
   readonly placement: Placement;
   readonly groups: GroupDirectory;
+  readonly quota: OperationQuota;
+  /** False while a key may have been revoked without this VM's knowledge. */
+  readonly areKeysInForce: () => boolean;
   /** Absent when this VM serves every group itself. */
   readonly forwarding: Forwarding | undefined;
   /** True while the registry of instances is reachable. */
@@ -73,6 +78,8 @@
 
   private readonly callers = new Set<CallerHandle>();
 
+  private nextCaller = 1;
+
   private readonly retries = new RetryBudget(RETRY_BUDGET);
 
   private tickTimer: NodeJS.Timeout | undefined;
@@ -130,15 +137,24 @@
     return { isIsolated: this.isHomeIsolated, isDraining: this.draining };
   }
 
-  createSession(database: string, caller: string): Session {
-    const { clock, log, metrics, configuration } = this.options;
+  /** Creates the session of a caller; `key` is what the caller gave to identify itself. */
+  createSession(database: string, key: string): Session {
+    const { clock, log, metrics, configuration, quota } = this.options;
+    const caller = this.nameCaller(key);
+    const identity = this.identify(key);
     return new Session({
-      ...{ database, caller, clock, log, metrics, configuration },
+      ...{ database, caller, identity, clock, log, metrics, configuration, quota },
       findGroup: (name) => this.findGroup(name),
       retries: this.retries,
     });
   }
 
+  /** Identifies a caller by the key that it gave. */
+  identify(key: string): CallerIdentity {
+    const { configuration, areKeysInForce } = this.options;
+    return new CallerIdentity(key, configuration, areKeysInForce);
+  }
+
   addCaller(caller: CallerHandle): void {
     this.callers.add(caller);
     this.options.metrics.callers.set(this.callers.size);
@@ -192,6 +208,14 @@
     } else if (elapsed >= BALANCER_DELAY_MS) caller.close();
   }
 
+  /** The name that a caller gave, or one of this VM's own where that is a secret key. */
+  private nameCaller(key: string): string {
+    if (!this.options.configuration.read()?.organisations) return key;
+    const caller = `caller-${this.nextCaller}`;
+    this.nextCaller += 1;
+    return caller;
+  }
+
   private handleConfiguration(next: ServiceConfiguration): void {
     const { log, metrics, groups } = this.options;
     const { version, routes } = next;
--- a/packages/engine/src/session.ts
+++ b/packages/engine/src/session.ts
@@ -47,7 +47,11 @@
   /** Rolls back a transaction that has been idle for too long. */
   handleTick(now: Millis): void {
     const limit = this.context.options.configuration.read()?.transactionIdleMs;
-    if (limit !== undefined) this.transaction?.handleTick(now, limit);
+    const { transaction } = this;
+    if (!transaction || limit === undefined) return;
+    transaction.handleTick(now, limit);
+    const { kind } = this.context.options.identity.authorize(transaction.route);
+    if (kind === 'refused') transaction.abort('the key is no longer in force');
   }
 
   /** Aborts the open transaction; its next statement fails with the reason. */
@@ -65,6 +69,8 @@
   private async runStatement(request: CallerRequest): Promise<Reply> {
     const { statement } = request;
     const { transaction, context } = this;
+    const refusal = transaction ? this.refuseLostKey(transaction) : undefined;
+    if (refusal) return refusal;
     if (transaction?.isFailed() && statement.kind !== 'rollback' && statement.kind !== 'commit') {
       return this.refuse({ verdict: 'malformed', reason: 'the transaction has failed' });
     }
@@ -115,7 +121,10 @@
     }
     const route = this.findRoute();
     if (!route) return this.refuseUnknown();
-    this.transaction = new Transaction(this.context, route, isReadOnly);
+    const authorization = this.context.options.identity.authorize(route);
+    if (authorization.kind === 'refused') return this.refuse(authorization.failure);
+    const { organisation } = authorization;
+    this.transaction = new Transaction(this.context, route, isReadOnly, organisation);
     return this.confirm();
   }
 
@@ -135,6 +144,15 @@
     return this.confirm();
   }
 
+  /** Ends the transaction of a caller whose organisation has lost the key. */
+  private refuseLostKey(transaction: Transaction): Reply | undefined {
+    const authorization = this.context.options.identity.authorize(transaction.route);
+    if (authorization.kind === 'allowed') return undefined;
+    transaction.abort(authorization.failure.reason);
+    this.transaction = undefined;
+    return this.refuse(authorization.failure);
+  }
+
   private refuseUnknown(): Reply {
     const { database } = this.context.options;
     return this.refuse({ verdict: 'unknownDatabase', reason: `no route for "${database}"` });
@@ -147,8 +165,10 @@
     }
     if (this.transaction) return this.transaction.run(id, statement);
     const route = this.findRoute();
-    return route
-      ? new SingleStatementRunner(this.context, route, id, statement).run()
-      : this.refuseUnknown();
+    if (!route) return this.refuseUnknown();
+    const authorization = this.context.options.identity.authorize(route);
+    if (authorization.kind === 'refused') return this.refuse(authorization.failure);
+    const { organisation } = authorization;
+    return new SingleStatementRunner(this.context, route, id, statement, organisation).run();
   }
 }
--- a/packages/engine/src/single.ts
+++ b/packages/engine/src/single.ts
@@ -27,9 +27,10 @@
     private readonly route: DatabaseRoute,
     private readonly id: string,
     private readonly statement: DataStatement,
+    organisation: string | undefined,
   ) {
     this.isWrite = context.isWrite(statement) === true;
-    this.attempts = new Attempts(context, route, id, this.isWrite ? 'write' : 'read');
+    this.attempts = new Attempts(context, route, id, this.isWrite ? 'write' : 'read', organisation);
   }
 
   async run(): Promise<Reply> {
--- a/packages/engine/src/statement.ts
+++ b/packages/engine/src/statement.ts
@@ -49,7 +49,7 @@
 export type TransactionState = 'idle' | 'open' | 'failed';
 
 /**
- * Why a request failed. The verdicts up to `tooManyConnections` guarantee that it has no effect;
+ * Why a request failed. The verdicts up to `unauthenticated` guarantee that it has no effect;
  * `failed`, `timedOut` and `unknownOutcome` leave that open; the others report a faulty request.
  */
 export type Verdict =
@@ -59,6 +59,7 @@
   | 'readOnly'
   | 'wrongInstance'
   | 'tooManyConnections'
+  | 'unauthenticated'
   | 'failed'
   | 'timedOut'
   | 'unknownOutcome'
--- a/packages/engine/src/transaction.ts
+++ b/packages/engine/src/transaction.ts
@@ -35,8 +35,9 @@
 
   constructor(
     private readonly context: SessionContext,
-    private readonly route: DatabaseRoute,
+    readonly route: DatabaseRoute,
     private readonly isReadOnly: boolean,
+    private readonly organisation: string | undefined,
   ) {
     this.usedAt = context.readNow();
   }
@@ -162,9 +163,9 @@
 
   /** Opens the transaction on an instance; returns the failure when that isn't possible. */
   private async open(id: string): Promise<Failure | undefined> {
-    const { context, route, isReadOnly } = this;
+    const { context, route, isReadOnly, organisation } = this;
     const mayBeOld = isReadOnly && route.contract.maxAgeMs > 0;
-    const attempts = new Attempts(context, route, id, mayBeOld ? 'read' : 'write');
+    const attempts = new Attempts(context, route, id, mayBeOld ? 'read' : 'write', organisation);
     for (;;) {
       const lease = await attempts.admit();
       if (!isLease(lease)) return lease;
--- a/packages/engine/src/wiring.ts
+++ b/packages/engine/src/wiring.ts
@@ -9,6 +9,7 @@
 import { GroupDirectory } from './directory.js';
 import type { CreateForwarding } from './forwarding.js';
 import { GroupService } from './group.js';
+import { UnlimitedQuota } from './operationquota.js';
 import { Placement } from './placement.js';
 import type { Log } from './log.js';
 import type { Metrics } from './metrics.js';
@@ -196,6 +197,7 @@
     listNearHomes: () => placement.listNearHomes(zone),
     findVm: (id, host) => fleet.findVm(id, host),
   });
+  const quota = new UnlimitedQuota();
   const groups = new GroupDirectory({
     ...{ clock, log, placement, forwarding },
     createGroup: (name) =>
@@ -205,7 +207,8 @@
   });
   holder.groups = groups;
   const proxy = new Proxy({
-    ...{ clock, log, metrics, configuration, fleet, placement, groups, forwarding },
+    ...{ clock, log, metrics, configuration, fleet, placement, groups, forwarding, quota },
+    areKeysInForce: () => true,
     isRegistryReachable: () => instances.isReachable(),
   });
   holder.proxy = proxy;
--- a/packages/engine/test/group.spec.ts
+++ b/packages/engine/test/group.spec.ts
@@ -15,6 +15,7 @@
 const WORK = {
   ...{ requestId: 'r', contract: DEFAULT_CONTRACT, caller: 'c', priority: 1 },
   ...{ kind: 'write' as const, lastCommit: undefined, excluded: new Set<string>() },
+  ...{ organisation: undefined, database: 'd', objective: LONG_MS },
 };
 
 type CreateTakeover = ConstructorParameters<typeof GroupService>[0]['createTakeover'];
--- /dev/null
+++ b/packages/engine/test/organisations.spec.ts
@@ -0,0 +1,83 @@
+import { expect } from 'earl';
+import { CallerIdentity, ConfigurationHolder, OrganisationIndex } from '../src/index.js';
+import { createConfiguration } from './store.js';
+
+const LIMIT = { ratePerSecond: 10, burst: 5 };
+const BASE = createConfiguration(6, { timeoutMs: 100, transactionIdleMs: 100 });
+const [ROUTE] = BASE.routes.values();
+
+function createIdentity(key: string, areKeysInForce = true) {
+  const configuration = new ConfigurationHolder();
+  const put = (version: number, keys: readonly string[] | undefined): void => {
+    const organisations =
+      keys && new OrganisationIndex([{ name: 'north', keys, rateLimit: LIMIT }]);
+    configuration.update({ ...BASE, version, organisations });
+  };
+  return { put, identity: new CallerIdentity(key, configuration, () => areKeysInForce) };
+}
+
+describe('the organisations of a configuration', () => {
+  it('are found by each of their keys', () => {
+    const index = new OrganisationIndex([{ name: 'north', keys: ['a', 'b'], rateLimit: LIMIT }]);
+    expect(['a', 'b', 'c'].map((key) => index.findByKey(key)?.name)).toEqual([
+      'north',
+      'north',
+      undefined,
+    ]);
+  });
+
+  // Work of one organisation must never run in the name of another.
+  it('are not found by a key that two of them hold', () => {
+    const index = new OrganisationIndex([
+      { name: 'north', keys: ['shared', 'a'], rateLimit: undefined },
+      { name: 'south', keys: ['shared'], rateLimit: undefined },
+    ]);
+    expect(index.findByKey('shared')).toEqual(undefined);
+    expect(index.findByKey('a')?.name).toEqual('north');
+    expect(index.sharedKeys).toEqual(1);
+  });
+
+  it('may hold one key twice', () => {
+    const index = new OrganisationIndex([{ name: 'north', keys: ['a', 'a'], rateLimit: LIMIT }]);
+    expect(index.findByKey('a')?.name).toEqual('north');
+  });
+});
+
+describe('the identity of a caller', () => {
+  it('needs no key where the configuration names no organisations', () => {
+    const { put, identity } = createIdentity('anything');
+    put(1, undefined);
+    expect(ROUTE && identity.authorize(ROUTE)).toEqual({
+      kind: 'allowed',
+      organisation: undefined,
+    });
+  });
+
+  it('needs no key on an anonymous route', () => {
+    const { put, identity } = createIdentity('unknown', false);
+    put(1, ['a']);
+    const route = ROUTE && { ...ROUTE, isAnonymous: true };
+    expect(route && identity.authorize(route).kind).toEqual('allowed');
+  });
+
+  // A session that stays open must not outlive its key.
+  it('ends with its key and returns with it', () => {
+    const { put, identity } = createIdentity('a');
+    const authorize = () => ROUTE && identity.authorize(ROUTE).kind;
+    put(1, ['a']);
+    const before = authorize();
+    put(2, ['b']);
+    const without = authorize();
+    put(3, ['b', 'a']);
+    expect([before, without, authorize()]).toEqual(['allowed', 'refused', 'allowed']);
+  });
+
+  it('is refused as not run while the keys in force are not known', () => {
+    const { put, identity } = createIdentity('a', false);
+    put(1, ['a']);
+    const authorization = ROUTE && identity.authorize(ROUTE);
+    expect(authorization?.kind === 'refused' && authorization.failure.verdict).toEqual(
+      'overloaded',
+    );
+  });
+});
--- a/packages/forwarding/src/home.ts
+++ b/packages/forwarding/src/home.ts
@@ -21,6 +21,7 @@
   type ForwardedRequest,
   type ForwardedSession,
   type HomeMessage,
+  LINK_FEATURES,
   LINK_VERSION,
 } from './message.js';
 import { type MessageHandler, MessageSocket } from './socket.js';
@@ -49,9 +50,11 @@
 }
 
 function toWorkRequest(request: ForwardedRequest, now: Millis): WorkRequest {
-  const { requestId, kind, caller, priority, lastCommit, excluded } = request;
+  const { requestId, kind, caller, priority, lastCommit, excluded, organisation } = request;
+  const { database = '', objectiveMs = request.remainingMs } = request;
   return {
-    ...{ requestId, kind, caller, priority },
+    ...{ requestId, kind, caller, priority, organisation, database },
+    objective: now + objectiveMs,
     contract: { ...DEFAULT_CONTRACT, maxAgeMs: request.maxAgeMs },
     deadline: now + request.remainingMs,
     lastCommit: lastCommit && {
@@ -86,7 +89,7 @@
   }
 
   sendStatus({ isIsolated, isDraining }: HomeStatus): void {
-    this.send({ type: 'status', isIsolated, isDraining });
+    this.send({ type: 'status', isIsolated, isDraining, features: [...LINK_FEATURES] });
   }
 
   close(reason: string): void {
--- a/packages/forwarding/src/link.ts
+++ b/packages/forwarding/src/link.ts
@@ -3,7 +3,13 @@
 import type { HomeStatus, Lease, Log, VmAddress, WorkRequest } from '@shallotpick/engine';
 import { match } from 'ts-pattern';
 import { LinkAddressError } from './errors.js';
-import { decodeHomeMessage, type EntryMessage, type HomeMessage, LINK_VERSION } from './message.js';
+import {
+  decodeHomeMessage,
+  type EntryMessage,
+  type HomeMessage,
+  type LINK_FEATURES,
+  LINK_VERSION,
+} from './message.js';
 import { createRemoteLease, RemoteConnection } from './remote.js';
 import { type MessageHandler, MessageSocket } from './socket.js';
 
@@ -73,6 +79,9 @@
 
   private roundTripMs: Millis = 1;
 
+  /** Optional parts of the protocol that the home knows. */
+  private features: ReadonlySet<string> = new Set();
+
   /** What the home has told last; undefined before its first status. */
   private status: HomeStatus | undefined;
 
@@ -106,6 +115,11 @@
     return this.status?.isIsolated === true;
   }
 
+  /** True when the home knows an optional part of the protocol. */
+  private supports(feature: (typeof LINK_FEATURES)[number]): boolean {
+    return this.features.has(feature);
+  }
+
   /** Asks the home for a connection. */
   async admit(group: string, request: WorkRequest): Promise<Admission> {
     const now = this.options.clock.readNow();
@@ -113,12 +127,18 @@
     const lease = this.nextLease;
     this.nextLease += 1;
     const { requestId, kind, contract, caller, deadline, priority, lastCommit, excluded } = request;
+    const { organisation, database, objective } = request;
+    if (organisation !== undefined && !this.supports('organisations')) {
+      return { kind: 'refused', reason: 'the home knows no organisations', mayTryOther: true };
+    }
     return new Promise((resolve) => {
       this.admissions.set(lease, { resolve, deadline });
       this.send({
         ...{ type: 'admit', lease, group },
         request: {
-          ...{ requestId, kind, caller, priority },
+          ...{ requestId, kind, caller, priority, database },
+          ...(organisation === undefined ? {} : { organisation }),
+          objectiveMs: objective - now,
           maxAgeMs: contract.maxAgeMs,
           remainingMs: deadline - now,
           excluded: [...excluded],
@@ -162,7 +182,8 @@
       .with({ type: 'broken' }, ({ lease, reason }) => {
         this.connections.get(lease)?.fail(reason);
       })
-      .with({ type: 'status' }, ({ isIsolated, isDraining }) => {
+      .with({ type: 'status' }, ({ isIsolated, isDraining, features = [] }) => {
+        this.features = new Set(features);
         this.handleStatus({ isIsolated, isDraining });
       })
       .exhaustive();
--- a/packages/forwarding/src/message.ts
+++ b/packages/forwarding/src/message.ts
@@ -5,6 +5,12 @@
 /** Version of the link protocol; VMs of different versions don't link. */
 export const LINK_VERSION = 1;
 
+/**
+ * Optional parts of the protocol that this build knows. VMs of two builds run side by side during a
+ * rolling restart, and unknown fields are ignored.
+ */
+export const LINK_FEATURES = ['organisations'] as const;
+
 /** Longest name of a VM or database that is accepted. */
 const MAX_NAME_LENGTH = 1_000;
 
@@ -37,6 +43,11 @@
   /** Time left until the work must have been admitted. */
   remainingMs: z.number(),
   priority: z.number(),
+  /** Organisation in whose name the work runs; instances are told. Only homes that know the field get it. */
+  organisation: name.optional(),
+  database: name.optional(),
+  /** Time left until the caller hopes for the answer to its whole operation. */
+  objectiveMs: z.number().optional(),
   /** The session's last commit, and how long ago it was acknowledged. */
   lastCommit: z.object({ position, ageMs: z.number() }).optional(),
   excluded: z.array(z.string()),
@@ -75,6 +86,7 @@
   'unknownOutcome',
   'unknownStatement',
   'unknownDatabase',
+  'unauthenticated',
   'malformed',
 ]);
 
@@ -107,7 +119,11 @@
   z.object({ type: z.literal('reply'), lease, reply }),
   /** The connection to the instance failed; operations without a reply may have run. */
   z.object({ type: z.literal('broken'), lease, reason: z.string() }),
-  z.object({ type: z.literal('status'), isIsolated: z.boolean(), isDraining: z.boolean() }),
+  z.object({
+    ...{ type: z.literal('status'), isIsolated: z.boolean(), isDraining: z.boolean() },
+    /** What the home can do beyond the first build that forwards; an older one names nothing. */
+    features: z.array(name).optional(),
+  }),
 ]);
 
 /** A message of the VM that passes work on to a home. */
