Serve keyed work only while the keys are proved to be in force

Change: ConfigurationLease begins when the request was sent whose answer proved the version in force, on the clock that counts suspensions, and ends 0.5 s before the limit. Answers of the store renew it, and proofs of homes in their status, whose age counts from the numbered ping that they answer. One VM of each zone reads for the others; the others read when its proofs stop. Without a lease keyed work is refused as not run; a store restored from an older copy or a version that can't be decoded proves nothing. An organisation prefers one home of the zone, so that connections in its name are used again. Metrics: proof age, refusals, connections.

--- /dev/null
+++ b/packages/engine/src/configurationverifier.ts
@@ -0,0 +1,139 @@
+import {
+  type Clock,
+  ConfigurationLease,
+  type ConfigurationProof,
+  type Millis,
+} from '@shallotpick/core';
+import type { ConfigurationHolder } from './configuration.js';
+import type { Log } from './log.js';
+import type { Metrics } from './metrics.js';
+
+/** A VM without the duty to read asks the store itself once half of its lease is over. */
+const REFRESH_FRACTION = 0.5;
+/** The VM of a zone that reads for the others does so earlier by this fraction for each rank. */
+const RANK_FRACTION = 0.125;
+const FIRST_RANK_FRACTION = 0.25;
+/** Delay before the configuration is read again after a read has failed. */
+const RETRY_MS: Millis = 250;
+
+/** What a VM tells another one of its proof. */
+export interface ProofAge {
+  readonly version: number;
+  /** Time since the proof, as the VM that tells it has measured it. */
+  readonly ageMs: Millis;
+}
+
+/** Services of a configuration verifier. */
+export interface ConfigurationVerifierOptions {
+  /** How long a proof holds; undefined when nothing that a version takes away is urgent. */
+  readonly leaseMs: Millis | undefined;
+  readonly configuration: ConfigurationHolder;
+  /** Clock that includes suspensions of the VM. */
+  readonly ageClock: Clock;
+  readonly log: Log;
+  readonly metrics: Metrics;
+  /** This VM's rank among those of its zone that read the configuration for the others. */
+  readonly findRank: () => number;
+  /** Reads the configuration from the store; the answer is passed on as usual. */
+  readonly readConfiguration: () => Promise<void>;
+}
+
+/**
+ * Keeps the lease on the configuration: renews it by answers of the store and by proofs of other
+ * VMs, and reads the configuration when these don't suffice.
+ */
+export class ConfigurationVerifier {
+  private readonly lease: ConfigurationLease;
+
+  /** Version that the store held last; undefined when it could not be decoded. */
+  private storedVersion: number | undefined;
+
+  private isReading = false;
+
+  private mayReadAt: Millis = Number.NEGATIVE_INFINITY;
+
+  private wasInForce = false;
+
+  constructor(private readonly options: ConfigurationVerifierOptions) {
+    this.lease = new ConfigurationLease(options.leaseMs ?? Number.POSITIVE_INFINITY);
+  }
+
+  /** False while a key may have been revoked without this VM's knowledge. */
+  areKeysInForce(): boolean {
+    return this.options.leaseMs === undefined || this.lease.isValid(this.readNow());
+  }
+
+  /** Notes the version that the store holds; undefined for one that can't be decoded. */
+  handleStoredVersion(version: number | undefined): void {
+    this.storedVersion = version;
+  }
+
+  /** Notes that the store has answered with all changes up to `sentAt`, when it was asked. */
+  handleAnswer(sentAt: Millis): void {
+    const inForce = this.options.configuration.read()?.version;
+    // A store restored from an older copy proves nothing of a version that it has lost.
+    if (inForce === undefined || this.storedVersion === undefined) return;
+    if (this.storedVersion >= inForce) {
+      this.lease.handleProof({ version: this.storedVersion, provedAt: sentAt }, inForce);
+    }
+  }
+
+  /** Notes the proof of another VM. */
+  handleProof(proof: ConfigurationProof): void {
+    const inForce = this.options.configuration.read()?.version;
+    if (inForce === undefined || !this.isNeeded()) return;
+    if (!this.lease.handleProof(proof, inForce)) this.refresh();
+  }
+
+  /** This VM's proof, for other VMs; undefined when it has none. */
+  readProof(): ProofAge | undefined {
+    const version = this.options.configuration.read()?.version;
+    const ageMs = this.lease.readAge(this.readNow());
+    return version === undefined || !Number.isFinite(ageMs) ? undefined : { version, ageMs };
+  }
+
+  handleTick(): void {
+    if (!this.isNeeded()) return;
+    const isInForce = this.areKeysInForce();
+    const ageMs = this.lease.readAge(this.readNow());
+    if (isInForce !== this.wasInForce) {
+      const version = this.options.configuration.read()?.version;
+      const message = isInForce ? 'keys proved to be in force' : 'keys not proved to be in force';
+      this.options.log.info(message, { version, provedMsAgo: Math.round(ageMs) });
+    }
+    this.wasInForce = isInForce;
+    this.options.metrics.configurationProofAge.set(Number.isFinite(ageMs) ? ageMs / 1_000 : -1);
+    if (ageMs >= this.computeRefreshAge()) this.refresh();
+  }
+
+  private isNeeded(): boolean {
+    const hasKeys = this.options.configuration.read()?.organisations !== undefined;
+    return hasKeys && this.options.leaseMs !== undefined;
+  }
+
+  private computeRefreshAge(): Millis {
+    const rank = Math.max(0, this.options.findRank());
+    const fraction = Math.min(REFRESH_FRACTION, FIRST_RANK_FRACTION + rank * RANK_FRACTION);
+    return (this.options.leaseMs ?? Number.POSITIVE_INFINITY) * fraction;
+  }
+
+  private refresh(): void {
+    const now = this.readNow();
+    if (this.isReading || now < this.mayReadAt) return;
+    this.isReading = true;
+    this.options
+      .readConfiguration()
+      .then(() => this.handleAnswer(now))
+      .catch((error: unknown) => {
+        this.mayReadAt = this.readNow() + RETRY_MS;
+        this.options.log.debug('configuration not read', { error: String(error) });
+      })
+      .finally(() => {
+        this.isReading = false;
+      });
+  }
+
+  private readNow(): Millis {
+    return this.options.ageClock.readNow();
+  }
+}
--- a/packages/engine/src/forwarding.ts
+++ b/packages/engine/src/forwarding.ts
@@ -1,5 +1,6 @@
-import type { Clock } from '@shallotpick/core';
+import type { Clock, ConfigurationProof } from '@shallotpick/core';
 import type { GroupAccess } from './access.js';
+import type { ProofAge } from './configurationverifier.js';
 import type { VmAddress } from './heartbeat.js';
 import type { GroupService } from './group.js';
 import type { Log } from './log.js';
@@ -17,8 +18,14 @@
   readonly vm: string;
   readonly zone: string;
   readonly clock: Clock;
+  /** Clock that includes suspensions of the VM. */
+  readonly ageClock: Clock;
   readonly log: Log;
   readonly metrics: Metrics;
+  /** What this VM can prove of the configuration; undefined when it can prove nothing. */
+  readonly readProof: () => ProofAge | undefined;
+  /** Receives the proofs of other VMs. */
+  readonly handleProof: (proof: ConfigurationProof) => void;
   /** The service of a group that this VM is a home of. */
   readonly findLocalGroup: (name: string) => GroupService | undefined;
   readonly readStatus: () => HomeStatus;
--- a/packages/engine/src/group.ts
+++ b/packages/engine/src/group.ts
@@ -81,7 +81,7 @@
     this.settings = { name, connectionLimit: 1, synchronousReplicas: 0 };
     this.createdAt = clock.readNow();
     this.members = new GroupMembers({
-      ...{ group: name, clock, ageClock, log, connector, suspicion, drainMs },
+      ...{ group: name, clock, ageClock, log, metrics, connector, suspicion, drainMs },
       isChangingLeader: () => this.takeover.isChangingLeader(clock.readNow()),
       countVms: () => options.countVms() ?? 1,
       onProbeResult: ({ leads, position, sentAt }) => {
--- a/packages/engine/src/identity.ts
+++ b/packages/engine/src/identity.ts
@@ -30,6 +30,16 @@
     return this.configuration.read()?.organisations?.findByKey(this.key)?.name;
   }
 
+  /**
+   * Returns the failure with which a new session is refused. Each of its operations is checked
+   * again, so that a key which can't be proved to be in force at present does not end the session.
+   */
+  checkConnect(route: DatabaseRoute): Failure | undefined {
+    const organisations = this.configuration.read()?.organisations;
+    if (!organisations || route.isAnonymous || organisations.findByKey(this.key)) return undefined;
+    return UNKNOWN_KEY;
+  }
+
   /** Decides whether an operation on the route may start. */
   authorize(route: DatabaseRoute): Authorization {
     const organisations = this.configuration.read()?.organisations;
--- a/packages/engine/src/index.ts
+++ b/packages/engine/src/index.ts
@@ -22,6 +22,8 @@
 export type { VmAddress } from './heartbeat.js';
 export { Forwarding } from './forwarding.js';
 export type { CreateForwarding, ForwardingHost, HomeStatus } from './forwarding.js';
+export { ConfigurationVerifier } from './configurationverifier.js';
+export type { ProofAge } from './configurationverifier.js';
 export { CallerIdentity } from './identity.js';
 export type { Authorization } from './identity.js';
 export { OperationQuota, UnlimitedQuota } from './operationquota.js';
--- a/packages/engine/src/member.ts
+++ b/packages/engine/src/member.ts
@@ -28,6 +28,7 @@
     private readonly connector: InstanceConnector,
     private readonly instance: RegisteredInstance,
     private readonly steadyClock: Clock,
+    private readonly onOpened: (owner: 'vm' | 'organisation') => void = () => undefined,
   ) {
     super(steadyClock, IDLE_POLICY);
   }
@@ -38,6 +39,7 @@
     const dialedAt = this.steadyClock.readNow();
     const connection = await this.connector.open(this.instance, CONNECT_TIMEOUT_MS, organisation);
     connection.organisation = organisation;
+    this.onOpened(organisation === undefined ? 'vm' : 'organisation');
     connection.dialedAt = dialedAt;
     connection.openedAt = this.steadyClock.readNow();
     connection.observer = this.observer;
--- a/packages/engine/src/members.ts
+++ b/packages/engine/src/members.ts
@@ -7,6 +7,7 @@
 } from '@shallotpick/core';
 import type { InstanceConnector } from './connection.js';
 import type { Log } from './log.js';
+import type { Metrics } from './metrics.js';
 import { InstancePool, Member } from './member.js';
 import { InstanceProbe, type ProbeOptions } from './probe.js';
 import type { Suspicion } from './suspicion.js';
@@ -22,6 +23,7 @@
   /** Clock that includes suspensions of the VM. */
   readonly ageClock: Clock;
   readonly log: Log;
+  readonly metrics: Metrics;
   readonly connector: InstanceConnector;
   readonly suspicion: Suspicion;
   /** How long a leaving instance may still receive work. */
@@ -148,7 +150,9 @@
     const { id, zone, startedAt, host, port, role } = instance;
     const address = `${host}:${port}`;
     log.info('instance added', { instance: id, group, zone, startedAt, address, role });
-    const pool = new InstancePool(connector, instance, clock);
+    const pool = new InstancePool(connector, instance, clock, (owner) =>
+      this.options.metrics.connectionsOpened.inc({ owner }),
+    );
     const probe = new InstanceProbe({
       ...{ instance, pool, clock, ageClock, log, suspicion },
       ...{ isChangingLeader, countVms, onResult },
--- a/packages/engine/src/metrics.ts
+++ b/packages/engine/src/metrics.ts
@@ -37,6 +37,29 @@
     'outcome',
   ]);
 
+  /** Time since the version of the configuration in force was last proved; -1 without a proof. */
+  readonly configurationProofAge = new Gauge({
+    name: 'shallotpick_configuration_proof_age_seconds',
+    help: 'Time since the configuration in force was proved to be the newest',
+    registers: [this.registry],
+  });
+
+  /** Requests and sessions that were refused before any work, by `reason`. */
+  readonly authorizationRefusals = createCounter(
+    this.registry,
+    'authorization_refusals_total',
+    'Requests and sessions refused for their key',
+    ['reason'],
+  );
+
+  /** Connections opened to instances, by `owner` (vm or organisation). */
+  readonly connectionsOpened = createCounter(
+    this.registry,
+    'connections_opened_total',
+    'Connections opened to instances',
+    ['owner'],
+  );
+
   /** Returns of the platform's store from an older copy, as seen by this process. */
   readonly storeRestorations = createCounter(
     this.registry,
--- a/packages/engine/src/placement.ts
+++ b/packages/engine/src/placement.ts
@@ -21,6 +21,7 @@
 const GROUPS_PER_HOME_VM = 6;
 const MIN_POOL_PER_ZONE = 3;
 const POOL_DUTY = 'home-pool';
+const READER_DUTY = 'configuration-reader';
 
 /** What a placement needs to know of the fleet. */
 export type FleetView = Pick<Fleet, 'listLiveVms' | 'countLiveVms' | 'findRank'>;
@@ -140,6 +141,17 @@
     return [...this.pool.values()].filter((one) => one.zone === zone && one.id !== this.vm);
   }
 
+  /**
+   * This VM's rank among those of the zone that read what others need: those of the home pool, or
+   * all of them.
+   */
+  findReaderRank(zone: string): number {
+    const vms = this.isForwarding ? [...this.pool.values()] : this.fleet.listLiveVms();
+    const ids = vms.filter((one) => one.zone === zone).map(({ id }) => id);
+    const rank = rankVms(READER_DUTY, ids).indexOf(this.vm);
+    return rank < 0 ? ids.length : rank;
+  }
+
   /** Number of VMs that keep connections to the group's instances; undefined while unknown. */
   countHomes(group: string): number | undefined {
     if (!this.isForwarding) return this.fleet.countLiveVms();
--- a/packages/engine/src/proxy.ts
+++ b/packages/engine/src/proxy.ts
@@ -1,5 +1,6 @@
 import { type Clock, InstanceRoster, type Millis, RetryBudget } from '@shallotpick/core';
 import type { ConfigurationHolder, ServiceConfiguration } from './configuration.js';
+import type { ConfigurationVerifier } from './configurationverifier.js';
 import type { GroupAccess } from './access.js';
 import type { GroupDirectory } from './directory.js';
 import type { Fleet } from './fleet.js';
@@ -47,8 +48,7 @@
   readonly placement: Placement;
   readonly groups: GroupDirectory;
   readonly quota: OperationQuota;
-  /** False while a key may have been revoked without this VM's knowledge. */
-  readonly areKeysInForce: () => boolean;
+  readonly verifier: ConfigurationVerifier;
   /** Absent when this VM serves every group itself. */
   readonly forwarding: Forwarding | undefined;
   /** True while the registry of instances is reachable. */
@@ -151,8 +151,8 @@
 
   /** Identifies a caller by the key that it gave. */
   identify(key: string): CallerIdentity {
-    const { configuration, areKeysInForce } = this.options;
-    return new CallerIdentity(key, configuration, areKeysInForce);
+    const { configuration, verifier } = this.options;
+    return new CallerIdentity(key, configuration, () => verifier.areKeysInForce());
   }
 
   addCaller(caller: CallerHandle): void {
@@ -237,7 +237,8 @@
   }
 
   private handleTick(): void {
-    const { clock, placement, groups, forwarding, isRegistryReachable } = this.options;
+    const { clock, placement, groups, forwarding, isRegistryReachable, verifier } = this.options;
+    verifier.handleTick();
     if (groups.handleTick()) this.isRosterChanged = true;
     this.roster.handleTick(clock.readNow(), isRegistryReachable());
     this.applyRoster();
@@ -268,7 +269,9 @@
     const answering = local.reduce((sum, group) => sum + group.countAnswering(), 0);
     this.isHomeIsolated = answering * 2 <= total;
     const forwarded = groups.countForwarded();
-    const isIsolated = isMostUnreachable(local, forwarded, this.isHomeIsolated);
+    // A VM that may serve no keyed work is as good as one that reaches no instance.
+    const isIsolated =
+      isMostUnreachable(local, forwarded, this.isHomeIsolated) || !this.areKeysUsable();
     const wasIsolated = this.isolatedSince !== undefined;
     if (isIsolated === wasIsolated) return;
     const message = isIsolated ? 'most instances unreachable' : 'most instances reachable';
@@ -276,6 +279,11 @@
     this.isolatedSince = isIsolated ? clock.readNow() : undefined;
   }
 
+  private areKeysUsable(): boolean {
+    const { configuration, verifier } = this.options;
+    return !configuration.read()?.organisations || verifier.areKeysInForce();
+  }
+
   private handleSessionTick(): void {
     const now = this.options.clock.readNow();
     const { isolatedSince } = this;
--- a/packages/engine/src/session.ts
+++ b/packages/engine/src/session.ts
@@ -122,7 +122,7 @@
     const route = this.findRoute();
     if (!route) return this.refuseUnknown();
     const authorization = this.context.options.identity.authorize(route);
-    if (authorization.kind === 'refused') return this.refuse(authorization.failure);
+    if (authorization.kind === 'refused') return this.refuseCaller(authorization.failure);
     const { organisation } = authorization;
     this.transaction = new Transaction(this.context, route, isReadOnly, organisation);
     return this.confirm();
@@ -150,7 +150,14 @@
     if (authorization.kind === 'allowed') return undefined;
     transaction.abort(authorization.failure.reason);
     this.transaction = undefined;
-    return this.refuse(authorization.failure);
+    return this.refuseCaller(authorization.failure);
+  }
+
+  /** Refuses a request for the caller's key. */
+  private refuseCaller(failure: Failure): Reply {
+    const reason = failure.verdict === 'unauthenticated' ? 'unknown key' : 'keys not proved';
+    this.context.options.metrics.authorizationRefusals.inc({ reason });
+    return this.refuse(failure);
   }
 
   private refuseUnknown(): Reply {
@@ -167,7 +174,7 @@
     const route = this.findRoute();
     if (!route) return this.refuseUnknown();
     const authorization = this.context.options.identity.authorize(route);
-    if (authorization.kind === 'refused') return this.refuse(authorization.failure);
+    if (authorization.kind === 'refused') return this.refuseCaller(authorization.failure);
     const { organisation } = authorization;
     return new SingleStatementRunner(this.context, route, id, statement, organisation).run();
   }
--- a/packages/engine/src/wiring.ts
+++ b/packages/engine/src/wiring.ts
@@ -2,6 +2,7 @@
 import type { Clock, Millis, RegisteredInstance } from '@shallotpick/core';
 import { SuspendAwareClock, SystemClock } from './clock.js';
 import { ConfigurationHolder, type ServiceConfiguration } from './configuration.js';
+import { ConfigurationVerifier } from './configurationverifier.js';
 import type { InstanceConnector } from './connection.js';
 import { Fleet } from './fleet.js';
 import { ObjectWatcher, type ObjectWatcherOptions } from './watcher.js';
@@ -21,6 +22,11 @@
 
 /** Fraction of the time allowed for applying a change that one watch call may take. */
 const WATCH_FRACTION = 0.6;
+/**
+ * A key is given up this long before the time limit for its revocation, which covers the way of a
+ * request from its caller.
+ */
+const REVOCATION_MARGIN_MS: Millis = 500;
 /** Promotion records are written conditionally, so reading one late does no harm. */
 const PROMOTIONS_WATCH_MS: Millis = 12_000;
 
@@ -45,6 +51,8 @@
   readonly stableWindowMs: Millis;
   /** Time limit for a new configuration to be in force on every VM. */
   readonly configurationApplyMs: Millis;
+  /** Time limit for a revoked key to be refused, also by VMs that can't reach the store. */
+  readonly revocationMs?: Millis | undefined;
   /** Store kind of the operator's configuration. */
   readonly configurationKind: string;
   /** Store kind of the objects by which instances register. */
@@ -67,6 +75,7 @@
   proxy?: Proxy;
   groups?: GroupDirectory;
   placement?: Placement;
+  verifier?: ConfigurationVerifier;
 }
 
 /** A proxy with the watchers that supply its configuration, instances and promotion records. */
@@ -125,12 +134,13 @@
     onListing: ObjectWatcherOptions['onListing'],
     onChange: ObjectWatcherOptions['onChange'],
     onAnswer: ObjectWatcherOptions['onAnswer'] = () => undefined,
+    watcherClock: Clock = clock,
   ): ObjectWatcher =>
     new ObjectWatcher({
       kind,
       watchMs,
       store,
-      clock,
+      clock: watcherClock,
       log,
       random: Math.random,
       countWatchers: () => (kind === parts.instancesKind ? placement.countPool() : 1),
@@ -140,10 +150,22 @@
       onAnswer,
     });
 
+  const { revocationMs } = parts;
   const handleConfiguration = (object: StoredObject): void => {
     const decoded = parts.decodeConfiguration(object);
+    holder.verifier?.handleStoredVersion(decoded?.version);
     if (decoded) configuration.update(decoded);
   };
+  const verifier = new ConfigurationVerifier({
+    ...{ configuration, ageClock: shared.ageClock, log, metrics },
+    leaseMs: revocationMs === undefined ? undefined : revocationMs - REVOCATION_MARGIN_MS,
+    findRank: () => placement.findReaderRank(zone),
+    readConfiguration: async () => {
+      const { objects } = await store.list(parts.configurationKind);
+      objects.forEach(handleConfiguration);
+    },
+  });
+  holder.verifier = verifier;
   const configurations = createWatcher(
     parts.configurationKind,
     (parts.configurationApplyMs + parts.stableWindowMs) * WATCH_FRACTION,
@@ -151,6 +173,8 @@
     (object, isDeleted) => {
       if (!isDeleted) handleConfiguration(object);
     },
+    (askedAt) => verifier.handleAnswer(askedAt),
+    shared.ageClock,
   );
   const handleInstances = (objects: readonly StoredObject[]): void => {
     const decoded = objects.flatMap((object) => parts.decodeInstance(object) ?? []);
@@ -190,7 +214,9 @@
       holder.groups?.listLocal().forEach(({ takeover }) => takeover.handleAnswer(askedAt)),
   );
   const forwarding = parts.createForwarding?.({
-    ...{ vm, zone, clock, log, metrics },
+    ...{ vm, zone, clock, ageClock: shared.ageClock, log, metrics },
+    readProof: () => verifier.readProof(),
+    handleProof: (proof) => verifier.handleProof(proof),
     findLocalGroup: (name) => holder.groups?.findLocal(name),
     readStatus: () => holder.proxy?.readHomeStatus() ?? { isIsolated: true, isDraining: false },
     findHomes: (group) => placement.findHomes(group, zone),
@@ -208,7 +234,7 @@
   holder.groups = groups;
   const proxy = new Proxy({
     ...{ clock, log, metrics, configuration, fleet, placement, groups, forwarding, quota },
-    areKeysInForce: () => true,
+    verifier,
     isRegistryReachable: () => instances.isReachable(),
   });
   holder.proxy = proxy;
--- /dev/null
+++ b/packages/engine/test/configurationverifier.spec.ts
@@ -0,0 +1,99 @@
+import { expect } from 'earl';
+import { ManualClock } from '@shallotpick/core';
+import {
+  ConfigurationHolder,
+  ConfigurationVerifier,
+  createEngineLog,
+  Metrics,
+  OrganisationIndex,
+  wait,
+} from '../src/index.js';
+import { createConfiguration } from './store.js';
+
+const LEASE_MS = 4_000;
+const BASE = createConfiguration(6, { timeoutMs: 100, transactionIdleMs: 100 });
+const organisations = new OrganisationIndex([{ name: 'north', keys: ['a'], rateLimit: undefined }]);
+
+function createVerifier(rank = 0) {
+  const clock = new ManualClock();
+  const configuration = new ConfigurationHolder();
+  const reads: number[] = [];
+  const verifier = new ConfigurationVerifier({
+    ...{ leaseMs: LEASE_MS, configuration, ageClock: clock, metrics: new Metrics() },
+    log: createEngineLog('error', 'test'),
+    findRank: () => rank,
+    readConfiguration: async () => {
+      reads.push(clock.readNow());
+    },
+  });
+  const put = (version: number): void => {
+    verifier.handleStoredVersion(version);
+    configuration.update({ ...BASE, version, organisations });
+  };
+  return { clock, configuration, verifier, reads, put };
+}
+
+describe('ConfigurationVerifier', () => {
+  it('holds the keys in force from an answer of the store until the lease ends', () => {
+    const { clock, verifier, put } = createVerifier();
+    put(3);
+    const before = verifier.areKeysInForce();
+    verifier.handleAnswer(clock.readNow());
+    clock.advance(LEASE_MS - 1);
+    const within = verifier.areKeysInForce();
+    clock.advance(1);
+    expect([before, within, verifier.areKeysInForce()]).toEqual([false, true, false]);
+  });
+
+  // A store restored from an older copy has lost the version that took a key away.
+  it('takes no proof from a store that holds an older version', () => {
+    const { clock, verifier, put } = createVerifier();
+    put(3);
+    verifier.handleStoredVersion(2);
+    verifier.handleAnswer(clock.readNow());
+    expect(verifier.areKeysInForce()).toEqual(false);
+  });
+
+  // What can't be decoded may have taken a key away.
+  it('takes no proof from a version that cannot be decoded', () => {
+    const { clock, verifier, put } = createVerifier();
+    put(3);
+    verifier.handleStoredVersion(undefined);
+    verifier.handleAnswer(clock.readNow());
+    expect(verifier.areKeysInForce()).toEqual(false);
+  });
+
+  it('reads the configuration when another VM has proved a later version', () => {
+    const { clock, verifier, reads, put } = createVerifier();
+    put(3);
+    verifier.handleProof({ version: 4, provedAt: clock.readNow() });
+    expect(reads.length).toEqual(1);
+    expect(verifier.areKeysInForce()).toEqual(false);
+  });
+
+  // One VM of each zone reads for the others, and the next one when its proofs stop.
+  it('reads the later, the more VMs read for it', async () => {
+    const ages: number[] = [];
+    for (const rank of [0, 1, 2, 9]) {
+      const { clock, verifier, reads, put } = createVerifier(rank);
+      put(3);
+      verifier.handleAnswer(clock.readNow());
+      while (reads.length === 0) {
+        clock.advance(100);
+        verifier.handleTick();
+      }
+      ages.push(reads[0] ?? 0);
+      await wait(0);
+    }
+    expect(ages).toEqual([1_000, 1_500, 2_000, 2_000]);
+  });
+
+  it('tells others how old its proof is', () => {
+    const { clock, verifier, put } = createVerifier();
+    put(3);
+    expect(verifier.readProof()).toEqual(undefined);
+    verifier.handleAnswer(clock.readNow());
+    clock.advance(700);
+    expect(verifier.readProof()).toEqual({ version: 3, ageMs: 700 });
+  });
+});
--- a/packages/forwarding/src/forwarder.ts
+++ b/packages/forwarding/src/forwarder.ts
@@ -1,5 +1,5 @@
 import { createServer, type Server } from 'node:net';
-import type { Millis } from '@shallotpick/core';
+import { type Millis, rankVms } from '@shallotpick/core';
 import {
   createCounter,
   Forwarding,
@@ -22,6 +22,16 @@
 /** Delay before a link that failed is opened again. */
 const RECONNECT_MS: Millis = 300;
 
+function rankHomes(
+  homes: readonly VmAddress[],
+  group: string,
+  organisation: string,
+): readonly VmAddress[] {
+  const ids = homes.map(({ id }) => id);
+  const ranked = rankVms(`${group}|${organisation}`, ids);
+  return [...homes].sort((a, b) => ranked.indexOf(a.id) - ranked.indexOf(b.id));
+}
+
 /** Where the links of other VMs are accepted. */
 export interface LinkAddress {
   readonly host: string;
@@ -132,7 +142,7 @@
     const { clock, log } = this.host;
     let reason = 'no home of the group is reachable';
     let tried = 0;
-    for (const home of this.listCandidates(group)) {
+    for (const home of this.listCandidates(group, request.organisation)) {
       const now = clock.readNow();
       if (tried >= MAX_HOMES_TRIED || now >= request.deadline) break;
       const link = this.mayUse(home, now) ? this.findLink(home, now) : undefined;
@@ -151,11 +161,17 @@
     throw new NotRunError(reason);
   }
 
-  /** The homes in the order in which they are asked; those of this zone take turns. */
-  private listCandidates(group: string): readonly VmAddress[] {
+  /**
+   * The homes in the order in which they are asked. Those of this zone take turns, but an
+   * organisation prefers one of them, which has connections in its name.
+   */
+  private listCandidates(group: string, organisation: string | undefined): readonly VmAddress[] {
     const homes = this.host.findHomes(group);
     const near = homes.filter(({ zone }) => zone === this.host.zone);
     const far = homes.filter(({ zone }) => zone !== this.host.zone);
+    if (organisation !== undefined) {
+      return [...rankHomes(near, group, organisation), ...rankHomes(far, group, organisation)];
+    }
     this.turn += 1;
     const first = near.length > 0 ? this.turn % near.length : 0;
     return [...near.slice(first), ...near.slice(0, first), ...far];
@@ -189,9 +205,9 @@
   }
 
   private openLink(home: VmAddress): HomeLink {
-    const { vm, clock, log } = this.host;
+    const { vm, clock, ageClock, log, handleProof: onProof } = this.host;
     return new HomeLink({
-      ...{ vm, home, clock, log },
+      ...{ vm, home, clock, ageClock, log, onProof },
       onClose: () => {
         this.links.delete(home.id);
         this.failedAt.set(home.id, clock.readNow());
--- a/packages/forwarding/src/home.ts
+++ b/packages/forwarding/src/home.ts
@@ -88,8 +88,14 @@
     return this.held.size;
   }
 
-  sendStatus({ isIsolated, isDraining }: HomeStatus): void {
-    this.send({ type: 'status', isIsolated, isDraining, features: [...LINK_FEATURES] });
+  /** Tells the status; `answers` is the number of the ping that asked for it. */
+  sendStatus({ isIsolated, isDraining }: HomeStatus, answers?: number): void {
+    const configuration = this.host.readProof();
+    this.send({
+      ...{ type: 'status', isIsolated, isDraining, features: [...LINK_FEATURES] },
+      ...(answers === undefined ? {} : { answers }),
+      ...(configuration ? { configuration } : {}),
+    });
   }
 
   close(reason: string): void {
@@ -110,7 +116,7 @@
       )
       .with({ type: 'release' }, ({ lease }) => this.end(lease, false))
       .with({ type: 'close' }, ({ lease }) => this.end(lease, true))
-      .with({ type: 'ping' }, () => this.sendStatus(this.host.readStatus()))
+      .with({ type: 'ping' }, ({ number }) => this.sendStatus(this.host.readStatus(), number))
       .exhaustive();
   }
 
--- a/packages/forwarding/src/link.ts
+++ b/packages/forwarding/src/link.ts
@@ -1,5 +1,5 @@
 import { connect, type Socket } from 'node:net';
-import type { Clock, Millis } from '@shallotpick/core';
+import type { Clock, ConfigurationProof, Millis } from '@shallotpick/core';
 import type { HomeStatus, Lease, Log, VmAddress, WorkRequest } from '@shallotpick/engine';
 import { match } from 'ts-pattern';
 import { LinkAddressError } from './errors.js';
@@ -21,6 +21,11 @@
 /** A link without an answer for this long is closed; operations that run on it may have run. */
 const DEAD_LINK_MS: Millis = 3_000;
 const CONNECT_TIMEOUT_MS: Millis = 300;
+/** Pings without an answer whose time is remembered. */
+const MAX_OPEN_PINGS = 64;
+
+/** The part of a status that proves the configuration in force. */
+type ProofPart = Pick<HomeMessage & { readonly type: 'status' }, 'answers' | 'configuration'>;
 
 /** The result of asking a home for a connection. */
 export type Admission =
@@ -33,7 +38,11 @@
   readonly vm: string;
   readonly home: VmAddress;
   readonly clock: Clock;
+  /** Clock that includes suspensions of the VM. */
+  readonly ageClock: Clock;
   readonly log: Log;
+  /** Receives what the home proves of the configuration. */
+  readonly onProof: (proof: ConfigurationProof) => void;
   readonly onClose: () => void;
 }
 
@@ -72,6 +81,11 @@
 
   private readonly openedAt: Millis;
 
+  private pings = 0;
+
+  /** When the pings without an answer were sent, on the clock that includes suspensions. */
+  private readonly pingSentAt = new Map<number, Millis>();
+
   private lastPingAt: Millis = Number.NEGATIVE_INFINITY;
 
   /** When the oldest ping without an answer was sent. */
@@ -182,9 +196,10 @@
       .with({ type: 'broken' }, ({ lease, reason }) => {
         this.connections.get(lease)?.fail(reason);
       })
-      .with({ type: 'status' }, ({ isIsolated, isDraining, features = [] }) => {
+      .with({ type: 'status' }, ({ isIsolated, isDraining, features = [], ...proof }) => {
         this.features = new Set(features);
         this.handleStatus({ isIsolated, isDraining });
+        this.handleProof(proof);
       })
       .exhaustive();
   }
@@ -211,7 +226,10 @@
   private ping(now: Millis): void {
     this.lastPingAt = now;
     this.unansweredSince ??= now;
-    this.send({ type: 'ping' });
+    this.pings += 1;
+    this.pingSentAt.set(this.pings, this.options.ageClock.readNow());
+    if (this.pingSentAt.size > MAX_OPEN_PINGS) this.pingSentAt.delete(this.pings - MAX_OPEN_PINGS);
+    this.send({ type: 'ping', number: this.pings });
   }
 
   private isSilent(now: Millis): boolean {
@@ -225,6 +243,16 @@
     this.status = status;
   }
 
+  /** Passes on the proof in the answer to a ping; it is at least as old as the ping. */
+  private handleProof({ answers, configuration }: ProofPart): void {
+    const sentAt = answers === undefined ? undefined : this.pingSentAt.get(answers);
+    if (answers === undefined || sentAt === undefined) return;
+    this.pingSentAt.delete(answers);
+    if (!configuration) return;
+    const { version, ageMs } = configuration;
+    this.options.onProof({ version, provedAt: sentAt - ageMs });
+  }
+
   private handleGranted(granted: HomeMessage & { readonly type: 'granted' }): void {
     const { lease } = granted;
     if (!this.admissions.has(lease)) {
--- a/packages/forwarding/src/message.ts
+++ b/packages/forwarding/src/message.ts
@@ -71,7 +71,8 @@
   z.object({ type: z.literal('release'), lease }),
   /** Closes the connection, which rolls back its transaction. */
   z.object({ type: z.literal('close'), lease }),
-  z.object({ type: z.literal('ping') }),
+  /** `number` counts the pings of the link. */
+  z.object({ type: z.literal('ping'), number: count.optional() }),
 ]);
 
 const verdict = z.enum([
@@ -123,6 +124,10 @@
     ...{ type: z.literal('status'), isIsolated: z.boolean(), isDraining: z.boolean() },
     /** What the home can do beyond the first build that forwards; an older one names nothing. */
     features: z.array(name).optional(),
+    /** Number of the ping that it answers; absent when it answers none. */
+    answers: count.optional(),
+    /** The newest version of the configuration that the home has proved, and when. */
+    configuration: z.object({ version: z.number(), ageMs: z.number().nonnegative() }).optional(),
   }),
 ]);
 
--- a/packages/forwarding/test/fleet.ts
+++ b/packages/forwarding/test/fleet.ts
@@ -118,6 +118,7 @@
   log.on('data', ({ message }: { readonly message: string }) => errors.push(message));
   const host: ForwardingHost = {
     ...{ vm: 'test', zone: 'z', clock: new SystemClock(), log, metrics: new Metrics() },
+    ...{ ageClock: new SystemClock(), readProof: () => undefined, handleProof: () => undefined },
     findLocalGroup: () => undefined,
     readStatus: () => ({ isIsolated: false, isDraining: false }),
     findHomes: () => homes,
