Make the strongest VMs of a zone the homes of its groups

Cause: homes were chosen without regard to the VMs' size; in a fleet with VMs of 0.324 and 1.35 cores most homes stood on the smallest.

Change: a VM publishes its power (cores, or memory at 256 MB a core if that is less) with its heartbeat; classes are factors of two above the smallest VM, and a higher class goes first in the home pool and among the homes of a group. Fleets whose VMs differ by less are placed as before.

--- a/packages/core/src/home.ts
+++ b/packages/core/src/home.ts
@@ -2,7 +2,10 @@
 import type { Vm } from './vm.js';
 
 /** A VM that may become a home. */
-type HomeVm = Pick<Vm, 'id' | 'zone'>;
+interface HomeVm extends Pick<Vm, 'id' | 'zone'> {
+  /** VMs of a higher class become homes first; 0 by default. */
+  readonly powerClass?: number;
+}
 
 /** A group; it has homes in the zones of its instances. */
 export interface PlacedGroup {
@@ -25,15 +28,20 @@
 /** A VM with its rendezvous weight for a group. */
 interface Candidate {
   readonly vm: string;
+  readonly powerClass: number;
   readonly weight: number;
 }
 
-function computeWeight(group: string, vm: string): number {
-  return computeHash(`home/${group}|${vm}`);
+function createCandidate(group: string, { id, powerClass = 0 }: HomeVm): Candidate {
+  return { vm: id, powerClass, weight: computeHash(`home/${group}|${id}`) };
+}
+
+function isSameVm(a: HomeVm | undefined, b: HomeVm): boolean {
+  return a?.zone === b.zone && a.powerClass === b.powerClass;
 }
 
 function compareCandidates(a: Candidate, b: Candidate): number {
-  return b.weight - a.weight || a.vm.localeCompare(b.vm);
+  return b.powerClass - a.powerClass || b.weight - a.weight || a.vm.localeCompare(b.vm);
 }
 
 /**
@@ -76,8 +84,8 @@
   /** Sets the live VMs. */
   updateVms(vms: readonly HomeVm[]): void {
     const live = new Map(vms.map((vm) => [vm.id, vm]));
-    const departed = [...this.vms.values()].filter(({ id, zone }) => live.get(id)?.zone !== zone);
-    const joined = vms.filter(({ id, zone }) => this.vms.get(id)?.zone !== zone);
+    const departed = [...this.vms.values()].filter((vm) => !isSameVm(live.get(vm.id), vm));
+    const joined = vms.filter((vm) => !isSameVm(this.vms.get(vm.id), vm));
     this.vms.clear();
     live.forEach((vm, id) => this.vms.set(id, vm));
     departed.forEach((vm) => this.removeVm(vm));
@@ -105,7 +113,7 @@
 
   private rankAll(group: string, zone: string): readonly string[] {
     return [...this.vms.values()]
-      .map((vm) => ({ vm: vm.id, weight: computeWeight(group, vm.id), near: vm.zone === zone }))
+      .map((vm) => ({ ...createCandidate(group, vm), near: vm.zone === zone }))
       .sort((a, b) => Number(b.near) - Number(a.near) || compareCandidates(a, b))
       .map(({ vm }) => vm);
   }
@@ -113,7 +121,7 @@
   private computeHomes(zone: string, group: string): void {
     const candidates = [...this.vms.values()]
       .filter((vm) => vm.zone === zone)
-      .map(({ id }) => ({ vm: id, weight: computeWeight(group, id) }));
+      .map((vm) => createCandidate(group, vm));
     this.homes.set(`${zone}|${group}`, this.chooseBest(candidates));
   }
 
@@ -124,14 +132,12 @@
     });
   }
 
-  private addVm({ id, zone }: HomeVm): void {
+  private addVm(added: HomeVm): void {
+    const { id, zone } = added;
     this.listZone(zone).forEach((group) => {
       const key = `${zone}|${group}`;
       const others = (this.homes.get(key) ?? []).filter(({ vm }) => vm !== id);
-      this.homes.set(
-        key,
-        this.chooseBest([...others, { vm: id, weight: computeWeight(group, id) }]),
-      );
+      this.homes.set(key, this.chooseBest([...others, createCandidate(group, added)]));
     });
   }
 
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -2,6 +2,8 @@
 export type { Millis } from './clock.js';
 export { ConfigurationLease } from './configurationlease.js';
 export type { ConfigurationProof } from './configurationlease.js';
+export { classifyPower, computePower } from './vmpower.js';
+export type { VmLimits } from './vmpower.js';
 export { findContract, DEFAULT_CONTRACT, mergeContracts } from './contract.js';
 export type { Contract, ContractMatch, ContractSubject } from './contract.js';
 export { CompactedError, CoreError, InvalidNoteError, NotRunError } from './errors.js';
--- a/packages/engine/src/fleet.ts
+++ b/packages/engine/src/fleet.ts
@@ -33,6 +33,8 @@
   readonly startedAt: number;
   /** Where this VM accepts the links of other VMs. */
   readonly link?: { readonly host: string; readonly port: number } | undefined;
+  /** How much work this VM can do, in cores; undefined when its settings don't tell. */
+  readonly power?: number | undefined;
   /** True when all VMs start together, so that the first list of them is incomplete. */
   readonly isFirstStart: boolean;
   /** Called after each change of the live VMs. */
@@ -139,8 +141,9 @@
   }
 
   private describeSelf(): VmAddress {
-    const { vm, zone, link } = this.options;
-    return { id: vm, zone, host: link?.host ?? '', port: link?.port };
+    const { vm, zone, link, power } = this.options;
+    const address = { id: vm, zone, host: link?.host ?? '', port: link?.port };
+    return power === undefined ? address : { ...address, power };
   }
 
   private find(id: string): VmAddress {
@@ -179,9 +182,12 @@
   }
 
   private async writeHeartbeat(): Promise<void> {
-    const { zone, startedAt, link } = this.options;
+    const { zone, startedAt, link, power } = this.options;
     this.beat += 1;
-    const spec: HeartbeatSpec = { beat: this.beat, startedAt, zone, ...link };
+    const spec: HeartbeatSpec = {
+      ...{ beat: this.beat, startedAt, zone, ...link },
+      ...(power === undefined ? {} : { power }),
+    };
     const outcome = await this.writeSpec(spec);
     // The store holds the object of a former process, or an older one after a restoration.
     if (outcome === 'conflict') await this.writeSpec(spec);
--- a/packages/engine/src/heartbeat.ts
+++ b/packages/engine/src/heartbeat.ts
@@ -5,6 +5,8 @@
 import type { StoredObject } from './store.js';
 
 const MAX_TEXT_LENGTH = 200;
+/** More cores than a VM has. */
+const MAX_POWER = 10_000;
 /** Beats that a process writes in more than a century. */
 const MAX_BEAT = 1_000_000_000;
 /** The end of the year 2099 in Unix milliseconds. */
@@ -16,6 +18,8 @@
   readonly zone: string;
   readonly host: string;
   readonly port: number | undefined;
+  /** How much work the VM can do, in cores; unknown of an older build. */
+  readonly power?: number | undefined;
 }
 
 /** Content of a VM's heartbeat object in the store. */
@@ -27,6 +31,8 @@
   /** Address for the links of other VMs. */
   readonly host?: string | undefined;
   readonly port?: number | undefined;
+  /** How much work the VM can do, in cores. */
+  readonly power?: number | undefined;
 }
 
 /** A decoded heartbeat. */
@@ -54,6 +60,7 @@
     zone: text,
     host: text.refine(isListenHost).optional(),
     port: z.number().refine(isUsablePort).optional(),
+    power: z.number().positive().max(MAX_POWER).optional(),
   })
   .refine(({ host, port }) => (host === undefined) === (port === undefined), { path: ['host'] });
 
@@ -73,6 +80,7 @@
     onOdd({ reason: String(parsed.error.issues[0]?.path[0] ?? 'spec') });
     return undefined;
   }
-  const { beat, startedAt, zone, host = '', port } = parsed.data;
-  return { beat, startedAt, address: { id: name, zone, host, port } };
+  const { beat, startedAt, zone, host = '', port, power } = parsed.data;
+  const address = { id: name, zone, host, port, ...(power === undefined ? {} : { power }) };
+  return { beat, startedAt, address };
 }
--- a/packages/engine/src/placement.ts
+++ b/packages/engine/src/placement.ts
@@ -1,4 +1,4 @@
-import { HomeTable, rankVms } from '@shallotpick/core';
+import { classifyPower, HomeTable, rankVms } from '@shallotpick/core';
 import type { ServiceConfiguration } from './configuration.js';
 import type { Fleet } from './fleet.js';
 import type { VmAddress } from './heartbeat.js';
@@ -44,13 +44,26 @@
   return Math.max(1, Math.min(MAX_HOMES_PER_ZONE, Math.floor(connections / zones)));
 }
 
-/** Chooses the VMs of one zone that may become homes. */
-function choosePool(vms: readonly VmAddress[], size: number): readonly VmAddress[] {
+/** A VM that may become a home, with the class of its power. */
+interface PoolVm extends VmAddress {
+  readonly powerClass: number;
+}
+
+/** Adds the class of each VM's power, relative to the smallest VM of the fleet. */
+function addPowerClasses(vms: readonly VmAddress[]): readonly PoolVm[] {
+  const classes = classifyPower(vms);
+  return vms.map((vm) => ({ ...vm, powerClass: classes.get(vm.id) ?? 0 }));
+}
+
+/** Chooses the VMs of one zone that may become homes, those of the highest class first. */
+function choosePool(vms: readonly PoolVm[], size: number): readonly PoolVm[] {
   const ranked = rankVms(
     POOL_DUTY,
     vms.map(({ id }) => id),
-  ).slice(0, Math.max(MIN_POOL_PER_ZONE, size));
-  return vms.filter(({ id }) => ranked.includes(id));
+  );
+  return [...vms]
+    .sort((a, b) => b.powerClass - a.powerClass || ranked.indexOf(a.id) - ranked.indexOf(b.id))
+    .slice(0, Math.max(MIN_POOL_PER_ZONE, size));
 }
 
 /**
@@ -96,9 +109,10 @@
     const names = [...configuration.groups.keys()];
     const homesPerZone = countHomesPerZone(limit, zones.length);
     const size = Math.ceil((names.length * homesPerZone) / GROUPS_PER_HOME_VM);
+    const classified = addPowerClasses(vms);
     const pool = zones.flatMap((zone) =>
       choosePool(
-        vms.filter((one) => one.zone === zone),
+        classified.filter((one) => one.zone === zone),
         size,
       ),
     );
--- a/packages/engine/src/wiring.ts
+++ b/packages/engine/src/wiring.ts
@@ -51,6 +51,8 @@
   readonly stableWindowMs: Millis;
   /** Time limit for a new configuration to be in force on every VM. */
   readonly configurationApplyMs: Millis;
+  /** How much work this VM can do, in cores. */
+  readonly power?: number | undefined;
   /** Time limit for a revoked key to be refused, also by VMs that can't reach the store. */
   readonly revocationMs?: Millis | undefined;
   /** Store kind of the operator's configuration. */
@@ -118,7 +120,7 @@
   const configuration = new ConfigurationHolder();
   const holder: LateParts = {};
   const fleet = new Fleet({
-    ...{ vm, zone, store, clock, log, oddEntries, link: parts.link },
+    ...{ vm, zone, store, clock, log, oddEntries, link: parts.link, power: parts.power },
     random: Math.random,
     startedAt: Date.now(),
     isFirstStart,
