Let the soak give organisations keys and take them away

Change: the emulator tells who opened a connection and encodes organisations; the soak draws keys that come and go (--organisations N) and checks that work runs in the name of its caller's organisation, that a key taken away for longer than the limit is not served, and that no log holds a key.

--- a/packages/emulator/src/instancesession.ts
+++ b/packages/emulator/src/instancesession.ts
@@ -53,6 +53,9 @@
 
   private isConnected = false;
 
+  /** Who has opened the connection. */
+  private caller = '';
+
   private transaction: OpenTransaction | undefined;
 
   private hasFailed = false;
@@ -98,6 +101,7 @@
 
   private async handleConnect({
     target,
+    caller,
     instance: id,
   }: Message & { kind: 'connect' }): Promise<void> {
     const { instance } = this;
@@ -109,6 +113,7 @@
     } else {
       await instance.occupySlot(instance.options.connectCostMs);
       this.isConnected = true;
+      this.caller = caller;
       this.write([formatReady('idle', instance.readPosition())]);
     }
   }
@@ -242,8 +247,10 @@
   }
 
   private reportStatement({ id, operation }: Command): void {
-    const { values, instance } = this;
-    instance.group.observer.handleStatement({ id, instance: instance.id, values, operation });
+    const { values, instance, caller } = this;
+    instance.group.observer.handleStatement({
+      ...{ id, instance: instance.id, caller, values, operation },
+    });
   }
 
   private write(lines: readonly string[]): void {
--- a/packages/emulator/src/observer.ts
+++ b/packages/emulator/src/observer.ts
@@ -7,6 +7,8 @@
   /** Request id set by the caller; undefined for statements that a proxy issues itself. */
   readonly id: string | undefined;
   readonly instance: string;
+  /** Who has opened the connection, as the instance was told. */
+  readonly caller: string;
   /** Session variables of the connection. */
   readonly values: ReadonlyMap<string, string>;
   /** The operation without the minimum position that a proxy prepends. */
--- a/packages/emulator/src/storeencoding.ts
+++ b/packages/emulator/src/storeencoding.ts
@@ -1,4 +1,4 @@
-import type { DatabaseRoute, GroupSettings } from '@shallotpick/engine';
+import type { DatabaseRoute, GroupSettings, KeyedOrganisation } from '@shallotpick/engine';
 import type { EmulatedInstance } from './instance.js';
 
 /** The configuration that the operator writes. */
@@ -7,6 +7,8 @@
   readonly routes: readonly DatabaseRoute[];
   readonly groups: readonly GroupSettings[];
   readonly transactionIdleMs: number;
+  /** Absent where callers need no key. */
+  readonly organisations?: readonly KeyedOrganisation[] | undefined;
 }
 
 function findRouteType({ contract, readsOwnWrites }: DatabaseRoute): string {
@@ -14,9 +16,14 @@
   return readsOwnWrites ? 'read_your_writes' : 'bounded_staleness';
 }
 
+function encodeOrganisation({ name, keys, rateLimit }: KeyedOrganisation): unknown {
+  const limit = rateLimit && { rate_per_s: rateLimit.ratePerSecond, burst: rateLimit.burst };
+  return { name, api_keys: keys, ...limit };
+}
+
 /** Encodes a configuration as its object in the store. */
 export function encodeConfiguration(configuration: EmulatedConfiguration): unknown {
-  const { version, routes, groups, transactionIdleMs } = configuration;
+  const { version, routes, groups, transactionIdleMs, organisations } = configuration;
   return {
     version,
     routes: routes.map((route) => ({
@@ -34,6 +41,7 @@
       sync_replicas: synchronousReplicas,
     })),
     limits: { tx_idle_ms: transactionIdleMs },
+    ...(organisations ? { tenants: organisations.map(encodeOrganisation) } : {}),
   };
 }
 
--- a/packages/soak/src/caller.ts
+++ b/packages/soak/src/caller.ts
@@ -12,6 +12,7 @@
 } from '@shallotpick/engine';
 import { formatConnect, LineConnection } from '@shallotpick/platform';
 import type { InvariantChecker } from './invariantchecker.js';
+import type { SoakOrganisation } from './organisations.js';
 import type { SoakVm } from './vm.js';
 
 const ID_BYTES = 8;
@@ -38,6 +39,8 @@
 export interface SoakCallerOptions {
   readonly name: string;
   readonly route: DatabaseRoute;
+  /** The organisation whose key the caller gives; undefined where callers need no key. */
+  readonly organisation: SoakOrganisation | undefined;
   readonly checker: InvariantChecker;
   readonly random: Random;
   readonly readNow: () => Millis;
@@ -98,7 +101,7 @@
   }
 
   private async connect(): Promise<void> {
-    const { findVm, route, name, random } = this.options;
+    const { findVm, route, name, random, organisation } = this.options;
     const vm = findVm();
     if (!vm) throw new ConnectionError('no VM is ready');
     this.vm = vm;
@@ -106,7 +109,7 @@
     const connection = new LineConnection(createConnection({ host, port }));
     this.connection = connection;
     this.session = `${name}/${random.nextInt(2 ** 30)}`;
-    const greeting = connection.send(formatConnect(route.database, name));
+    const greeting = connection.send(formatConnect(route.database, organisation?.key ?? name));
     const { failure } = await waitAtMost(greeting, CONNECT_TIMEOUT_MS);
     if (failure) throw new ConnectionError(failure.reason);
     await this.sendSetup(`SET tag ${this.session}`);
@@ -125,9 +128,11 @@
     // A session that was closed between two requests interrupts none.
     if (!connection?.isUsable() || !vm) throw new ConnectionError('the session is closed');
     const id = randomBytes(ID_BYTES).toString('hex');
-    checker.recordSentStatement(id, { caller: this.options.name, text, tag: this.session });
-    const wasStopping = vm.isStopping;
+    const { name, organisation } = this.options;
     const sentAt = this.options.readNow();
+    const tag = this.session;
+    checker.recordSentStatement(id, { caller: name, text, tag, organisation, sentAt });
+    const wasStopping = vm.isStopping;
     try {
       return await waitAtMost(connection.send(`QUERY ${id} ${text}`), REPLY_TIMEOUT_MS);
     } catch (error) {
--- a/packages/soak/src/faultinjector.ts
+++ b/packages/soak/src/faultinjector.ts
@@ -2,6 +2,8 @@
 import { match, P } from 'ts-pattern';
 import type { SoakFault } from './faultschedule.js';
 import { GROUP_KINDS, injectGroupFault } from './groupfaults.js';
+import { injectKeyFault, KEY_KINDS } from './keyfaults.js';
+import type { SoakOrganisations } from './organisations.js';
 import { injectOutageFault, OUTAGE_KINDS } from './outagefaults.js';
 import { injectPartitionFault, PARTITION_KINDS } from './partitionfaults.js';
 import { injectRestartFault, RESTART_KINDS } from './restartfaults.js';
@@ -16,6 +18,7 @@
   constructor(
     private readonly platform: EmulatedPlatform,
     private readonly vms: readonly SoakVm[],
+    private readonly organisations: SoakOrganisations,
   ) {}
 
   /** Starts a fault; the promise is settled when it has ended. */
@@ -38,6 +41,7 @@
     await match(kind)
       .with(P.union(...VM_KINDS), (one) => injectVmFault(one, vms, vm, durationMs))
       .with(P.union(...STORE_KINDS), (one) => injectStoreFault(one, platform, group, details))
+      .with(P.union(...KEY_KINDS), () => injectKeyFault(this.organisations, details))
       .with(P.union(...GROUP_KINDS), (one) => injectGroupFault(one, platform, group, details))
       .with(P.union(...RESTART_KINDS), (one) => injectRestartFault(one, platform, group, details))
       .with(P.union(...PARTITION_KINDS), (one) =>
--- a/packages/soak/src/faultkinds.ts
+++ b/packages/soak/src/faultkinds.ts
@@ -1,4 +1,5 @@
 import { GROUP_KINDS, type GroupFaultKind } from './groupfaults.js';
+import { KEY_KINDS, type KeyFaultKind } from './keyfaults.js';
 import { OUTAGE_KINDS, type OutageFaultKind } from './outagefaults.js';
 import { PARTITION_KINDS, type PartitionFaultKind } from './partitionfaults.js';
 import { RESTART_KINDS, type RestartFaultKind } from './restartfaults.js';
@@ -36,11 +37,15 @@
   | StoreFaultKind
   | GroupFaultKind
   | RestartFaultKind
+  | KeyFaultKind
   | OutageFaultKind
   | PartitionFaultKind;
 
 /** How often the kinds of a selection are listed. */
-const WEIGHTS = { restorations: 12, restarts: 4, oddEntries: 12, outages: 3, partitions: 5 };
+const WEIGHTS = {
+  ...{ restorations: 12, restarts: 4, oddEntries: 12, outages: 3, partitions: 5 },
+  keys: 8,
+};
 
 /** Kinds that a run draws beside the usual ones. */
 export interface FaultSelection {
@@ -48,6 +53,8 @@
   readonly restorations?: boolean | undefined;
   /** True when instances also lose their log or id, or reach all but the store. */
   readonly restarts?: boolean | undefined;
+  /** Number of organisations; the keys of their callers come and go. */
+  readonly organisations?: number | undefined;
   /** True when another writer leaves entries that can't be used. */
   readonly oddEntries?: boolean | undefined;
   /** True when more than one part fails within a takeover, or longer than other faults last. */
@@ -63,11 +70,13 @@
   oddEntries,
   outages,
   partitions,
+  organisations = 0,
 }: FaultSelection): readonly SoakFaultKind[] {
   return [
     ...FAULT_KINDS,
     ...Array<SoakFaultKind>(restorations ? WEIGHTS.restorations : 0).fill('restoreStore'),
     ...Array<SoakFaultKind>(oddEntries ? WEIGHTS.oddEntries : 0).fill('writeOddEntry'),
+    ...(organisations > 0 ? Array<typeof KEY_KINDS>(WEIGHTS.keys).fill(KEY_KINDS).flat() : []),
     ...(restarts ? Array<typeof RESTART_KINDS>(WEIGHTS.restarts).fill(RESTART_KINDS).flat() : []),
     ...(partitions
       ? Array<typeof PARTITION_KINDS>(WEIGHTS.partitions).fill(PARTITION_KINDS).flat()
@@ -82,6 +91,7 @@
   'reloadVm',
   'compactStore',
   'writeOddEntry',
+  'revokeKey',
 ]);
 
 /** Tells whether a fault must not interrupt any request. */
--- a/packages/soak/src/faultschedule.ts
+++ b/packages/soak/src/faultschedule.ts
@@ -1,6 +1,7 @@
 import type { Random } from '@shallotpick/bench';
 import type { Millis } from '@shallotpick/core';
 import { type FaultSelection, listKinds, type SoakFaultKind } from './faultkinds.js';
+import { KEY_KINDS } from './keyfaults.js';
 import { LONG_OUTAGE_FACTOR, LONG_OUTAGE_KINDS } from './outagefaults.js';
 import { PARTITION_FACTOR, PARTITION_KINDS } from './partitionfaults.js';
 import { STORE_CUT_FACTOR } from './restartfaults.js';
@@ -17,7 +18,11 @@
 const MIN_FAULT_MS: Millis = 150;
 const MAX_FAULTS_PER_SERIES = 3;
 
+/** Keys are missing for longer than the limit of their revocation. */
+const KEY_FACTOR = 2.5;
+
 function findDurationFactor(kind: SoakFaultKind): number {
+  if (KEY_KINDS.some((one) => one === kind)) return KEY_FACTOR;
   if (kind === 'cutInstanceFromStore') return STORE_CUT_FACTOR;
   if (PARTITION_KINDS.some((one) => one === kind)) return PARTITION_FACTOR;
   return LONG_OUTAGE_KINDS.has(kind) ? LONG_OUTAGE_FACTOR : 1;
--- a/packages/soak/src/invariantchecker.ts
+++ b/packages/soak/src/invariantchecker.ts
@@ -1,3 +1,5 @@
+import { readdir, readFile } from 'node:fs/promises';
+import { join } from 'node:path';
 import { comparePositions, LOG_START, type LogPosition, type Millis } from '@shallotpick/core';
 import {
   type Commit,
@@ -9,6 +11,8 @@
   type ExecutedStatement,
 } from '@shallotpick/emulator';
 import type { Verdict } from '@shallotpick/engine';
+import type { SoakOrganisation, SoakOrganisations } from './organisations.js';
+import { REVOCATION_MS } from './vm.js';
 
 /** Verdicts that guarantee that none of the request's writes was committed. */
 const NOT_COMMITTED_VERDICTS: ReadonlySet<Verdict> = new Set<Verdict>([
@@ -59,6 +63,9 @@
   readonly text: string;
   /** Value of the session variable `tag`. */
   readonly tag: string;
+  /** The organisation whose key the caller gave. */
+  readonly organisation: SoakOrganisation | undefined;
+  readonly sentAt: Millis;
 }
 
 /** Checks the invariants against events of the callers, the instances and the platform. */
@@ -110,7 +117,10 @@
 
   private readonly promotionRequests = new Map<string, PromotionRequest>();
 
-  constructor(private readonly readNow: () => Millis) {
+  constructor(
+    private readonly readNow: () => Millis,
+    private readonly organisations: SoakOrganisations,
+  ) {
     super();
   }
 
@@ -184,7 +194,28 @@
     this.addViolation('reads meet the staleness bound of their route', detail);
   }
 
-  override handleStatement({ id, instance, values, operation }: ExecutedStatement): void {
+  /** Checks that no log line of a process holds a key. */
+  async checkLogs(directory: string): Promise<void> {
+    const files = (await readdir(directory)).filter((file) => file.endsWith('.log'));
+    const texts = await Promise.all(files.map((file) => readFile(join(directory, file), 'utf8')));
+    this.organisations.list.forEach(({ name, key }) => {
+      if (!texts.some((text) => text.includes(key))) return;
+      this.addViolation('keys stay in the process that received them', `${name}: in a log`);
+    });
+  }
+
+  private checkCaller({ organisation, sentAt }: SentStatement, caller: string): void {
+    if (!organisation) return;
+    const { name, key } = organisation;
+    if (caller !== name) {
+      this.addViolation("work runs in the name of its caller's organisation", `${name}: ${caller}`);
+    }
+    if (this.organisations.wasRevoked(key, sentAt, REVOCATION_MS)) {
+      this.addViolation('a revoked key is not served', `${name}, sent at ${Math.round(sentAt)}`);
+    }
+  }
+
+  override handleStatement({ id, instance, caller, values, operation }: ExecutedStatement): void {
     const sent = id === undefined ? undefined : this.sentStatements.get(id);
     if (id !== undefined) this.executedRequests.add(id);
     if (!sent) {
@@ -194,6 +225,7 @@
       );
       return;
     }
+    this.checkCaller(sent, caller);
     const text = 'text' in operation ? operation.text : undefined;
     const rest = 'rest' in operation ? operation.rest : '';
     if ((text !== undefined && text !== sent.text) || !sent.text.endsWith(rest)) {
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -25,6 +25,8 @@
       /** Lets VMs differ in what they reach, and draws the platform's rules. */
       partitions: { type: 'boolean', default: false },
       instances: { type: 'string', default: '3' },
+      /** Number of organisations, whose keys come and go. */
+      organisations: { type: 'string', default: '0' },
       /** Lets another writer leave entries that can't be used. */
       'odd-entries': { type: 'boolean', default: false },
       program: { type: 'string', default: join('target', 'shallotpick.cjs') },
@@ -43,6 +45,7 @@
       outages: values.outages,
       partitions: values.partitions,
       instances: Number(values.instances),
+      organisations: Number(values.organisations),
       oddEntries: values['odd-entries'],
       ...(values.connections ? { connections: Number(values.connections) } : {}),
       program: resolve(values.program),
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -14,6 +14,7 @@
 import { FaultInjector } from './faultinjector.js';
 import { type FaultSelection, isNonDisruptive, isOutage } from './faultkinds.js';
 import { createFaultSchedule, type SoakFault } from './faultschedule.js';
+import { SoakOrganisations } from './organisations.js';
 import { choosePromotionRules } from './platformrules.js';
 import { createSubRandom } from './subrandom.js';
 import { SoakVm } from './vm.js';
@@ -98,6 +99,10 @@
 
   private readonly routes: readonly DatabaseRoute[];
 
+  private readonly organisations: SoakOrganisations;
+
+  private configurationVersion = 0;
+
   private readonly startedAt = performance.now();
 
   private vms: readonly SoakVm[] = [];
@@ -116,7 +121,12 @@
 
   constructor(private readonly options: SoakOptions) {
     this.random = createRandom(options.seed);
-    this.checker = new InvariantChecker(() => this.readNow());
+    this.organisations = new SoakOrganisations(
+      options.organisations ?? 0,
+      () => this.writeConfiguration(),
+      () => this.readNow(),
+    );
+    this.checker = new InvariantChecker(() => this.readNow(), this.organisations);
     this.promotionRules = options.promotionRules ?? this.choosePromotionRules();
     const groups = Array.from({ length: options.groups }, (_, index) => this.createGroup(index));
     this.routes = groups.flatMap(({ name }) => [0, 1, 2].map((kind) => createRoute(name, kind)));
@@ -139,6 +149,7 @@
       await this.stop();
     }
     const { checker } = this;
+    await checker.checkLogs(this.options.directory);
     return {
       violations: checker.violations,
       formattedViolations: checker.formatViolations(),
@@ -173,13 +184,10 @@
   }
 
   private async start(): Promise<void> {
-    const { platform, routes, options } = this;
+    const { platform, options } = this;
     await mkdir(options.directory, { recursive: true });
     await platform.start();
-    const groups = platform.groups.map(({ name }): GroupSettings => ({
-      ...{ name, connectionLimit: this.connections, synchronousReplicas: 1 },
-    }));
-    platform.writeConfiguration({ version: 1, routes, groups, transactionIdleMs: 3_000 });
+    this.writeConfiguration();
     this.vms = Array.from({ length: options.vms }, (_, index) => this.createVm(index));
     await Promise.all(this.vms.map((vm) => vm.open()));
     this.callers = Array.from({ length: options.callers }, (_, index) => this.createCaller(index));
@@ -193,6 +201,18 @@
     });
   }
 
+  private writeConfiguration(): void {
+    const { platform, routes, organisations } = this;
+    const groups = platform.groups.map(({ name }): GroupSettings => ({
+      ...{ name, connectionLimit: this.connections, synchronousReplicas: 1 },
+    }));
+    this.configurationVersion += 1;
+    platform.writeConfiguration({
+      ...{ version: this.configurationVersion, routes, groups, transactionIdleMs: 3_000 },
+      organisations: organisations.encode(),
+    });
+  }
+
   private get connections(): number {
     return this.options.connections ?? DEFAULT_CONNECTIONS;
   }
@@ -215,7 +235,9 @@
   }
 
   private createCaller(index: number): SoakCaller {
+    const { list } = this.organisations;
     return new SoakCaller({
+      organisation: list[index % Math.max(1, list.length)],
       ...{ name: `caller${index}`, route: this.routes[index % this.routes.length]! },
       ...{ checker: this.checker, random: this.random, readNow: () => this.readNow() },
       findVm: () => this.ready[this.random.nextInt(Math.max(1, this.ready.length))],
@@ -245,7 +267,7 @@
   }
 
   private async inject(faults: readonly SoakFault[]): Promise<void> {
-    const injector = new FaultInjector(this.platform, this.vms);
+    const injector = new FaultInjector(this.platform, this.vms, this.organisations);
     const start = performance.now();
     for (const fault of faults) {
       await wait(Math.max(0, fault.at - (performance.now() - start)));
--- a/packages/soak/src/vm.ts
+++ b/packages/soak/src/vm.ts
@@ -11,6 +11,8 @@
 const GRACE_SLACK_MS: Millis = 1_500;
 /** Limit for a configuration change to take effect. */
 export const CONFIGURATION_APPLY_MS: Millis = 3_000;
+/** Limit for a revoked key to be refused. */
+export const REVOCATION_MS: Millis = 3_000;
 /** Limit for the connections to a leaving instance to be released. */
 export const DRAIN_MS: Millis = 7_000;
 const STABLE_WINDOW_MS: Millis = 4_000;
@@ -224,6 +226,8 @@
         drain_ms: DRAIN_MS,
         config_apply_ms: CONFIGURATION_APPLY_MS,
         stable_window_ms: STABLE_WINDOW_MS,
+        strict_revoke: true,
+        revoke_ms: REVOCATION_MS,
       },
       platform: { addr: `127.0.0.1:${this.storeProxy.port}` },
       cloud_api: { addr: `127.0.0.1:${this.promotionProxy.port}` },
--- a/packages/soak/test/invariantchecker.spec.ts
+++ b/packages/soak/test/invariantchecker.spec.ts
@@ -1,5 +1,5 @@
 import { expect } from 'earl';
-import { InvariantChecker } from '../src/index.js';
+import { InvariantChecker, SoakOrganisations } from '../src/index.js';
 
 const GROUP = 'orders';
 const SESSION = 'caller1';
@@ -8,7 +8,12 @@
 
 /** A checker that has seen an acknowledged commit. */
 function createChecker(): InvariantChecker {
-  const checker = new InvariantChecker(() => 0);
+  const organisations = new SoakOrganisations(
+    0,
+    () => undefined,
+    () => 0,
+  );
+  const checker = new InvariantChecker(() => 0, organisations);
   checker.recordCommitRequest([WRITE]);
   checker.handleCommit({ group: GROUP, instance: 'orders-1', entry: ENTRY, offset: 1 });
   checker.recordAcknowledgement(GROUP, SESSION, [WRITE]);
--- a/packages/soak/test/soak.spec.ts
+++ b/packages/soak/test/soak.spec.ts
@@ -18,7 +18,7 @@
   seed: number,
   mutant?: Mutant,
   faults?: Faults,
-  size: Partial<typeof LINKED_SIZE & { instances: number }> = {},
+  size: Partial<typeof LINKED_SIZE & { instances: number; organisations: number }> = {},
 ): Promise<SoakReport> {
   const program = await buildProgram(mutant);
   const lag = mutant ? { applyLagMs: LONG_LAG_MS } : {};
@@ -135,6 +135,36 @@
   },
 };
 
+/** Keys are taken away while no VM, or none in touch with a certain one, reaches the store. */
+const KEY_FAULTS: Faults = [
+  { kind: 'storeDown', at: 300, durationMs: 7_500, targetSeed: 0 },
+  { kind: 'revokeKey', at: 700, durationMs: 7_000, targetSeed: 0 },
+  { kind: 'revokeKey', at: 900, durationMs: 7_000, targetSeed: 1 },
+];
+const KEYED_SIZE = { ...LINKED_SIZE, organisations: 4 };
+
+/** Faults in dealing with organisations and their keys. */
+const KEY_MUTANTS: typeof MUTANTS = {
+  'trusts its last configuration for ever': {
+    mutant: {
+      file: 'core/src/configurationlease.ts',
+      from: 'return this.readAge(now) < this.durationMs;',
+      to: 'return true;',
+    },
+    faults: KEY_FAULTS,
+    invariant: 'a revoked key is not served',
+  },
+  'uses the connections of one organisation for another': {
+    mutant: {
+      file: 'engine/src/pool.ts',
+      from: 'const idle = this.takeIdleOf(organisation);',
+      to: 'const idle = this.takeIdle();',
+    },
+    faults: [],
+    invariant: "work runs in the name of its caller's organisation",
+  },
+};
+
 describe('fault soak', () => {
   it('holds all invariants without faults', async () => {
     const { violations, counts } = await run(1, undefined, []);
@@ -208,6 +238,18 @@
     expect((await run(9, undefined, SPLIT_FAULTS)).violations).toEqual([]);
   }).timeout(RUN_TIMEOUT_MS);
 
+  // A VM served a key that was taken away while it could not reach the store.
+  it('holds all invariants where keys go while the store is away', async () => {
+    expect((await run(11, undefined, KEY_FAULTS, KEYED_SIZE)).violations).toEqual([]);
+  }).timeout(RUN_TIMEOUT_MS);
+
+  Object.entries(KEY_MUTANTS).forEach(([name, { mutant, faults, invariant }]) => {
+    it(`detects a program that ${name}`, async () => {
+      const { violations } = await run(11, mutant, faults, KEYED_SIZE);
+      expect(violations.map((violation) => violation.invariant)).toInclude(invariant);
+    }).timeout(RUN_TIMEOUT_MS);
+  });
+
   // A planned stop cut requests of callers that kept coming to the VM.
   it('holds all invariants where callers keep using VMs until these have stopped', async () => {
     expect((await run(10, undefined, STOP_FAULTS)).violations).toEqual([]);
