Check a configuration of the users' platform before it is sent

Cause: operators learnt of a route without its group, a key of two organisations or a version that does not rise only from refused callers. Change: 'shallotpick check FILE [--in-force FILE]' needs no platform: fields that can't be used, entries that stand twice or can never match, limits that contradict each other, and what differs from the one in force for callers; no key is printed.

--- a/packages/client/src/commands.ts
+++ b/packages/client/src/commands.ts
@@ -1,4 +1,5 @@
 import { Apply } from './commands/apply.js';
+import { Check } from './commands/check.js';
 import { Diff } from './commands/diff.js';
 import { Drain } from './commands/drain.js';
 import { Explain } from './commands/explain.js';
@@ -10,6 +11,7 @@
 /** The commands by name, as oclif loads them. */
 export const COMMANDS = {
   apply: Apply,
+  check: Check,
   diff: Diff,
   drain: Drain,
   explain: Explain,
--- a/packages/client/src/errors.ts
+++ b/packages/client/src/errors.ts
@@ -7,6 +7,7 @@
   platform: 5,
   daemon: 6,
   notInForce: 7,
+  invalidConfiguration: 8,
 } as const;
 
 /** The failure of a command; `code` names the reason in JSON output. */
