Put VMs into classes of power by factors of 1.41

Cause: at 32 to 36 VMs the largest have 1.67 times the power of most, and homes fell on any of them. Change: two classes of power for each doubling instead of one.

--- a/packages/core/src/vmpower.ts
+++ b/packages/core/src/vmpower.ts
@@ -1,6 +1,8 @@
 /** Memory that a VM needs to make use of one core. */
 const MEMORY_PER_CORE_MB = 256;
 
+const CLASSES_PER_DOUBLING = 2;
+
 /** What a VM may use, as its own settings tell it. */
 export interface VmLimits {
   /** Cores, also as a fraction of one. */
@@ -14,8 +16,8 @@
 }
 
 /**
- * Computes the class of each VM by its power: 0 for those with less than twice the power of the
- * smallest, 1 up to four times, and so on. VMs of unknown power count as the smallest.
+ * Computes the class of each VM by its power relative to the smallest; two classes make a factor
+ * of two. VMs of unknown power count as the smallest.
  */
 export function classifyPower(
   vms: readonly { readonly id: string; readonly power?: number | undefined }[],
@@ -23,6 +25,8 @@
   const known = vms.flatMap(({ power }) => (power !== undefined && power > 0 ? power : []));
   const least = Math.min(...known);
   const classify = (power: number | undefined): number =>
-    power !== undefined && power > 0 ? Math.floor(Math.log2(power / least)) : 0;
+    power !== undefined && power > 0
+      ? Math.floor(CLASSES_PER_DOUBLING * Math.log2(power / least))
+      : 0;
   return new Map(vms.map(({ id, power }) => [id, classify(power)]));
 }
