End links whose peer is gone and return what it held

A home kept the leases of a VM that had lost power, with connections and open transactions, until its own process ended: only the entry's side of a link noticed a dead peer.

The home ends a link from which nothing has arrived for 4 s. Both sides count silence by ticks that ran, so that a stall of this process is not taken for the peer's. A verified link ends earlier links of the same VM. Both sides log the peer and its age and count it.

--- a/packages/forwarding/src/forwarder.ts
+++ b/packages/forwarding/src/forwarder.ts
@@ -12,7 +12,7 @@
   type WorkRequest,
 } from '@shallotpick/engine';
 import { LinkAddressError } from './errors.js';
-import { EntryLink } from './home.js';
+import { EntryLink, type EntryLinkObserver } from './home.js';
 import { HomeLink } from './link.js';
 
 /** Homes that are asked for one request, the first one included. */
@@ -53,7 +53,7 @@
 }
 
 /** Passes work on over one link for each pair of VMs. */
-export class LinkForwarding extends Forwarding {
+export class LinkForwarding extends Forwarding implements EntryLinkObserver {
   private readonly links = new Map<string, HomeLink>();
 
   private readonly entries = new Set<EntryLink>();
@@ -66,6 +66,8 @@
 
   private readonly forwarded;
 
+  private readonly deadPeers;
+
   private turn = 0;
 
   private status: HomeStatus | undefined;
@@ -79,12 +81,34 @@
     this.forwarded = createCounter(registry, 'forwarded_total', 'Work passed on to homes', [
       'outcome',
     ]);
+    this.deadPeers = createCounter(
+      registry,
+      'dead_link_peers_total',
+      'Links ended because the peer (home or entry) was gone',
+      ['peer'],
+    );
     this.server = createServer((socket) => {
-      const link = new EntryLink(host, socket, (closed) => this.entries.delete(closed));
-      this.entries.add(link);
+      this.entries.add(new EntryLink(host, socket, this));
     });
   }
 
+  /** A VM has one link to a home: an earlier one leads to a process that is gone. */
+  handleVerified(link: EntryLink, vm: string): void {
+    const links = [...this.entries];
+    const earlier = links.slice(0, Math.max(0, links.indexOf(link)));
+    earlier
+      .filter((other) => other.isOf(vm))
+      .forEach((other) => other.close('the VM has opened a new link'));
+  }
+
+  handleDeadPeer(): void {
+    this.deadPeers.inc({ peer: 'entry' });
+  }
+
+  handleClose(link: EntryLink): void {
+    this.entries.delete(link);
+  }
+
   override async start(): Promise<void> {
     const { log } = this.host;
     await new Promise<void>((resolve) => {
@@ -130,6 +154,7 @@
     nearHomes.forEach((home) => this.findLink(home, now));
     this.closeUnused(nearHomes, now);
     this.links.forEach((link) => link.handleTick(now));
+    this.entries.forEach((link) => link.handleTick(now));
     this.publishStatus();
   }
 
@@ -208,6 +233,7 @@
     const { vm, clock, ageClock, log, handleProof: onProof } = this.host;
     return new HomeLink({
       ...{ vm, home, clock, ageClock, log, onProof },
+      onDeadPeer: () => this.deadPeers.inc({ peer: 'home' }),
       onClose: () => {
         this.links.delete(home.id);
         this.failedAt.set(home.id, clock.readNow());
--- a/packages/forwarding/src/home.ts
+++ b/packages/forwarding/src/home.ts
@@ -24,12 +24,18 @@
   LINK_FEATURES,
   LINK_VERSION,
 } from './message.js';
+import { SilenceMeter } from './silence.js';
 import { type MessageHandler, MessageSocket } from './socket.js';
 
 /** Longer than callers wait; the VM that passed the work on ends it before. */
 const CONFIRMATION_TIMEOUT_MS: Millis = 5_000;
 /** Bounds the work that one VM has at a home. */
 const MAX_LEASES_PER_LINK = 256;
+/**
+ * A peer from which nothing has arrived for this long is gone: a live one pings several times a
+ * second, and ends a link without answers sooner itself.
+ */
+const DEAD_PEER_MS: Millis = 4_000;
 
 type AdmitMessage = EntryMessage & { readonly type: 'admit' };
 type RunMessage = EntryMessage & { readonly type: 'run' };
@@ -65,6 +71,14 @@
   };
 }
 
+/** What the owner of an entry's link is told. */
+export interface EntryLinkObserver {
+  /** The peer is known to be this VM. */
+  handleVerified(link: EntryLink, vm: string): void;
+  handleDeadPeer(link: EntryLink): void;
+  handleClose(link: EntryLink): void;
+}
+
 /** The home's side of a link: runs the work of one VM on this VM's connections. */
 export class EntryLink implements MessageHandler {
   private readonly socket: MessageSocket;
@@ -76,14 +90,57 @@
 
   private peer = 'unknown';
 
+  private readonly openedAt: Millis;
+
+  private readonly silence: SilenceMeter;
+
+  private bytesRead = 0;
+
+  /** Bytes that waited for the peer to read them at the last tick. */
+  private bytesWaiting = 0;
+
   constructor(
     private readonly host: ForwardingHost,
     private readonly rawSocket: Socket,
-    private readonly onClose: (link: EntryLink) => void,
+    private readonly observer: EntryLinkObserver,
   ) {
+    this.openedAt = host.clock.readNow();
+    this.silence = new SilenceMeter(this.openedAt);
     this.socket = new MessageSocket(rawSocket, this);
   }
 
+  /** True when the peer has given this name. */
+  isOf(vm: string): boolean {
+    return this.peer === vm;
+  }
+
+  /** Ends the link when its peer is gone, so that the leases of the peer serve others. */
+  handleTick(now: Millis): void {
+    this.silence.handleTick(now);
+    if (this.hasSignOfLife()) this.silence.reset();
+    const silentMs = this.silence.measure();
+    if (silentMs < DEAD_PEER_MS) return;
+    this.host.log.warn('peer of a link is gone', {
+      vm: this.peer,
+      leases: this.held.size,
+      silentMs,
+      ageMs: now - this.openedAt,
+    });
+    this.observer.handleDeadPeer(this);
+    this.socket.close('the peer is silent');
+  }
+
+  /** True when the peer has sent or read something since the last tick. */
+  private hasSignOfLife(): boolean {
+    const { bytesRead, writableLength } = this.rawSocket;
+    // While the peer reads too slowly, nothing is read from it (`pauseUntilDrained`).
+    const isReading = this.rawSocket.isPaused() && writableLength < this.bytesWaiting;
+    const hasSent = bytesRead > this.bytesRead;
+    this.bytesRead = bytesRead;
+    this.bytesWaiting = writableLength;
+    return hasSent || isReading;
+  }
+
   countLeases(): number {
     return this.held.size;
   }
@@ -130,7 +187,7 @@
     }
     // Only the VM at the other end knows how its transactions were to end.
     [...this.held.keys()].forEach((lease) => this.end(lease, true));
-    this.onClose(this);
+    this.observer.handleClose(this);
   }
 
   private send(message: HomeMessage): void {
@@ -150,7 +207,10 @@
     const { remoteAddress = '' } = this.rawSocket;
     try {
       const known = await this.host.findVm(vm, remoteAddress);
-      if (known?.host === remoteAddress) return true;
+      if (known?.host === remoteAddress) {
+        this.observer.handleVerified(this, vm);
+        return true;
+      }
     } catch (error) {
       this.host.log.info('peer not verified', { vm, error: String(error) });
     }
--- a/packages/forwarding/src/link.ts
+++ b/packages/forwarding/src/link.ts
@@ -11,6 +11,7 @@
   LINK_VERSION,
 } from './message.js';
 import { createRemoteLease, RemoteConnection } from './remote.js';
+import { SilenceMeter } from './silence.js';
 import { type MessageHandler, MessageSocket } from './socket.js';
 
 const PING_INTERVAL_MS: Millis = 500;
@@ -43,6 +44,7 @@
   readonly log: Log;
   /** Receives what the home proves of the configuration. */
   readonly onProof: (proof: ConfigurationProof) => void;
+  readonly onDeadPeer: () => void;
   readonly onClose: () => void;
 }
 
@@ -91,6 +93,9 @@
   /** When the oldest ping without an answer was sent. */
   private unansweredSince: Millis | undefined;
 
+  /** Time for which a ping has been without an answer. */
+  private readonly silence: SilenceMeter;
+
   private roundTripMs: Millis = 1;
 
   /** Optional parts of the protocol that the home knows. */
@@ -108,6 +113,7 @@
     });
     this.openedAt = clock.readNow();
     this.usedAt = this.openedAt;
+    this.silence = new SilenceMeter(this.openedAt);
     this.socket = new MessageSocket(socket, this);
     this.send({ type: 'hello', version: LINK_VERSION, vm });
     this.ping(this.openedAt);
@@ -176,8 +182,10 @@
       this.socket.close('no connection in time');
       return;
     }
-    if (this.unansweredSince !== undefined && now - this.unansweredSince >= DEAD_LINK_MS) {
-      this.socket.close('no answer');
+    this.silence.handleTick(now);
+    if (this.unansweredSince === undefined) this.silence.reset();
+    if (this.silence.measure() >= DEAD_LINK_MS) {
+      this.closeDead(now);
       return;
     }
     const interval = this.admissions.size > 0 ? BUSY_PING_INTERVAL_MS : PING_INTERVAL_MS;
@@ -219,6 +227,17 @@
     this.socket.close(reason);
   }
 
+  private closeDead(now: Millis): void {
+    this.options.log.warn('peer of a link is gone', {
+      vm: this.options.home.id,
+      leases: this.connections.size,
+      silentMs: this.silence.measure(),
+      ageMs: now - this.openedAt,
+    });
+    this.options.onDeadPeer();
+    this.socket.close('no answer');
+  }
+
   private send(message: EntryMessage): void {
     this.socket.send(message);
   }
