Take only an instance's own word for its leaving

"Leaving" ends with a report of the same start whose sequence is higher, or with an entry that has stood for 6 s while the store is reached; entries of a store that came back from an older copy fulfil neither. An entry without `born` under the name of an instance that has told one counts as missing instead of as a restart.

The odd entries of the soak lack these fields as well and also stand under the names of instances.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -129,7 +129,7 @@
 export type { MembershipMessage, MembershipOptions } from './membership.js';
 export { PositionSamples } from './samples.js';
 export type { PositionSample } from './samples.js';
-export { InstanceRoster } from './roster.js';
+export { InstanceRoster, UNKNOWN_START } from './roster.js';
 export type { ExpiredInstance, RegisteredInstance } from './roster.js';
 export {
   compareStoreVersions,
--- a/packages/core/src/roster.ts
+++ b/packages/core/src/roster.ts
@@ -7,16 +7,30 @@
 /** Time for which the instances of expired registrations are listed, in case they still run. */
 const EXPIRED_TTL_MS: Millis = 30_000;
 
+/**
+ * An entry that shows a leaving instance as serving is the instance's own once it has stood for this
+ * long: a leaving one that runs would have replaced it, and that of one that has ended would have
+ * expired.
+ */
+const CONTRADICTION_MS: Millis = 6_000;
+/** More time than this between two ticks means that this process itself stood still. */
+const MAX_TICK_MS: Millis = 100;
+
 /** Number of departed instances that are remembered. */
 const MAX_DEPARTED = 1_000;
 
+/** Start time of instances that tell none. */
+export const UNKNOWN_START = 0;
+
 /** An instance as it registered itself. */
 export interface RegisteredInstance extends DatabaseInstance {
   readonly group: string;
   /** Role that the instance reports. */
   readonly role: InstanceRole;
-  /** Start time of the instance in Unix milliseconds, which distinguishes restarts. */
+  /** Start time in Unix milliseconds, which distinguishes restarts; `UNKNOWN_START` without one. */
   readonly startedAt: number;
+  /** Number of the report, rising from the instance's start on; absent where none are counted. */
+  readonly sequence?: number;
 }
 
 /** An instance whose registration has expired, although it may still run. */
@@ -31,6 +45,17 @@
   readonly instance: RegisteredInstance;
   /** When the entry went missing; undefined while it is listed. */
   missingSince: Millis | undefined;
+  /** True when the entry shows an instance as serving that has announced that it is leaving. */
+  readonly isContradicted: boolean;
+  /** How long it has done so without an interruption. */
+  readonly contradictedMs: Millis;
+}
+
+/** An instance that has announced that it is leaving. */
+interface Departure {
+  readonly startedAt: number;
+  /** Number of its last report that said so. */
+  readonly sequence: number;
 }
 
 /**
@@ -43,8 +68,10 @@
   /** Instances that were dropped recently, by id. */
   private readonly expired = new Map<string, ExpiredInstance>();
 
-  /** Start times of instances that were leaving when they were dropped. */
-  private readonly departed = new Map<string, number>();
+  /** The last announcements of instances that are leaving or were when they were dropped. */
+  private readonly departures = new Map<string, Departure>();
+
+  private now: Millis = Number.NEGATIVE_INFINITY;
 
   constructor(private readonly onChange: () => void) {}
 
@@ -68,6 +95,7 @@
 
   /** Replaces the whole list, for instance after the watch of the registry was interrupted. */
   updateAll(instances: readonly RegisteredInstance[], now: Millis): void {
+    this.now = now;
     const ids = new Set(instances.map(({ id }) => id));
     this.listed.forEach((_, id) => {
       if (!ids.has(id)) this.remove(id, now);
@@ -75,20 +103,38 @@
     instances.forEach((instance) => this.update(instance));
   }
 
+  /** Handles an entry; one that lacks the start time of its instance counts as missing. */
   update(registered: RegisteredInstance): void {
-    const instance = this.hasAnnouncedLeaving(registered)
-      ? { ...registered, leaving: true }
-      : registered;
-    this.listed.set(instance.id, { instance, missingSince: undefined });
-    this.expired.delete(instance.id);
+    const { id } = registered;
+    const known = this.listed.get(id);
+    if (
+      known &&
+      known.instance.startedAt !== UNKNOWN_START &&
+      registered.startedAt === UNKNOWN_START
+    ) {
+      this.remove(id, this.now);
+      return;
+    }
+    if (registered.leaving) this.rememberDeparture(registered);
+    const leaving = registered.leaving === true || this.hasAnnouncedLeaving(registered);
+    if (!leaving && this.departures.get(id)?.startedAt === registered.startedAt) {
+      this.departures.delete(id);
+    }
+    const contradictedMs = registered.leaving ? 0 : (known?.contradictedMs ?? 0);
+    const isContradicted = leaving && !registered.leaving;
+    const instance = { ...registered, leaving };
+    this.listed.set(id, { instance, missingSince: undefined, isContradicted, contradictedMs });
+    this.expired.delete(id);
     this.onChange();
   }
 
-  /** Leaving is final, but an entry of a registry restored from an older copy may not show it. */
-  private hasAnnouncedLeaving({ id, startedAt }: RegisteredInstance): boolean {
-    const known = this.find(id);
-    if (known?.startedAt === startedAt) return known.leaving === true;
-    return this.departed.get(id) === startedAt;
+  /**
+   * An entry of a registry restored from an older copy may not show that its instance is leaving; a
+   * later report of the instance does.
+   */
+  private hasAnnouncedLeaving({ id, startedAt, sequence = 0 }: RegisteredInstance): boolean {
+    const departure = this.departures.get(id);
+    return departure?.startedAt === startedAt && sequence <= departure.sequence;
   }
 
   /** Handles a removed entry; the instance stays listed for a while unless it was leaving. */
@@ -102,6 +148,9 @@
 
   /** Drops instances that are missing for too long, counted while the registry `isReachable`. */
   handleTick(now: Millis, isReachable: boolean): void {
+    // What changed while this process stood still is not known yet.
+    this.endContradictions(Math.min(now - this.now, MAX_TICK_MS), isReachable);
+    this.now = now;
     this.expired.forEach(({ missingSince }, id) => {
       if (now - missingSince >= EXPIRED_TTL_MS) this.removeExpired(id);
     });
@@ -115,6 +164,18 @@
     });
   }
 
+  /** Takes instances into service again that have long shown that they aren't leaving. */
+  private endContradictions(elapsedMs: Millis, isReachable: boolean): void {
+    this.listed.forEach((listed, id) => {
+      if (!listed.isContradicted) return;
+      const contradictedMs = isReachable ? listed.contradictedMs + elapsedMs : 0;
+      this.listed.set(id, { ...listed, contradictedMs });
+      if (contradictedMs < CONTRADICTION_MS) return;
+      this.departures.delete(id);
+      this.update({ ...listed.instance, leaving: false });
+    });
+  }
+
   private removeExpired(id: string): void {
     this.expired.delete(id);
     this.onChange();
@@ -126,15 +187,14 @@
     if (entry?.missingSince !== undefined) {
       const { instance, missingSince } = entry;
       this.expired.set(id, { instance, missingSince });
-      if (instance.leaving) this.rememberDeparture(instance);
     }
     this.onChange();
   }
 
-  private rememberDeparture({ id, startedAt }: RegisteredInstance): void {
-    this.departed.delete(id);
-    this.departed.set(id, startedAt);
-    const [oldest] = this.departed.keys();
-    if (this.departed.size > MAX_DEPARTED && oldest !== undefined) this.departed.delete(oldest);
+  private rememberDeparture({ id, startedAt, sequence = 0 }: RegisteredInstance): void {
+    this.departures.delete(id);
+    this.departures.set(id, { startedAt, sequence });
+    const [oldest] = this.departures.keys();
+    if (this.departures.size > MAX_DEPARTED && oldest !== undefined) this.departures.delete(oldest);
   }
 }
--- a/packages/core/test/roster.spec.ts
+++ b/packages/core/test/roster.spec.ts
@@ -1,5 +1,5 @@
 import { expect } from 'earl';
-import { InstanceRoster, type RegisteredInstance } from '../src/index.js';
+import { InstanceRoster, type RegisteredInstance, UNKNOWN_START } from '../src/index.js';
 
 const createInstance = (id: string, leaving = false, startedAt = 1): RegisteredInstance => ({
   ...{ id, group: 'g', zone: 'z', host: 'h', port: 1, slots: 2, connectionLimit: 16 },
@@ -53,6 +53,39 @@
     expect(roster.find('a')?.leaving).toEqual(true);
   });
 
+  // A foreign entry under the name of an instance marked it as leaving for good, whatever it wrote.
+  it('takes an instance into service again that reports later that it serves', () => {
+    const roster = new InstanceRoster(() => undefined);
+    roster.update({ ...createInstance('a', true), sequence: 5 });
+    roster.update({ ...createInstance('a'), sequence: 5 });
+    expect(roster.find('a')?.leaving).toEqual(true);
+    roster.update({ ...createInstance('a'), sequence: 6 });
+    expect(roster.find('a')?.leaving).toEqual(false);
+  });
+
+  // A foreign report number that is too high must not outrank the instance for as long as it runs.
+  it('takes an instance into service again whose entry shows for long that it serves', () => {
+    const roster = new InstanceRoster(() => undefined);
+    roster.update({ ...createInstance('a', true), sequence: Number.MAX_SAFE_INTEGER });
+    roster.update({ ...createInstance('a'), sequence: 6 });
+    roster.handleTick(0, true);
+    roster.handleTick(60_000, true);
+    expect(roster.find('a')?.leaving).toEqual(true);
+    for (let now = 60_000; now < 66_000; now += 50) roster.handleTick(now, true);
+    expect(roster.find('a')?.leaving).toEqual(false);
+  });
+
+  // An entry without a start time passed for a restart, after which the log counted as lost.
+  it('counts an instance as missing whose entry has lost its start time', () => {
+    const roster = new InstanceRoster(() => undefined);
+    roster.handleTick(0, true);
+    roster.update(createInstance('a'));
+    roster.update(createInstance('a', true, UNKNOWN_START));
+    expect(roster.find('a')).toEqual(createInstance('a'));
+    roster.handleTick(2_500, true);
+    expect(listIds(roster)).toEqual([]);
+  });
+
   it('takes an instance that was leaving into service again once it has restarted', () => {
     const roster = new InstanceRoster(() => undefined);
     roster.update(createInstance('a', true));
--- a/packages/emulator/src/oddentry.ts
+++ b/packages/emulator/src/oddentry.ts
@@ -67,9 +67,9 @@
   state: [MISSING, ...NO_CHOICE],
   db_role: [MISSING, ...NO_CHOICE],
   born: [...NO_COUNT, ...toJson('-1', '9007199254740991')],
-  version: NO_TEXT,
-  cold_left_ms: NO_NUMBER,
-  sequence: NO_NUMBER,
+  version: [MISSING, ...NO_TEXT],
+  cold_left_ms: [MISSING, ...NO_NUMBER],
+  sequence: [MISSING, ...NO_COUNT, ...toJson('-1')],
 };
 
 const ODD_HEARTBEAT: OddValues = {
--- a/packages/emulator/src/oddwriter.ts
+++ b/packages/emulator/src/oddwriter.ts
@@ -37,9 +37,28 @@
   return shape;
 }
 
+/** Writes an odd entry under the name of an instance, which replaces it with its next report. */
+function replaceInstanceEntry(
+  store: EmulatedStore,
+  group: string,
+  shape: OddEntryShape,
+  seed: number,
+): void {
+  const entries = store.list(INSTANCES_KIND).filter(({ spec }) => {
+    const { service } = (spec ?? {}) as EntryContent;
+    return service === group;
+  });
+  const entry = entries[seed % Math.max(1, entries.length)];
+  if (!entry) return;
+  const { name } = entry.meta;
+  const content = { ...(entry.spec as EntryContent), state: 'draining' };
+  store.put(INSTANCES_KIND, name, encodeOddEntry(shape, name, content));
+}
+
 /**
- * Writes odd entries as another writer does, under a name of their own: one among the instances,
- * which names a group, and one among the heartbeats of VMs. The same seed gives the same ones.
+ * Writes odd entries as another writer does: one among the instances, which names a group, the same
+ * under the name of an instance of the group, and one among the heartbeats of VMs. The same seed
+ * gives the same ones.
  *
  * @returns removes the entries
  */
@@ -48,6 +67,7 @@
   const hasBadPort = seed % BAD_PORT_INTERVAL === 0;
   const instance = hasBadPort ? BAD_ADDRESS : drawShape(oddInstanceArbitrary, seed);
   const heartbeat = hasBadPort ? BAD_PORT : drawShape(oddHeartbeatArbitrary, seed);
+  replaceInstanceEntry(store, group, instance, seed);
   store.put(INSTANCES_KIND, name, encodeOddEntry(instance, name, createInstance(group)));
   store.put(VMS_KIND, name, encodeOddEntry(heartbeat, name, HEARTBEAT));
   return () => {
--- a/packages/engine/src/members.ts
+++ b/packages/engine/src/members.ts
@@ -119,6 +119,7 @@
     }
     if (!instance.leaving) {
       this.leavingSince.delete(instance.id);
+      this.leftBefore.delete(instance.id);
     } else if (!this.leavingSince.has(instance.id)) {
       this.leavingSince.set(instance.id, clock.readNow());
       if (!known) this.leftBefore.add(instance.id);
