Read lists on past names that can't be read

An entry of nearly 1 MB whose name holds a byte that is no UTF-8 filled a page of the list of instances alone.

Where no name leads on, the listing is partial: what was read is used, absence tells nothing, neither a commit nor the configuration is proved by it, and it is listed again after each watch; the first failure is logged, and the end of the failures with their count.

--- a/packages/engine/src/store.ts
+++ b/packages/engine/src/store.ts
@@ -17,6 +17,8 @@
 /** All objects of a kind at a version of the store, at which a watch can start. */
 export interface StoreListing extends StoreVersion {
   readonly objects: readonly StoredObject[];
+  /** True when there may be further objects, which can't be read; absence tells nothing then. */
+  readonly isPartial?: boolean;
 }
 
 /** A change of one object. */
--- a/packages/engine/src/watcher.ts
+++ b/packages/engine/src/watcher.ts
@@ -1,7 +1,7 @@
 import { Backoff, type Clock, type Millis, type StoreVersion } from '@shallotpick/core';
 import { HistoryGoneError } from './errors.js';
 import type { Log } from './log.js';
-import type { ObjectStore, StoredObject } from './store.js';
+import type { ObjectStore, StoredObject, StoreListing } from './store.js';
 import { wait } from './timing.js';
 
 /** Pause between watches, so that a burst of changes is returned by one call. */
@@ -25,13 +25,13 @@
   readonly isNeeded?: () => boolean;
   /** Number of VMs that watch the kind. */
   readonly countWatchers?: () => number;
-  /** Receives all objects after each listing. */
-  readonly onListing: (objects: readonly StoredObject[], era: number) => void;
+  /** Receives the objects of each listing; absence tells nothing when it `isPartial`. */
+  readonly onListing: (objects: readonly StoredObject[], era: number, isPartial: boolean) => void;
   /** Receives one change; for a deletion, `object.spec` is the last content. */
   readonly onChange: (object: StoredObject, isDeleted: boolean, era: number) => void;
   /**
    * Called when all changes up to an answer have been passed on; `askedAt` is when its request was
-   * sent, so that none from before then is missing.
+   * sent, so that none from before then is missing. Not called after a partial listing.
    */
   readonly onAnswer?: (askedAt: Millis) => void;
 }
@@ -43,6 +43,9 @@
   /** Version from which the next watch starts; undefined when the objects must be listed. */
   private position: StoreVersion | undefined;
 
+  /** Listings in a row that were partial. */
+  private partialListings = 0;
+
   private isUnreachable = false;
 
   private answeredAt: Millis | undefined;
@@ -84,7 +87,7 @@
         if (this.position === undefined) await this.list();
         else await this.watch(this.position);
         this.handleAnswer();
-        this.options.onAnswer?.(askedAt);
+        if (this.partialListings === 0) this.options.onAnswer?.(askedAt);
       } catch (error) {
         await this.handleFailure(error);
       }
@@ -103,16 +106,30 @@
 
   private async list(): Promise<void> {
     const { store, kind, onListing } = this.options;
-    const { objects, revision, era } = await store.list(kind);
-    onListing(objects, era);
+    const listing = await store.list(kind);
+    const { objects, revision, era, isPartial = false } = listing;
+    this.reportPartial(listing);
+    onListing(objects, era, isPartial);
     this.position = { era, revision };
   }
 
+  /** Logs the first of several partial listings, and the first whole one after them. */
+  private reportPartial({ objects, isPartial = false }: StoreListing): void {
+    const { log, kind } = this.options;
+    const failures = this.partialListings;
+    this.partialListings = isPartial ? failures + 1 : 0;
+    if (isPartial && failures === 0) {
+      log.warn('list can not be read to its end', { kind, objects: objects.length });
+    }
+    if (!isPartial && failures > 0) log.info('list read to its end again', { kind, failures });
+  }
+
   private async watch(from: StoreVersion): Promise<void> {
     const { store, kind, watchMs, onChange } = this.options;
     const { changes, revision: next, era } = await store.watch(kind, from, watchMs);
     changes.forEach(({ object, isDeleted }) => onChange(object, isDeleted, era));
-    this.position = { era, revision: next };
+    // What a partial listing lacks may be readable by now.
+    this.position = this.partialListings > 0 ? undefined : { era, revision: next };
     if (changes.length > 0) await wait(this.computePause());
   }
 
--- a/packages/engine/src/wiring.ts
+++ b/packages/engine/src/wiring.ts
@@ -7,6 +7,7 @@
 import { Fleet } from './fleet.js';
 import { ObjectWatcher, type ObjectWatcherOptions } from './watcher.js';
 import { EraAwareStore } from './era.js';
+import { StoreError } from './errors.js';
 import { GroupDirectory } from './directory.js';
 import type { CreateForwarding } from './forwarding.js';
 import { GroupService } from './group.js';
@@ -163,8 +164,9 @@
     leaseMs: revocationMs === undefined ? undefined : revocationMs - REVOCATION_MARGIN_MS,
     findRank: () => placement.findReaderRank(zone),
     readConfiguration: async () => {
-      const { objects } = await store.list(parts.configurationKind);
+      const { objects, isPartial } = await store.list(parts.configurationKind);
       objects.forEach(handleConfiguration);
+      if (isPartial) throw new StoreError('the list of configurations is partial');
     },
   });
   holder.verifier = verifier;
@@ -178,13 +180,19 @@
     (askedAt) => verifier.handleAnswer(askedAt),
     shared.ageClock,
   );
-  const handleInstances = (objects: readonly StoredObject[]): void => {
+  const handleInstances = (
+    objects: readonly StoredObject[],
+    _: number,
+    isPartial: boolean,
+  ): void => {
     const decoded = objects.flatMap((object) => parts.decodeInstance(object) ?? []);
-    holder.proxy?.roster.updateAll(decoded, clock.readNow());
+    const roster = holder.proxy?.roster;
+    if (isPartial) decoded.forEach((instance) => roster?.update(instance));
+    else roster?.updateAll(decoded, clock.readNow());
   };
   const refreshInstances = async (): Promise<void> => {
-    const { objects } = await store.list(parts.instancesKind);
-    handleInstances(objects);
+    const { objects, era, isPartial = false } = await store.list(parts.instancesKind);
+    handleInstances(objects, era, isPartial);
     holder.proxy?.applyRoster();
   };
   const watchMs = (drainMs + parts.stableWindowMs) * WATCH_FRACTION;
@@ -203,8 +211,9 @@
   const promotions = createWatcher(
     PROMOTIONS_KIND,
     PROMOTIONS_WATCH_MS,
-    (objects, era) => {
+    (objects, era, isPartial) => {
       objects.forEach((object) => handlePromotion(object, era));
+      if (isPartial) return;
       const names = new Set(objects.map(({ name }) => name));
       const lost = holder.groups?.listLocal().filter(({ name }) => !names.has(name)) ?? [];
       lost.forEach(({ takeover }) => takeover.handleRecordObject(undefined, era));
