Replace the order for a candidate that refuses connections

Once a newer term is known the candidate has led, and the next takeover asks all logs anew.

"names an equal log as soon as the candidate refuses connections" failed before the change, "names no equal log once the candidate has led" without its last part.

--- a/packages/core/src/promotiongate.ts
+++ b/packages/core/src/promotiongate.ts
@@ -14,6 +14,12 @@
   'inFlight',
 ]);
 
+/**
+ * A candidate that refuses connections for this long is down: the first failure may be that of an
+ * old connection, and new ones have been tried since.
+ */
+const REFUSING_CANDIDATE_MS: Millis = 60;
+
 /** Permission to order a promotion; only a `PromotionGate` creates one. */
 class Grant {
   /** Keeps other objects from being taken for a grant. */
@@ -26,6 +32,8 @@
     readonly received: LogPosition | undefined,
     /** Later starts under the candidate's incarnation that reports had shown by then. */
     readonly unlistedStarts: number,
+    /** Newest term that was known by then. */
+    readonly term: number,
   ) {}
 }
 
@@ -50,6 +58,9 @@
 export class PromotionGate {
   private confirmation: Confirmation | undefined;
 
+  /** Grants whose candidates were seen to be down after the order, and have lost their logs. */
+  private readonly lost = new WeakSet<Grant>();
+
   constructor(protected readonly selector: SuccessorSelector) {}
 
   /** Notes that an instance is asked for its state. */
@@ -130,7 +141,32 @@
     const { id } = grant.candidate;
     if (!leader || leader.id === id) return undefined;
     if (!this.selector.hasOtherReport(id)) return undefined;
-    return { kind: 'granted', grant: new Grant(leader, 'formerLeader', undefined, 0) };
+    return {
+      kind: 'granted',
+      grant: new Grant(leader, 'formerLeader', undefined, 0, this.selector.newestTerm),
+    };
+  }
+
+  /**
+   * Notes the candidates of orders in flight that refuse connections since the order: the process has
+   * ended, and a later start of it will know nothing. Waiting for that start would be too late, since
+   * it may be back just before it leads.
+   */
+  updateInFlight(
+    orders: readonly InFlightOrder[],
+    instances: readonly InstanceView[],
+    now: Millis,
+  ): void {
+    orders.forEach(({ grant, sentAt }) => {
+      // One that leads is the concern of the next takeover, which needs new reports.
+      const hasLed = grant.ground === 'leads' || this.selector.newestTerm > grant.term;
+      if (hasLed || this.lost.has(grant)) return;
+      const view = instances.find((one) => isSameIncarnation(one, grant.candidate));
+      if (view?.health !== 'refusing' || view.since < sentAt) return;
+      if (now - view.since < REFUSING_CANDIDATE_MS) return;
+      this.lost.add(grant);
+      this.selector.removeReport(view.id);
+    });
   }
 
   /**
@@ -138,8 +174,9 @@
    * received more since its report is no reason to name another one: no VM hands on what it
    * acknowledged since (`CommitGate`), and an accepted order may take effect beside a later one.
    */
-  isValid({ candidate, received, unlistedStarts }: Grant): boolean {
-    return this.selector.isIntact(candidate, received, unlistedStarts);
+  isValid(grant: Grant): boolean {
+    const { candidate, received, unlistedStarts } = grant;
+    return !this.lost.has(grant) && this.selector.isIntact(candidate, received, unlistedStarts);
   }
 
   /** True once the instance has answered again after all that a choice among them needs. */
@@ -165,6 +202,6 @@
   protected createGrant(candidate: InstanceView, ground: PromotionGround): Grant {
     const received = this.selector.findReport(candidate.id)?.received;
     const unlistedStarts = this.selector.countUnlistedStarts(candidate);
-    return new Grant(candidate, ground, received, unlistedStarts);
+    return new Grant(candidate, ground, received, unlistedStarts, this.selector.newestTerm);
   }
 }
--- a/packages/core/src/takeover.ts
+++ b/packages/core/src/takeover.ts
@@ -194,6 +194,7 @@
     this.selector.updateInstances(views, now);
     const instances = this.selector.listEligible(views);
     this.completeness.updateInstances(instances, now);
+    this.gate.updateInFlight(this.promotions.listInFlight(now), instances, now);
     const { step } = this;
     if (!this.view.isKnown()) return this.awaitRecord('read', instances, now);
     switch (step.kind) {
--- a/packages/core/test/promotiongate.spec.ts
+++ b/packages/core/test/promotiongate.spec.ts
@@ -37,7 +37,7 @@
   driver: Driver,
   views: readonly InstanceView[],
   ticks: number,
-): readonly string[] => {
+): string[] => {
   const all: TakeoverAction[] = [];
   for (let i = 0; i < ticks; i++) all.push(...driver.tick(views));
   return listKinds(all).filter((one) => one.startsWith('promote'));
@@ -76,6 +76,55 @@
     expect(collectPromotions(driver, dark, 8)).toEqual([]);
   });
 
+  // A candidate that was down after its order came back without its log just before it led, although
+  // another replica held as much.
+  it('names an equal log as soon as the candidate refuses connections', () => {
+    const driver = createPromoting();
+    const down = createView('a', { health: 'refusing', leads: false, since: driver.now + 50 });
+    const views = [LOST_LEADER, down, B];
+    expect(collectPromotions(driver, views, 2)).toEqual([]);
+    // The answer to the order to stop that is repeated.
+    driver.report('b');
+    expect(collectPromotions(driver, views, 4)).toEqual(['promote b']);
+    expect(driver.record.failedCandidate?.id).toEqual('a');
+  });
+
+  // Guards against two changes of the leader because one connection broke.
+  it('keeps its order when a connection to the candidate fails once', () => {
+    const driver = createPromoting();
+    const failed = createView('a', { health: 'refusing', leads: false, since: driver.now + 50 });
+    driver.tick([LOST_LEADER, failed, B], 100);
+    const back = createView('a', { since: driver.now + 50 });
+    expect(collectPromotions(driver, [LOST_LEADER, back, B], 4)).toEqual([]);
+  });
+
+  // The others had stopped before the order, not after its candidate has led: a replica that lacks
+  // what it acknowledged would pass for an equal log.
+  it('names no equal log once the candidate has led', () => {
+    const driver = createPromoting();
+    const position = { term: 2, offset: 12 };
+    const leading = createView('a', { leads: true, position });
+    driver.tick([LOST_LEADER, leading, B]);
+    const changes = { health: 'refusing', leads: false, since: driver.now + 50, position } as const;
+    const views = [LOST_LEADER, createView('a', changes), B];
+    const orders = collectPromotions(driver, views, 2);
+    driver.report('b');
+    orders.push(...collectPromotions(driver, views, 4));
+    expect(orders.includes('promote b')).toEqual(false);
+  });
+
+  // Guards against a second order where no log is known to hold as much as that of the candidate.
+  it('names no other log that is behind that of a candidate that refuses connections', () => {
+    const driver = new Driver();
+    driver.tickUntil('pause', LOST);
+    driver.report('a', { offset: 12 });
+    driver.report('b');
+    expect(listKinds([driver.tickUntil('promote', LOST)])).toEqual(['promote a']);
+    const down = createView('a', { health: 'refusing', leads: false, since: driver.now + 50 });
+    const orders = collectPromotions(driver, [LOST_LEADER, down, B], 20);
+    expect(orders.includes('promote b')).toEqual(false);
+  });
+
   // Another VM's late order made a replica lead that had reported as stopped, and its report and
   // those of the others still counted: a log that lacked what it acknowledged was promoted.
   it('counts no report from before a newer term', () => {
