--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,5 +1,10 @@
 export { Clock, ManualClock } from './clock.js';
 export type { Millis } from './clock.js';
+export { ByteCollector } from './bytecollector.js';
+export { computeClientLimits } from './clientlimits.js';
+export type { ClientLimitOverrides, ClientLimits } from './clientlimits.js';
+export { MemoryBudget } from './memorybudget.js';
+export type { MemoryAccount } from './memorybudget.js';
 export { ConfigurationLease } from './configurationlease.js';
 export type { ConfigurationProof } from './configurationlease.js';
 export { classifyPower, computePower } from './vmpower.js';
--- a/packages/core/src/vmpower.ts
+++ b/packages/core/src/vmpower.ts
@@ -8,6 +8,8 @@
   /** Cores, also as a fraction of one. */
   readonly cores: number;
   readonly memoryMb: number;
+  /** File descriptors of the process, sockets included. */
+  readonly descriptors?: number | undefined;
 }
 
 /** Computes how much work a VM can do, in cores; one with little memory counts as smaller. */
--- a/packages/forwarding/src/frame.ts
+++ b/packages/forwarding/src/frame.ts
@@ -1,27 +1,50 @@
+import { ByteCollector } from '@shallotpick/core';
 import { LinkProtocolError } from './errors.js';
 
 const LENGTH_BYTES = 4;
 /** Larger than the largest message of a caller or an instance, which is 1 MiB, once quoted. */
 export const MAX_FRAME_BYTES = 8 * 1024 * 1024;
 
-/** Encodes a message: its length in 4 bytes, big-endian, then its JSON text in UTF-8. */
+/**
+ * Encodes a message: its length in 4 bytes, big-endian, then its JSON text in UTF-8.
+ *
+ * @throws LinkProtocolError when the message is larger than a reader accepts.
+ */
 export function encodeFrame(message: unknown): Buffer {
   const body = Buffer.from(JSON.stringify(message));
+  if (body.length > MAX_FRAME_BYTES) {
+    throw new LinkProtocolError(`a message of ${body.length} bytes is too large`);
+  }
   const frame = Buffer.allocUnsafe(LENGTH_BYTES + body.length);
   frame.writeUInt32BE(body.length);
   body.copy(frame, LENGTH_BYTES);
   return frame;
 }
 
-/** Splits the bytes of a link into frames and parses their JSON. */
+/** Splits the bytes of a link into frames and parses their JSON; its work is linear in them. */
 export class FrameReader {
-  private chunks: Buffer[] = [];
+  private readonly bytes = new ByteCollector();
+
+  /** Length of the message that was read last. */
+  lastLength = 0;
 
-  private length = 0;
+  /** Bytes that were copied so far; a measure of the work. */
+  get copiedBytes(): number {
+    return this.bytes.copiedBytes;
+  }
+
+  /** True when a frame has begun that is not complete. */
+  isInFrame(): boolean {
+    return this.bytes.length > 0;
+  }
+
+  /** Returns the bytes of memory that an incomplete frame holds. */
+  countHeld(): number {
+    return this.bytes.countHeld();
+  }
 
   add(chunk: Buffer): void {
-    this.chunks.push(chunk);
-    this.length += chunk.length;
+    this.bytes.add(chunk);
   }
 
   /**
@@ -30,28 +53,32 @@
    * @throws LinkProtocolError when the frame is too large or holds no JSON.
    */
   read(): unknown {
-    if (this.length < LENGTH_BYTES) return undefined;
-    const bytes = this.merge();
-    const size = bytes.readUInt32BE();
+    const { bytes } = this;
+    if (bytes.length < LENGTH_BYTES) return this.waitForMore();
+    const size = this.showBuffer(LENGTH_BYTES).readUInt32BE();
     if (size > MAX_FRAME_BYTES) {
       throw new LinkProtocolError(`a frame of ${size} bytes is too large`);
     }
     const end = LENGTH_BYTES + size;
-    if (bytes.length < end) return undefined;
-    this.chunks = [bytes.subarray(end)];
-    this.length = bytes.length - end;
+    if (bytes.length < end) return this.waitForMore();
+    const text = this.showBuffer(end).toString('utf8', LENGTH_BYTES);
+    bytes.drop(end);
+    this.lastLength = size;
     try {
-      return JSON.parse(bytes.toString('utf8', LENGTH_BYTES, end)) as unknown;
+      return JSON.parse(text) as unknown;
     } catch (cause) {
       throw new LinkProtocolError('a frame holds no JSON', { cause });
     }
   }
 
-  private merge(): Buffer {
-    const [first] = this.chunks;
-    if (this.chunks.length === 1 && first) return first;
-    const merged = Buffer.concat(this.chunks);
-    this.chunks = [merged];
-    return merged;
+  private showBuffer(count: number): Buffer {
+    const { buffer, byteOffset } = this.bytes.show(count);
+    return Buffer.from(buffer, byteOffset, count);
+  }
+
+  /** Keeps only the beginning of the next frame. */
+  private waitForMore(): undefined {
+    this.bytes.compact();
+    return undefined;
   }
 }
--- a/packages/forwarding/test/message.spec.ts
+++ b/packages/forwarding/test/message.spec.ts
@@ -11,6 +11,10 @@
 } from '../src/index.js';
 
 const SEED = 24;
+const MIB = 1024 * 1024;
+const PIECE_BYTES = 100;
+/** Growing by doubling copies each byte at most about three times. */
+const MAX_COPIES = 4;
 const DEEP_LEVELS = 200_000;
 
 /** Runs `decode` and returns its result; any error but LinkProtocolError is rethrown. */
@@ -53,6 +57,18 @@
   });
 
   // One malformed frame must end its link with a known error and not the process.
+  // All chunks were merged again with each one, which took a time of the length squared.
+  it('are read with work in proportion to their length, in small pieces', () => {
+    const reader = new FrameReader();
+    const frame = encodeFrame('x'.repeat(MIB));
+    for (let start = 0; start < frame.length; start += PIECE_BYTES) {
+      expect(reader.read()).toEqual(undefined);
+      reader.add(Buffer.from(frame.subarray(start, start + PIECE_BYTES)));
+    }
+    expect(reader.read()).toEqual('x'.repeat(MIB));
+    expect(reader.copiedBytes).toBeLessThanOrEqual(MAX_COPIES * frame.length);
+  });
+
   it('refuse malformed bytes with a protocol error only', () => {
     const property = fc.property(fc.uint8Array({ maxLength: 200 }), (bytes) => {
       const reader = new FrameReader();
