Bound what callers and links make a process hold

One budget of bytes for all connections, a fifth of the VM's memory or a quarter of the heap, counts partial and queued messages, values of sessions and answers that are not taken. Above half of it a connection with a request in progress is not read; large requests beyond three quarters are refused without running; above it the connection that holds most is closed, a link only when no caller holds much. An answer that is not taken stops the reading of its connection. A first message, the end of a message, the taking of an answer and the close after a refusal have time limits, counted in ticks so that a stop of the process is not held against clients. Connections beyond what the descriptors leave after a reserve are closed at once. The values and prepared statements of a session are at most 2 MiB.

Links between VMs have the same bounds: time for the hello and for the end of a frame, bytes that wait for a peer, work of large requests at a home.

--- a/packages/engine/src/context.ts
+++ b/packages/engine/src/context.ts
@@ -27,6 +27,13 @@
   readonly quota: OperationQuota;
 }
 
+/** Bytes of the values and prepared statements of a session, which each connection needs. */
+const MAX_STATE_BYTES = 2 * 1024 * 1024;
+
+function countBytes(name: string, content: string | undefined): number {
+  return content === undefined ? 0 : name.length + content.length;
+}
+
 /** State of a session that its statements and transactions share. */
 export class SessionContext {
   readonly variables = new Map<string, string>();
@@ -38,8 +45,44 @@
 
   isClosed = false;
 
+  private stateBytes = 0;
+
   constructor(readonly options: SessionOptions) {}
 
+  /** Returns the bytes of the session's values and prepared statements. */
+  countStateBytes(): number {
+    return this.stateBytes;
+  }
+
+  /** Sets a value; false, without a change, when the session would hold too much. */
+  setVariable(name: string, value: string): boolean {
+    const former = this.variables.get(name);
+    if (!this.replaceBytes(name, former, value)) return false;
+    this.variables.set(name, value);
+    return true;
+  }
+
+  /** Adds a prepared statement; false, without a change, when the session would hold too much. */
+  addStatement(name: string, statement: PreparedStatement): boolean {
+    const former = this.statements.get(name)?.shape;
+    if (!this.replaceBytes(name, former, statement.shape)) return false;
+    this.statements.set(name, statement);
+    return true;
+  }
+
+  /** Removes a prepared statement; false when there is none of this name. */
+  removeStatement(name: string): boolean {
+    this.stateBytes -= countBytes(name, this.statements.get(name)?.shape);
+    return this.statements.delete(name);
+  }
+
+  private replaceBytes(name: string, former: string | undefined, next: string): boolean {
+    const bytes = this.stateBytes - countBytes(name, former) + countBytes(name, next);
+    if (bytes > MAX_STATE_BYTES) return false;
+    this.stateBytes = bytes;
+    return true;
+  }
+
   readNow(): Millis {
     return this.options.clock.readNow();
   }
--- a/packages/engine/src/index.ts
+++ b/packages/engine/src/index.ts
@@ -1,5 +1,7 @@
 export { GroupAccess } from './access.js';
 export { isUsableHost, isUsablePort } from './address.js';
+export { ClientGuard, ClientWatch } from './clientguard.js';
+export type { ClientGuardOptions, ClientWait, CutReason } from './clientguard.js';
 export { SuspendAwareClock, SystemClock } from './clock.js';
 export { ConfigurationHolder } from './configuration.js';
 export type { DatabaseRoute, GroupSettings, ServiceConfiguration } from './configuration.js';
--- a/packages/engine/src/session.ts
+++ b/packages/engine/src/session.ts
@@ -54,6 +54,18 @@
     if (kind === 'refused') transaction.abort('the key is no longer in force');
   }
 
+  /** Returns the bytes of the session's values and prepared statements. */
+  countStateBytes(): number {
+    return this.context.countStateBytes();
+  }
+
+  /** Refuses a request without reading it, and gives up the open transaction. */
+  refuseRequest(reason: string): Reply {
+    this.transaction?.abort(reason);
+    this.transaction = undefined;
+    return this.refuse({ verdict: 'overloaded', reason });
+  }
+
   /** Aborts the open transaction; its next statement fails with the reason. */
   abort(reason: string): void {
     this.transaction?.abort(reason);
@@ -76,16 +88,15 @@
     }
     return match(statement)
       .with({ kind: 'set' }, ({ name, value }) => {
-        context.variables.set(name, value);
-        return this.confirm();
+        return context.setVariable(name, value) ? this.confirm() : this.refuseState();
       })
       .with({ kind: 'prepare' }, ({ name, access, shape }) => {
-        context.statements.set(name, { access, shape });
-        return this.confirm();
+        const isAdded = context.addStatement(name, { access, shape });
+        return isAdded ? this.confirm() : this.refuseState();
       })
       .with({ kind: 'deallocate' }, ({ name }) => {
         const reason = `no prepared statement "${name}"`;
-        if (context.statements.delete(name)) return this.confirm();
+        if (context.removeStatement(name)) return this.confirm();
         return this.refuse({ verdict: 'unknownStatement', reason });
       })
       .with({ kind: 'begin' }, ({ isReadOnly }) => this.begin(isReadOnly))
@@ -160,6 +171,11 @@
     return this.refuse(failure);
   }
 
+  /** Refuses a value or prepared statement of a session that holds enough. */
+  private refuseState(): Reply {
+    return this.refuse({ verdict: 'overloaded', reason: 'the session holds too many values' });
+  }
+
   private refuseUnknown(): Reply {
     const { database } = this.context.options;
     return this.refuse({ verdict: 'unknownDatabase', reason: `no route for "${database}"` });
--- a/packages/engine/test/fake.ts
+++ b/packages/engine/test/fake.ts
@@ -29,6 +29,9 @@
   /** Replicas that receive each commit at once. */
   replicas: readonly FakeInstance[] = [];
 
+  /** Rows of a read; by default one that names the instance. */
+  rows: readonly string[] | undefined;
+
   /** Received commands as `id kind text`, without the proxy's own BEGIN, ROLLBACK and STATUS. */
   readonly received: string[] = [];
 
@@ -104,7 +107,7 @@
   private createRows(kind: Command['operation']['kind']): readonly string[] {
     const { id, isLeader, heldTerm } = this.target;
     if (kind === 'status') return [isLeader ? 'primary' : 'replica', String(heldTerm)];
-    return kind === 'read' ? [`row of ${id}`] : [];
+    return kind === 'read' ? (this.target.rows ?? [`row of ${id}`]) : [];
   }
 
   private findVerdict({ operation, after }: Command): Verdict | undefined {
--- a/packages/forwarding/src/forwarder.ts
+++ b/packages/forwarding/src/forwarder.ts
@@ -1,6 +1,7 @@
 import { createServer, type Server } from 'node:net';
 import { type Millis, rankVms } from '@shallotpick/core';
 import {
+  type ClientGuard,
   createCounter,
   Forwarding,
   type ForwardingHost,
@@ -75,6 +76,7 @@
   constructor(
     private readonly host: ForwardingHost,
     private readonly address: LinkAddress,
+    private readonly guard: ClientGuard,
   ) {
     super();
     const { registry } = host.metrics;
@@ -88,8 +90,10 @@
       ['peer'],
     );
     this.server = createServer((socket) => {
-      this.entries.add(new EntryLink(host, socket, this));
+      this.entries.add(new EntryLink(host, socket, guard, this));
     });
+    this.server.maxConnections = guard.limits.maxLinks;
+    this.server.on('drop', () => guard.report('connections'));
   }
 
   /** A VM has one link to a home: an earlier one leads to a process that is gone. */
@@ -230,9 +234,10 @@
   }
 
   private openLink(home: VmAddress): HomeLink {
-    const { vm, clock, ageClock, log, handleProof: onProof } = this.host;
+    const { guard, host } = this;
+    const { vm, clock, ageClock, log, handleProof: onProof } = host;
     return new HomeLink({
-      ...{ vm, home, clock, ageClock, log, onProof },
+      ...{ vm, home, clock, ageClock, log, guard, onProof },
       onDeadPeer: () => this.deadPeers.inc({ peer: 'home' }),
       onClose: () => {
         this.links.delete(home.id);
--- a/packages/forwarding/src/home.ts
+++ b/packages/forwarding/src/home.ts
@@ -1,6 +1,7 @@
 import type { Socket } from 'node:net';
 import { DEFAULT_CONTRACT, type Millis } from '@shallotpick/core';
 import {
+  type ClientGuard,
   findAccess,
   type ForwardingHost,
   type GroupService,
@@ -10,6 +11,7 @@
   type Reply,
   runObserved,
   type SessionState,
+  type TransactionState,
   type WorkRequest,
   WriteTracker,
 } from '@shallotpick/engine';
@@ -50,6 +52,30 @@
 
 const EMPTY_SESSION: ForwardedSession = { variables: [] };
 
+/** The reply to an operation that was not run for lack of memory. */
+function createRefusal(state: TransactionState): Reply {
+  const failure = {
+    verdict: 'overloaded',
+    reason: 'too many large requests at this home',
+  } as const;
+  return { rows: [], digest: undefined, failure, state, position: undefined };
+}
+
+function createReplyMessage(
+  lease: number,
+  { rows, digest, failure, state, position }: Reply,
+): HomeMessage {
+  return {
+    ...{ type: 'reply', lease },
+    reply: {
+      ...{ rows: [...rows], state },
+      ...(digest === undefined ? {} : { digest }),
+      ...(failure ? { failure } : {}),
+      ...(position ? { position } : {}),
+    },
+  };
+}
+
 function toSessionState({ variables, prepared }: ForwardedSession): SessionState {
   const statements = prepared ? [[prepared.name, prepared] as const] : [];
   return { variables: new Map(variables), statements: new Map(statements) };
@@ -102,11 +128,13 @@
   constructor(
     private readonly host: ForwardingHost,
     private readonly rawSocket: Socket,
+    private readonly guard: ClientGuard,
     private readonly observer: EntryLinkObserver,
   ) {
     this.openedAt = host.clock.readNow();
     this.silence = new SilenceMeter(this.openedAt);
-    this.socket = new MessageSocket(rawSocket, this);
+    this.socket = new MessageSocket(rawSocket, this, guard);
+    this.socket.expectMessage();
   }
 
   /** True when the peer has given this name. */
@@ -159,7 +187,7 @@
     this.socket.close(reason);
   }
 
-  handleMessage(message: unknown): void {
+  handleMessage(message: unknown, bytes: number): void {
     const decoded = decodeEntryMessage(message);
     if (decoded.type !== 'hello' && !this.verified) {
       throw new LinkProtocolError('the first message is no hello');
@@ -167,7 +195,7 @@
     match(decoded)
       .with({ type: 'hello' }, ({ version, vm }) => this.handleHello(version, vm))
       .with({ type: 'admit' }, (admit) => this.handleAdmit(admit))
-      .with({ type: 'run' }, (run) => this.handleRun(run))
+      .with({ type: 'run' }, (run) => this.handleRun(run, bytes))
       .with({ type: 'busy' }, ({ lease, isBusy }) =>
         this.held.get(lease)?.lease?.updateBusy(isBusy),
       )
@@ -262,16 +290,26 @@
     }
   }
 
-  private handleRun(message: RunMessage): void {
-    const held = this.held.get(message.lease);
+  private handleRun(message: RunMessage, bytes: number): void {
+    const { lease: id } = message;
+    const held = this.held.get(id);
     if (!held?.lease) {
-      this.send({ type: 'broken', lease: message.lease, reason: 'the lease has ended' });
+      this.send({ type: 'broken', lease: id, reason: 'the lease has ended' });
       return;
     }
-    this.run(message, held, held.lease).catch((error: unknown) => {
-      this.end(message.lease, true);
-      this.send({ type: 'broken', lease: message.lease, reason: String(error) });
-    });
+    const { memory } = this.socket.watch;
+    if (!memory.startMessage(bytes)) {
+      this.guard.report('large request');
+      const { state } = held.lease.connection;
+      this.sendReply(id, createRefusal(state));
+      return;
+    }
+    this.run(message, held, held.lease)
+      .catch((error: unknown) => {
+        this.end(id, true);
+        this.send({ type: 'broken', lease: id, reason: String(error) });
+      })
+      .finally(() => memory.finishMessage(bytes));
   }
 
   private async run(
@@ -307,16 +345,14 @@
     this.sendReply(id, reply);
   }
 
-  private sendReply(lease: number, { rows, digest, failure, state, position }: Reply): void {
-    this.send({
-      ...{ type: 'reply', lease },
-      reply: {
-        ...{ rows: [...rows], state },
-        ...(digest === undefined ? {} : { digest }),
-        ...(failure ? { failure } : {}),
-        ...(position ? { position } : {}),
-      },
-    });
+  /** Sends a reply; one that is too large for a link ends its lease, and no other. */
+  private sendReply(lease: number, reply: Reply): void {
+    try {
+      this.send(createReplyMessage(lease, reply));
+    } catch (error) {
+      this.end(lease, true);
+      this.send({ type: 'broken', lease, reason: String(error) });
+    }
   }
 
   private end(id: number, isClosed: boolean): void {
--- a/packages/forwarding/src/link.ts
+++ b/packages/forwarding/src/link.ts
@@ -1,6 +1,13 @@
 import { connect, type Socket } from 'node:net';
 import type { Clock, ConfigurationProof, Millis } from '@shallotpick/core';
-import type { HomeStatus, Lease, Log, VmAddress, WorkRequest } from '@shallotpick/engine';
+import type {
+  ClientGuard,
+  HomeStatus,
+  Lease,
+  Log,
+  VmAddress,
+  WorkRequest,
+} from '@shallotpick/engine';
 import { match } from 'ts-pattern';
 import { LinkAddressError } from './errors.js';
 import {
@@ -42,6 +49,7 @@
   /** Clock that includes suspensions of the VM. */
   readonly ageClock: Clock;
   readonly log: Log;
+  readonly guard: ClientGuard;
   /** Receives what the home proves of the configuration. */
   readonly onProof: (proof: ConfigurationProof) => void;
   readonly onDeadPeer: () => void;
@@ -114,7 +122,7 @@
     this.openedAt = clock.readNow();
     this.usedAt = this.openedAt;
     this.silence = new SilenceMeter(this.openedAt);
-    this.socket = new MessageSocket(socket, this);
+    this.socket = new MessageSocket(socket, this, options.guard);
     this.send({ type: 'hello', version: LINK_VERSION, vm });
     this.ping(this.openedAt);
   }
@@ -122,7 +130,7 @@
   /** True when the home is expected to admit work. */
   isUsable(now: Millis): boolean {
     const isServing = !this.status?.isIsolated && !this.status?.isDraining;
-    return !this.isClosed && isServing && !this.isSilent(now);
+    return !this.isClosed && isServing && !this.isSilent(now) && !this.socket.isCongested();
   }
 
   /** True while the home's first status is expected. */
@@ -151,27 +159,32 @@
     if (organisation !== undefined && !this.supports('organisations')) {
       return { kind: 'refused', reason: 'the home knows no organisations', mayTryOther: true };
     }
+    const message: EntryMessage = {
+      ...{ type: 'admit', lease, group },
+      request: {
+        ...{ requestId, kind, caller, priority, database },
+        ...(organisation === undefined ? {} : { organisation }),
+        objectiveMs: objective - now,
+        maxAgeMs: contract.maxAgeMs,
+        remainingMs: deadline - now,
+        excluded: [...excluded],
+        ...(lastCommit
+          ? {
+              lastCommit: {
+                position: lastCommit.position,
+                ageMs: now - lastCommit.acknowledgedAt,
+              },
+            }
+          : {}),
+      },
+    };
     return new Promise((resolve) => {
       this.admissions.set(lease, { resolve, deadline });
-      this.send({
-        ...{ type: 'admit', lease, group },
-        request: {
-          ...{ requestId, kind, caller, priority, database },
-          ...(organisation === undefined ? {} : { organisation }),
-          objectiveMs: objective - now,
-          maxAgeMs: contract.maxAgeMs,
-          remainingMs: deadline - now,
-          excluded: [...excluded],
-          ...(lastCommit
-            ? {
-                lastCommit: {
-                  position: lastCommit.position,
-                  ageMs: now - lastCommit.acknowledgedAt,
-                },
-              }
-            : {}),
-        },
-      });
+      try {
+        this.send(message);
+      } catch (error) {
+        this.settle(lease, { kind: 'refused', reason: String(error), mayTryOther: false });
+      }
     });
   }
 
--- a/packages/forwarding/src/remote.ts
+++ b/packages/forwarding/src/remote.ts
@@ -69,13 +69,20 @@
     const { session } = this;
     this.session = undefined;
     return new Promise((resolve, reject) => {
-      this.pending.push({ resolve, reject });
-      this.send({
-        ...{ type: 'run', lease: this.lease, operation },
-        ...(id === undefined ? {} : { id }),
-        ...(after ? { after } : {}),
-        ...(session ? { session } : {}),
-      });
+      try {
+        this.send({
+          ...{ type: 'run', lease: this.lease, operation },
+          ...(id === undefined ? {} : { id }),
+          ...(after ? { after } : {}),
+          ...(session ? { session } : {}),
+        });
+      } catch (cause) {
+        reject(new ConnectionError('the operation is too large for a link', { cause }));
+        return;
+      }
+      // Sending may have closed the link.
+      if (this.isOpen) this.pending.push({ resolve, reject });
+      else reject(new ConnectionError('the link is closed'));
     });
   }
 
--- a/packages/forwarding/test/fleet.ts
+++ b/packages/forwarding/test/fleet.ts
@@ -1,6 +1,7 @@
 import { createServer } from 'node:net';
-import type { RegisteredInstance } from '@shallotpick/core';
+import { computeClientLimits, type RegisteredInstance } from '@shallotpick/core';
 import {
+  ClientGuard,
   createEngineLog,
   createProxy,
   type ForwardingHost,
@@ -24,6 +25,7 @@
 /* eslint-enable import-x/no-relative-packages */
 import { LinkForwarding } from '../src/index.js';
 
+const HEAP_BYTES = 256 * 1024 * 1024;
 /** Fewer connections than VMs, so that only some VMs are homes. */
 const CONNECTION_LIMIT = 6;
 const CONFIGURATION = createConfiguration(CONNECTION_LIMIT, {
@@ -67,6 +69,10 @@
   return address && typeof address === 'object' ? address.port : 0;
 }
 
+function createGuard({ log, metrics }: ForwardingHost): ClientGuard {
+  return new ClientGuard({ limits: computeClientLimits(undefined, HEAP_BYTES), log, metrics });
+}
+
 async function startVm(
   index: number,
   store: FakeStore,
@@ -83,7 +89,7 @@
     ...{ vm: id, zone: 'z', drainMs: 7_000, stableWindowMs: 4_000, configurationApplyMs: 3_000 },
     ...{ store, link, metrics, log },
     oddEntries: new OddEntryReporter({ clock: new SystemClock(), log, metrics }),
-    createForwarding: (host) => new LinkForwarding(host, link),
+    createForwarding: (host) => new LinkForwarding(host, link, createGuard(host)),
     promotions: new FakePromotions(),
     connector: new FakeConnector(new Map(instances.map((one) => [one.id, one]))),
     configurationKind: 'configurations',
@@ -125,7 +131,10 @@
     listNearHomes: () => homes,
     findVm: async () => undefined,
   };
-  return { forwarding: new LinkForwarding(host, { host: '127.0.0.1', port }), errors };
+  return {
+    forwarding: new LinkForwarding(host, { host: '127.0.0.1', port }, createGuard(host)),
+    errors,
+  };
 }
 
 /** Starts a fleet and waits until its VMs know each other. */
--- a/packages/forwarding/test/forwarding.spec.ts
+++ b/packages/forwarding/test/forwarding.spec.ts
@@ -1,7 +1,7 @@
 import { connect } from 'node:net';
 import { expect } from 'earl';
 import { type Command, type Reply, type Session, wait } from '@shallotpick/engine';
-import { encodeFrame, LINK_VERSION } from '../src/index.js';
+import { encodeFrame, LINK_VERSION, MAX_FRAME_BYTES } from '../src/index.js';
 import {
   BEGIN,
   COMMIT,
@@ -102,6 +102,24 @@
     };
   };
 
+  // A request or an answer that is too large for a frame closed the link, with the work of others.
+  it('goes on beside requests and answers that are too large for a link', async () => {
+    const other = entry.openSession('fresh');
+    await run(other, BEGIN);
+    await run(other, WRITE);
+    const text = `WRITE a ${'x'.repeat(MAX_FRAME_BYTES)}`;
+    expect(await run(entry.openSession('fresh'), { kind: 'write', text })).toEqual(
+      'unknownOutcome',
+    );
+    fleet.leader.rows = ['x'.repeat(MAX_FRAME_BYTES)];
+    // A read is tried again, as long as its caller waits.
+    expect(['failed', 'overloaded', 'timedOut']).toInclude(
+      String(await run(entry.openSession('fresh'), READ)),
+    );
+    expect(await run(other, COMMIT)).toEqual([]);
+    expect(fleet.messages.includes('link closed')).toEqual(false);
+  }).timeout(10_000);
+
   // After a lost answer the caller must not be told that the work has not run, nor may it run twice.
   it('has an unknown outcome when the home is lost with a write', async () => {
     stopHomesAt('write');
