Remember long values of a connection by their hash

A connection to an instance remembers the values and statements that it has, also after its session has ended: a caller that prepares many different long statements made each connection hold all of them. Longer texts than 256 characters are remembered by their hash, and a connection with 1,000 prepared statements is reset.

--- a/packages/engine/src/setup.ts
+++ b/packages/engine/src/setup.ts
@@ -1,6 +1,12 @@
+import { createHash } from 'node:crypto';
 import type { InstanceConnection } from './connection.js';
 import type { Access, DataStatement, Operation, Statement } from './statement.js';
 
+/** Longer texts are remembered by their hash, so that connections hold little between sessions. */
+const MAX_REMEMBERED_LENGTH = 256;
+/** Prepared statements of a connection; it is reset before it has more. */
+const MAX_STATEMENTS = 1_000;
+
 /** A prepared statement of a session. */
 export interface PreparedStatement {
   readonly access: Access;
@@ -19,6 +25,15 @@
   return state.statements.get(statement.name)?.access;
 }
 
+function shorten(text: string): string {
+  if (text.length <= MAX_REMEMBERED_LENGTH) return text;
+  return `sha256 ${createHash('sha256').update(text).digest('hex')}`;
+}
+
+function createStatementKey({ access, shape }: PreparedStatement): string {
+  return `${access} ${shorten(shape)}`;
+}
+
 function hasForeignVariable(connection: InstanceConnection, { variables }: SessionState): boolean {
   return [...connection.variables.keys()].some((name) => !variables.has(name));
 }
@@ -34,19 +49,21 @@
   next: Statement,
 ): readonly Operation[] {
   const operations: Operation[] = [];
-  if (hasForeignVariable(connection, state)) {
+  const isFull = connection.statements.size >= MAX_STATEMENTS;
+  if (isFull || hasForeignVariable(connection, state)) {
     operations.push({ kind: 'reset' });
     connection.variables.clear();
     connection.statements.clear();
   }
   state.variables.forEach((value, name) => {
-    if (connection.variables.get(name) === value) return;
+    const remembered = shorten(value);
+    if (connection.variables.get(name) === remembered) return;
     operations.push({ kind: 'set', name, value });
-    connection.variables.set(name, value);
+    connection.variables.set(name, remembered);
   });
   if (next.kind !== 'execute') return operations;
   const prepared = state.statements.get(next.name);
-  const key = prepared && `${prepared.access} ${prepared.shape}`;
+  const key = prepared && createStatementKey(prepared);
   if (!prepared || key === undefined || connection.statements.has(key)) return operations;
   const name = `p${connection.statements.size + 1}`;
   connection.statements.set(key, name);
@@ -62,6 +79,6 @@
 ): Operation {
   if (statement.kind !== 'execute') return statement;
   const prepared = state.statements.get(statement.name);
-  const key = prepared ? `${prepared.access} ${prepared.shape}` : '';
+  const key = prepared ? createStatementKey(prepared) : '';
   return { ...statement, name: connection.statements.get(key) ?? statement.name };
 }
