--- a/packages/soak/test/limitedvm.ts
+++ b/packages/soak/test/limitedvm.ts
@@ -164,9 +164,17 @@
 
   /** Runs one statement in a session of its own; false when it is refused. */
   async request(text: string): Promise<boolean> {
+    return this.runSession([text]);
+  }
+
+  /** Runs statements in a session of its own; false when one is refused. */
+  async runSession(texts: readonly string[]): Promise<boolean> {
     const connection = new LineConnection(connect({ host: HOST, port: this.ports[0] ?? 0 }));
     try {
-      const messages = [formatConnect(DATABASE, 'ordinary'), `QUERY 1 ${text}`];
+      const messages = [
+        formatConnect(DATABASE, 'ordinary'),
+        ...texts.map((text) => `QUERY 1 ${text}`),
+      ];
       for (const message of messages) {
         const reply = await waitAtMost(connection.send(message), REPLY_TIMEOUT_MS);
         if (reply.failure) return false;
--- a/packages/soak/test/untrustedclients.spec.ts
+++ b/packages/soak/test/untrustedclients.spec.ts
@@ -106,6 +106,16 @@
       await wait(CROWD_MS / 10);
     }
   },
+  'that prepares many long statements': async (vm) => {
+    const filler = 'x'.repeat(MIB / 2);
+    const runOne = async (session: number): Promise<void> => {
+      for (let count = 0; count < 80; count++) {
+        const shape = `${session}-${count}-${filler}`;
+        await vm.runSession([`PREPARE s READ ${shape}`, 'EXECUTE s stored', 'DEALLOC s']);
+      }
+    };
+    await Promise.all([1, 2, 3, 4].map(runOne));
+  },
   'that leaves transactions open': async (vm) => {
     const crowd = await vm.openSessions(100);
     crowd.forEach((socket) =>
