--- a/packages/soak/test/limitedvm.ts
+++ b/packages/soak/test/limitedvm.ts
@@ -1,5 +1,4 @@
-import { type ChildProcess, spawn } from 'node:child_process';
-import { readdir, readFile, writeFile } from 'node:fs/promises';
+import { writeFile } from 'node:fs/promises';
 import { connect, type Socket } from 'node:net';
 import { dirname, join } from 'node:path';
 import { findFreePorts } from '@shallotpick/bench';
@@ -7,12 +6,12 @@
 import { DEFAULT_PROMOTION_RULES, EmulatedPlatform, EmulatorObserver } from '@shallotpick/emulator';
 import { wait, waitAtMost } from '@shallotpick/engine';
 import { formatConnect, LineConnection } from '@shallotpick/platform';
+// eslint-disable-next-line import-x/no-relative-packages -- Test code is not in its package.
+import { LimitedProcess, type ProcessUse } from '../../bench/test/limitedprocess.js';
 
 const HOST = '127.0.0.1';
 const DATABASE = 'group0-fresh';
-const KIB = 1_024;
 const RETRY_MS: Millis = 100;
-const SAMPLE_MS: Millis = 20;
 const REPLY_TIMEOUT_MS: Millis = 3_000;
 
 /** The lowered limits of the VM under test; the crowds are fixed for these. */
@@ -24,14 +23,6 @@
   SHALLOTPICK_ANSWER_TIMEOUT_MS: '2000',
 };
 
-/** What a VM did under a crowd. */
-export interface VmUse {
-  /** Undefined while the process lives. */
-  readonly exit: string | undefined;
-  readonly peakMemoryMb: number;
-  readonly peakDescriptors: number;
-}
-
 /** Ignores what instances do; these tests look at the process only. */
 class SilentObserver extends EmulatorObserver {
   override handleStatement(): void {}
@@ -73,15 +64,7 @@
 
 /** The bundled program as a process with little memory and few descriptors. */
 export class LimitedVm {
-  private child: ChildProcess | undefined;
-
-  private exit: string | undefined;
-
-  private peakMemoryMb = 0;
-
-  private peakDescriptors = 0;
-
-  private sampler: NodeJS.Timeout | undefined;
+  private process: LimitedProcess | undefined;
 
   private ports: readonly number[] = [];
 
@@ -96,33 +79,15 @@
     this.ports = await findFreePorts(3);
     const settings = join(dirname(this.program), 'limited.json');
     await writeFile(settings, JSON.stringify(this.createSettings()));
-    const { heapMb, descriptors } = VM_LIMITS;
-    const options = [`--max-old-space-size=${heapMb}`, '--max-semi-space-size=4', this.program];
-    const script = `ulimit -n ${descriptors}; exec "$0" "$@"`;
-    const child = spawn('/bin/sh', ['-c', script, process.execPath, ...options], {
-      env: { PATH: process.env.PATH, SHALLOTPICK_BOOT: settings, ...TIME_LIMITS },
-      stdio: 'ignore',
-    });
-    child.on('exit', (code, signal) => {
-      this.exit = String(signal ?? code);
+    this.process = new LimitedProcess(VM_LIMITS, [this.program], {
+      ...{ SHALLOTPICK_BOOT: settings, ...TIME_LIMITS },
     });
-    this.child = child;
-    this.sampler = setInterval(() => {
-      this.sampleUse().catch(() => undefined);
-    }, SAMPLE_MS);
     if (!(await this.isServing(20_000))) throw new Error('the VM does not start');
   }
 
   async stop(): Promise<void> {
-    clearInterval(this.sampler);
     this.sockets.forEach((socket) => socket.destroy());
-    const { child } = this;
-    if (!child || this.exit !== undefined) return;
-    const ended = new Promise((resolve) => {
-      child.once('exit', resolve);
-    });
-    child.kill('SIGKILL');
-    await ended;
+    await this.process?.stop();
   }
 
   /** Opens the connections of a crowd, which stay open until the VM is stopped. */
@@ -155,7 +120,7 @@
   /** True when an ordinary caller gets an answer to one request within `limitMs`, with retries. */
   async isServing(limitMs: Millis): Promise<boolean> {
     const deadline = performance.now() + limitMs;
-    while (performance.now() < deadline && this.exit === undefined) {
+    while (performance.now() < deadline && this.process?.isRunning()) {
       if (await this.request('READ ordinary')) return true;
       await wait(RETRY_MS);
     }
@@ -198,19 +163,8 @@
   }
 
   /** Reads what the process has used at most, also when it has ended. */
-  async readUse(): Promise<VmUse> {
-    await this.sampleUse().catch(() => undefined);
-    const { exit, peakMemoryMb, peakDescriptors } = this;
-    return { exit, peakMemoryMb, peakDescriptors };
-  }
-
-  private async sampleUse(): Promise<void> {
-    const directory = `/proc/${this.child?.pid}`;
-    const status = await readFile(join(directory, 'status'), 'utf8');
-    const [, peakKib = '0'] = /^VmHWM:\s+(\d+) kB/m.exec(status) ?? [];
-    this.peakMemoryMb = Math.max(this.peakMemoryMb, Math.round(Number(peakKib) / KIB));
-    const open = await readdir(join(directory, 'fd'));
-    this.peakDescriptors = Math.max(this.peakDescriptors, open.length);
+  async readUse(): Promise<ProcessUse | undefined> {
+    return this.process?.readUse();
   }
 
   private createSettings(): unknown {
--- a/packages/soak/test/untrustedclients.spec.ts
+++ b/packages/soak/test/untrustedclients.spec.ts
@@ -164,7 +164,7 @@
       await wait(CROWD_MS);
       const isServed = await vm.isServing(SERVED_WITHIN_MS);
       const isReady = await vm.isReady();
-      const { exit, peakMemoryMb, peakDescriptors } = await vm.readUse();
+      const { exit, peakMemoryMb = 0, peakDescriptors = 0 } = (await vm.readUse()) ?? {};
       process.stdout.write(
         `      ${JSON.stringify({ exit, peakMemoryMb, peakDescriptors, isServed, isReady })}\n`,
       );
