Bound what callers make the daemon hold

The budget of bytes and the time limits of the users' platform apply to the callers of the PostgreSQL way as well: partial and queued messages, series without their end, answers that are not taken. Its FrameReader kept each piece of a message as a buffer of its own; it uses ByteCollector now. Callers beyond the limit are told so up to 64 at once, further ones are closed.

--- a/packages/bench/src/naive.ts
+++ b/packages/bench/src/naive.ts
@@ -1,12 +1,16 @@
 import { type AddressInfo, createServer, type Server, type Socket } from 'node:net';
-import type { DatabaseInstance, Millis } from '@shallotpick/core';
+import { getHeapStatistics } from 'node:v8';
+import { computeClientLimits, type DatabaseInstance, type Millis } from '@shallotpick/core';
 import {
   type ResponseSink,
   CallerConnection,
   type CallerHandler,
   type CallerRequest,
+  ClientGuard,
   ConnectionPool,
+  createLog,
   type InstanceConnection,
+  Metrics,
   SystemClock,
 } from '@shallotpick/daemon';
 import {
@@ -162,6 +166,12 @@
 
   private readonly pools = new Map<string, ConnectionPool>();
 
+  private readonly guard = new ClientGuard({
+    limits: computeClientLimits(undefined, getHeapStatistics().heap_size_limit),
+    log: createLog('error', 'naive'),
+    registry: new Metrics().registry,
+  });
+
   constructor(
     groups: readonly NaiveGroup[],
     share: number,
@@ -215,7 +225,7 @@
   }
 
   private handleSocket(socket: Socket): void {
-    const caller = new CallerConnection(socket, () => undefined);
+    const caller = new CallerConnection(socket, this.guard, () => undefined);
     caller.handler = new NaiveSession(caller, (database) => this.targets.get(database));
     this.callers.add(caller);
     socket.once('close', () => this.callers.delete(caller));
--- a/packages/core/src/bytecollector.ts
+++ b/packages/core/src/bytecollector.ts
@@ -24,8 +24,11 @@
     return this.buffer.length;
   }
 
-  /** Adds a chunk. The first one is kept without a copy, so that it must not change later. */
-  add(chunk: Uint8Array): void {
+  /**
+   * Adds a chunk. The first one is kept without a copy, so that it must not change later. No memory
+   * is set aside for more than `expected` bytes.
+   */
+  add(chunk: Uint8Array, expected = Infinity): void {
     if (this.length === 0) {
       this.buffer = chunk;
       this.start = 0;
@@ -33,7 +36,8 @@
       return;
     }
     if (this.end + chunk.length > this.buffer.length) {
-      this.move(Math.max(2 * this.length, this.length + chunk.length));
+      const needed = this.length + chunk.length;
+      this.move(Math.max(needed, Math.min(2 * this.length, expected)));
     }
     this.buffer.set(chunk, this.end);
     this.copiedBytes += chunk.length;
--- a/packages/daemon/src/caller.ts
+++ b/packages/daemon/src/caller.ts
@@ -1,5 +1,6 @@
 import { randomInt } from 'node:crypto';
 import type { Socket } from 'node:net';
+import type { ClientGuard, ClientWatch } from '@shallotpick/engine';
 import {
   encodeAuthenticationOk,
   encodeBackendKeyData,
@@ -59,6 +60,8 @@
   /** Total size of the queued requests. */
   private queuedBytes = 0;
 
+  private readonly watch: ClientWatch;
+
   private readonly queuedRequests: CallerRequest[] = [];
 
   private started = false;
@@ -72,13 +75,16 @@
 
   constructor(
     private readonly socket: Socket,
+    private readonly guard: ClientGuard,
     private readonly onCancel: (processId: number, secret: number) => void,
   ) {
+    this.watch = guard.watch(() => socket.destroy());
     socket.setNoDelay(true);
     socket.on('data', (chunk) => this.handleData(chunk));
     socket.on('error', () => socket.destroy());
     socket.on('close', () => {
       this.closed = true;
+      this.watch.close();
       this.handler?.handleClose();
     });
   }
@@ -106,7 +112,9 @@
   /** Sends bytes; returns true when the socket buffer is full and `onDrain` will be called. */
   send(bytes: Buffer, onDrain?: () => void): boolean {
     if (this.closed) return false;
-    if (this.socket.write(bytes)) return false;
+    const isTaken = this.socket.write(bytes, this.update);
+    this.update();
+    if (isTaken) return false;
     if (onDrain) this.waitForDrain(onDrain);
     return true;
   }
@@ -137,10 +145,33 @@
       this.refuse({ code: SQLSTATE.protocolViolation, message });
       return;
     }
-    if (this.queuedBytes > MAX_QUEUED_BYTES) this.socket.pause();
+    this.watch.endWait('end of message');
+    this.update();
     this.runRequests();
   }
 
+  /** Counts what the connection holds and waits for, and reads on or stops reading accordingly. */
+  private readonly update = (): void => {
+    const { socket, reader, watch } = this;
+    if (this.closed || this.refused) return;
+    const input = reader.countHeld() + this.queuedBytes + this.pipelineBytes;
+    watch.memory.updateBuffered(input + socket.writableLength);
+    if (socket.writableNeedDrain) watch.startWait('taking of answer');
+    else watch.endWait('taking of answer');
+    if (!this.mayRead()) {
+      watch.endWait('end of message');
+      socket.pause();
+      return;
+    }
+    if (reader.isInMessage()) watch.startWait('end of message');
+    socket.resume();
+  };
+
+  private mayRead(): boolean {
+    if (this.queuedBytes > MAX_QUEUED_BYTES) return false;
+    return !this.running || this.guard.memory.readLevel() === 'normal';
+  }
+
   private handleStartup(frame: Frame): void {
     const startup = parseStartup(frame.body);
     if (startup.kind === 'ssl' || startup.kind === 'gss') {
@@ -227,20 +258,28 @@
     if (this.running || this.closed || !this.handler) return;
     const request = this.queuedRequests.shift();
     if (!request) {
-      this.socket.resume();
+      this.update();
       return;
     }
-    this.queuedBytes -= this.countBytes(request.frames);
-    if (this.queuedBytes <= MAX_QUEUED_BYTES) this.socket.resume();
+    const bytes = this.countBytes(request.frames);
+    this.queuedBytes -= bytes;
     if (request.kind === 'terminate') {
       this.socket.end();
       return;
     }
+    if (!this.watch.memory.startMessage(bytes)) {
+      this.guard.report('large request');
+      const message = 'too many large requests at present; it was not run';
+      this.refuse({ code: SQLSTATE.programLimit, message });
+      return;
+    }
     this.running = true;
+    this.update();
     this.handler
       .handleRequest(request)
       .catch(() => this.socket.destroy())
       .finally(() => {
+        this.watch.memory.finishMessage(bytes);
         this.running = false;
         // Runs no further request until the caller has read its responses.
         if (this.socket.writableNeedDrain) this.waitForDrain(() => this.runRequests());
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,5 +1,6 @@
 import type { Server as HttpServer } from 'node:http';
 import type { AddressInfo, Server, Socket } from 'node:net';
+import type { ClientGuard } from '@shallotpick/engine';
 import { type Clock, type Configuration, type GroupRecord, RetryBudget } from '@shallotpick/core';
 import { CallerConnection } from './caller.js';
 import { type CallerHandshake, refuseSocket } from './handshake.js';
@@ -14,6 +15,8 @@
 import { SQLSTATE } from './sqlstate.js';
 
 const DRAIN_POLL_MS = 10;
+/** Callers beyond the limit that are told so; further ones are closed at once. */
+const MAX_REFUSED = 64;
 /** Retries add at most a fifth to the load; the capacity covers the start of a failover. */
 const RETRY_BUDGET = { ratio: 0.2, capacity: 500 };
 
@@ -26,6 +29,8 @@
   /** Computes the delay before a retry of a request, which is numbered from 1. */
   readonly computeBackoff: (retry: number) => number;
   readonly callerServer: Server;
+  /** Bounds what callers make the daemon hold. */
+  readonly guard: ClientGuard;
   readonly createHandshake: (socket: Socket) => CallerHandshake;
   readonly metricsServer: HttpServer;
   readonly operatorServer: OperatorServer;
@@ -54,7 +59,10 @@
 
   /** Opens the ports and starts watching the configuration. */
   async start(): Promise<void> {
-    const { callerServer, metricsServer, settings } = this.dependencies;
+    const { callerServer, guard, metricsServer, settings } = this.dependencies;
+    guard.start();
+    callerServer.maxConnections = settings.maxCallers + MAX_REFUSED;
+    callerServer.on('drop', () => guard.report('connections'));
     callerServer.on('connection', (socket: Socket) => {
       this.runHandshake(socket).catch(() => socket.destroy());
     });
@@ -172,6 +180,7 @@
   /** Admits a caller once its startup, TLS handshake and authentication are complete. */
   private async runHandshake(socket: Socket): Promise<void> {
     if (this.callers.size + this.handshakes.size >= this.dependencies.settings.maxCallers) {
+      this.dependencies.guard.report('connections');
       refuseSocket(socket, { code: SQLSTATE.tooManyCallers, message: 'too many callers' });
       return;
     }
@@ -184,7 +193,9 @@
   }
 
   private handleSocket(socket: Socket): void {
-    const caller = new CallerConnection(socket, (id, secret) => this.handleCancel(id, secret));
+    const { guard } = this.dependencies;
+    const onCancel = (id: number, secret: number): void => this.handleCancel(id, secret);
+    const caller = new CallerConnection(socket, guard, onCancel);
     if (this.callers.size >= this.dependencies.settings.maxCallers) {
       caller.refuse({ code: SQLSTATE.tooManyCallers, message: 'too many callers' });
       return;
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,6 +1,6 @@
 export { CallerConnection } from './caller.js';
 export type { CallerHandler } from './caller.js';
-export { SystemClock } from '@shallotpick/engine';
+export { ClientGuard, SystemClock } from '@shallotpick/engine';
 export { InstanceConnection } from './connection.js';
 export type { ResponseSink } from './connection.js';
 export { ControlLink } from './control.js';
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -60,6 +60,10 @@
   platformUrl: z.url(),
   instanceUser: z.string().min(1).default('shallotpick'),
   maxCallers: z.coerce.number().int().min(1).max(1_000_000).default(20_000),
+  /** Bytes that all callers together may make the daemon hold; computed from the heap by default. */
+  clientMemoryBytes: z.coerce.number().int().min(1).optional(),
+  messageTimeoutMs: z.coerce.number().int().min(1).max(3_600_000).default(300_000),
+  answerTimeoutMs: z.coerce.number().int().min(1).max(3_600_000).default(600_000),
   queueDeadlineMs: z.coerce.number().int().min(1).max(600_000).default(10_000),
   drainLimitMs: z.coerce.number().int().min(0).max(3_600_000).default(30_000),
   logLevel: z.enum(['error', 'warn', 'info', 'debug']).default('info'),
--- a/packages/daemon/src/wiring.ts
+++ b/packages/daemon/src/wiring.ts
@@ -1,9 +1,11 @@
 import { randomInt, randomUUID } from 'node:crypto';
 import { createServer, type Socket } from 'node:net';
+import { getHeapStatistics } from 'node:v8';
 import {
   type BorrowGrant,
   type BorrowRequest,
   type Clock,
+  computeClientLimits,
   createRetryDelay,
   type DatabaseGroup,
   type DatabaseInstance,
@@ -13,7 +15,8 @@
   NoteGossip,
   type Vm,
 } from '@shallotpick/core';
-import { SystemClock } from '@shallotpick/engine';
+import { ClientGuard, SystemClock } from '@shallotpick/engine';
+import { MAX_MESSAGE_BYTES } from '@shallotpick/wire';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { ControlLink } from './control.js';
 import { Daemon } from './daemon.js';
@@ -45,6 +48,8 @@
 
 const RETRY_BACKOFF = { baseMs: 10, maxMs: 200 };
 const MAX_SEED = 2 ** 31;
+/** Messages of the largest size for which there is always room. */
+const MIN_MEMORY_MESSAGES = 2;
 
 /** Dependencies of the peering services. */
 interface PeeringDependencies {
@@ -168,6 +173,20 @@
   return (socket) => new CallerHandshake(socket, options);
 }
 
+function createGuard(settings: Settings, log: Log, { registry }: Metrics): ClientGuard {
+  const { heap_size_limit: heapBytes } = getHeapStatistics();
+  const limits = computeClientLimits(undefined, heapBytes, {
+    firstMessageMs: settings.startupTimeoutMs,
+    messageMs: settings.messageTimeoutMs,
+    answerMs: settings.answerTimeoutMs,
+    maxClients: settings.maxCallers,
+  });
+  const memoryBytes =
+    settings.clientMemoryBytes ??
+    Math.max(limits.memoryBytes, MIN_MEMORY_MESSAGES * MAX_MESSAGE_BYTES);
+  return new ClientGuard({ limits: { ...limits, memoryBytes }, log, registry });
+}
+
 /** Creates a daemon and its dependencies from the settings. */
 export function createDaemon(settings: Settings): Daemon {
   const { vm, zone, instanceUser } = settings;
@@ -259,6 +278,7 @@
       onSkipped: skipped.report,
     }),
     callerServer: createServer(),
+    guard: createGuard(settings, log, metrics),
     metricsServer: createHealthServer(metrics, () => daemon.isReady()),
     operatorServer: new OperatorServer({ settings, clock, log }),
     createHandshake: createHandshakeFactory(settings, log),
--- a/packages/engine/src/clientguard.ts
+++ b/packages/engine/src/clientguard.ts
@@ -4,8 +4,9 @@
   MemoryBudget,
   type Millis,
 } from '@shallotpick/core';
+import type { Registry } from 'prom-client';
 import type { Log } from './log.js';
-import { createCounter, type Metrics } from './metrics.js';
+import { createCounter } from './metrics.js';
 
 const TICK_MS: Millis = 250;
 /** Time for a client to close its side after the other has been closed. */
@@ -26,11 +27,11 @@
   | 'protocol error'
   | 'slow link';
 
-/** Limits, log and metrics of a `ClientGuard`. */
+/** Limits, log and registry of the metrics of a `ClientGuard`. */
 export interface ClientGuardOptions {
   readonly limits: ClientLimits;
   readonly log: Log;
-  readonly metrics: Metrics;
+  readonly registry: Registry;
 }
 
 /** What one connection holds and waits for. */
@@ -95,7 +96,7 @@
   private sinceLogMs: Millis = 0;
 
   constructor(private readonly options: ClientGuardOptions) {
-    const { limits, metrics } = options;
+    const { limits, registry } = options;
     this.memory = new MemoryBudget(limits.memoryBytes);
     this.waitLimits = {
       'first message': limits.firstMessageMs,
@@ -104,7 +105,7 @@
       close: CLOSE_MS,
     };
     this.cuts = createCounter(
-      metrics.registry,
+      registry,
       'client_limits_total',
       'Connections closed and requests refused at a limit',
       ['reason'],
--- a/packages/engine/src/session.ts
+++ b/packages/engine/src/session.ts
@@ -87,7 +87,9 @@
       return this.refuse({ verdict: 'malformed', reason: 'the transaction has failed' });
     }
     return match(statement)
-      .with({ kind: 'set' }, ({ name, value }) => context.setVariable(name, value) ? this.confirm() : this.refuseState())
+      .with({ kind: 'set' }, ({ name, value }) =>
+        context.setVariable(name, value) ? this.confirm() : this.refuseState(),
+      )
       .with({ kind: 'prepare' }, ({ name, access, shape }) => {
         const isAdded = context.addStatement(name, { access, shape });
         return isAdded ? this.confirm() : this.refuseState();
--- a/packages/engine/test/clientguard.spec.ts
+++ b/packages/engine/test/clientguard.spec.ts
@@ -13,7 +13,7 @@
   );
   const metrics = new Metrics();
   const limits = computeClientLimits(undefined, HEAP_BYTES, { messageMs: 500 });
-  return { guard: new ClientGuard({ limits, log, metrics }), metrics, lines };
+  return { guard: new ClientGuard({ limits, log, registry: metrics.registry }), metrics, lines };
 }
 
 describe('ClientGuard', () => {
--- a/packages/forwarding/src/home.ts
+++ b/packages/forwarding/src/home.ts
@@ -306,8 +306,8 @@
     }
     this.run(message, held, held.lease)
       .catch((error: unknown) => {
-        this.end(id, true);
-        this.send({ type: 'broken', lease: id, reason: String(error) });
+        this.end(message.lease, true);
+        this.send({ type: 'broken', lease: message.lease, reason: String(error) });
       })
       .finally(() => memory.finishMessage(bytes));
   }
--- a/packages/forwarding/test/fleet.ts
+++ b/packages/forwarding/test/fleet.ts
@@ -70,7 +70,8 @@
 }
 
 function createGuard({ log, metrics }: ForwardingHost): ClientGuard {
-  return new ClientGuard({ limits: computeClientLimits(undefined, HEAP_BYTES), log, metrics });
+  const limits = computeClientLimits(undefined, HEAP_BYTES);
+  return new ClientGuard({ limits, log, registry: metrics.registry });
 }
 
 async function startVm(
--- a/packages/wire/src/frame.ts
+++ b/packages/wire/src/frame.ts
@@ -1,3 +1,4 @@
+import { ByteCollector } from '@shallotpick/core';
 import { ProtocolError } from './errors.js';
 
 /** One PostgreSQL message: its type byte, its body and its raw bytes. */
@@ -17,12 +18,11 @@
 /** Largest message accepted from callers and instances by default. */
 export const MAX_MESSAGE_BYTES = 64 * 1024 * 1024;
 
-/** Splits a byte stream into PostgreSQL messages. */
+/** Splits a byte stream into PostgreSQL messages; its work is linear in the bytes. */
 export class FrameReader {
-  private chunks: Buffer[] = [];
-
-  private bufferedBytes = 0;
+  private readonly bytes = new ByteCollector();
 
+  /** Length of the message that has begun; 0 when it is not known. */
   private neededBytes = 0;
 
   constructor(
@@ -30,6 +30,21 @@
     private maxBytes: number = MAX_MESSAGE_BYTES,
   ) {}
 
+  /** Bytes that were copied so far; a measure of the work. */
+  get copiedBytes(): number {
+    return this.bytes.copiedBytes;
+  }
+
+  /** True when a message has begun that is not complete. */
+  isInMessage(): boolean {
+    return this.bytes.length > 0;
+  }
+
+  /** Returns the bytes of memory that an incomplete message holds. */
+  countHeld(): number {
+    return this.bytes.countHeld();
+  }
+
   /** Switches from the untyped startup phase to typed messages. */
   startTyped(maxBytes: number = MAX_MESSAGE_BYTES): void {
     this.typed = true;
@@ -39,8 +54,7 @@
 
   /** Buffers received bytes; `read` returns the complete messages. */
   add(chunk: Buffer): void {
-    this.chunks.push(chunk);
-    this.bufferedBytes += chunk.length;
+    this.bytes.add(chunk, this.neededBytes || undefined);
   }
 
   /**
@@ -49,38 +63,40 @@
    * @throws ProtocolError when the length field is invalid or over the limit.
    */
   read(): Frame | undefined {
+    const { bytes } = this;
     const header = this.typed ? TYPED_HEADER_BYTES : UNTYPED_HEADER_BYTES;
-    if (this.bufferedBytes < Math.max(header, this.neededBytes)) return undefined;
-    const first = this.mergeChunks();
-    const length = first.readInt32BE(header - LENGTH_BYTES);
+    if (bytes.length < Math.max(header, this.neededBytes)) return this.waitForMore();
+    const length = this.showBuffer(header).readInt32BE(header - LENGTH_BYTES);
     if (length < LENGTH_BYTES || length > this.maxBytes) {
       throw new ProtocolError(`message length ${length} is outside 4 to ${this.maxBytes} bytes`);
     }
     const total = header - LENGTH_BYTES + length;
-    if (this.bufferedBytes < total) {
+    if (bytes.length < total) {
       this.neededBytes = total;
-      return undefined;
+      return this.waitForMore();
     }
-    const raw = first.subarray(0, total);
-    this.chunks = first.length > total ? [first.subarray(total)] : [];
-    this.bufferedBytes -= total;
+    const raw = this.showBuffer(total);
+    bytes.drop(total);
     this.neededBytes = 0;
     return { type: this.typed ? (raw[0] ?? 0) : 0, body: raw.subarray(header), raw };
   }
 
   /** Removes and returns the buffered bytes, for a switch of protocol. */
   drain(): Buffer {
-    const rest = this.mergeChunks();
-    this.chunks = [];
-    this.bufferedBytes = 0;
+    const rest = this.showBuffer(this.bytes.length);
+    this.bytes.drop(rest.length);
+    this.bytes.compact();
     return rest;
   }
 
-  private mergeChunks(): Buffer {
-    const [only] = this.chunks;
-    if (this.chunks.length === 1 && only) return only;
-    const merged = Buffer.concat(this.chunks);
-    this.chunks = [merged];
-    return merged;
+  private showBuffer(count: number): Buffer {
+    const { buffer, byteOffset } = this.bytes.show(count);
+    return Buffer.from(buffer, byteOffset, count);
+  }
+
+  /** Keeps only the beginning of the next message. */
+  private waitForMore(): undefined {
+    this.bytes.compact();
+    return undefined;
   }
 }
