Hold what is not known yet to less, and every answer to its time

The time for taking an answer was measured for large answers only, so that a peer that had closed its side could hold a connection with a small one. A link of a VM that is not verified yet is not read, and requests for admission count as messages in progress at a home.

--- a/packages/daemon/src/caller.ts
+++ b/packages/daemon/src/caller.ts
@@ -112,7 +112,7 @@
   /** Sends bytes; returns true when the socket buffer is full and `onDrain` will be called. */
   send(bytes: Buffer, onDrain?: () => void): boolean {
     if (this.closed) return false;
-    const isTaken = this.socket.write(bytes, this.update);
+    const isTaken = this.socket.write(bytes, this.handleTaken);
     this.update();
     if (isTaken) return false;
     if (onDrain) this.waitForDrain(onDrain);
@@ -151,12 +151,12 @@
   }
 
   /** Counts what the connection holds and waits for, and reads on or stops reading accordingly. */
-  private readonly update = (): void => {
+  private update(): void {
     const { socket, reader, watch } = this;
     if (this.closed || this.refused) return;
     const input = reader.countHeld() + this.queuedBytes + this.pipelineBytes;
     watch.memory.updateBuffered(input + socket.writableLength);
-    if (socket.writableNeedDrain) watch.startWait('taking of answer');
+    if (socket.writableLength > 0) watch.startWait('taking of answer');
     else watch.endWait('taking of answer');
     if (!this.mayRead()) {
       watch.endWait('end of message');
@@ -165,6 +165,12 @@
     }
     if (reader.isInMessage()) watch.startWait('end of message');
     socket.resume();
+  }
+
+  /** The caller has taken what was written; the time for the next part starts. */
+  private readonly handleTaken = (): void => {
+    this.watch.endWait('taking of answer');
+    this.update();
   };
 
   private mayRead(): boolean {
--- a/packages/forwarding/src/home.ts
+++ b/packages/forwarding/src/home.ts
@@ -194,7 +194,7 @@
     }
     match(decoded)
       .with({ type: 'hello' }, ({ version, vm }) => this.handleHello(version, vm))
-      .with({ type: 'admit' }, (admit) => this.handleAdmit(admit))
+      .with({ type: 'admit' }, (admit) => this.handleAdmit(admit, bytes))
       .with({ type: 'run' }, (run) => this.handleRun(run, bytes))
       .with({ type: 'busy' }, ({ lease, isBusy }) =>
         this.held.get(lease)?.lease?.updateBusy(isBusy),
@@ -228,6 +228,7 @@
     }
     this.peer = vm;
     this.verified = this.verify(vm);
+    this.socket.pauseUntil(this.verified);
   }
 
   /** True when a VM of this name has registered the address that the link comes from. */
@@ -247,21 +248,25 @@
     return false;
   }
 
-  private handleAdmit(admit: AdmitMessage): void {
+  private handleAdmit(admit: AdmitMessage, bytes: number): void {
     const { lease, group: name } = admit;
     const group = this.host.findLocalGroup(name);
     const { isDraining } = this.host.readStatus();
-    if (!group || isDraining || this.held.size >= MAX_LEASES_PER_LINK) {
+    const { memory } = this.socket.watch;
+    const isFull = this.held.size >= MAX_LEASES_PER_LINK;
+    if (!group || isDraining || isFull || !memory.startMessage(bytes)) {
       const reason = group ? 'this home takes no more work' : 'this VM is no home of the group';
       this.send({ type: 'refused', lease, reason, mayTryOther: true });
       return;
     }
     const held: HeldLease = { group, lease: undefined, writes: new WriteTracker() };
     this.held.set(lease, held);
-    this.admit(admit, held).catch((error: unknown) => {
-      this.host.log.error('admission failed', { vm: this.peer, error: String(error) });
-      this.socket.close('an unexpected error');
-    });
+    this.admit(admit, held)
+      .catch((error: unknown) => {
+        this.host.log.error('admission failed', { vm: this.peer, error: String(error) });
+        this.socket.close('an unexpected error');
+      })
+      .finally(() => memory.finishMessage(bytes));
   }
 
   private async admit({ lease: id, request }: AdmitMessage, held: HeldLease): Promise<void> {
--- a/packages/forwarding/src/socket.ts
+++ b/packages/forwarding/src/socket.ts
@@ -54,7 +54,7 @@
       this.close('the peer reads too slowly');
       return true;
     }
-    const isTaken = socket.write(frame, () => this.update());
+    const isTaken = socket.write(frame, () => this.handleTaken());
     this.update();
     return isTaken;
   }
@@ -64,6 +64,17 @@
     return this.socket.writableLength > CONGESTED_BYTES;
   }
 
+  /** Stops reading until the peer is known; what it sends meanwhile stays with it. */
+  pauseUntil(settled: Promise<unknown>): void {
+    this.socket.pause();
+    settled
+      .finally(() => {
+        this.socket.resume();
+        this.update();
+      })
+      .catch(() => undefined);
+  }
+
   /** Stops reading until the peer has read what was sent to it. */
   pauseUntilDrained(): void {
     if (this.socket.isPaused()) return;
@@ -98,12 +109,18 @@
     this.update();
   }
 
+  /** The peer has taken a message; the time for the next one starts. */
+  private handleTaken(): void {
+    this.watch.endWait('taking of answer');
+    this.update();
+  }
+
   /** Counts what the link holds, and what it waits for. */
   private update(): void {
     if (this.isClosed) return;
     const { socket, reader, watch } = this;
     if (reader.isInFrame() && !socket.isPaused()) watch.startWait('end of message');
-    if (socket.writableNeedDrain) watch.startWait('taking of answer');
+    if (socket.writableLength > 0) watch.startWait('taking of answer');
     else watch.endWait('taking of answer');
     watch.memory.updateBuffered(reader.countHeld() + socket.writableLength);
   }
