Divide the reads of a group between the zone and others

A home chose instances by expected wait alone: the path counted as a part of the wait divided by the slots, and once an instance elsewhere was expected sooner by a typical statement all reads went there.

Reads now leave the zone by a share that moves in small steps by the measured difference of expected finishes (work there and the path there and back), or faster while only those reads make their objective that leave. An instance that was not measured for a second gets trials only. Bytes between zones have a budget a VM (SHALLOTPICK_ZONE_BYTES_PER_SECOND, 0 turns the choice off). Only instances that the router allows are candidates, and the leader stays behind the replicas.

Specs: a zone at twice its demand, peaks in turn, a slow link, ten VMs with knowledge of a second ago, a zone cut off, the budget, objectives.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -103,6 +103,10 @@
 } from './platform.js';
 export { findPrimary, Router, RoutingView, StatusView } from './router.js';
 export type { GroupView, Route, RouteRequest } from './router.js';
+export { ZoneBalance } from './zonebalance.js';
+export type { ZoneCandidate, ZoneChoice, ZoneShare } from './zonebalance.js';
+export { ZoneBudget } from './zonebudget.js';
+export { LeastRecent } from './leastrecent.js';
 export { InstanceLink } from './link.js';
 export { ExchangeFeature, PeerLink } from './peer.js';
 export type {
--- a/packages/engine/src/attempt.ts
+++ b/packages/engine/src/attempt.ts
@@ -6,7 +6,7 @@
 import type { Lease } from './lease.js';
 import type { OperationPermit } from './operationquota.js';
 import type { SessionContext } from './context.js';
-import type { Failure, Verdict } from './statement.js';
+import type { Failure, Reply, Verdict } from './statement.js';
 import { wait } from './timing.js';
 
 /** Fraction of the statement timeout that may pass before the work is admitted. */
@@ -133,6 +133,12 @@
     return true;
   }
 
+  /** Records the latency of a statement and its reply. */
+  handleReply(lease: Lease, reply: Reply, startedAt: Millis): void {
+    this.recordLatency(lease, startedAt);
+    lease.handleReply(reply);
+  }
+
   recordLatency(lease: Lease, startedAt: Millis): void {
     lease.recordLatency(this.context.readNow() - startedAt);
   }
--- a/packages/engine/src/group.ts
+++ b/packages/engine/src/group.ts
@@ -4,12 +4,18 @@
   type Millis,
   PositionSamples,
   type RegisteredInstance,
+  type ZoneBudget,
 } from '@shallotpick/core';
 import { GroupAccess } from './access.js';
 import { CommitConfirmation } from './commitconfirmation.js';
 import type { GroupSettings } from './configuration.js';
 import type { InstanceConnector } from './connection.js';
-import { type AdmittedWork, Dispatcher, type WorkRequest } from './dispatcher.js';
+import {
+  type AdmittedWork,
+  Dispatcher,
+  type DispatcherOptions,
+  type WorkRequest,
+} from './dispatcher.js';
 import { NotRunError } from './errors.js';
 import { createLease, type Lease } from './lease.js';
 import type { Log } from './log.js';
@@ -17,10 +23,12 @@
 import { GroupMembers } from './members.js';
 import type { Metrics } from './metrics.js';
 import { computeConnectionShare } from './placement.js';
+import type { Reply } from './statement.js';
 import type { Suspicion } from './suspicion.js';
 import type { TakeoverDriver } from './takeover.js';
 import { wait } from './timing.js';
 import { WorkRouter } from './workrouter.js';
+import { ZoneRouter } from './zonerouter.js';
 
 /** One statement more than the slots keeps an instance busy during network round trips. */
 const EXTRA_CONCURRENCY = 1;
@@ -51,6 +59,8 @@
   readonly mustReserve: () => boolean;
   /** How long a leaving instance may still receive work. */
   readonly drainMs: Millis;
+  /** Budget for reads that leave the zone; undefined when none does so by choice. */
+  readonly zoneBudget?: ZoneBudget | undefined;
 }
 
 /**
@@ -70,6 +80,8 @@
 
   private readonly router: WorkRouter;
 
+  private readonly zoneRouter: ZoneRouter | undefined;
+
   private readonly createdAt: Millis;
 
   private settings: GroupSettings;
@@ -97,18 +109,22 @@
       listMembers: () => this.listEligible(),
       readRecord: () => this.takeover.readRecord(),
     });
+    this.zoneRouter =
+      options.zoneBudget &&
+      new ZoneRouter({ group: name, zone, budget: options.zoneBudget, log, metrics });
     this.router = new WorkRouter(
       {
         ...{ group: name, zone, ageClock, log, metrics, samples },
         listMembers: () => this.listMembers(),
         findLeader: (now) => this.findLeader(now),
+        zoneRouter: this.zoneRouter,
       },
       this.createdAt,
     );
     this.dispatcher = new Dispatcher({
       clock,
       findRoute: (request, now) => this.router.route(request, now),
-      onStart: (...started) => this.router.logRoute(...started),
+      onStart: (...started) => this.handleStart(...started),
     });
     this.takeover = options.createTakeover(this);
   }
@@ -188,6 +204,14 @@
     this.dispatcher.stop();
   }
 
+  private handleStart(...started: Parameters<DispatcherOptions['onStart']>): void {
+    const [request, instance] = started;
+    const member = this.members.find(instance);
+    const isBounded = request.kind === 'read' && request.contract.maxAgeMs > 0;
+    if (member && isBounded) this.zoneRouter?.handleStart(member, this.options.clock.readNow());
+    this.router.logRoute(...started);
+  }
+
   /** This proxy's share of an instance's connections. */
   private computeShare(): number {
     const vms = this.options.countVms();
@@ -225,7 +249,12 @@
       const connection = await member.pool.connectFor(request.organisation);
       const { after } = this.router.findPositions(request);
       const { confirmation } = this;
-      return createLease({ admitted, member, connection, dispatcher, clock, after, confirmation });
+      const onReply = (reply: Reply): void => {
+        if (after) this.zoneRouter?.handleReply(member, reply);
+      };
+      return createLease({
+        ...{ admitted, member, connection, dispatcher, clock, after, confirmation, onReply },
+      });
     } catch (error) {
       member.updateRunning(false);
       member.handleConnectionFailure(error, clock.readNow());
--- a/packages/engine/src/index.ts
+++ b/packages/engine/src/index.ts
@@ -37,6 +37,8 @@
 export { ObjectWatcher } from './watcher.js';
 export type { ObjectWatcherOptions } from './watcher.js';
 export { GroupService } from './group.js';
+export { WorkRouter } from './workrouter.js';
+export { ZoneRouter } from './zonerouter.js';
 export type { WorkRequest } from './dispatcher.js';
 export { CommitConfirmation } from './commitconfirmation.js';
 export { WriteTracker } from './writetracker.js';
@@ -45,7 +47,7 @@
 export type { Lease, LeaseUse } from './lease.js';
 export { createEngineLog } from './log.js';
 export type { Log } from './log.js';
-export { InstancePool, Member } from './member.js';
+export { InstancePool, Member, type MemberParts } from './member.js';
 export { createCounter, Metrics } from './metrics.js';
 export { OddEntryReporter } from './oddentries.js';
 export type { OddEntry, OddEntryReporterOptions } from './oddentries.js';
--- a/packages/engine/src/lease.ts
+++ b/packages/engine/src/lease.ts
@@ -3,6 +3,7 @@
 import type { InstanceConnection } from './connection.js';
 import type { AdmittedWork, Dispatcher } from './dispatcher.js';
 import type { Member } from './member.js';
+import type { Reply } from './statement.js';
 
 /** A connection held by one request or transaction until it is released. */
 export interface Lease {
@@ -15,6 +16,8 @@
   readonly latencyMs: Millis;
   /** Records the latency of a statement at the start of the instance that served it. */
   recordLatency(tookMs: Millis): void;
+  /** Notes the reply of the instance to a statement. */
+  handleReply(reply: Reply): void;
   /** Clears the leadership of that start, which refused a statement as read-only. */
   handleDemotion(): void;
   /**
@@ -67,11 +70,12 @@
   readonly clock: Clock;
   readonly after: LogPosition | undefined;
   readonly confirmation: CommitConfirmation;
+  readonly onReply: (reply: Reply) => void;
 }
 
 /** Creates the lease of a member's connection for admitted work. */
 export function createLease(parts: LeaseParts): Lease {
-  const { admitted, member, connection, dispatcher, clock, after, confirmation } = parts;
+  const { admitted, member, connection, dispatcher, clock, after, confirmation, onReply } = parts;
   const use = createLeaseUse(
     (isBusy) => {
       member.updateRunning(isBusy);
@@ -91,6 +95,7 @@
     after,
     latencyMs: member.estimateLatency(clock.readNow()),
     recordLatency: (tookMs) => member.recordLatency(tookMs, clock.readNow()),
+    handleReply: onReply,
     handleDemotion: () => member.probe.clearLeadership(),
     confirmCommit: (position, timeoutMs) => {
       const commit = { leader: member.id, connection, position, acknowledgedAt: clock.readNow() };
--- a/packages/engine/src/member.ts
+++ b/packages/engine/src/member.ts
@@ -1,4 +1,4 @@
-import type { Clock, Millis, RegisteredInstance } from '@shallotpick/core';
+import { type Clock, LeastRecent, type Millis, type RegisteredInstance } from '@shallotpick/core';
 import type { InstanceConnection, InstanceConnector, ReplyObserver } from './connection.js';
 import { ConnectionLimitError } from './errors.js';
 import { ConnectionPool } from './pool.js';
@@ -70,7 +70,10 @@
 
   private latencyMs: Millis = INITIAL_LATENCY_MS;
 
-  private measuredAt: Millis = 0;
+  /** When the latency was last measured. */
+  measuredAt: Millis = 0;
+
+  private readonly roundTrips = new LeastRecent();
 
   private fullUntil: Millis = 0;
 
@@ -125,6 +128,22 @@
     return INITIAL_LATENCY_MS + (this.latencyMs - INITIAL_LATENCY_MS) * weight;
   }
 
+  /** Records how long an answer took that needed no work at the instance. */
+  recordRoundTrip(tookMs: Millis, now: Millis): void {
+    this.roundTrips.add(tookMs, now);
+  }
+
+  /** Time to the instance and back. */
+  estimatePath(): Millis {
+    return this.roundTrips.find() ?? 0;
+  }
+
+  /** Expected time of a statement at the instance, without the path to it. */
+  estimateWork(now: Millis): Millis {
+    const work = Math.max(0, this.estimateLatency(now) - this.estimatePath());
+    return work * Math.max(1, (this.running + 1) / Math.max(1, this.instance.slots));
+  }
+
   findExpectedWait(now: Millis): Millis {
     return (this.estimateLatency(now) * (this.running + 1)) / Math.max(1, this.instance.slots);
   }
--- a/packages/engine/src/members.ts
+++ b/packages/engine/src/members.ts
@@ -9,7 +9,7 @@
 import type { Log } from './log.js';
 import type { Metrics } from './metrics.js';
 import { InstancePool, Member } from './member.js';
-import { InstanceProbe, type ProbeOptions } from './probe.js';
+import { InstanceProbe, type ProbeOptions, type ProbeResult } from './probe.js';
 import type { Suspicion } from './suspicion.js';
 
 /** A leaving leader gets no new work in this last part of its drain time. */
@@ -145,9 +145,16 @@
     });
   }
 
+  private handleProbeResult(id: string, result: ProbeResult): void {
+    const { clock, onProbeResult } = this.options;
+    const { tookMs } = result;
+    if (tookMs !== undefined) this.members.get(id)?.recordRoundTrip(tookMs, clock.readNow());
+    onProbeResult(result);
+  }
+
   private add(instance: RegisteredInstance): void {
     const { group, connector, clock, ageClock, log, suspicion } = this.options;
-    const { isChangingLeader, countVms, onProbeResult: onResult } = this.options;
+    const { isChangingLeader, countVms } = this.options;
     const { id, zone, startedAt, host, port, role } = instance;
     const address = `${host}:${port}`;
     log.info('instance added', { instance: id, group, zone, startedAt, address, role });
@@ -156,7 +163,8 @@
     );
     const probe = new InstanceProbe({
       ...{ instance, pool, clock, ageClock, log, suspicion },
-      ...{ isChangingLeader, countVms, onResult },
+      ...{ isChangingLeader, countVms },
+      onResult: (result) => this.handleProbeResult(id, result),
       hasLeader: () => this.findLeading() !== undefined,
       onReply: (...reply) => this.options.onReply(id, ...reply),
     });
--- a/packages/engine/src/metrics.ts
+++ b/packages/engine/src/metrics.ts
@@ -21,6 +21,25 @@
     'target',
   ]);
 
+  /** Reads of bounded age, by the `zone` (own or other) of the instance that served them. */
+  readonly zoneReads = createCounter(this.registry, 'zone_reads_total', 'Reads by zone', ['zone']);
+
+  /** Estimated bytes of reads that instances of other zones served. */
+  readonly zoneBytes = createCounter(
+    this.registry,
+    'zone_bytes_total',
+    'Estimated bytes of reads between zones',
+    [],
+  );
+
+  /** Share of a group's reads that may leave the zone. */
+  readonly zoneShare = new Gauge({
+    name: 'shallotpick_zone_share',
+    help: 'Share of reads that may leave the zone',
+    labelNames: ['group'],
+    registers: [this.registry],
+  });
+
   /** Failed requests, by `verdict`. */
   readonly failures = createCounter(this.registry, 'failures_total', 'Failed requests', [
     'verdict',
--- a/packages/engine/src/probe.ts
+++ b/packages/engine/src/probe.ts
@@ -20,6 +20,8 @@
   readonly position: LogPosition | undefined;
   /** When the probe was sent, on the clock that includes suspensions of the VM. */
   readonly sentAt: Millis;
+  /** How long the answer to a probe took; undefined for callers' work. */
+  readonly tookMs?: Millis;
 }
 
 /** The probed instance and the services of its probe. */
@@ -223,11 +225,12 @@
       throw error;
     });
     if (!reply) return;
+    const tookMs = clock.readNow() - startedAt;
     this.options.onReply(connection, begin, reply, startedAt);
     await this.endProbe(connection, reply);
     if (this.isStopped) return;
     const leads = this.state.handleProbeReply(reply, sentAt);
-    onResult({ leads, position: reply.position, sentAt });
+    onResult({ leads, position: reply.position, sentAt, tookMs });
   }
 
   /** Rolls the probe's transaction back and returns the connection to the pool. */
--- a/packages/engine/src/single.ts
+++ b/packages/engine/src/single.ts
@@ -63,7 +63,7 @@
     try {
       const remaining = attempts.readRemaining();
       const reply = await runStatement(lease.connection, context, statement, { id }, remaining);
-      attempts.recordLatency(lease, startedAt);
+      attempts.handleReply(lease, reply, startedAt);
       lease.release();
       if (!reply.failure) {
         await lease.confirmCommit(reply.position, attempts.readRemaining());
@@ -89,7 +89,7 @@
       const command = { id, after: lease.after };
       const limit = attempts.computeReplyTimeout(lease);
       const reply = await runStatement(lease.connection, context, statement, command, limit);
-      attempts.recordLatency(lease, startedAt);
+      attempts.handleReply(lease, reply, startedAt);
       lease.release();
       return this.createOutcome(reply);
     } catch (error) {
@@ -121,7 +121,7 @@
       const running = runStatement(connection, context, statement, { id }, limit);
       const end = rollBack(connection, limit);
       const reply = await running;
-      attempts.recordLatency(lease, startedAt);
+      attempts.handleReply(lease, reply, startedAt);
       // The caller doesn't wait for the end of the transaction.
       end.finally(() => lease.release()).catch(() => undefined);
       return this.createOutcome(reply);
--- a/packages/engine/src/wiring.ts
+++ b/packages/engine/src/wiring.ts
@@ -1,5 +1,5 @@
 import { randomUUID } from 'node:crypto';
-import type { Clock, Millis, RegisteredInstance } from '@shallotpick/core';
+import { type Clock, type Millis, type RegisteredInstance, ZoneBudget } from '@shallotpick/core';
 import { SuspendAwareClock, SystemClock } from './clock.js';
 import { ConfigurationHolder, type ServiceConfiguration } from './configuration.js';
 import { ConfigurationVerifier } from './configurationverifier.js';
@@ -31,6 +31,9 @@
 /** Promotion records are written conditionally, so reading one late does no harm. */
 const PROMOTIONS_WATCH_MS: Millis = 12_000;
 
+/** Bytes a second that reads of one VM may exchange with other zones by choice. */
+const DEFAULT_ZONE_BYTES_PER_SECOND = 250_000;
+
 /** Settings, services and decoders that a protocol adapter supplies. */
 export interface ProxyParts {
   readonly vm: string;
@@ -56,6 +59,8 @@
   readonly power?: number | undefined;
   /** Time limit for a revoked key to be refused, also by VMs that can't reach the store. */
   readonly revocationMs?: Millis | undefined;
+  /** Bytes a second of reads that may leave the zone; 0 keeps them there while an instance can serve them. */
+  readonly zoneBytesPerSecond?: number | undefined;
   /** Store kind of the operator's configuration. */
   readonly configurationKind: string;
   /** Store kind of the objects by which instances register. */
@@ -68,6 +73,7 @@
 
 /** Services that all groups of a proxy share. */
 interface SharedServices {
+  readonly zoneBudget: ZoneBudget | undefined;
   readonly clock: Clock;
   readonly ageClock: Clock;
   readonly suspicion: Suspicion;
@@ -117,7 +123,10 @@
   const store = new EraAwareStore({ store: parts.store, log, metrics });
   const clock = new SystemClock();
   const suspicion = new Suspicion();
-  const shared: SharedServices = { clock, ageClock: new SuspendAwareClock(), suspicion };
+  const { zoneBytesPerSecond = DEFAULT_ZONE_BYTES_PER_SECOND } = parts;
+  const zoneBudget = zoneBytesPerSecond > 0 ? new ZoneBudget(zoneBytesPerSecond) : undefined;
+  const ageClock = new SuspendAwareClock();
+  const shared: SharedServices = { clock, ageClock, suspicion, zoneBudget };
   const configuration = new ConfigurationHolder();
   const holder: LateParts = {};
   const fleet = new Fleet({
--- a/packages/engine/src/workrouter.ts
+++ b/packages/engine/src/workrouter.ts
@@ -14,6 +14,7 @@
 import type { Member } from './member.js';
 import type { Metrics } from './metrics.js';
 import { VerifiedView } from './view.js';
+import type { ZoneRequest, ZoneRouter } from './zonerouter.js';
 
 /** Fraction of the allowed age that is reserved for queueing and network time. */
 const AGE_MARGIN = 0.15;
@@ -45,6 +46,8 @@
   readonly listMembers: () => readonly Member[];
   /** Returns the confirmed leader when it may receive work. */
   readonly findLeader: (now: Millis) => Member | undefined;
+  /** Decides which reads leave the zone; undefined when the settings turn that off. */
+  readonly zoneRouter: ZoneRouter | undefined;
 }
 
 /** Chooses the instances that may serve one group's work, and logs the choice. */
@@ -93,7 +96,22 @@
       now,
     });
     const minPosition = after ?? { term: 0, offset: 0 };
-    return this.router.route({ ...request, minPosition }, view, now);
+    const route = this.router.route({ ...request, minPosition }, view, now);
+    const marginMs = view.readTypicalCost();
+    return this.orderByZone(route, { objective: request.objective, marginMs }, now);
+  }
+
+  /** Orders the replicas of a route by zone; the leader stays behind them. */
+  private orderByZone(route: Route, request: ZoneRequest, now: Millis): Route {
+    const { zoneRouter, listMembers, findLeader } = this.options;
+    if (!zoneRouter || route.kind !== 'instances' || route.instances.length < 2) return route;
+    const leader = findLeader(now)?.id;
+    const members = new Map(listMembers().map((member) => [member.id, member]));
+    const replicas = route.instances.flatMap((id) =>
+      id === leader ? [] : (members.get(id) ?? []),
+    );
+    const rest = route.instances.filter((id) => id === leader);
+    return { ...route, instances: [...zoneRouter.order(replicas, request, now), ...rest] };
   }
 
   /** Finds the log positions that a read requires. */
--- a/packages/forwarding/src/home.ts
+++ b/packages/forwarding/src/home.ts
@@ -294,7 +294,10 @@
     };
     const startedAt = host.clock.readNow();
     const reply = await runObserved(connection, command);
-    if (isData) lease.recordLatency(host.clock.readNow() - startedAt);
+    if (isData) {
+      lease.recordLatency(host.clock.readNow() - startedAt);
+      lease.handleReply(reply);
+    }
     if (reply.failure?.verdict === 'readOnly') lease.handleDemotion();
     const isWrite = isData && findAccess(state, operation) === 'write';
     const isCommit = operation.kind === 'commit';
--- a/packages/forwarding/src/remote.ts
+++ b/packages/forwarding/src/remote.ts
@@ -127,6 +127,7 @@
     ...{ ...use, instance, connection, isLeader, after, latencyMs: latencyMs + hopMs },
     // The home measures the latency, notices a demotion, and passes on only what it has confirmed.
     recordLatency: () => undefined,
+    handleReply: () => undefined,
     handleDemotion: () => undefined,
     confirmCommit: async () => undefined,
   };
