Leave instances that fail callers' work by what the work tells

A home kept sending reads to an instance that answered its probes and failed part of its work, since only probes and latency counted.

Each home now keeps decayed results of reads by instance (failed, timed out, lost, no connection, slow) and compares them with those of the peers. Probes are no evidence, and what one VM sees stays its own.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -107,6 +107,9 @@
 export type { ZoneCandidate, ZoneChoice, ZoneShare } from './zonebalance.js';
 export { ZoneBudget } from './zonebudget.js';
 export { LeastRecent } from './leastrecent.js';
+export { OutlierDetector } from './outlier.js';
+export type { OutlierChange } from './outlier.js';
+export type { WorkResult } from './resultwindow.js';
 export { InstanceLink } from './link.js';
 export { ExchangeFeature, PeerLink } from './peer.js';
 export type {
--- a/packages/engine/src/attempt.ts
+++ b/packages/engine/src/attempt.ts
@@ -136,7 +136,13 @@
   /** Records the latency of a statement and its reply. */
   handleReply(lease: Lease, reply: Reply, startedAt: Millis): void {
     this.recordLatency(lease, startedAt);
-    lease.handleReply(reply);
+    lease.handleReply(reply, this.context.readNow() - startedAt);
+  }
+
+  /** Records that a statement got no answer. */
+  handleLoss(lease: Lease, startedAt: Millis): void {
+    this.recordLatency(lease, startedAt);
+    lease.handleLoss(this.context.readNow() - startedAt);
   }
 
   recordLatency(lease: Lease, startedAt: Millis): void {
--- a/packages/engine/src/group.ts
+++ b/packages/engine/src/group.ts
@@ -16,17 +16,17 @@
   type DispatcherOptions,
   type WorkRequest,
 } from './dispatcher.js';
-import { NotRunError } from './errors.js';
-import { createLease, type Lease } from './lease.js';
+import { ConnectionLimitError, NotRunError } from './errors.js';
+import { createLease, type Lease, type LeaseParts } from './lease.js';
 import type { Log } from './log.js';
 import { type Member, WARM_CONNECTIONS } from './member.js';
 import { GroupMembers } from './members.js';
 import type { Metrics } from './metrics.js';
 import { computeConnectionShare } from './placement.js';
-import type { Reply } from './statement.js';
 import type { Suspicion } from './suspicion.js';
 import type { TakeoverDriver } from './takeover.js';
 import { wait } from './timing.js';
+import { WorkEvidence } from './workevidence.js';
 import { WorkRouter } from './workrouter.js';
 import { ZoneRouter } from './zonerouter.js';
 
@@ -82,6 +82,8 @@
 
   private readonly zoneRouter: ZoneRouter | undefined;
 
+  private readonly evidence: WorkEvidence;
+
   private readonly createdAt: Millis;
 
   private settings: GroupSettings;
@@ -100,7 +102,10 @@
         if (leads && position) samples.add({ position, takenAt: sentAt });
         this.dispatcher.handleTick();
       },
-      onRemove: (instance) => this.dispatcher.removeInstance(instance),
+      onRemove: (instance) => {
+        this.dispatcher.removeInstance(instance);
+        this.evidence.remove(instance);
+      },
       onReply: (...reply) => this.confirmation.handleReply(...reply),
     });
     this.confirmation = new CommitConfirmation({
@@ -109,6 +114,7 @@
       listMembers: () => this.listEligible(),
       readRecord: () => this.takeover.readRecord(),
     });
+    this.evidence = new WorkEvidence({ group: name, log, metrics });
     this.zoneRouter =
       options.zoneBudget &&
       new ZoneRouter({ group: name, zone, budget: options.zoneBudget, log, metrics });
@@ -118,6 +124,7 @@
         listMembers: () => this.listMembers(),
         findLeader: (now) => this.findLeader(now),
         zoneRouter: this.zoneRouter,
+        evidence: this.evidence,
       },
       this.createdAt,
     );
@@ -204,11 +211,34 @@
     this.dispatcher.stop();
   }
 
+  /** Creates the receiver of what a piece of work came to. */
+  private createResults(member: Member, isRead: boolean): LeaseParts['results'] {
+    const { clock } = this.options;
+    return {
+      handleReply: (reply, tookMs) => {
+        if (!isRead) return;
+        this.evidence.handleReply(member, reply, tookMs, clock.readNow());
+        this.zoneRouter?.handleReply(member, reply);
+      },
+      handleLoss: (tookMs) => {
+        if (isRead) this.evidence.handleLoss(member, tookMs, clock.readNow());
+      },
+    };
+  }
+
+  /** Notes a failed connection, unless the instance has only reached its connection limit. */
+  private handleConnectionLoss(member: Member, error: unknown): void {
+    if (error instanceof ConnectionLimitError) return;
+    this.evidence.handleLoss(member, 0, this.options.clock.readNow());
+  }
+
   private handleStart(...started: Parameters<DispatcherOptions['onStart']>): void {
     const [request, instance] = started;
     const member = this.members.find(instance);
     const isBounded = request.kind === 'read' && request.contract.maxAgeMs > 0;
-    if (member && isBounded) this.zoneRouter?.handleStart(member, this.options.clock.readNow());
+    const now = this.options.clock.readNow();
+    if (member && isBounded) this.zoneRouter?.handleStart(member, now);
+    if (member && isBounded) this.evidence.handleStart(member, now);
     this.router.logRoute(...started);
   }
 
@@ -249,15 +279,14 @@
       const connection = await member.pool.connectFor(request.organisation);
       const { after } = this.router.findPositions(request);
       const { confirmation } = this;
-      const onReply = (reply: Reply): void => {
-        if (after) this.zoneRouter?.handleReply(member, reply);
-      };
+      const results = this.createResults(member, request.kind === 'read');
       return createLease({
-        ...{ admitted, member, connection, dispatcher, clock, after, confirmation, onReply },
+        ...{ admitted, member, connection, dispatcher, clock, after, confirmation, results },
       });
     } catch (error) {
       member.updateRunning(false);
       member.handleConnectionFailure(error, clock.readNow());
+      this.handleConnectionLoss(member, error);
       log.info('connection to instance failed', {
         request: request.requestId,
         instance,
--- a/packages/engine/src/index.ts
+++ b/packages/engine/src/index.ts
@@ -37,6 +37,7 @@
 export { ObjectWatcher } from './watcher.js';
 export type { ObjectWatcherOptions } from './watcher.js';
 export { GroupService } from './group.js';
+export { WorkEvidence } from './workevidence.js';
 export { WorkRouter } from './workrouter.js';
 export { ZoneRouter } from './zonerouter.js';
 export type { WorkRequest } from './dispatcher.js';
--- a/packages/engine/src/lease.ts
+++ b/packages/engine/src/lease.ts
@@ -17,7 +17,9 @@
   /** Records the latency of a statement at the start of the instance that served it. */
   recordLatency(tookMs: Millis): void;
   /** Notes the reply of the instance to a statement. */
-  handleReply(reply: Reply): void;
+  handleReply(reply: Reply, tookMs: Millis): void;
+  /** Notes a statement that got no answer. */
+  handleLoss(tookMs: Millis): void;
   /** Clears the leadership of that start, which refused a statement as read-only. */
   handleDemotion(): void;
   /**
@@ -70,12 +72,13 @@
   readonly clock: Clock;
   readonly after: LogPosition | undefined;
   readonly confirmation: CommitConfirmation;
-  readonly onReply: (reply: Reply) => void;
+  /** Receives what the work came to; see `Lease`. */
+  readonly results: Pick<Lease, 'handleReply' | 'handleLoss'>;
 }
 
 /** Creates the lease of a member's connection for admitted work. */
 export function createLease(parts: LeaseParts): Lease {
-  const { admitted, member, connection, dispatcher, clock, after, confirmation, onReply } = parts;
+  const { admitted, member, connection, dispatcher, clock, after, confirmation, results } = parts;
   const use = createLeaseUse(
     (isBusy) => {
       member.updateRunning(isBusy);
@@ -95,7 +98,8 @@
     after,
     latencyMs: member.estimateLatency(clock.readNow()),
     recordLatency: (tookMs) => member.recordLatency(tookMs, clock.readNow()),
-    handleReply: onReply,
+    handleReply: (...reply) => results.handleReply(...reply),
+    handleLoss: (tookMs) => results.handleLoss(tookMs),
     handleDemotion: () => member.probe.clearLeadership(),
     confirmCommit: (position, timeoutMs) => {
       const commit = { leader: member.id, connection, position, acknowledgedAt: clock.readNow() };
--- a/packages/engine/src/metrics.ts
+++ b/packages/engine/src/metrics.ts
@@ -40,6 +40,14 @@
     registers: [this.registry],
   });
 
+  /** Changes in the use of instances that failed callers' work, by `kind` (ejected, restored). */
+  readonly ejections = createCounter(
+    this.registry,
+    'ejections_total',
+    'Instances that reads avoid, or use again',
+    ['kind'],
+  );
+
   /** Failed requests, by `verdict`. */
   readonly failures = createCounter(this.registry, 'failures_total', 'Failed requests', [
     'verdict',
--- a/packages/engine/src/single.ts
+++ b/packages/engine/src/single.ts
@@ -95,7 +95,7 @@
     } catch (error) {
       lease.release();
       if (!(error instanceof ConnectionError)) throw error;
-      attempts.recordLatency(lease, startedAt);
+      attempts.handleLoss(lease, startedAt);
       return { kind: 'retryable', failure: LOST };
     }
   }
--- a/packages/engine/src/workrouter.ts
+++ b/packages/engine/src/workrouter.ts
@@ -14,6 +14,7 @@
 import type { Member } from './member.js';
 import type { Metrics } from './metrics.js';
 import { VerifiedView } from './view.js';
+import type { WorkEvidence } from './workevidence.js';
 import type { ZoneRequest, ZoneRouter } from './zonerouter.js';
 
 /** Fraction of the allowed age that is reserved for queueing and network time. */
@@ -48,6 +49,8 @@
   readonly findLeader: (now: Millis) => Member | undefined;
   /** Decides which reads leave the zone; undefined when the settings turn that off. */
   readonly zoneRouter: ZoneRouter | undefined;
+  /** What callers' work tells of the instances. */
+  readonly evidence: WorkEvidence;
 }
 
 /** Chooses the instances that may serve one group's work, and logs the choice. */
@@ -81,19 +84,26 @@
     if (isHopeless) throw new NotRunError('no instance can serve this now');
   }
 
+  /** Finds the instances that may serve the work; bounded reads avoid those that fail work. */
   route(request: WorkRequest, now: Millis): Route {
+    const { excluded } = request;
+    if (request.kind === 'write' || request.contract.maxAgeMs <= 0) {
+      return this.routeWithout(excluded, request, now);
+    }
+    const { evidence, listMembers, findLeader } = this.options;
+    const avoided = evidence.listAvoided(listMembers(), findLeader(now), now);
+    const route = this.routeWithout(new Set([...excluded, ...avoided]), request, now);
+    if (avoided.size === 0 || route.kind === 'instances') return route;
+    return this.routeWithout(excluded, request, now);
+  }
+
+  private routeWithout(excluded: ReadonlySet<string>, request: WorkRequest, now: Millis): Route {
     const { after, fresh: freshPosition } = this.findPositions(request);
-    const { lastCommit, excluded } = request;
+    const { lastCommit } = request;
     const leader = this.options.findLeader(now);
     const members = this.options.listMembers();
     const view = new VerifiedView({
-      members,
-      leader,
-      after,
-      freshPosition,
-      lastCommit,
-      excluded,
-      now,
+      ...{ members, leader, after, freshPosition, lastCommit, excluded, now },
     });
     const minPosition = after ?? { term: 0, offset: 0 };
     const route = this.router.route({ ...request, minPosition }, view, now);
--- a/packages/engine/test/zonerouter.spec.ts
+++ b/packages/engine/test/zonerouter.spec.ts
@@ -11,6 +11,7 @@
   Member,
   type MemberParts,
   Metrics,
+  WorkEvidence,
   WorkRouter,
   ZoneRouter,
 } from '../src/index.js';
@@ -48,6 +49,7 @@
   const router = new WorkRouter(
     {
       ...{ ...common, ageClock: clock, samples, zoneRouter },
+      evidence: new WorkEvidence(common),
       listMembers: () => members,
       findLeader: () => leader,
     },
--- a/packages/forwarding/src/home.ts
+++ b/packages/forwarding/src/home.ts
@@ -1,6 +1,7 @@
 import type { Socket } from 'node:net';
 import { DEFAULT_CONTRACT, type Millis } from '@shallotpick/core';
 import {
+  type Command,
   findAccess,
   type ForwardingHost,
   type GroupService,
@@ -279,7 +280,6 @@
     held: HeldLease,
     lease: Lease,
   ): Promise<void> {
-    const { host } = this;
     const { connection } = lease;
     const state = toSessionState(session);
     const isData = 'text' in operation || operation.kind === 'execute';
@@ -292,12 +292,7 @@
       operation: isData ? connection.toOperation(state, operation) : operation,
       ...(after ? { after } : {}),
     };
-    const startedAt = host.clock.readNow();
-    const reply = await runObserved(connection, command);
-    if (isData) {
-      lease.recordLatency(host.clock.readNow() - startedAt);
-      lease.handleReply(reply);
-    }
+    const reply = await this.runOnInstance(id, lease, command, isData);
     if (reply.failure?.verdict === 'readOnly') lease.handleDemotion();
     const isWrite = isData && findAccess(state, operation) === 'write';
     const isCommit = operation.kind === 'commit';
@@ -310,6 +305,31 @@
     this.sendReply(id, reply);
   }
 
+  /** Runs a command and notes what became of it, unless it only ends or opens a transaction. */
+  private async runOnInstance(
+    id: number,
+    lease: Lease,
+    command: Command,
+    isData: boolean,
+  ): Promise<Reply> {
+    const { clock } = this.host;
+    const startedAt = clock.readNow();
+    try {
+      const reply = await runObserved(lease.connection, command);
+      const tookMs = clock.readNow() - startedAt;
+      if (isData) {
+        lease.recordLatency(tookMs);
+        lease.handleReply(reply, tookMs);
+      }
+      return reply;
+    } catch (error) {
+      // The loss of a connection that this side has closed tells nothing of the instance.
+      const isHeld = this.held.get(id)?.lease === lease;
+      if (isData && isHeld) lease.handleLoss(clock.readNow() - startedAt);
+      throw error;
+    }
+  }
+
   private sendReply(lease: number, { rows, digest, failure, state, position }: Reply): void {
     this.send({
       ...{ type: 'reply', lease },
--- a/packages/forwarding/src/remote.ts
+++ b/packages/forwarding/src/remote.ts
@@ -128,6 +128,7 @@
     // The home measures the latency, notices a demotion, and passes on only what it has confirmed.
     recordLatency: () => undefined,
     handleReply: () => undefined,
+    handleLoss: () => undefined,
     handleDemotion: () => undefined,
     confirmCommit: async () => undefined,
   };
