Tell VMs that are no homes of a new configuration by their homes, too

A VM that is no home now waits up to 25 s in a call. Homes watch as before, so a change with a lost watch is in force sooner.

Specs: a version that only another VM has told, one that the own watch tells as well, and no proof for long (one read, also when it fails).

--- a/packages/engine/src/configurationverifier.ts
+++ b/packages/engine/src/configurationverifier.ts
@@ -15,6 +15,10 @@
 const FIRST_RANK_FRACTION = 0.25;
 /** Delay before the configuration is read again after a read has failed. */
 const RETRY_MS: Millis = 250;
+/** This VM's own watch tells of a new version within this time, unless a call was lost. */
+const OWN_WATCH_MS: Millis = 300;
+/** Gap between two reads for a version that only other VMs have. */
+const BEHIND_GAP_MS: Millis = 2_000;
 
 /** What a VM tells another one of its proof. */
 export interface ProofAge {
@@ -34,6 +38,8 @@
   readonly metrics: Metrics;
   /** This VM's rank among those of its zone that read the configuration for the others. */
   readonly findRank: () => number;
+  /** Without keys, the configuration is read after this long without a proof. */
+  readonly maxProofAgeMs: Millis;
   /** Reads the configuration from the store; the answer is passed on as usual. */
   readonly readConfiguration: () => Promise<void>;
 }
@@ -54,6 +60,9 @@
 
   private wasInForce = false;
 
+  /** When another VM first proved a later version than this VM has. */
+  private behindSince: Millis | undefined;
+
   constructor(private readonly options: ConfigurationVerifierOptions) {
     this.lease = new ConfigurationLease(options.leaseMs ?? Number.POSITIVE_INFINITY);
   }
@@ -81,8 +90,10 @@
   /** Notes the proof of another VM. */
   handleProof(proof: ConfigurationProof): void {
     const inForce = this.options.configuration.read()?.version;
-    if (inForce === undefined || !this.isNeeded()) return;
-    if (!this.lease.handleProof(proof, inForce)) this.refresh();
+    if (inForce === undefined) return;
+    if (this.lease.handleProof(proof, inForce)) this.behindSince = undefined;
+    else if (this.isNeeded()) this.refresh(RETRY_MS);
+    else this.behindSince ??= this.readNow();
   }
 
   /** This VM's proof, for other VMs; undefined when it has none. */
@@ -93,7 +104,24 @@
   }
 
   handleTick(): void {
-    if (!this.isNeeded()) return;
+    if (this.isNeeded()) this.checkKeys();
+    else this.checkVersion();
+  }
+
+  /** Reads the configuration when neither the store nor another VM proves the one in force. */
+  private checkVersion(): void {
+    if (this.options.configuration.read() === undefined) return;
+    const now = this.readNow();
+    const { behindSince } = this;
+    if (behindSince !== undefined && now - behindSince >= OWN_WATCH_MS) {
+      this.behindSince = undefined;
+      this.refresh(BEHIND_GAP_MS);
+    }
+    const { maxProofAgeMs } = this.options;
+    if (this.lease.readAge(now) >= maxProofAgeMs) this.refresh(maxProofAgeMs);
+  }
+
+  private checkKeys(): void {
     const isInForce = this.areKeysInForce();
     const ageMs = this.lease.readAge(this.readNow());
     if (isInForce !== this.wasInForce) {
@@ -103,7 +131,7 @@
     }
     this.wasInForce = isInForce;
     this.options.metrics.configurationProofAge.set(Number.isFinite(ageMs) ? ageMs / 1_000 : -1);
-    if (ageMs >= this.computeRefreshAge()) this.refresh();
+    if (ageMs >= this.computeRefreshAge()) this.refresh(RETRY_MS);
   }
 
   private isNeeded(): boolean {
@@ -117,15 +145,18 @@
     return (this.options.leaseMs ?? Number.POSITIVE_INFINITY) * fraction;
   }
 
-  private refresh(): void {
+  /** Reads the configuration; once that has failed, not again for `retryMs`. */
+  private refresh(retryMs: Millis): void {
     const now = this.readNow();
     if (this.isReading || now < this.mayReadAt) return;
     this.isReading = true;
+    // Without keys a read may succeed and prove nothing, as of a store that has lost a version.
+    if (!this.isNeeded()) this.mayReadAt = now + retryMs;
     this.options
       .readConfiguration()
       .then(() => this.handleAnswer(now))
       .catch((error: unknown) => {
-        this.mayReadAt = this.readNow() + RETRY_MS;
+        this.mayReadAt = this.readNow() + retryMs;
         this.options.log.debug('configuration not read', { error: String(error) });
       })
       .finally(() => {
--- a/packages/engine/src/watcher.ts
+++ b/packages/engine/src/watcher.ts
@@ -15,8 +15,8 @@
 /** The watched kind, its callbacks and services. */
 export interface ObjectWatcherOptions {
   readonly kind: string;
-  /** Longest wait of one watch call; a lost call delays a change by at most this long. */
-  readonly watchMs: Millis;
+  /** Longest wait of the next watch call; a lost call delays a change by at most this long. */
+  readonly findWatchTime: () => Millis;
   readonly store: ObjectStore;
   readonly clock: Clock;
   readonly log: Log;
@@ -125,8 +125,8 @@
   }
 
   private async watch(from: StoreVersion): Promise<void> {
-    const { store, kind, watchMs, onChange } = this.options;
-    const { changes, revision: next, era } = await store.watch(kind, from, watchMs);
+    const { store, kind, findWatchTime, onChange } = this.options;
+    const { changes, revision: next, era } = await store.watch(kind, from, findWatchTime());
     changes.forEach(({ object, isDeleted }) => onChange(object, isDeleted, era));
     // What a partial listing lacks may be readable by now.
     this.position = this.partialListings > 0 ? undefined : { era, revision: next };
--- a/packages/engine/src/wiring.ts
+++ b/packages/engine/src/wiring.ts
@@ -28,6 +28,13 @@
  * request from its caller.
  */
 const REVOCATION_MARGIN_MS: Millis = 500;
+/**
+ * A VM that is no home is told of a new configuration by homes, too, so that a lost watch call of its
+ * own does not delay the configuration.
+ */
+const ENTRY_WATCH_MS: Millis = 25_000;
+/** Time beyond its wait in which a watch call is answered and the next one has a proof. */
+const WATCH_ANSWER_MS: Millis = 1_500;
 /** Promotion records are written conditionally, so reading one late does no harm. */
 const PROMOTIONS_WATCH_MS: Millis = 12_000;
 
@@ -142,7 +149,7 @@
   const isHomeNow = (): boolean => holder.groups?.mayPlace() === true && placement.isAnyHome();
   const createWatcher = (
     kind: string,
-    watchMs: Millis,
+    findWatchTime: () => Millis,
     onListing: ObjectWatcherOptions['onListing'],
     onChange: ObjectWatcherOptions['onChange'],
     onAnswer: ObjectWatcherOptions['onAnswer'] = () => undefined,
@@ -150,7 +157,7 @@
   ): ObjectWatcher =>
     new ObjectWatcher({
       kind,
-      watchMs,
+      findWatchTime,
       store,
       clock: watcherClock,
       log,
@@ -168,10 +175,12 @@
     holder.verifier?.handleStoredVersion(decoded?.version);
     if (decoded) configuration.update(decoded);
   };
+  const configurationWatchMs = (parts.configurationApplyMs + parts.stableWindowMs) * WATCH_FRACTION;
   const verifier = new ConfigurationVerifier({
     ...{ configuration, ageClock: shared.ageClock, log, metrics },
     leaseMs: revocationMs === undefined ? undefined : revocationMs - REVOCATION_MARGIN_MS,
     findRank: () => placement.findReaderRank(zone),
+    maxProofAgeMs: 2 * configurationWatchMs + WATCH_ANSWER_MS,
     readConfiguration: async () => {
       const { objects, isPartial } = await store.list(parts.configurationKind);
       objects.forEach(handleConfiguration);
@@ -181,7 +190,7 @@
   holder.verifier = verifier;
   const configurations = createWatcher(
     parts.configurationKind,
-    (parts.configurationApplyMs + parts.stableWindowMs) * WATCH_FRACTION,
+    () => (placement.isAnyHome() ? configurationWatchMs : ENTRY_WATCH_MS),
     (objects) => objects.forEach(handleConfiguration),
     (object, isDeleted) => {
       if (!isDeleted) handleConfiguration(object);
@@ -207,7 +216,7 @@
   const watchMs = (drainMs + parts.stableWindowMs) * WATCH_FRACTION;
   const instances = createWatcher(
     parts.instancesKind,
-    watchMs,
+    () => watchMs,
     handleInstances,
     (object, isDeleted) => {
       const decoded = isDeleted ? undefined : parts.decodeInstance(object);
@@ -219,7 +228,7 @@
     holder.groups?.findLocal(object.name)?.takeover.handleRecordObject(object, era);
   const promotions = createWatcher(
     PROMOTIONS_KIND,
-    PROMOTIONS_WATCH_MS,
+    () => PROMOTIONS_WATCH_MS,
     (objects, era, isPartial) => {
       objects.forEach((object) => handlePromotion(object, era));
       if (isPartial) return;
--- a/packages/engine/test/configurationverifier.spec.ts
+++ b/packages/engine/test/configurationverifier.spec.ts
@@ -11,15 +11,22 @@
 import { createConfiguration } from './store.js';
 
 const LEASE_MS = 4_000;
+const MAX_PROOF_AGE_MS = 10_000;
 const BASE = createConfiguration(6, { timeoutMs: 100, transactionIdleMs: 100 });
 const organisations = new OrganisationIndex([{ name: 'north', keys: ['a'], rateLimit: undefined }]);
 
-function createVerifier(rank = 0) {
+function createVerifier(rank = 0, hasLease = true) {
   const clock = new ManualClock();
   const configuration = new ConfigurationHolder();
   const reads: number[] = [];
   const verifier = new ConfigurationVerifier({
-    ...{ leaseMs: LEASE_MS, configuration, ageClock: clock, metrics: new Metrics() },
+    ...{
+      leaseMs: hasLease ? LEASE_MS : undefined,
+      maxProofAgeMs: MAX_PROOF_AGE_MS,
+      configuration,
+      ageClock: clock,
+      metrics: new Metrics(),
+    },
     log: createEngineLog('error', 'test'),
     findRank: () => rank,
     readConfiguration: async () => {
@@ -96,4 +103,48 @@
     clock.advance(700);
     expect(verifier.readProof()).toEqual({ version: 3, ageMs: 700 });
   });
+
+  describe('without keys', () => {
+    const tick = ({ clock, verifier }: ReturnType<typeof createVerifier>, gap: number): void => {
+      clock.advance(gap);
+      verifier.handleTick();
+    };
+
+    // A VM whose watch call was lost kept its old version until the call's time limit.
+    it('reads a version that another VM has proved and its own watch has not told', async () => {
+      const one = createVerifier(0, false);
+      one.put(3);
+      one.verifier.handleAnswer(one.clock.readNow());
+      one.verifier.handleProof({ version: 4, provedAt: one.clock.readNow() });
+      const before = one.reads.length;
+      tick(one, 400);
+      expect([before, one.reads.length]).toEqual([0, 1]);
+    });
+
+    // Each change of the configuration cost every VM a read besides its watch.
+    it('reads nothing that its own watch tells', () => {
+      const one = createVerifier(0, false);
+      one.put(3);
+      one.verifier.handleAnswer(one.clock.readNow());
+      one.verifier.handleProof({ version: 4, provedAt: one.clock.readNow() });
+      one.put(4);
+      one.verifier.handleProof({ version: 4, provedAt: one.clock.readNow() });
+      tick(one, 400);
+      expect(one.reads).toEqual([]);
+    });
+
+    // A VM that no other VM reaches must not wait for the end of a long watch.
+    it('reads once when nothing has proved the version for long', async () => {
+      const one = createVerifier(0, false);
+      one.put(3);
+      one.verifier.handleAnswer(one.clock.readNow());
+      tick(one, MAX_PROOF_AGE_MS - 1);
+      const before = one.reads.length;
+      for (let index = 0; index < 5; index++) {
+        tick(one, 100);
+        await wait(0);
+      }
+      expect([before, one.reads.length]).toEqual([0, 1]);
+    });
+  });
 });
--- a/packages/engine/test/era.spec.ts
+++ b/packages/engine/test/era.spec.ts
@@ -121,7 +121,7 @@
   inner.put(KIND, 'a', {});
   const seen: string[] = [];
   const watcher = new ObjectWatcher({
-    ...{ kind: KIND, watchMs: 1_000, store: outer, clock: new SystemClock() },
+    ...{ kind: KIND, findWatchTime: () => 1_000, store: outer, clock: new SystemClock() },
     ...{ log: createEngineLog('error', 'test'), random: () => 0 },
     onListing: (objects) => seen.push(...objects.map(({ name }) => name)),
     onChange: ({ name }) => seen.push(name),
--- a/packages/engine/test/watcher.spec.ts
+++ b/packages/engine/test/watcher.spec.ts
@@ -40,7 +40,7 @@
   options: Partial<ObjectWatcherOptions>,
 ): ObjectWatcher =>
   new ObjectWatcher({
-    ...{ kind: 'instances', watchMs: 1_000, store, clock: new SystemClock() },
+    ...{ kind: 'instances', findWatchTime: () => 1_000, store, clock: new SystemClock() },
     ...{ log: createEngineLog('error', 'test'), random: () => 0 },
     ...{ onListing: () => undefined, onChange: () => undefined },
     ...options,
