Return reads to their zone sooner after a fault

While leaving does not pay, the share now falls by at least 0.01 in each step; the specs' bounds hold.

--- a/packages/core/src/zonebalance.ts
+++ b/packages/core/src/zonebalance.ts
@@ -5,6 +5,8 @@
 const STEP_MS: Millis = 200;
 /** Change of the share in one step when one finish is negligible beside the other. */
 const MAX_STEP = 0.05;
+/** Least decrease of the share in one step, so that it returns to staying soon. */
+const RETURN_STEP = 0.01;
 /** Change of the share in one step while only those reads make their objective that leave. */
 const OBJECTIVE_STEP = 0.1;
 /** Share that may leave for an instance that was not measured lately, so that it is measured. */
@@ -161,7 +163,7 @@
     if (!isLeaving && stayMs >= leaveMs) return this.share;
     const difference = (stayMs - leaveMs) / Math.max(1, stayMs, leaveMs);
     // The square keeps steps small near the balance, where outdated knowledge would pass over it.
-    const measured = MAX_STEP * difference * Math.abs(difference);
+    const measured = MAX_STEP * difference * Math.abs(difference) - (isLeaving ? 0 : RETURN_STEP);
     const step = isTooLate(near, far, remainingMs) ? OBJECTIVE_STEP : measured;
     if (now - far.measuredAt <= FRESH_MS) return Math.max(0, Math.min(1, this.share + step));
     // Without a measurement the share goes back to what brings one.
