--- a/packages/engine/src/fleet.ts
+++ b/packages/engine/src/fleet.ts
@@ -15,6 +15,8 @@
 const HEARTBEAT_MS: Millis = 10_000;
 /** Interval of the first rounds, so that VMs that start together soon see each other. */
 const FIRST_HEARTBEAT_MS: Millis = 1_500;
+/** Number of rounds after the first one that begin after `FIRST_HEARTBEAT_MS`. */
+const FIRST_ROUNDS = 2;
 const HEARTBEAT_EXPIRY_MS: Millis = 25_000;
 /** Time over which the VMs spread their rounds after a restoration of the store. */
 const RESTORATION_SPREAD_MS: Millis = 1_000;
@@ -74,6 +76,9 @@
 
   private revision = 0;
 
+  /** True when the last list showed the last heartbeat of this VM. */
+  private isListed = false;
+
   private isStopped = false;
 
   /** True when the store may have lost heartbeats since this VM's last round began. */
@@ -153,10 +158,13 @@
   private async run(): Promise<void> {
     for (let round = 0; !this.isStopped; round++) {
       this.isRestored = false;
+      // The rounds that follow the first one soon are for what other VMs have written.
+      const isForOthers = round > 0 && round <= FIRST_ROUNDS;
+      if (isForOthers) await this.tryTo(async () => this.readHeartbeats());
       // An object under this VM's name that can't be read must not hide the other VMs.
-      await this.tryTo(async () => this.writeHeartbeat());
-      await this.tryTo(async () => this.readHeartbeats());
-      await this.sleep(round < 2 ? FIRST_HEARTBEAT_MS : HEARTBEAT_MS);
+      if (!isForOthers || !this.isListed) await this.tryTo(async () => this.writeHeartbeat());
+      if (!isForOthers) await this.tryTo(async () => this.readHeartbeats());
+      await this.sleep(round < FIRST_ROUNDS ? FIRST_HEARTBEAT_MS : HEARTBEAT_MS);
     }
   }
 
@@ -208,7 +216,9 @@
 
   private async readHeartbeats(): Promise<void> {
     const { store, clock, vm, log } = this.options;
+    this.isListed = false;
     const { objects } = await store.list(VMS_KIND, true);
+    this.isListed = objects.some(({ name, revision }) => name === vm && revision === this.revision);
     const now = clock.readNow();
     objects.forEach((object) => this.handleHeartbeat(object, now));
     const live = [...this.seen]
--- a/packages/engine/test/fleet.spec.ts
+++ b/packages/engine/test/fleet.spec.ts
@@ -78,6 +78,17 @@
     expect((object?.spec as { beat?: number }).beat).toEqual(2);
   });
 
+  // VMs that started together wrote each heartbeat three times within seconds.
+  it('writes its first heartbeat once while the store lists it', async () => {
+    const store = new FakeStore();
+    const fleet = createFleet(store);
+    fleet.start();
+    await wait(2 * HEARTBEAT_ROUND_MS);
+    fleet.stop();
+    const { object } = await store.find(VMS_KIND, 'vm-1');
+    expect((object?.spec as { beat?: number }).beat).toEqual(1);
+  });
+
   // A process that started meanwhile did not see this VM for up to 10 s.
   it('registers again at once when the store was restored', async () => {
     const store = new FakeStore();
