--- a/packages/engine/src/configurationverifier.ts
+++ b/packages/engine/src/configurationverifier.ts
@@ -60,8 +60,8 @@
 
   private wasInForce = false;
 
-  /** When another VM first proved a later version than this VM has. */
-  private behindSince: Millis | undefined;
+  /** A later version that another VM has proved, and when this VM was first told of it. */
+  private later: { readonly version: number; readonly toldAt: Millis } | undefined;
 
   constructor(private readonly options: ConfigurationVerifierOptions) {
     this.lease = new ConfigurationLease(options.leaseMs ?? Number.POSITIVE_INFINITY);
@@ -91,9 +91,9 @@
   handleProof(proof: ConfigurationProof): void {
     const inForce = this.options.configuration.read()?.version;
     if (inForce === undefined) return;
-    if (this.lease.handleProof(proof, inForce)) this.behindSince = undefined;
-    else if (this.isNeeded()) this.refresh(RETRY_MS);
-    else this.behindSince ??= this.readNow();
+    if (this.lease.handleProof(proof, inForce)) return;
+    if (this.isNeeded()) this.refresh(RETRY_MS);
+    else this.later ??= { version: proof.version, toldAt: this.readNow() };
   }
 
   /** This VM's proof, for other VMs; undefined when it has none. */
@@ -110,15 +110,17 @@
 
   /** Reads the configuration when neither the store nor another VM proves the one in force. */
   private checkVersion(): void {
-    if (this.options.configuration.read() === undefined) return;
+    const inForce = this.options.configuration.read()?.version;
+    if (inForce === undefined) return;
     const now = this.readNow();
-    const { behindSince } = this;
-    if (behindSince !== undefined && now - behindSince >= OWN_WATCH_MS) {
-      this.behindSince = undefined;
-      this.refresh(BEHIND_GAP_MS);
+    if (this.later && now - this.later.toldAt >= OWN_WATCH_MS) {
+      if (this.later.version > inForce) this.refresh(BEHIND_GAP_MS);
+      this.later = undefined;
     }
     const { maxProofAgeMs } = this.options;
-    if (this.lease.readAge(now) >= maxProofAgeMs) this.refresh(maxProofAgeMs);
+    const ageMs = this.lease.readAge(now);
+    // The answer that brought the first version is about to prove it.
+    if (Number.isFinite(ageMs) && ageMs >= maxProofAgeMs) this.refresh(maxProofAgeMs);
   }
 
   private checkKeys(): void {
--- a/packages/engine/test/configurationverifier.spec.ts
+++ b/packages/engine/test/configurationverifier.spec.ts
@@ -128,11 +128,18 @@
       one.verifier.handleAnswer(one.clock.readNow());
       one.verifier.handleProof({ version: 4, provedAt: one.clock.readNow() });
       one.put(4);
-      one.verifier.handleProof({ version: 4, provedAt: one.clock.readNow() });
       tick(one, 400);
       expect(one.reads).toEqual([]);
     });
 
+    // Each VM read the configuration twice when it started.
+    it('reads nothing while the first answer is being handled', () => {
+      const one = createVerifier(0, false);
+      one.put(3);
+      tick(one, 0);
+      expect(one.reads).toEqual([]);
+    });
+
     // A VM that no other VM reaches must not wait for the end of a long watch.
     it('reads once when nothing has proved the version for long', async () => {
       const one = createVerifier(0, false);
