--- a/packages/engine/test/watcher.spec.ts
+++ b/packages/engine/test/watcher.spec.ts
@@ -93,7 +93,7 @@
     const listings: boolean[] = [];
     let answers = 0;
     const watcher = createWatcher(store, {
-      watchMs: 20,
+      findWatchTime: () => 20,
       onListing: (objects, era, isPartial) => listings.push(isPartial && objects.length === 1),
       onAnswer: () => {
         answers += 1;
