--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -104,7 +104,7 @@
 export { findPrimary, Router, RoutingView, StatusView } from './router.js';
 export type { GroupView, Route, RouteRequest } from './router.js';
 export { ZoneBalance } from './zonebalance.js';
-export type { ZoneCandidate, ZoneChoice, ZoneShare } from './zonebalance.js';
+export type { ZoneCandidate } from './zonebalance.js';
 export { ZoneBudget } from './zonebudget.js';
 export { LeastRecent } from './leastrecent.js';
 export { OutlierDetector } from './outlier.js';
--- a/packages/core/src/zonebalance.ts
+++ b/packages/core/src/zonebalance.ts
@@ -28,20 +28,6 @@
   readonly measuredAt: Millis;
 }
 
-/** A choice between the own zone and others. */
-export interface ZoneChoice {
-  /** Candidates, best first. */
-  readonly order: readonly ZoneCandidate[];
-  /** True when the read leaves the zone although the zone has a candidate. */
-  readonly hasLeft: boolean;
-}
-
-/** Share of a group's reads that leaves the zone, and when it changed. */
-export interface ZoneShare {
-  readonly share: number;
-  readonly before: number;
-}
-
 /** Time until a candidate's answer is expected. */
 function estimateFinish({ workMs, pathMs }: ZoneCandidate): Millis {
   return workMs + pathMs;
@@ -90,22 +76,20 @@
   }
 
   /**
-   * Orders the candidates of a read.
+   * Ranks the candidates of a read, the one first that it is sent to.
    *
    * @param candidates instances that may serve the read, best first
    */
-  choose(candidates: readonly ZoneCandidate[], now: Millis): ZoneChoice {
+  rank(candidates: readonly ZoneCandidate[], now: Millis): readonly ZoneCandidate[] {
     const alternatives = this.findAlternatives(candidates);
-    if (!alternatives) return { order: candidates, hasLeft: false };
+    if (!alternatives) return candidates;
     const { near, far } = alternatives;
-    const hasLeft = this.mayLeave(now);
-    const chosen = hasLeft ? [far, near] : [near, far];
-    const rest = candidates.filter((one) => !chosen.includes(one));
-    return { order: [...chosen, ...rest], hasLeft };
+    const chosen = this.mayLeave(now) ? [far, near] : [near, far];
+    return [...chosen, ...candidates.filter((one) => !chosen.includes(one))];
   }
 
   /**
-   * Moves the share by the measured difference; returns the change if there was one.
+   * Moves the share by the measured difference.
    *
    * @param marginMs difference of expected finishes that does not count
    */
@@ -114,13 +98,11 @@
     remainingMs: Millis,
     marginMs: Millis,
     now: Millis,
-  ): ZoneShare | undefined {
-    if (this.steppedAt !== undefined && now - this.steppedAt < STEP_MS) return undefined;
+  ): void {
+    if (this.steppedAt !== undefined && now - this.steppedAt < STEP_MS) return;
     this.steppedAt = now;
-    const before = this.share;
     const share = this.computeShare(candidates, remainingMs, marginMs, now);
     this.share = share < MIN_SHARE ? 0 : share;
-    return this.share === before ? undefined : { share: this.share, before };
   }
 
   /** Notes that a read starts on an instance of a zone. */
--- a/packages/core/test/zonebalance.spec.ts
+++ b/packages/core/test/zonebalance.spec.ts
@@ -56,7 +56,7 @@
     vms.forEach((vm) => {
       vm.handleMeasurement(candidates, OBJECTIVE_MS, COST_MS, now);
       for (let read = 0; read < READS_PER_STEP; read++) {
-        const [chosen] = vm.choose(candidates, now).order;
+        const [chosen] = vm.rank(candidates, now);
         vm.handleStart(chosen!.zone, now);
         if (chosen === other) left += 1;
       }
--- a/packages/engine/src/workrouter.ts
+++ b/packages/engine/src/workrouter.ts
@@ -108,11 +108,11 @@
     const minPosition = after ?? { term: 0, offset: 0 };
     const route = this.router.route({ ...request, minPosition }, view, now);
     const marginMs = view.readTypicalCost();
-    return this.orderByZone(route, { objective: request.objective, marginMs }, now);
+    return this.rankByZone(route, { objective: request.objective, marginMs }, now);
   }
 
-  /** Orders the replicas of a route by zone; the leader stays behind them. */
-  private orderByZone(route: Route, request: ZoneRequest, now: Millis): Route {
+  /** Ranks the replicas of a route by zone; the leader stays behind them. */
+  private rankByZone(route: Route, request: ZoneRequest, now: Millis): Route {
     const { zoneRouter, listMembers, findLeader } = this.options;
     if (!zoneRouter || route.kind !== 'instances' || route.instances.length < 2) return route;
     const leader = findLeader(now)?.id;
@@ -121,7 +121,7 @@
       id === leader ? [] : (members.get(id) ?? []),
     );
     const rest = route.instances.filter((id) => id === leader);
-    return { ...route, instances: [...zoneRouter.order(replicas, request, now), ...rest] };
+    return { ...route, instances: [...zoneRouter.rank(replicas, request, now), ...rest] };
   }
 
   /** Finds the log positions that a read requires. */
--- a/packages/engine/src/zonerouter.ts
+++ b/packages/engine/src/zonerouter.ts
@@ -42,18 +42,17 @@
     this.balance = new ZoneBalance(options.zone, options.budget);
   }
 
-  /** Orders the replicas that may serve a read, the one first that it is sent to. */
-  order(
+  /** Ranks the replicas that may serve a read, the one first that it is sent to. */
+  rank(
     replicas: readonly Member[],
     { objective, marginMs }: ZoneRequest,
     now: Millis,
   ): readonly string[] {
     const candidates = replicas.map((member) => this.describe(member, now));
     const remainingMs = objective - now;
-    const change = this.balance.handleMeasurement(candidates, remainingMs, marginMs, now);
-    if (change) this.handleShare(change.share);
-    const { order } = this.balance.choose(candidates, now);
-    return order.map(({ id }) => id);
+    this.balance.handleMeasurement(candidates, remainingMs, marginMs, now);
+    this.reportShare();
+    return this.balance.rank(candidates, now).map(({ id }) => id);
   }
 
   /** Notes that a read starts on an instance. */
@@ -80,8 +79,9 @@
     };
   }
 
-  private handleShare(share: number): void {
+  private reportShare(): void {
     const { group, log, metrics } = this.options;
+    const share = this.balance.readShare();
     metrics.zoneShare.set({ group }, share);
     const isLogged = Math.abs(share - this.loggedShare) >= LOGGED_CHANGE;
     const hasEnded = share === 0 && this.loggedShare > 0;
