Join the division of reads by zone and the evidence of work

Change: merge of part-zones; both bounds on links and observed replies stay, settings read both groups of variables.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -108,6 +108,13 @@
 } from './platform.js';
 export { findPrimary, Router, RoutingView, StatusView } from './router.js';
 export type { GroupView, Route, RouteRequest } from './router.js';
+export { ZoneBalance } from './zonebalance.js';
+export type { ZoneCandidate } from './zonebalance.js';
+export { ZoneBudget } from './zonebudget.js';
+export { LeastRecent } from './leastrecent.js';
+export { OutlierDetector } from './outlier.js';
+export type { OutlierChange } from './outlier.js';
+export type { WorkResult } from './resultwindow.js';
 export { InstanceLink } from './link.js';
 export { ExchangeFeature, PeerLink } from './peer.js';
 export type {
--- a/packages/engine/src/wiring.ts
+++ b/packages/engine/src/wiring.ts
@@ -1,5 +1,5 @@
 import { randomUUID } from 'node:crypto';
-import type { Clock, Millis, RegisteredInstance } from '@shallotpick/core';
+import { type Clock, type Millis, type RegisteredInstance, ZoneBudget } from '@shallotpick/core';
 import { SuspendAwareClock, SystemClock } from './clock.js';
 import { ConfigurationHolder, type ServiceConfiguration } from './configuration.js';
 import { ConfigurationVerifier } from './configurationverifier.js';
@@ -28,9 +28,19 @@
  * request from its caller.
  */
 const REVOCATION_MARGIN_MS: Millis = 500;
+/**
+ * A VM that is no home is told of a new configuration by homes, too, so that a lost watch call of its
+ * own does not delay the configuration.
+ */
+const ENTRY_WATCH_MS: Millis = 25_000;
+/** Time beyond its wait in which a watch call is answered and the next one has a proof. */
+const WATCH_ANSWER_MS: Millis = 1_500;
 /** Promotion records are written conditionally, so reading one late does no harm. */
 const PROMOTIONS_WATCH_MS: Millis = 12_000;
 
+/** Bytes a second that reads of one VM may exchange with other zones by choice. */
+const DEFAULT_ZONE_BYTES_PER_SECOND = 250_000;
+
 /** Settings, services and decoders that a protocol adapter supplies. */
 export interface ProxyParts {
   readonly vm: string;
@@ -56,6 +66,8 @@
   readonly power?: number | undefined;
   /** Time limit for a revoked key to be refused, also by VMs that can't reach the store. */
   readonly revocationMs?: Millis | undefined;
+  /** Bytes a second of reads that may leave the zone; 0 keeps them there while an instance can serve them. */
+  readonly zoneBytesPerSecond?: number | undefined;
   /** Store kind of the operator's configuration. */
   readonly configurationKind: string;
   /** Store kind of the objects by which instances register. */
@@ -68,6 +80,7 @@
 
 /** Services that all groups of a proxy share. */
 interface SharedServices {
+  readonly zoneBudget: ZoneBudget | undefined;
   readonly clock: Clock;
   readonly ageClock: Clock;
   readonly suspicion: Suspicion;
@@ -117,7 +130,10 @@
   const store = new EraAwareStore({ store: parts.store, log, metrics });
   const clock = new SystemClock();
   const suspicion = new Suspicion();
-  const shared: SharedServices = { clock, ageClock: new SuspendAwareClock(), suspicion };
+  const { zoneBytesPerSecond = DEFAULT_ZONE_BYTES_PER_SECOND } = parts;
+  const zoneBudget = zoneBytesPerSecond > 0 ? new ZoneBudget(zoneBytesPerSecond) : undefined;
+  const ageClock = new SuspendAwareClock();
+  const shared: SharedServices = { clock, ageClock, suspicion, zoneBudget };
   const configuration = new ConfigurationHolder();
   const holder: LateParts = {};
   const fleet = new Fleet({
@@ -133,7 +149,7 @@
   const isHomeNow = (): boolean => holder.groups?.mayPlace() === true && placement.isAnyHome();
   const createWatcher = (
     kind: string,
-    watchMs: Millis,
+    findWatchTime: () => Millis,
     onListing: ObjectWatcherOptions['onListing'],
     onChange: ObjectWatcherOptions['onChange'],
     onAnswer: ObjectWatcherOptions['onAnswer'] = () => undefined,
@@ -141,7 +157,7 @@
   ): ObjectWatcher =>
     new ObjectWatcher({
       kind,
-      watchMs,
+      findWatchTime,
       store,
       clock: watcherClock,
       log,
@@ -159,10 +175,12 @@
     holder.verifier?.handleStoredVersion(decoded?.version);
     if (decoded) configuration.update(decoded);
   };
+  const configurationWatchMs = (parts.configurationApplyMs + parts.stableWindowMs) * WATCH_FRACTION;
   const verifier = new ConfigurationVerifier({
     ...{ configuration, ageClock: shared.ageClock, log, metrics },
     leaseMs: revocationMs === undefined ? undefined : revocationMs - REVOCATION_MARGIN_MS,
     findRank: () => placement.findReaderRank(zone),
+    maxProofAgeMs: 2 * configurationWatchMs + WATCH_ANSWER_MS,
     readConfiguration: async () => {
       const { objects, isPartial } = await store.list(parts.configurationKind);
       objects.forEach(handleConfiguration);
@@ -172,7 +190,7 @@
   holder.verifier = verifier;
   const configurations = createWatcher(
     parts.configurationKind,
-    (parts.configurationApplyMs + parts.stableWindowMs) * WATCH_FRACTION,
+    () => (placement.isAnyHome() ? configurationWatchMs : ENTRY_WATCH_MS),
     (objects) => objects.forEach(handleConfiguration),
     (object, isDeleted) => {
       if (!isDeleted) handleConfiguration(object);
@@ -198,7 +216,7 @@
   const watchMs = (drainMs + parts.stableWindowMs) * WATCH_FRACTION;
   const instances = createWatcher(
     parts.instancesKind,
-    watchMs,
+    () => watchMs,
     handleInstances,
     (object, isDeleted) => {
       const decoded = isDeleted ? undefined : parts.decodeInstance(object);
@@ -210,7 +228,7 @@
     holder.groups?.findLocal(object.name)?.takeover.handleRecordObject(object, era);
   const promotions = createWatcher(
     PROMOTIONS_KIND,
-    PROMOTIONS_WATCH_MS,
+    () => PROMOTIONS_WATCH_MS,
     (objects, era, isPartial) => {
       objects.forEach((object) => handlePromotion(object, era));
       if (isPartial) return;
--- a/packages/engine/test/watcher.spec.ts
+++ b/packages/engine/test/watcher.spec.ts
@@ -40,7 +40,7 @@
   options: Partial<ObjectWatcherOptions>,
 ): ObjectWatcher =>
   new ObjectWatcher({
-    ...{ kind: 'instances', watchMs: 1_000, store, clock: new SystemClock() },
+    ...{ kind: 'instances', findWatchTime: () => 1_000, store, clock: new SystemClock() },
     ...{ log: createEngineLog('error', 'test'), random: () => 0 },
     ...{ onListing: () => undefined, onChange: () => undefined },
     ...options,
@@ -93,7 +93,7 @@
     const listings: boolean[] = [];
     let answers = 0;
     const watcher = createWatcher(store, {
-      watchMs: 20,
+      findWatchTime: () => 20,
       onListing: (objects, era, isPartial) => listings.push(isPartial && objects.length === 1),
       onAnswer: () => {
         answers += 1;
