--- a/packages/core/src/bytecollector.ts
+++ b/packages/core/src/bytecollector.ts
@@ -43,7 +43,7 @@
       this.closeBlock();
       this.addPart(chunk);
     } else {
-      this.copy(chunk, expected);
+      this.append(chunk, expected);
     }
   }
 
@@ -68,13 +68,13 @@
   }
 
   /** Copies what is left of a larger buffer, so that the buffer can be released. */
-  compact(): void {
+  release(): void {
     const [first] = this.parts;
     if (this.parts.length !== 1 || !first || this.blockLength > 0) return;
     if (2 * first.length >= first.buffer.byteLength) return;
     this.parts = [];
     this.partBytes = 0;
-    this.copy(first, this.length);
+    this.append(first, this.length);
   }
 
   private addPart(part: Uint8Array): void {
@@ -82,7 +82,7 @@
     this.partBytes += part.buffer.byteLength;
   }
 
-  private copy(chunk: Uint8Array, expected: number): void {
+  private append(chunk: Uint8Array, expected: number): void {
     let rest = chunk;
     while (rest.length > 0) {
       if (this.blockLength === this.block.length) this.openBlock(rest.length, expected);
--- a/packages/core/src/clientlimits.ts
+++ b/packages/core/src/clientlimits.ts
@@ -4,8 +4,8 @@
 const MIB_BYTES = 1024 * 1024;
 
 /** Fractions of the VM's memory and of the heap that connections may make the process hold. */
-const MEMORY_FRACTION = 0.2;
-const HEAP_FRACTION = 0.25;
+const MEMORY_FRACTION = 0.1;
+const HEAP_FRACTION = 0.15;
 /** Room for some messages of the largest size. */
 const MIN_MEMORY_BYTES = 8 * MIB_BYTES;
 
--- a/packages/core/src/memorybudget.ts
+++ b/packages/core/src/memorybudget.ts
@@ -1,7 +1,7 @@
 /** Fraction of the limit above which connections with messages in progress are not read. */
 const PAUSE_FRACTION = 0.5;
 /** Fraction of the limit that messages in progress may hold; further large ones are refused. */
-const RUNNING_FRACTION = 0.75;
+const RUNNING_FRACTION = 0.5;
 /**
  * Messages up to this length are never refused, so that a transaction can always be ended, and a
  * client that holds no more is not closed in place of a shared connection.
--- a/packages/engine/src/setup.ts
+++ b/packages/engine/src/setup.ts
@@ -25,13 +25,13 @@
   return state.statements.get(statement.name)?.access;
 }
 
-function shorten(text: string): string {
+function truncate(text: string): string {
   if (text.length <= MAX_REMEMBERED_LENGTH) return text;
   return `sha256 ${createHash('sha256').update(text).digest('hex')}`;
 }
 
 function createStatementKey({ access, shape }: PreparedStatement): string {
-  return `${access} ${shorten(shape)}`;
+  return `${access} ${truncate(shape)}`;
 }
 
 function hasForeignVariable(connection: InstanceConnection, { variables }: SessionState): boolean {
@@ -56,7 +56,7 @@
     connection.statements.clear();
   }
   state.variables.forEach((value, name) => {
-    const remembered = shorten(value);
+    const remembered = truncate(value);
     if (connection.variables.get(name) === remembered) return;
     operations.push({ kind: 'set', name, value });
     connection.variables.set(name, remembered);
--- a/packages/forwarding/src/frame.ts
+++ b/packages/forwarding/src/frame.ts
@@ -76,7 +76,7 @@
 
   /** Keeps only the beginning of the next frame. */
   private waitForMore(): undefined {
-    this.bytes.compact();
+    this.bytes.release();
     return undefined;
   }
 }
--- a/packages/forwarding/src/home.ts
+++ b/packages/forwarding/src/home.ts
@@ -134,7 +134,7 @@
     this.openedAt = host.clock.readNow();
     this.silence = new SilenceMeter(this.openedAt);
     this.socket = new MessageSocket(rawSocket, this, guard);
-    this.socket.expectMessage();
+    this.socket.requireMessage();
   }
 
   /** True when the peer has given this name. */
--- a/packages/forwarding/src/socket.ts
+++ b/packages/forwarding/src/socket.ts
@@ -35,8 +35,8 @@
     socket.on('close', () => this.close('closed by the peer'));
   }
 
-  /** Requires a first message from the peer in time. */
-  expectMessage(): void {
+  /** Closes the link when no first message arrives in time. */
+  requireMessage(): void {
     this.watch.startWait('first message');
   }
 
--- a/packages/wire/src/frame.ts
+++ b/packages/wire/src/frame.ts
@@ -91,7 +91,7 @@
 
   /** Keeps only the beginning of the next message. */
   private waitForMore(): undefined {
-    this.bytes.compact();
+    this.bytes.release();
     return undefined;
   }
 }
