--- a/packages/core/src/bytecollector.ts
+++ b/packages/core/src/bytecollector.ts
@@ -67,6 +67,16 @@
     return taken;
   }
 
+  /** Removes and returns all bytes, in pieces. */
+  takeAll(): readonly Uint8Array[] {
+    this.closeBlock();
+    const { parts } = this;
+    this.parts = [];
+    this.partBytes = 0;
+    this.length = 0;
+    return parts;
+  }
+
   /** Copies what is left of a larger buffer, so that the buffer can be released. */
   release(): void {
     const [first] = this.parts;
