--- a/packages/core/src/bytecollector.ts
+++ b/packages/core/src/bytecollector.ts
@@ -43,7 +43,7 @@
       this.closeBlock();
       this.addPart(chunk);
     } else {
-      this.copy(chunk, expected);
+      this.append(chunk, expected);
     }
   }
 
@@ -67,14 +67,24 @@
     return taken;
   }
 
+  /** Removes and returns all bytes, in pieces. */
+  takeAll(): readonly Uint8Array[] {
+    this.closeBlock();
+    const { parts } = this;
+    this.parts = [];
+    this.partBytes = 0;
+    this.length = 0;
+    return parts;
+  }
+
   /** Copies what is left of a larger buffer, so that the buffer can be released. */
-  compact(): void {
+  release(): void {
     const [first] = this.parts;
     if (this.parts.length !== 1 || !first || this.blockLength > 0) return;
     if (2 * first.length >= first.buffer.byteLength) return;
     this.parts = [];
     this.partBytes = 0;
-    this.copy(first, this.length);
+    this.append(first, this.length);
   }
 
   private addPart(part: Uint8Array): void {
@@ -82,7 +92,7 @@
     this.partBytes += part.buffer.byteLength;
   }
 
-  private copy(chunk: Uint8Array, expected: number): void {
+  private append(chunk: Uint8Array, expected: number): void {
     let rest = chunk;
     while (rest.length > 0) {
       if (this.blockLength === this.block.length) this.openBlock(rest.length, expected);
