--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -175,3 +175,12 @@
   TakeoverPlan,
 } from './takeovertypes.js';
 export { Backoff } from './backoff.js';
+export { LenderChoice } from './lenderchoice.js';
+export type { OperationRate, QuotaRule } from './operationlimit.js';
+export { PermitHolder } from './permitholder.js';
+export type { HeldPermit, PermitHolderOptions } from './permitholder.js';
+export { PermitLender } from './permitlender.js';
+export type { PermitLenderOptions } from './permitlender.js';
+export type { PermitAnswer, PermitRequest } from './permitmessage.js';
+export { PermitClient } from './permitclient.js';
+export type { AddressedRequest } from './permitclient.js';
