--- a/packages/core/src/permitholder.ts
+++ b/packages/core/src/permitholder.ts
@@ -1,9 +1,5 @@
 import type { Millis } from './clock.js';
-import {
-  computeFloor,
-  computePermitLifetime,
-  type QuotaRule,
-} from './operationlimit.js';
+import { computeFloor, computePermitLifetime, type QuotaRule } from './operationlimit.js';
 import {
   type AccountsCopy,
   compareVersions,
--- a/packages/core/test/permits.spec.ts
+++ b/packages/core/test/permits.spec.ts
@@ -103,8 +103,7 @@
 }
 
 function applyEvent(fleet: PermitFleet, next: Event, random: () => number): void {
-  const pick = (portion: number): readonly string[] =>
-    fleet.names.filter(() => random() < portion);
+  const pick = (portion: number): readonly string[] => fleet.names.filter(() => random() < portion);
   const lender = fleet.findLender();
   switch (next.kind) {
     case 'pause':
--- a/packages/engine/src/attempt.ts
+++ b/packages/engine/src/attempt.ts
@@ -71,6 +71,7 @@
     try {
       permit = await context.options.quota.take(this.organisation, deadline);
       const lease = await group.admit(this.createRequest(deadline));
+      permit = await this.renewPermit(permit, lease);
       if (!context.isClosed) return lease;
       lease.release();
       permit.giveBack();
@@ -85,6 +86,16 @@
     }
   }
 
+  /** Renews the permit; releases the connection when the work can't start. */
+  private async renewPermit(permit: OperationPermit, lease: Lease): Promise<OperationPermit> {
+    try {
+      return await permit.renew();
+    } catch (error) {
+      lease.release();
+      throw error;
+    }
+  }
+
   private createRequest(deadline: Millis): WorkRequest {
     const { context, route, requestId, kind, organisation, objective, excluded } = this;
     return {
--- a/packages/engine/src/forwarding.ts
+++ b/packages/engine/src/forwarding.ts
@@ -1,4 +1,4 @@
-import type { Clock, ConfigurationProof } from '@shallotpick/core';
+import type { Clock, ConfigurationProof, PermitAnswer, PermitRequest } from '@shallotpick/core';
 import type { GroupAccess } from './access.js';
 import type { ProofAge } from './configurationverifier.js';
 import type { VmAddress } from './heartbeat.js';
@@ -33,6 +33,8 @@
   readonly findHomes: (group: string) => readonly VmAddress[];
   /** The homes in this VM's zone, to which links are kept open. */
   readonly listNearHomes: () => readonly VmAddress[];
+  /** Answers a VM that asks for permits of operations; undefined where none are counted. */
+  readonly answerPermits: (vm: string, request: PermitRequest) => PermitAnswer | undefined;
   /** Finds a VM that has registered itself, in the store if it is not known at this host yet. */
   readonly findVm: (vm: string, host: string) => Promise<VmAddress | undefined>;
 }
@@ -53,6 +55,9 @@
   /** Number of forwarded requests and transactions that this VM holds for others. */
   abstract countLeases(): number;
 
+  /** Asks a VM for permits of operations; undefined when there is no answer. */
+  abstract requestPermits(vm: VmAddress, request: PermitRequest): Promise<PermitAnswer | undefined>;
+
   abstract handleTick(): void;
 }
 
--- a/packages/engine/src/index.ts
+++ b/packages/engine/src/index.ts
@@ -35,7 +35,7 @@
 export { OperationQuota, UnlimitedQuota } from './operationquota.js';
 export type { OperationPermit } from './operationquota.js';
 export { OrganisationIndex } from './organisations.js';
-export type { KeyedOrganisation, Organisation, RateLimit } from './organisations.js';
+export type { KeyedOrganisation, Organisation } from './organisations.js';
 export { ObjectWatcher } from './watcher.js';
 export type { ObjectWatcherOptions } from './watcher.js';
 export { GroupService } from './group.js';
--- a/packages/engine/src/operationquota.ts
+++ b/packages/engine/src/operationquota.ts
@@ -2,6 +2,13 @@
 
 /** Permission for one operation, counted against its organisation's rate limit. */
 export interface OperationPermit {
+  /**
+   * Returns a permission that may be used now: this one, or another if it has ended while the
+   * operation waited for a connection.
+   *
+   * @throws NotRunError when there is no other; this one is given back.
+   */
+  renew(): Promise<OperationPermit>;
   /** Gives the permission back after the operation has surely not reached an instance. */
   giveBack(): void;
 }
@@ -16,7 +23,11 @@
   abstract take(organisation: string | undefined, deadline: Millis): Promise<OperationPermit>;
 }
 
-const FREE_PERMIT: OperationPermit = { giveBack: () => undefined };
+/** The permit of an operation that counts against no limit. */
+export const FREE_PERMIT: OperationPermit = {
+  renew: async () => FREE_PERMIT,
+  giveBack: () => undefined,
+};
 
 /** Permits every operation, where the configuration sets no limits. */
 export class UnlimitedQuota extends OperationQuota {
--- a/packages/engine/src/organisations.ts
+++ b/packages/engine/src/organisations.ts
@@ -1,15 +1,10 @@
-/** The rate at which an organisation may start operations, over all VMs. */
-export interface RateLimit {
-  readonly ratePerSecond: number;
-  /** Operations that may start at once after a pause. */
-  readonly burst: number;
-}
+import type { OperationRate } from '@shallotpick/core';
 
 /** An organisation, whose callers identify themselves by its keys. */
 export interface Organisation {
   readonly name: string;
   /** Undefined for an organisation without a limit. */
-  readonly rateLimit: RateLimit | undefined;
+  readonly rateLimit: OperationRate | undefined;
 }
 
 /** An organisation with the keys of its callers. */
--- a/packages/engine/src/wiring.ts
+++ b/packages/engine/src/wiring.ts
@@ -1,5 +1,5 @@
 import { randomUUID } from 'node:crypto';
-import type { Clock, Millis, RegisteredInstance } from '@shallotpick/core';
+import type { Clock, Millis, QuotaRule, RegisteredInstance } from '@shallotpick/core';
 import { SuspendAwareClock, SystemClock } from './clock.js';
 import { ConfigurationHolder, type ServiceConfiguration } from './configuration.js';
 import { ConfigurationVerifier } from './configurationverifier.js';
@@ -9,6 +9,7 @@
 import { EraAwareStore } from './era.js';
 import { StoreError } from './errors.js';
 import { GroupDirectory } from './directory.js';
+import { FleetQuota } from './fleetquota.js';
 import type { CreateForwarding } from './forwarding.js';
 import { GroupService } from './group.js';
 import { UnlimitedQuota } from './operationquota.js';
@@ -56,6 +57,8 @@
   readonly power?: number | undefined;
   /** Time limit for a revoked key to be refused, also by VMs that can't reach the store. */
   readonly revocationMs?: Millis | undefined;
+  /** How strictly rate limits hold over the fleet; absent when they are not counted. */
+  readonly quotaRule?: QuotaRule | undefined;
   /** Store kind of the operator's configuration. */
   readonly configurationKind: string;
   /** Store kind of the objects by which instances register. */
@@ -79,6 +82,7 @@
   groups?: GroupDirectory;
   placement?: Placement;
   verifier?: ConfigurationVerifier;
+  fleetQuota?: FleetQuota;
 }
 
 /** A proxy with the watchers that supply its configuration, instances and promotion records. */
@@ -232,9 +236,19 @@
     readStatus: () => holder.proxy?.readHomeStatus() ?? { isIsolated: true, isDraining: false },
     findHomes: (group) => placement.findHomes(group, zone),
     listNearHomes: () => placement.listNearHomes(zone),
+    answerPermits: (id, request) => holder.fleetQuota?.answer(id, request),
     findVm: (id, host) => fleet.findVm(id, host),
   });
-  const quota = new UnlimitedQuota();
+  if (forwarding && parts.quotaRule) {
+    holder.fleetQuota = new FleetQuota({
+      ...{ vm, fleet, configuration, forwarding, clock, log, metrics },
+      ageClock: shared.ageClock,
+      rule: parts.quotaRule,
+      random: Math.random,
+      isDraining: () => holder.proxy?.isDraining() ?? false,
+    });
+  }
+  const quota = holder.fleetQuota ?? new UnlimitedQuota();
   const groups = new GroupDirectory({
     ...{ clock, log, placement, forwarding },
     createGroup: (name) =>
@@ -257,7 +271,11 @@
       await proxy.start();
       watchers.forEach((watcher) => watcher.start());
       fleet.start();
+      holder.fleetQuota?.start();
+    },
+    stopWatchers: () => {
+      watchers.forEach((watcher) => watcher.stop());
+      holder.fleetQuota?.stop();
     },
-    stopWatchers: () => watchers.forEach((watcher) => watcher.stop()),
   };
 }
--- a/packages/forwarding/src/forwarder.ts
+++ b/packages/forwarding/src/forwarder.ts
@@ -1,5 +1,5 @@
 import { createServer, type Server } from 'node:net';
-import { type Millis, rankVms } from '@shallotpick/core';
+import { type Millis, type PermitAnswer, type PermitRequest, rankVms } from '@shallotpick/core';
 import {
   type ClientGuard,
   createCounter,
@@ -152,6 +152,13 @@
     return [...this.entries].reduce((sum, link) => sum + link.countLeases(), 0);
   }
 
+  override async requestPermits(
+    vm: VmAddress,
+    request: PermitRequest,
+  ): Promise<PermitAnswer | undefined> {
+    return this.findLink(vm, this.host.clock.readNow())?.requestPermits(request);
+  }
+
   override handleTick(): void {
     const now = this.host.clock.readNow();
     const nearHomes = this.host.listNearHomes();
--- a/packages/forwarding/src/home.ts
+++ b/packages/forwarding/src/home.ts
@@ -40,6 +40,7 @@
 const DEAD_PEER_MS: Millis = 4_000;
 
 type AdmitMessage = EntryMessage & { readonly type: 'admit' };
+type PermitsMessage = EntryMessage & { readonly type: 'permits' };
 type RunMessage = EntryMessage & { readonly type: 'run' };
 
 /** A lease that another VM holds, or waits for. */
@@ -201,6 +202,7 @@
       )
       .with({ type: 'release' }, ({ lease }) => this.end(lease, false))
       .with({ type: 'close' }, ({ lease }) => this.end(lease, true))
+      .with({ type: 'permits' }, (permits) => this.answerPermits(permits))
       .with({ type: 'ping' }, ({ number }) => this.sendStatus(this.host.readStatus(), number))
       .exhaustive();
   }
@@ -222,6 +224,15 @@
     if (!this.socket.send(message)) this.socket.pauseUntilDrained();
   }
 
+  private answerPermits({ number, request }: PermitsMessage): void {
+    this.verified
+      ?.then((isVerified) => {
+        const answer = isVerified && this.host.answerPermits(this.peer, request);
+        if (answer) this.send({ type: 'issued', number, answer });
+      })
+      .catch((error: unknown) => this.socket.close(String(error)));
+  }
+
   private handleHello(version: number, vm: string): void {
     if (version !== LINK_VERSION) {
       throw new LinkProtocolError(`version ${version} is not supported`);
--- a/packages/forwarding/src/link.ts
+++ b/packages/forwarding/src/link.ts
@@ -1,5 +1,11 @@
 import { connect, type Socket } from 'node:net';
-import type { Clock, ConfigurationProof, Millis } from '@shallotpick/core';
+import type {
+  Clock,
+  ConfigurationProof,
+  Millis,
+  PermitAnswer,
+  PermitRequest,
+} from '@shallotpick/core';
 import type {
   ClientGuard,
   HomeStatus,
@@ -17,6 +23,7 @@
   type LINK_FEATURES,
   LINK_VERSION,
 } from './message.js';
+import { PermitExchange } from './permitexchange.js';
 import { createRemoteLease, RemoteConnection } from './remote.js';
 import { SilenceMeter } from './silence.js';
 import { type MessageHandler, MessageSocket } from './socket.js';
@@ -80,6 +87,8 @@
 
   private readonly connections = new Map<number, RemoteConnection>();
 
+  private readonly permits = new PermitExchange((message) => this.send(message));
+
   private nextLease = 1;
 
   /** When the link last had work. */
@@ -188,6 +197,13 @@
     });
   }
 
+  /** Asks the VM for permits; undefined when it doesn't answer or issues none. */
+  async requestPermits(request: PermitRequest): Promise<PermitAnswer | undefined> {
+    this.usedAt = this.options.clock.readNow();
+    if (this.isClosed || !this.supports('permits')) return undefined;
+    return this.permits.request(request);
+  }
+
   handleTick(now: Millis): void {
     if (this.isClosed) return;
     if (this.admissions.size + this.connections.size > 0) this.usedAt = now;
@@ -217,6 +233,7 @@
       .with({ type: 'broken' }, ({ lease, reason }) => {
         this.connections.get(lease)?.fail(reason);
       })
+      .with({ type: 'issued' }, (issued) => this.permits.handleIssued(issued))
       .with({ type: 'status' }, ({ isIsolated, isDraining, features = [], ...proof }) => {
         this.features = new Set(features);
         this.handleStatus({ isIsolated, isDraining });
@@ -233,6 +250,7 @@
     });
     this.connections.forEach((connection) => connection.fail(`link to a home: ${reason}`));
     this.connections.clear();
+    this.permits.close();
     this.options.onClose();
   }
 
--- a/packages/forwarding/src/message.ts
+++ b/packages/forwarding/src/message.ts
@@ -1,6 +1,7 @@
 import type { Operation } from '@shallotpick/engine';
 import * as z from 'zod';
 import { LinkProtocolError } from './errors.js';
+import { permitAnswer, permitRequest } from './permitschema.js';
 
 /** Version of the link protocol; VMs of different versions don't link. */
 export const LINK_VERSION = 1;
@@ -9,7 +10,7 @@
  * Optional parts of the protocol that this build knows. VMs of two builds run side by side during a
  * rolling restart, and unknown fields are ignored.
  */
-export const LINK_FEATURES = ['organisations'] as const;
+export const LINK_FEATURES = ['organisations', 'permits'] as const;
 
 /** Longest name of a VM or database that is accepted. */
 const MAX_NAME_LENGTH = 1_000;
@@ -71,6 +72,8 @@
   z.object({ type: z.literal('release'), lease }),
   /** Closes the connection, which rolls back its transaction. */
   z.object({ type: z.literal('close'), lease }),
+  /** Asks for permits of operations, and acknowledges the lender. */
+  z.object({ type: z.literal('permits'), number: count, request: permitRequest }),
   /** `number` counts the pings of the link. */
   z.object({ type: z.literal('ping'), number: count.optional() }),
 ]);
@@ -120,6 +123,8 @@
   z.object({ type: z.literal('reply'), lease, reply }),
   /** The connection to the instance failed; operations without a reply may have run. */
   z.object({ type: z.literal('broken'), lease, reason: z.string() }),
+  /** Answers the request for permits with the number. */
+  z.object({ type: z.literal('issued'), number: count, answer: permitAnswer }),
   z.object({
     ...{ type: z.literal('status'), isIsolated: z.boolean(), isDraining: z.boolean() },
     /** What the home can do beyond the first build that forwards; an older one names nothing. */
--- a/packages/forwarding/test/fleet.ts
+++ b/packages/forwarding/test/fleet.ts
@@ -130,6 +130,7 @@
     readStatus: () => ({ isIsolated: false, isDraining: false }),
     findHomes: () => homes,
     listNearHomes: () => homes,
+    answerPermits: () => undefined,
     findVm: async () => undefined,
   };
   return {
