--- a/packages/core/src/permitholder.ts
+++ b/packages/core/src/permitholder.ts
@@ -1,5 +1,6 @@
 import type { Millis } from './clock.js';
 import { computeFloor, computePermitLifetime, type QuotaRule } from './operationlimit.js';
+import { PermitBatch, PermitHolding } from './permitholding.js';
 import {
   type AccountsCopy,
   compareVersions,
@@ -8,24 +9,13 @@
   type PermitRequest,
   type ReturnedPermits,
 } from './permitmessage.js';
-import { WindowAccount } from './windowaccount.js';
 
 /** Covers the way of an operation to its instance. */
 const END_MARGIN_MS: Millis = 50;
 /** An organisation that has used up its limit is refused for this long without a request. */
 const LIMITED_MS: Millis = 50;
-/** Fewer operations in the life of a permit are no reason to ask ahead. */
-const MIN_PREFETCH = 3;
 const MAX_RETURNED = 256;
 
-/** Permits of one grant. */
-interface PermitBatch {
-  readonly interval: number;
-  readonly run: string;
-  readonly endsAt: Millis;
-  left: number;
-}
-
 /** Permission to start one operation. */
 export interface HeldPermit {
   readonly organisation: string;
@@ -34,15 +24,6 @@
   readonly batch?: PermitBatch;
 }
 
-/** The permits of one organisation. */
-interface Holding {
-  batches: readonly PermitBatch[];
-  readonly demand: WindowAccount;
-  /** What was started without a lender. */
-  readonly floor: WindowAccount;
-  limitedUntil: Millis;
-}
-
 /** This VM, and the rule. */
 export interface PermitHolderOptions {
   readonly vm: string;
@@ -51,11 +32,16 @@
   readonly startedAt: Millis;
 }
 
+/** Permits to return, and the lender's process that issued them. */
+interface IssuedPermits extends ReturnedPermits {
+  readonly run: string;
+}
+
 /** Holds the permits that a VM was issued for one part of the organisations, until they end. */
 export class PermitHolder {
-  private readonly holdings = new Map<string, Holding>();
+  private readonly holdings = new Map<string, PermitHolding>();
 
-  private returned: readonly (ReturnedPermits & { readonly run: string })[] = [];
+  private returned: readonly IssuedPermits[] = [];
 
   private copy: AccountsCopy = NO_COPY;
 
@@ -71,18 +57,15 @@
 
   /** Counts an operation that wants to start, whether it gets a permit or not. */
   recordDemand(organisation: string, now: Millis): void {
-    this.findHolding(organisation).demand.add(1, now);
+    this.findHolding(organisation).recordDemand(now);
   }
 
   /** Takes a permit in hand; undefined when there is none. */
   take(organisation: string, now: Millis): HeldPermit | undefined {
     const holding = this.findHolding(organisation);
-    this.dropEnded(organisation, holding, now);
-    const [batch] = holding.batches;
-    if (!batch) return undefined;
-    batch.left -= 1;
-    if (batch.left === 0) holding.batches = holding.batches.slice(1);
-    return { organisation, endsAt: batch.endsAt, batch };
+    this.removeEnded(organisation, holding, now);
+    const batch = holding.take();
+    return batch && { organisation, endsAt: batch.endsAt, batch };
   }
 
   /** Takes what a VM may start without a lender. */
@@ -99,22 +82,20 @@
   /** Takes back the permit of an operation that has surely not started. */
   giveBack({ organisation, batch }: HeldPermit): void {
     if (!batch) return;
-    const holding = this.findHolding(organisation);
-    batch.left += 1;
-    if (!holding.batches.includes(batch)) holding.batches = [batch, ...holding.batches];
+    batch.giveBack();
+    this.findHolding(organisation).add(batch);
   }
 
   /** True while the organisation has used up its limit. */
   isLimited(organisation: string, now: Millis): boolean {
-    return now < (this.holdings.get(organisation)?.limitedUntil ?? Number.NEGATIVE_INFINITY);
+    return this.holdings.get(organisation)?.isLimited(now) === true;
   }
 
   /** True when permits should be asked for before they are needed. */
   mustAskAhead(now: Millis): boolean {
     return [...this.holdings].some(([organisation, holding]) => {
-      if (now < holding.limitedUntil) return false;
-      this.dropEnded(organisation, holding, now);
-      return this.countHeld(holding) * 2 < this.computeTarget(holding, now);
+      this.removeEnded(organisation, holding, now);
+      return holding.mustAskAhead(now);
     });
   }
 
@@ -133,24 +114,20 @@
   createRequest(waiting: ReadonlyMap<string, number>, now: Millis): PermitRequest {
     const { part, startedAt } = this.options;
     const { lastAnswer, copy } = this;
-    this.dropIdle(now);
-    const wanted = [...this.holdings].flatMap(([organisation, holding]) => {
-      const target = this.computeTarget(holding, now) + (waiting.get(organisation) ?? 0);
-      const count = target - this.countHeld(holding);
-      return count > 0 && now >= holding.limitedUntil ? [{ organisation, count }] : [];
-    });
-    const returned = this.returned.filter(({ run }) => run === lastAnswer?.run);
-    this.returned = [];
+    this.removeIdle(now);
     return {
       part,
       uptimeMs: Math.floor(now - startedAt),
       echo: lastAnswer && { run: lastAnswer.run, sentAt: lastAnswer.sentAt },
       confirmed: { term: copy.term, sequence: copy.sequence },
       copy: lastAnswer?.isLending ? undefined : { ...copy, ageMs: Math.floor(now - this.copiedAt) },
-      wanted,
-      returned: returned.map(({ organisation, count, interval }) => ({
-        ...{ organisation, count, interval },
-      })),
+      wanted: [...this.holdings]
+        .map(([organisation, holding]) => ({
+          organisation,
+          count: holding.computeWanted(waiting.get(organisation) ?? 0, now),
+        }))
+        .filter(({ count }) => count > 0),
+      returned: this.takeReturned(),
     };
   }
 
@@ -169,68 +146,54 @@
     const endsAt = sentAt + computePermitLifetime(this.options.rule) - END_MARGIN_MS;
     answer.granted.forEach(({ organisation, count, interval, isLimited }) => {
       const holding = this.findHolding(organisation);
-      if (isLimited) holding.limitedUntil = now + LIMITED_MS;
-      if (count === 0) return;
-      holding.batches = [...holding.batches, { interval, run: answer.run, endsAt, left: count }];
+      if (isLimited) holding.setLimited(now + LIMITED_MS);
+      if (count > 0) holding.add(new PermitBatch(answer.run, interval, endsAt, count));
     });
   }
 
   /** Returns the permits of an answer that came too late. */
   returnAll({ run, granted }: PermitAnswer): void {
-    granted
-      .filter(({ count }) => count > 0)
-      .forEach(({ organisation, count, interval }) =>
-        this.addReturned({ organisation, count, interval, run }),
-      );
+    granted.forEach(({ organisation, count, interval }) =>
+      this.addReturned({ organisation, count, interval, run }),
+    );
   }
 
-  private findHolding(organisation: string): Holding {
+  private findHolding(organisation: string): PermitHolding {
     const known = this.holdings.get(organisation);
     if (known) return known;
     const { rule } = this.options;
-    const holding: Holding = {
-      batches: [],
-      demand: new WindowAccount(computePermitLifetime(rule)),
-      floor: new WindowAccount(rule.windowMs + END_MARGIN_MS),
-      limitedUntil: Number.NEGATIVE_INFINITY,
-    };
+    const holding = new PermitHolding(computePermitLifetime(rule), rule.windowMs + END_MARGIN_MS);
     this.holdings.set(organisation, holding);
     return holding;
   }
 
-  /** Drops the permits that have ended; the lender is told of them. */
-  private dropEnded(organisation: string, holding: Holding, now: Millis): void {
-    const ended = holding.batches.filter(({ endsAt }) => endsAt <= now);
-    if (ended.length === 0) return;
-    holding.batches = holding.batches.filter(({ endsAt }) => endsAt > now);
-    ended.forEach((batch) => {
-      const { interval, run, left: count } = batch;
-      this.addReturned({ organisation, count, interval, run });
-      batch.left = 0;
+  /** Removes the permits that have ended; the lender is told of them. */
+  private removeEnded(organisation: string, holding: PermitHolding, now: Millis): void {
+    holding.removeEnded(now).forEach((batch) => {
+      const { interval, run } = batch;
+      this.addReturned({ organisation, count: batch.takeAll(), interval, run });
     });
   }
 
-  private addReturned(returned: ReturnedPermits & { readonly run: string }): void {
+  private addReturned(returned: IssuedPermits): void {
     if (returned.count === 0) return;
     this.ended += returned.count;
     this.returned = [...this.returned.slice(1 - MAX_RETURNED), returned];
   }
 
-  private dropIdle(now: Millis): void {
-    this.holdings.forEach((holding, organisation) => {
-      this.dropEnded(organisation, holding, now);
-      const used = holding.demand.readSum(now) + holding.floor.readSum(now);
-      if (used + holding.batches.length === 0) this.holdings.delete(organisation);
-    });
-  }
-
-  private countHeld({ batches }: Holding): number {
-    return batches.reduce((sum, { left }) => sum + left, 0);
+  /** Takes what is to be returned; what another process issued is of no use to the lender. */
+  private takeReturned(): readonly ReturnedPermits[] {
+    const { returned, lastAnswer } = this;
+    this.returned = [];
+    return returned
+      .filter(({ run }) => run === lastAnswer?.run)
+      .map(({ organisation, count, interval }) => ({ organisation, count, interval }));
   }
 
-  /** Permits that the recent demand needs within the life of a permit. */
-  private computeTarget({ demand }: Holding, now: Millis): number {
-    const recent = demand.readSum(now);
-    return recent >= MIN_PREFETCH ? recent : 0;
+  private removeIdle(now: Millis): void {
+    this.holdings.forEach((holding, organisation) => {
+      this.removeEnded(organisation, holding, now);
+      if (holding.isIdle(now)) this.holdings.delete(organisation);
+    });
   }
 }
--- a/packages/core/test/permitfleet.ts
+++ b/packages/core/test/permitfleet.ts
@@ -23,9 +23,10 @@
 
 /** The parts of a VM that a restart replaces. */
 interface Process {
-  client: PermitClient;
-  lender: PermitLender;
-  waiting: number[];
+  readonly client: PermitClient;
+  readonly lender: PermitLender;
+  /** When the operations arrived that wait for a permit. */
+  readonly waiting: number[];
 }
 
 /** Replaces the parts of a process, in a broken version. */
@@ -40,12 +41,11 @@
 
   now = 0;
 
-  rate: OperationRate;
+  private limit: OperationRate;
 
   /** When operations of the organisation started. */
   readonly starts: number[] = [];
 
-  /** Operations that wait at each VM and end in `PATIENCE_MS`. */
   private readonly processes = new Map<string, Process>();
 
   private deliveries: Delivery[] = [];
@@ -66,7 +66,7 @@
     private readonly parts: Parts = {},
     private readonly loss = 0,
   ) {
-    this.rate = rate;
+    this.limit = rate;
     this.names = Array.from({ length: size }, (_, index) => `vm-${index}`);
     this.names.forEach((vm) => {
       this.views.set(vm, this.names);
@@ -74,11 +74,19 @@
     });
   }
 
+  get rate(): OperationRate {
+    return this.limit;
+  }
+
+  updateRate(rate: OperationRate): void {
+    this.limit = rate;
+  }
+
   restart(vm: string): void {
     this.runs += 1;
     const { parts, now, random } = this;
     const client = new PermitClient({ vm, part: 0, rule: RULE, startedAt: now });
-    const findRate = (): OperationRate => this.rate;
+    const findRate = (): OperationRate => this.limit;
     const lender = new PermitLender({ run: `${this.runs}`, rule: RULE, findRate, random });
     lender.updateVms(this.views.get(vm) ?? []);
     this.processes.set(vm, {
@@ -180,7 +188,8 @@
       else this.starts.push(this.now);
     }
     const isLimited = client.holder.isLimited(ORGANISATION, this.now);
-    process.waiting = isLimited ? [] : waiting.filter((at) => this.now - at < PATIENCE_MS);
+    const left = waiting.filter((at) => !isLimited && this.now - at < PATIENCE_MS);
+    waiting.splice(0, waiting.length, ...left);
   }
 
   private takePermit(vm: string, client: PermitClient): HeldPermit | undefined {
--- a/packages/core/test/permits.spec.ts
+++ b/packages/core/test/permits.spec.ts
@@ -16,6 +16,8 @@
   | { readonly kind: 'pause' | 'restart'; readonly share: number; readonly forMs: number }
   | { readonly kind: 'cut' | 'view'; readonly share: number }
   | { readonly kind: 'rate'; readonly rate: OperationRate }
+  /** The demand changes, and may come through other VMs. */
+  | { readonly kind: 'callers'; readonly demand: number; readonly entries: number }
   | { readonly kind: 'loseLender' | 'pauseLender' | 'cutLender' | 'heal' };
 
 interface Scenario {
@@ -24,7 +26,6 @@
   readonly rate: OperationRate;
   /** Demand in relation to the limit. */
   readonly demand: number;
-  /** VMs that callers come through. */
   readonly entries: number;
   readonly loss: number;
   readonly events: readonly Event[];
@@ -47,6 +48,9 @@
   burst: fc.integer({ min: 0, max: 60 }),
 });
 const share = fc.double({ min: 0, max: 1, noNaN: true });
+const demand = fc.oneof(fc.constantFrom(0, 1, 8), fc.double({ min: 0.5, max: 4, noNaN: true }));
+/** VMs that callers come through; below 0 those are the last ones. */
+const entries = fc.constantFrom(-36, -5, -1, 1, 3, 36);
 const event: fc.Arbitrary<Event> = fc.oneof(
   fc.record({
     kind: fc.constantFrom('pause' as const, 'restart' as const),
@@ -55,6 +59,7 @@
   }),
   fc.record({ kind: fc.constantFrom('cut' as const, 'view' as const), share }),
   fc.record({ kind: fc.constant('rate' as const), rate }),
+  fc.record({ kind: fc.constant('callers' as const), demand, entries }),
   fc.record({
     kind: fc.constantFrom(
       'loseLender' as const,
@@ -71,8 +76,7 @@
   ),
   seed,
   rate,
-  demand: fc.double({ min: 0.5, max: 4, noNaN: true }),
-  entries: fc.integer({ min: 1, max: 36 }),
+  ...{ demand, entries },
   loss: fc.constantFrom(0, 0.02, 0.2),
   events: fc.array(event, { maxLength: 8 }),
 });
@@ -92,7 +96,7 @@
   readDemand: () => number,
   random: () => number,
 ): (vm: string) => number {
-  const names = fleet.names.slice(0, entries);
+  const names = entries < 0 ? fleet.names.slice(entries) : fleet.names.slice(0, entries);
   const total = 2 - 2 ** (1 - names.length);
   return (vm) => {
     const index = names.indexOf(vm);
@@ -102,7 +106,11 @@
   };
 }
 
-function applyEvent(fleet: PermitFleet, next: Event, random: () => number): void {
+function applyEvent(
+  fleet: PermitFleet,
+  next: Exclude<Event, { readonly kind: 'callers' }>,
+  random: () => number,
+): void {
   const pick = (portion: number): readonly string[] => fleet.names.filter(() => random() < portion);
   const lender = fleet.findLender();
   switch (next.kind) {
@@ -129,7 +137,7 @@
       break;
     }
     case 'rate':
-      fleet.rate = next.rate;
+      fleet.updateRate(next.rate);
       break;
     case 'heal':
       fleet.cut([]);
@@ -150,8 +158,9 @@
 function findExcess(drawn: Scenario, parts: Parts = {}): number {
   const random = createRandom(drawn.seed);
   const fleet = new PermitFleet(drawn.size, drawn.rate, random, parts, drawn.loss);
-  const readDemand = (): number => (drawn.demand * computeOwed(fleet.rate)) / 5 + 1;
-  const arrivals = createArrivals(fleet, drawn.entries, readDemand, random);
+  const create = (portion: number, count: number): ((vm: string) => number) =>
+    createArrivals(fleet, count, () => (portion * computeOwed(fleet.rate)) / 5 + 1, random);
+  let arrivals = create(drawn.demand, drawn.entries);
   let excess = Number.NEGATIVE_INFINITY;
   let since = 0;
   const check = (): void => {
@@ -164,8 +173,9 @@
       check();
       since = fleet.now + RULE.windowMs;
     }
-    applyEvent(fleet, next, random);
-    fleet.advance(500 + random() * BREAK_MS, arrivals);
+    if (next.kind === 'callers') arrivals = create(next.demand, next.entries);
+    else applyEvent(fleet, next, random);
+    fleet.advance(300 + random() * 2 * BREAK_MS, arrivals);
   });
   fleet.advance(8_000, arrivals);
   check();
@@ -199,21 +209,23 @@
 
 /** A lender that starts as if nothing had been issued before. */
 function forgetAccounts(lender: PermitLender): PermitLender {
-  const handleRequest = lender.handleRequest.bind(lender);
   const strip = ({ copy, ...rest }: PermitRequest): PermitRequest => ({
     ...rest,
     uptimeMs: Number.MAX_SAFE_INTEGER,
     copy: copy && { ...copy, accounts: [] },
   });
-  lender.handleRequest = (vm, request, now) => handleRequest(vm, strip(request), now);
-  return lender;
+  const handleRequest = lender.handleRequest.bind(lender);
+  return Object.assign(lender, {
+    handleRequest: (vm: string, request: PermitRequest, now: number) =>
+      handleRequest(vm, strip(request), now),
+  });
 }
 
 describe('permits of operations', () => {
   // Guards against more operations than the rule allows, whatever fails.
   it('keep every window within the rule', function keepRule() {
     this.timeout(TIMEOUT_MS);
-    const { counterexample } = checkRule({}, Number(process.env['PERMIT_RUNS'] ?? RUNS));
+    const { counterexample } = checkRule({}, Number(process.env.PERMIT_RUNS ?? RUNS));
     expect(counterexample).toEqual(null);
   });
 
