Let a holder wait while the lender's accounts are being copied

An organisation whose next permits only waited for a confirmed copy was told that it had used up its limit; the spec of the fleet's quota failed.

--- a/packages/core/src/permitlender.ts
+++ b/packages/core/src/permitlender.ts
@@ -276,7 +276,7 @@
     const interval = account.window.add(count, now);
     account.issued += count;
     if (count > 0) this.isChanged = true;
-    return { organisation, count, interval, isLimited: free < wanted };
+    return { organisation, count, interval, isLimited: count < wanted && count >= free };
   }
 
   /** Drops the copies before the newest one that a quorum has. */
--- a/packages/engine/src/index.ts
+++ b/packages/engine/src/index.ts
@@ -19,6 +19,8 @@
   UnconfirmedCommitError,
   WrongInstanceError,
 } from './errors.js';
+export { FleetQuota } from './fleetquota.js';
+export type { FleetQuotaOptions } from './fleetquota.js';
 export { Fleet, VMS_KIND } from './fleet.js';
 export type { FleetOptions } from './fleet.js';
 export type { VmAddress } from './heartbeat.js';
--- a/packages/forwarding/test/fleet.ts
+++ b/packages/forwarding/test/fleet.ts
@@ -59,7 +59,7 @@
   stop(): void;
 }
 
-async function findFreePort(): Promise<number> {
+export async function findFreePort(): Promise<number> {
   const server = createServer();
   await new Promise<void>((resolve) => {
     server.listen(0, '127.0.0.1', resolve);
@@ -119,7 +119,11 @@
 }
 
 /** Creates the forwarding service of a VM without groups, and the errors that it logs. */
-export function createForwarding(port: number, homes: readonly VmAddress[] = []) {
+export function createForwarding(
+  port: number,
+  homes: readonly VmAddress[] = [],
+  overrides: Partial<ForwardingHost> = {},
+) {
   const errors: string[] = [];
   const log = createEngineLog('error', 'test');
   log.on('data', ({ message }: { readonly message: string }) => errors.push(message));
@@ -132,6 +136,7 @@
     listNearHomes: () => homes,
     answerPermits: () => undefined,
     findVm: async () => undefined,
+    ...overrides,
   };
   return {
     forwarding: new LinkForwarding(host, { host: '127.0.0.1', port }, createGuard(host)),
--- a/packages/forwarding/test/forwarding.spec.ts
+++ b/packages/forwarding/test/forwarding.spec.ts
@@ -1,12 +1,13 @@
 import { connect } from 'node:net';
 import { expect } from 'earl';
-import { type Command, type Reply, type Session, wait } from '@shallotpick/engine';
+import { type Command, type Reply, type Session, type VmAddress, wait } from '@shallotpick/engine';
 import { encodeFrame, LINK_VERSION, MAX_FRAME_BYTES } from '../src/index.js';
 import {
   BEGIN,
   COMMIT,
   createForwarding,
   type FakeFleet,
+  findFreePort,
   type FleetVm,
   READ,
   startFleet,
@@ -196,6 +197,33 @@
     forwarding.stop();
   });
 
+  // A request for permits must not fail where no work is passed on, and say so where it does.
+  it('asks any VM for permits, and gets no answer from one that is lost', async () => {
+    const port = await findFreePort();
+    const address: VmAddress = { id: 'lender', zone: 'z', host: '127.0.0.1', port };
+    const answer = { run: 'r', sentAt: 1, isLending: false, isReleased: false, granted: [] };
+    const { forwarding: lender } = createForwarding(port, [], {
+      findVm: async (id, host) => ({ ...address, id, host }),
+      answerPermits: (vm) => ({ ...answer, run: `of ${vm}` }),
+    });
+    await lender.start();
+    const { forwarding } = createForwarding(0);
+    const request = {
+      ...{ part: 0, uptimeMs: 0, confirmed: { term: 0, sequence: 0 }, wanted: [], returned: [] },
+    };
+    let found = await forwarding.requestPermits(address, request);
+    while (!found) {
+      await wait(10);
+      found = await forwarding.requestPermits(address, request);
+    }
+    expect(found).toEqual({ ...answer, run: 'of test' });
+    const pending = forwarding.requestPermits(address, request);
+    lender.stop();
+    await pending;
+    expect(await forwarding.requestPermits(address, request)).toEqual(undefined);
+    forwarding.stop();
+  });
+
   // A malformed message or an unknown peer must end its link and nothing else.
   it('goes on beside links that send malformed messages or come from unknown VMs', async () => {
     const port = homes[0]?.port ?? 0;
--- a/packages/forwarding/test/message.spec.ts
+++ b/packages/forwarding/test/message.spec.ts
@@ -89,7 +89,17 @@
 
 describe('the messages of a link', () => {
   it('are decoded or refused, whatever a peer sends', () => {
-    const types = fc.constantFrom('hello', 'admit', 'run', 'busy', 'granted', 'reply', 'status');
+    const types = fc.constantFrom(
+      'hello',
+      'admit',
+      'run',
+      'busy',
+      'granted',
+      'reply',
+      'status',
+      'permits',
+      'issued',
+    );
     const almost = fc.dictionary(fc.constantFrom('lease', 'group', 'reply', 'vm'), fc.jsonValue());
     const property = fc.property(fc.jsonValue(), types, almost, (any, type, fields) => {
       [any, { ...fields, type }].forEach((message) => {
@@ -116,6 +126,31 @@
     expect<unknown>(decodeEntryMessage({ ...hello, extra: deep })).toEqual(hello);
   });
 
+  it('keep their content when they ask for permits and answer', () => {
+    const copy = {
+      ...{ term: 2.5, sequence: 3, ageMs: 20 },
+      accounts: [{ organisation: 'o', counts: [{ ageMs: 100, count: 4 }] }],
+    };
+    const permits = {
+      ...{ type: 'permits', number: 1 },
+      request: {
+        ...{ part: 1, uptimeMs: 9, confirmed: { term: 2.5, sequence: 3 }, copy },
+        echo: { run: 'r', sentAt: 5.5 },
+        wanted: [{ organisation: 'o', count: 2 }],
+        returned: [{ organisation: 'o', count: 1, interval: 7 }],
+      },
+    };
+    const issued = {
+      ...{ type: 'issued', number: 1 },
+      answer: {
+        ...{ run: 'r', sentAt: 6.5, isLending: true, isReleased: false, copy },
+        granted: [{ organisation: 'o', count: 2, interval: 8, isLimited: false }],
+      },
+    };
+    expect<unknown>(decodeEntryMessage(permits)).toEqual(permits);
+    expect<unknown>(decodeHomeMessage(issued)).toEqual(issued);
+  });
+
   it('keep their content', () => {
     const run = {
       ...{ type: 'run', lease: 7, id: 'r1', operation: { kind: 'execute', name: 's', rest: 'a' } },
