Copy the lender's accounts in seconds, and less often

A copy took 6 kB for 22 organisations, and slow links between the VMs were full of them. It now has one number for each second (1 kB), is made each 200 ms at most, and half of a limit may be issued before it is confirmed.

--- a/packages/core/src/operationlimit.ts
+++ b/packages/core/src/operationlimit.ts
@@ -8,7 +8,7 @@
 /** Share of the slack that VMs without a lender may use; the rest of it is lent. */
 const FLOOR_SHARE = 0.5;
 /** Largest share of a limit that is lent before a quorum has a copy of the accounts. */
-const UNCONFIRMED_SHARE = 0.2;
+const UNCONFIRMED_SHARE = 0.5;
 const MIN_UNCONFIRMED = 10;
 
 /** The rate at which an organisation may start operations, over all VMs. */
--- a/packages/core/src/permitclient.ts
+++ b/packages/core/src/permitclient.ts
@@ -5,7 +5,7 @@
 import { rankVms } from './rendezvous.js';
 
 /** Interval of the requests that only acknowledge the lender. */
-const HEARTBEAT_MS: Millis = 250;
+const HEARTBEAT_MS: Millis = 400;
 /** Interval while the lender gathers acknowledgements. */
 const STARTING_HEARTBEAT_MS: Millis = 50;
 const MIN_REQUEST_GAP_MS: Millis = 10;
--- a/packages/core/src/permitlender.ts
+++ b/packages/core/src/permitlender.ts
@@ -30,7 +30,7 @@
 const INFORMED_SHARE = 1 - QUORUM;
 /** A lender stops this long before its acknowledgements end at the other VMs. */
 const ACKNOWLEDGEMENT_MARGIN_MS: Millis = 100;
-const COPY_INTERVAL_MS: Millis = 50;
+const COPY_INTERVAL_MS: Millis = 200;
 const MAX_TERM_FRACTION = 0.999;
 
 /** The lender's process, the rule, and the limits in force. */
@@ -216,18 +216,16 @@
     // The fraction tells apart lenders that didn't know of each other.
     const term = Math.floor(known) + 1 + this.options.random() * MAX_TERM_FRACTION;
     this.version = { term, sequence: 0 };
-    const empty = { ...this.version, ageMs: 0, accounts: [] };
+    const empty = { ...this.version, ageMs: 0, accounts: {} };
     this.copies = [{ madeAt: Number.NEGATIVE_INFINITY, copy: empty, issued: new Map() }];
     this.clearCopies();
     this.isChanged = true;
   }
 
   private loadAccounts({ copy, copiedAt }: Report, now: Millis): void {
-    copy.accounts.forEach(({ organisation, counts }) => {
+    Object.entries(copy.accounts).forEach(([organisation, counts]) => {
       const account = this.accounts.get(organisation) ?? this.createAccount();
-      counts.forEach(({ ageMs, count }) =>
-        account.window.add(count, Math.min(now, copiedAt - ageMs)),
-      );
+      account.window.load(counts, Math.min(now, copiedAt));
       this.accounts.set(organisation, account);
     });
   }
@@ -304,9 +302,11 @@
     const { term, sequence } = this.version;
     this.version = { term, sequence: sequence + 1 };
     this.isChanged = false;
-    const accounts = [...this.accounts]
-      .map(([organisation, { window }]) => ({ organisation, counts: window.list(now) }))
-      .filter(({ counts }) => counts.length > 0);
+    const accounts = Object.fromEntries(
+      [...this.accounts]
+        .filter(([, { window }]) => window.readSum(now) > 0)
+        .map(([organisation, { window }]) => [organisation, window.copy(now)] as const),
+    );
     const issued = new Map([...this.accounts].map(([name, account]) => [name, account.issued]));
     this.copies = [
       ...this.copies,
--- a/packages/core/src/permitmessage.ts
+++ b/packages/core/src/permitmessage.ts
@@ -1,5 +1,5 @@
 import type { Millis } from './clock.js';
-import type { AgedCount } from './windowaccount.js';
+import type { AgedCounts } from './windowaccount.js';
 
 /** Orders the copies of a lender's accounts: by term, then by sequence. */
 export interface CopyVersion {
@@ -8,17 +8,12 @@
   readonly sequence: number;
 }
 
-/** What was issued to an organisation. */
-export interface AccountCopy {
-  readonly organisation: string;
-  readonly counts: readonly AgedCount[];
-}
-
 /** A lender's accounts at one moment; the other VMs keep them for its successor. */
 export interface AccountsCopy extends CopyVersion {
   /** Time since the copy was made, to which the ages of its counts add. */
   readonly ageMs: Millis;
-  readonly accounts: readonly AccountCopy[];
+  /** What was issued to each organisation. */
+  readonly accounts: Readonly<Record<string, AgedCounts>>;
 }
 
 /** Permits that a holder wants for an organisation. */
@@ -69,7 +64,7 @@
 }
 
 /** The copy of a VM that has received none. */
-export const NO_COPY: AccountsCopy = { term: 0, sequence: 0, ageMs: 0, accounts: [] };
+export const NO_COPY: AccountsCopy = { term: 0, sequence: 0, ageMs: 0, accounts: {} };
 
 /** Compares two versions; positive when the first one is newer. */
 export function compareVersions(a: CopyVersion, b: CopyVersion): number {
--- a/packages/core/src/windowaccount.ts
+++ b/packages/core/src/windowaccount.ts
@@ -1,14 +1,11 @@
 import type { Millis } from './clock.js';
 import { COUNT_INTERVAL_MS } from './operationlimit.js';
 
-/** Intervals that are merged when an account is copied. */
-const MERGED_INTERVALS = 5;
+/** Length of the intervals of a copy. */
+const COPY_INTERVAL_MS: Millis = 1_000;
 
-/** A number of operations and how long ago they were counted, at least. */
-export interface AgedCount {
-  readonly ageMs: Millis;
-  readonly count: number;
-}
+/** Operations by their age: the one at index `n` counts those that are at least `n` seconds old. */
+export type AgedCounts = readonly number[];
 
 /** Counts operations over a sliding window. An interval counts until all of it is out of it. */
 export class WindowAccount {
@@ -44,17 +41,22 @@
     return this.sum;
   }
 
-  /** Lists the counts with ages that are never too large, several intervals in one. */
-  list(now: Millis): readonly AgedCount[] {
+  /** Copies the counts; ages are rounded down, so that nothing leaves a window too early. */
+  copy(now: Millis): AgedCounts {
     this.readSum(now);
-    const merged = new Map<number, number>();
+    const copied: number[] = [];
     this.counts.forEach((count, interval) => {
-      const last = (Math.floor(interval / MERGED_INTERVALS) + 1) * MERGED_INTERVALS - 1;
-      if (count > 0) merged.set(last, (merged.get(last) ?? 0) + count);
+      const ageMs = Math.max(0, now - (interval + 1) * COUNT_INTERVAL_MS);
+      const index = Math.floor(ageMs / COPY_INTERVAL_MS);
+      copied[index] = (copied[index] ?? 0) + count;
+    });
+    return Array.from(copied, (count = 0) => count);
+  }
+
+  /** Adds the counts of a copy that was made at `madeAt` or before. */
+  load(counts: AgedCounts, madeAt: Millis): void {
+    counts.forEach((count, index) => {
+      if (count > 0) this.add(count, madeAt - index * COPY_INTERVAL_MS);
     });
-    return [...merged].map(([interval, count]) => ({
-      ageMs: Math.max(0, Math.floor(now - interval * COUNT_INTERVAL_MS)),
-      count,
-    }));
   }
 }
--- a/packages/core/test/permits.spec.ts
+++ b/packages/core/test/permits.spec.ts
@@ -9,6 +9,7 @@
 const SEED = 45;
 const STEP_S = 0.02;
 const BREAK_MS = 1_500;
+const FOREVER_MS = 1_000_000;
 /** Time for 10,000 runs on a busy machine. */
 const TIMEOUT_MS = 900_000;
 
@@ -187,11 +188,11 @@
   return fc.check(property, { seed: SEED, numRuns, endOnFailure: true });
 }
 
-/** A holder that uses its permits long after their end. */
+/** A holder that ignores the end of its permits. */
 function keepPermits(client: PermitClient): PermitClient {
   const { holder } = client;
   const handleAnswer = holder.handleAnswer.bind(holder);
-  holder.handleAnswer = (answer, sentAt, now) => handleAnswer(answer, sentAt + 4_000, now);
+  holder.handleAnswer = (answer, sentAt, now) => handleAnswer(answer, sentAt + FOREVER_MS, now);
   return client;
 }
 
@@ -212,7 +213,7 @@
   const strip = ({ copy, ...rest }: PermitRequest): PermitRequest => ({
     ...rest,
     uptimeMs: Number.MAX_SAFE_INTEGER,
-    copy: copy && { ...copy, accounts: [] },
+    copy: copy && { ...copy, accounts: {} },
   });
   const handleRequest = lender.handleRequest.bind(lender);
   return Object.assign(lender, {
--- a/packages/forwarding/src/permitschema.ts
+++ b/packages/forwarding/src/permitschema.ts
@@ -14,17 +14,8 @@
   ...version,
   ageMs: age,
   accounts: z
-    .array(
-      z.object({
-        organisation: name,
-        counts: z
-          .array(z.object({ ageMs: age, count }))
-          .max(MAX_COUNTS)
-          .readonly(),
-      }),
-    )
-    .max(MAX_ENTRIES)
-    .readonly(),
+    .record(name, z.array(count).max(MAX_COUNTS).readonly())
+    .refine((accounts) => Object.keys(accounts).length <= MAX_ENTRIES),
 });
 
 const permits = { organisation: name, count };
--- a/packages/forwarding/test/message.spec.ts
+++ b/packages/forwarding/test/message.spec.ts
@@ -129,7 +129,7 @@
   it('keep their content when they ask for permits and answer', () => {
     const copy = {
       ...{ term: 2.5, sequence: 3, ageMs: 20 },
-      accounts: [{ organisation: 'o', counts: [{ ageMs: 100, count: 4 }] }],
+      accounts: { o: [4, 0, 2] },
     };
     const permits = {
       ...{ type: 'permits', number: 1 },
