Count the unknown permits of earlier lenders in full

A lender that started capped them by what was left beside the copied accounts. A late answer now also counts as a sign of life of the lender.

--- a/packages/core/src/permitclient.ts
+++ b/packages/core/src/permitclient.ts
@@ -64,9 +64,8 @@
 
   /** Handles the answer to a request; undefined means that it failed. */
   handleAnswer(asked: AddressedRequest, answer: PermitAnswer | undefined, now: Millis): void {
-    // The permits of a late answer have ended or are about to.
     if (this.outstanding !== asked) {
-      if (answer) this.holder.returnAll(answer);
+      if (answer) this.handleLateAnswer(asked, answer, now);
       return;
     }
     this.outstanding = undefined;
@@ -76,6 +75,12 @@
     this.choice.handleAnswer(answer.isLending, answer.isReleased, now);
   }
 
+  /** A late answer shows that the lender lives; its permits are returned. */
+  private handleLateAnswer(asked: AddressedRequest, answer: PermitAnswer, now: Millis): void {
+    this.holder.returnAll(answer);
+    if (asked.lender === this.lender) this.choice.handleAnswer(answer.isLending, false, now);
+  }
+
   private choose(vms: readonly string[], now: Millis): string | undefined {
     const lender = this.choice.choose(rankVms(`permits|${this.options.part}`, vms), now);
     if (lender !== undefined && lender !== this.lender) {
--- a/packages/core/src/permitlender.ts
+++ b/packages/core/src/permitlender.ts
@@ -211,7 +211,7 @@
     this.accounts.clear();
     const newest = findNewest(reporting);
     newest.forEach((reported) => this.loadAccounts(reported, now));
-    this.accounts.forEach(({ window }, organisation) => this.addAssumed(organisation, window, now));
+    this.accounts.forEach(({ window }, organisation) => this.addAssumed(organisation, window));
     const known = Math.max(this.version.term, ...newest.map(({ copy }) => copy.term));
     // The fraction tells apart lenders that didn't know of each other.
     const term = Math.floor(known) + 1 + this.options.random() * MAX_TERM_FRACTION;
@@ -234,13 +234,14 @@
     return { window: new WindowAccount(computeAccountSpan(this.options.rule)), issued: 0 };
   }
 
-  /** Counts as used what earlier lenders may have issued without a trace in the copies. */
-  private addAssumed(organisation: string, window: WindowAccount, now: Millis): void {
+  /**
+   * Counts as used what earlier lenders may have issued without a trace in the copies: just now,
+   * when what the copies hold may already have left the window.
+   */
+  private addAssumed(organisation: string, window: WindowAccount): void {
     const limit = this.findIssueLimit(organisation);
     if (limit === undefined || this.startedAt === undefined) return;
-    const unknown = this.isInformed ? computeUnconfirmedLimit(limit) : limit;
-    const assumed = Math.min(unknown, limit - window.readSum(now));
-    if (assumed > 0) window.add(assumed, this.startedAt);
+    window.add(this.isInformed ? computeUnconfirmedLimit(limit) : limit, this.startedAt);
   }
 
   private findIssueLimit(organisation: string): number | undefined {
@@ -248,11 +249,11 @@
     return rate && computeIssueLimit(rate, this.options.rule);
   }
 
-  private findAccount(organisation: string, now: Millis): Account {
+  private findAccount(organisation: string): Account {
     const known = this.accounts.get(organisation);
     if (known) return known;
     const account = this.createAccount();
-    this.addAssumed(organisation, account.window, now);
+    this.addAssumed(organisation, account.window);
     this.accounts.set(organisation, account);
     return account;
   }
@@ -265,7 +266,7 @@
   }
 
   private grant({ organisation, count: wanted }: WantedPermits, now: Millis): GrantedPermits {
-    const account = this.findAccount(organisation, now);
+    const account = this.findAccount(organisation);
     const limit = this.findIssueLimit(organisation) ?? Number.POSITIVE_INFINITY;
     const free = limit - account.window.readSum(now);
     const confirmed = this.copies[0]?.issued.get(organisation) ?? 0;
