--- a/packages/core/test/permits.spec.ts
+++ b/packages/core/test/permits.spec.ts
@@ -49,9 +49,12 @@
   burst: fc.integer({ min: 0, max: 60 }),
 });
 const share = fc.double({ min: 0, max: 1, noNaN: true });
-const demand = fc.oneof(fc.constantFrom(0, 1, 8), fc.double({ min: 0.5, max: 4, noNaN: true }));
+const drawnDemand = fc.oneof(
+  fc.constantFrom(0, 1, 8),
+  fc.double({ min: 0.5, max: 4, noNaN: true }),
+);
 /** VMs that callers come through; below 0 those are the last ones. */
-const entries = fc.constantFrom(-36, -5, -1, 1, 3, 36);
+const drawnEntries = fc.constantFrom(-36, -5, -1, 1, 3, 36);
 const event: fc.Arbitrary<Event> = fc.oneof(
   fc.record({
     kind: fc.constantFrom('pause' as const, 'restart' as const),
@@ -60,7 +63,11 @@
   }),
   fc.record({ kind: fc.constantFrom('cut' as const, 'view' as const), share }),
   fc.record({ kind: fc.constant('rate' as const), rate }),
-  fc.record({ kind: fc.constant('callers' as const), demand, entries }),
+  fc.record({
+    kind: fc.constant('callers' as const),
+    demand: drawnDemand,
+    entries: drawnEntries,
+  }),
   fc.record({
     kind: fc.constantFrom(
       'loseLender' as const,
@@ -77,7 +84,8 @@
   ),
   seed,
   rate,
-  ...{ demand, entries },
+  demand: drawnDemand,
+  entries: drawnEntries,
   loss: fc.constantFrom(0, 0.02, 0.2),
   events: fc.array(event, { maxLength: 8 }),
 });
