--- a/packages/engine/src/configurationchange.ts
+++ b/packages/engine/src/configurationchange.ts
@@ -1,6 +1,7 @@
+import type { OperationRate } from '@shallotpick/core';
 import type { DatabaseRoute, GroupSettings } from './configuration.js';
 import type { ConfigurationDraft } from './configurationcheck.js';
-import type { KeyedOrganisation, RateLimit } from './organisations.js';
+import type { KeyedOrganisation } from './organisations.js';
 
 /** A difference between two configurations and what it means for callers. */
 export interface ConfigurationEffect {
@@ -66,7 +67,7 @@
   ];
 }
 
-const formatLimit = (limit: RateLimit | undefined): string =>
+const formatLimit = (limit: OperationRate | undefined): string =>
   limit ? `${limit.ratePerSecond}/s, burst ${limit.burst}` : 'none';
 
 function describeOrganisation(
