--- a/packages/core/src/permitclient.ts
+++ b/packages/core/src/permitclient.ts
@@ -77,7 +77,7 @@
 
   /** A late answer shows that the lender lives; its permits are returned. */
   private handleLateAnswer(asked: AddressedRequest, answer: PermitAnswer, now: Millis): void {
-    this.holder.returnAll(answer);
+    this.holder.releaseAll(answer);
     if (asked.lender === this.lender) this.choice.handleAnswer(answer.isLending, false, now);
   }
 
@@ -86,7 +86,7 @@
     if (lender !== undefined && lender !== this.lender) {
       this.lender = lender;
       this.isLending = false;
-      this.holder.forgetLender();
+      this.holder.clearLender();
     }
     return lender;
   }
--- a/packages/core/src/permitholder.ts
+++ b/packages/core/src/permitholder.ts
@@ -132,7 +132,7 @@
   }
 
   /** Forgets the last lender, after another one was chosen. */
-  forgetLender(): void {
+  clearLender(): void {
     this.lastAnswer = undefined;
   }
 
@@ -152,7 +152,7 @@
   }
 
   /** Returns the permits of an answer that came too late. */
-  returnAll({ run, granted }: PermitAnswer): void {
+  releaseAll({ run, granted }: PermitAnswer): void {
     granted.forEach(({ organisation, count, interval }) =>
       this.addReturned({ organisation, count, interval, run }),
     );
--- a/packages/core/src/permitlender.ts
+++ b/packages/core/src/permitlender.ts
@@ -306,7 +306,7 @@
     const accounts = Object.fromEntries(
       [...this.accounts]
         .filter(([, { window }]) => window.readSum(now) > 0)
-        .map(([organisation, { window }]) => [organisation, window.copy(now)] as const),
+        .map(([organisation, { window }]) => [organisation, window.listByAge(now)] as const),
     );
     const issued = new Map([...this.accounts].map(([name, account]) => [name, account.issued]));
     this.copies = [
--- a/packages/core/src/windowaccount.ts
+++ b/packages/core/src/windowaccount.ts
@@ -41,8 +41,8 @@
     return this.sum;
   }
 
-  /** Copies the counts; ages are rounded down, so that nothing leaves a window too early. */
-  copy(now: Millis): AgedCounts {
+  /** Lists the counts; ages are rounded down, so that nothing leaves a window too early. */
+  listByAge(now: Millis): AgedCounts {
     this.readSum(now);
     const copied: number[] = [];
     this.counts.forEach((count, interval) => {
--- a/packages/core/test/permits.spec.ts
+++ b/packages/core/test/permits.spec.ts
@@ -197,7 +197,7 @@
 }
 
 /** A holder that ignores the end of its permits. */
-function keepPermits(client: PermitClient): PermitClient {
+function holdPermits(client: PermitClient): PermitClient {
   const { holder } = client;
   const handleAnswer = holder.handleAnswer.bind(holder);
   holder.handleAnswer = (answer, sentAt, now) => handleAnswer(answer, sentAt + FOREVER_MS, now);
@@ -217,7 +217,7 @@
 }
 
 /** A lender that starts as if nothing had been issued before. */
-function forgetAccounts(lender: PermitLender): PermitLender {
+function clearAccounts(lender: PermitLender): PermitLender {
   const strip = ({ copy, ...rest }: PermitRequest): PermitRequest => ({
     ...rest,
     uptimeMs: Number.MAX_SAFE_INTEGER,
@@ -242,9 +242,9 @@
   it('break the rule in each broken version', function findMutants() {
     this.timeout(TIMEOUT_MS);
     const found = [
-      { createClient: keepPermits },
+      { createClient: holdPermits },
       { createClient: raiseFloor },
-      { createLender: forgetAccounts },
+      { createLender: clearAccounts },
     ].map((parts) => checkRule(parts, MUTANT_RUNS).failed);
     expect(found).toEqual([true, true, true]);
   });
--- a/packages/engine/src/attempt.ts
+++ b/packages/engine/src/attempt.ts
@@ -71,7 +71,7 @@
     try {
       permit = await context.options.quota.take(this.organisation, deadline);
       const lease = await group.admit(this.createRequest(deadline));
-      permit = await this.renewPermit(permit, lease);
+      permit = await this.refreshPermit(permit, lease);
       if (!context.isClosed) return lease;
       lease.release();
       permit.giveBack();
@@ -86,10 +86,10 @@
     }
   }
 
-  /** Renews the permit; releases the connection when the work can't start. */
-  private async renewPermit(permit: OperationPermit, lease: Lease): Promise<OperationPermit> {
+  /** Refreshes the permit; releases the connection when the work can't start. */
+  private async refreshPermit(permit: OperationPermit, lease: Lease): Promise<OperationPermit> {
     try {
-      return await permit.renew();
+      return await permit.refresh();
     } catch (error) {
       lease.release();
       throw error;
--- a/packages/engine/src/fleetquota.ts
+++ b/packages/engine/src/fleetquota.ts
@@ -23,7 +23,7 @@
 const PART_COUNT = 4;
 const TICK_MS: Millis = 25;
 /** Longest wait for another permit of an operation that holds a connection. */
-const RENEWAL_WAIT_MS: Millis = 100;
+const REFRESH_WAIT_MS: Millis = 100;
 /** How often the live VMs are read. */
 const VMS_INTERVAL_MS: Millis = 250;
 
@@ -53,12 +53,12 @@
     private readonly ageClock: Clock,
   ) {}
 
-  async renew(): Promise<OperationPermit> {
+  async refresh(): Promise<OperationPermit> {
     const now = this.ageClock.readNow();
     if (now < this.permit.endsAt) return this;
     this.giveBack();
     const { organisation } = this.permit;
-    const next = await this.part.take(organisation, now + RENEWAL_WAIT_MS);
+    const next = await this.part.take(organisation, now + REFRESH_WAIT_MS);
     return new LentPermit(next, this.part, this.ageClock);
   }
 
--- a/packages/engine/src/operationquota.ts
+++ b/packages/engine/src/operationquota.ts
@@ -8,7 +8,7 @@
    *
    * @throws NotRunError when there is no other; this one is given back.
    */
-  renew(): Promise<OperationPermit>;
+  refresh(): Promise<OperationPermit>;
   /** Gives the permission back after the operation has surely not reached an instance. */
   giveBack(): void;
 }
@@ -25,7 +25,7 @@
 
 /** The permit of an operation that counts against no limit. */
 export const FREE_PERMIT: OperationPermit = {
-  renew: async () => FREE_PERMIT,
+  refresh: async () => FREE_PERMIT,
   giveBack: () => undefined,
 };
 
--- a/packages/engine/test/fleetquota.spec.ts
+++ b/packages/engine/test/fleetquota.spec.ts
@@ -117,10 +117,10 @@
   it('is asked for again when the permit ended before the work could start', async () => {
     const [vm] = vms;
     const permit = vm && (await take(vm));
-    expect((await permit?.renew()) === permit).toEqual(true);
+    expect((await permit?.refresh()) === permit).toEqual(true);
     await wait(RULE.windowMs * RULE.excess + 200);
-    const renewed = await permit?.renew();
-    expect(renewed === undefined || renewed === permit).toEqual(false);
+    const refreshed = await permit?.refresh();
+    expect(refreshed === undefined || refreshed === permit).toEqual(false);
   });
 
   // An organisation without a limit must not depend on a lender.
