Count VMs as informed only once a lender before their start has ended

A VM that starts remembers nothing of the lender that it acknowledged before, and that one may have lent for 1.1 s more. By review; the permits' test did not show it.

--- a/packages/core/src/permitlender.ts
+++ b/packages/core/src/permitlender.ts
@@ -204,8 +204,9 @@
 
   private start(reporting: readonly Report[], now: Millis): void {
     const span = computeAccountSpan(this.options.rule) + COUNT_INTERVAL_MS;
-    // A VM that has started within the span may have forgotten a copy that it confirmed.
-    const informed = reporting.filter(({ uptimeMs }) => uptimeMs >= span);
+    // A VM that has started lately may have forgotten a copy that it confirmed; a lender that it
+    // had acknowledged went on for as long as that was valid.
+    const informed = reporting.filter(({ uptimeMs }) => uptimeMs >= span + ACKNOWLEDGEMENT_MS);
     this.startedAt = now;
     this.isInformed = informed.length > this.vms.length * INFORMED_SHARE;
     this.accounts.clear();
