--- a/packages/engine/src/index.ts
+++ b/packages/engine/src/index.ts
@@ -19,6 +19,8 @@
   UnconfirmedCommitError,
   WrongInstanceError,
 } from './errors.js';
+export { FleetQuota } from './fleetquota.js';
+export type { FleetQuotaOptions } from './fleetquota.js';
 export { Fleet, VMS_KIND } from './fleet.js';
 export type { FleetOptions } from './fleet.js';
 export type { VmAddress } from './heartbeat.js';
@@ -35,7 +37,7 @@
 export { OperationQuota, UnlimitedQuota } from './operationquota.js';
 export type { OperationPermit } from './operationquota.js';
 export { OrganisationIndex } from './organisations.js';
-export type { KeyedOrganisation, Organisation, RateLimit } from './organisations.js';
+export type { KeyedOrganisation, Organisation } from './organisations.js';
 export { ObjectWatcher } from './watcher.js';
 export type { ObjectWatcherOptions } from './watcher.js';
 export { GroupService } from './group.js';
--- a/packages/engine/src/wiring.ts
+++ b/packages/engine/src/wiring.ts
@@ -1,5 +1,11 @@
 import { randomUUID } from 'node:crypto';
-import { type Clock, type Millis, type RegisteredInstance, ZoneBudget } from '@shallotpick/core';
+import {
+  type Clock,
+  type Millis,
+  type QuotaRule,
+  type RegisteredInstance,
+  ZoneBudget,
+} from '@shallotpick/core';
 import { SuspendAwareClock, SystemClock } from './clock.js';
 import { ConfigurationHolder, type ServiceConfiguration } from './configuration.js';
 import { ConfigurationVerifier } from './configurationverifier.js';
@@ -9,6 +15,7 @@
 import { EraAwareStore } from './era.js';
 import { StoreError } from './errors.js';
 import { GroupDirectory } from './directory.js';
+import { FleetQuota } from './fleetquota.js';
 import type { CreateForwarding } from './forwarding.js';
 import { GroupService } from './group.js';
 import { UnlimitedQuota } from './operationquota.js';
@@ -68,6 +75,8 @@
   readonly revocationMs?: Millis | undefined;
   /** Bytes a second of reads that may leave the zone; 0 keeps them there while an instance can serve them. */
   readonly zoneBytesPerSecond?: number | undefined;
+  /** How strictly rate limits hold over the fleet; absent when they are not counted. */
+  readonly quotaRule?: QuotaRule | undefined;
   /** Store kind of the operator's configuration. */
   readonly configurationKind: string;
   /** Store kind of the objects by which instances register. */
@@ -92,6 +101,7 @@
   groups?: GroupDirectory;
   placement?: Placement;
   verifier?: ConfigurationVerifier;
+  fleetQuota?: FleetQuota;
 }
 
 /** A proxy with the watchers that supply its configuration, instances and promotion records. */
@@ -250,9 +260,19 @@
     readStatus: () => holder.proxy?.readHomeStatus() ?? { isIsolated: true, isDraining: false },
     findHomes: (group) => placement.findHomes(group, zone),
     listNearHomes: () => placement.listNearHomes(zone),
+    answerPermits: (id, request) => holder.fleetQuota?.answer(id, request),
     findVm: (id, host) => fleet.findVm(id, host),
   });
-  const quota = new UnlimitedQuota();
+  if (forwarding && parts.quotaRule) {
+    holder.fleetQuota = new FleetQuota({
+      ...{ vm, fleet, configuration, forwarding, clock, log, metrics },
+      ageClock: shared.ageClock,
+      rule: parts.quotaRule,
+      random: Math.random,
+      isDraining: () => holder.proxy?.isDraining() ?? false,
+    });
+  }
+  const quota = holder.fleetQuota ?? new UnlimitedQuota();
   const groups = new GroupDirectory({
     ...{ clock, log, placement, forwarding },
     createGroup: (name) =>
@@ -275,7 +295,11 @@
       await proxy.start();
       watchers.forEach((watcher) => watcher.start());
       fleet.start();
+      holder.fleetQuota?.start();
+    },
+    stopWatchers: () => {
+      watchers.forEach((watcher) => watcher.stop());
+      holder.fleetQuota?.stop();
     },
-    stopWatchers: () => watchers.forEach((watcher) => watcher.stop()),
   };
 }
