Separate the slots of instances from the order of the queue

Cause: AdmissionQueue counts what runs on each instance and orders what waits; a queue with another order would count the slots a second time.

Change: SlotTable counts, SlotQueue is the base of queues over it; AdmissionQueue keeps its order and its refusals, which now name a cause.

Serve a group's work by rank, and learn what it costs

Cause: every work was queued as short and served in turn of the callers, first come first served within a priority; work that had missed its objective delayed work that could still make it.

Change: WorkQueue orders by lateness, priority and latest start, gives callers equal time in slots, bounds starvation, and refuses on arrival what is not expected to make its deadline. WorkMeter measures how long work occupies its slot and learns the cost by database and kind. Long reads leave one slot of an instance free; a slow replica gets less work; reads stay off a leader that work waits for. It acts on groups whose routes differ in priority.

--- a/packages/core/src/admission.ts
+++ b/packages/core/src/admission.ts
@@ -1,6 +1,8 @@
 import type { Millis } from './clock.js';
 import { FairQueue, type Work } from './fairqueue.js';
 import type { Route } from './router.js';
+import { type QueueDecision, type RefusalCause, SlotQueue } from './slotqueue.js';
+import type { SlotTable, WorkLength } from './slottable.js';
 
 /** Callers' first items that one dispatch tries before it considers a queue blocked. */
 const MAX_MISSES = 8;
@@ -9,32 +11,8 @@
 /** Work is refused early only when the estimate passes its deadline by this factor. */
 const EARLY_REFUSAL_FACTOR = 1.5;
 
-/** The capacity of an instance that this proxy may use at present. */
-export interface Capacity {
-  /** Number of connections that may be in use at the same time. */
-  readonly connections: number;
-  /** Short statements at the same time. */
-  readonly concurrency: number;
-  /** Long statements at the same time. */
-  readonly longPermits: number;
-}
-
 /** A decision on queued work: start it on an instance, or refuse it. */
-export type AdmissionDecision =
-  | {
-      readonly kind: 'start';
-      readonly work: Work;
-      readonly instance: string;
-      readonly reason: string;
-    }
-  | { readonly kind: 'refuse'; readonly work: Work; readonly reason: string };
-
-/** Running statements by length, and connections in use, including those of idle transactions. */
-interface Load {
-  short: number;
-  long: number;
-  connections: number;
-}
+export type AdmissionDecision = QueueDecision;
 
 /** Options of an `AdmissionQueue`. */
 export interface AdmissionOptions {
@@ -44,16 +22,25 @@
   readonly findRoute: (work: Work, now: Millis) => Route;
 }
 
-const NO_CAPACITY: Capacity = { connections: 0, concurrency: 0, longPermits: 0 };
+/** Why work is refused, and the text for its caller. */
+interface Refusal {
+  readonly cause: RefusalCause;
+  readonly reason: string;
+}
+
+const EVICTED: Refusal = {
+  cause: 'queueFull',
+  reason: 'the queue is full and the caller has most in it',
+};
+const EXPIRED: Refusal = {
+  cause: 'deadlinePassed',
+  reason: 'the deadline passed in the queue',
+};
 
 /** Bounded admission queue of one group's instances, fair between callers. */
-export class AdmissionQueue {
+export class AdmissionQueue extends SlotQueue<Work> {
   private readonly queues = new Map<string, FairQueue>();
 
-  private readonly capacities = new Map<string, Capacity>();
-
-  private readonly loads = new Map<string, Load>();
-
   /** Virtual time of each caller, which advances by one with each item that starts. */
   private readonly callerTimes = new Map<string, number>();
 
@@ -65,24 +52,27 @@
 
   private longQueued = 0;
 
-  constructor(private readonly options: AdmissionOptions) {}
+  constructor(
+    private readonly options: AdmissionOptions,
+    slots?: SlotTable,
+  ) {
+    super(slots);
+  }
 
   /** Returns the number of queued items, of one length if given. */
-  countQueued(length?: Work['length']): number {
+  override countQueued(length?: WorkLength): number {
     if (length === undefined) return this.queued;
     return length === 'long' ? this.longQueued : this.queued - this.longQueued;
   }
 
   /** Returns the number of statements running on the instance, of one length if given. */
-  countRunning(instance: string, length?: Work['length']): number {
-    const load = this.loads.get(instance);
-    if (!load) return 0;
-    return length ? load[length] : load.short + load.long;
+  countRunning(instance: string, length?: WorkLength): number {
+    return this.slots.countRunning(instance, length);
   }
 
   /** Returns the number of connections to the instance that are in use. */
   countConnections(instance: string): number {
-    return this.loads.get(instance)?.connections ?? 0;
+    return this.slots.countConnections(instance);
   }
 
   /** True when the instance has capacity for another short statement. */
@@ -90,26 +80,10 @@
     return this.hasRoom(instance, 'short');
   }
 
-  updateCapacity(instance: string, capacity: Capacity, now: Millis): readonly AdmissionDecision[] {
-    const before = this.capacities.get(instance);
-    this.capacities.set(instance, capacity);
-    const isSame =
-      before?.connections === capacity.connections &&
-      before.concurrency === capacity.concurrency &&
-      before.longPermits === capacity.longPermits;
-    return isSame ? [] : this.dispatch(now);
-  }
-
-  /** Removes an instance with its load; the end of work that it ran must not be reported. */
-  removeInstance(instance: string): void {
-    this.capacities.delete(instance);
-    this.loads.delete(instance);
-  }
-
-  add(work: Work, now: Millis): readonly AdmissionDecision[] {
+  override add(work: Work, now: Millis): readonly AdmissionDecision[] {
     const queue = this.findQueue(work);
     const refusal = this.findRefusal(work, queue, now);
-    if (refusal) return [{ kind: 'refuse', work, reason: refusal }];
+    if (refusal) return [{ kind: 'refuse', work, ...refusal }];
     const evicted = this.queued >= this.options.maxQueued ? queue.findEvictable() : undefined;
     if (evicted) this.remove(evicted);
     this.callerTimes.set(
@@ -118,57 +92,26 @@
     );
     queue.add(work);
     this.count(work, 1);
-    const reason = 'the queue is full and the caller has most in it';
-    const refused = evicted ? [{ kind: 'refuse' as const, work: evicted, reason }] : [];
+    const refused = evicted ? [{ kind: 'refuse' as const, work: evicted, ...EVICTED }] : [];
     return [...refused, ...this.dispatch(now)];
   }
 
-  /** Removes queued work; false when it has started or left the queue already. */
-  remove(work: Work): boolean {
+  override remove(work: Work): boolean {
     const isRemoved = this.findQueue(work).remove(work);
     if (isRemoved) this.count(work, -1);
     return isRemoved;
   }
 
-  /** Handles the release of a connection. `isIdle`: its statement had already ended. */
-  handleDone(
-    instance: string,
-    work: Work,
-    now: Millis,
-    isIdle = false,
-  ): readonly AdmissionDecision[] {
-    const load = this.loads.get(instance);
-    if (load) {
-      load.connections -= 1;
-      if (!isIdle) load[work.length] -= 1;
-    }
-    return this.dispatch(now);
-  }
-
-  /** Handles the end of a statement in a transaction, which keeps its connection but no slot. */
-  handleIdle(instance: string, work: Work, now: Millis): readonly AdmissionDecision[] {
-    const load = this.loads.get(instance);
-    if (load) load[work.length] -= 1;
-    return this.dispatch(now);
-  }
-
-  /** Handles a transaction's next statement, never queued since others may wait for its locks. */
-  handleBusy(instance: string, work: Work): void {
-    const load = this.loads.get(instance);
-    if (load) load[work.length] += 1;
-  }
-
   /** Reclassifies running work that turns out to be long; returns the work with its new length. */
   updateLength(instance: string, work: Work): Work {
-    const load = this.loads.get(instance);
-    if (load && work.length === 'short') {
-      load.short -= 1;
-      load.long += 1;
+    if (work.length === 'short') {
+      this.slots.updateRunning(instance, 'short', -1);
+      this.slots.updateRunning(instance, 'long', 1);
     }
     return { ...work, length: 'long' };
   }
 
-  handleTick(now: Millis): readonly AdmissionDecision[] {
+  override handleTick(now: Millis): readonly AdmissionDecision[] {
     const expired = [...this.queues.values()].flatMap((queue) => queue.listExpired(now));
     expired.forEach((work) => this.remove(work));
     this.queues.forEach((queue, key) => {
@@ -178,9 +121,8 @@
     this.callerTimes.forEach((turn, caller) => {
       if (turn <= this.virtualTime && !this.waiting.has(caller)) this.callerTimes.delete(caller);
     });
-    const reason = 'the deadline passed in the queue';
     return [
-      ...expired.map((work) => ({ kind: 'refuse' as const, work, reason })),
+      ...expired.map((work) => ({ kind: 'refuse' as const, work, ...EXPIRED })),
       ...this.dispatch(now),
     ];
   }
@@ -202,22 +144,25 @@
     else this.waiting.delete(work.caller);
   }
 
-  private findRefusal(work: Work, queue: FairQueue, now: Millis): string | undefined {
+  private findRefusal(work: Work, queue: FairQueue, now: Millis): Refusal | undefined {
     const { maxQueued } = this.options;
     if (work.length === 'long' && this.longQueued >= maxQueued * LONG_QUEUE_SHARE) {
-      return 'the queue is full of long work';
+      return { cause: 'queueFull', reason: 'the queue is full of long work' };
     }
     if (this.queued >= maxQueued) {
       const fair = maxQueued / Math.max(1, this.waiting.size);
       const isSurplus = (this.waiting.get(work.caller) ?? 0) >= fair;
-      if (isSurplus || queue.countQueued() === 0) return 'the queue is full';
+      if (isSurplus || queue.countQueued() === 0) {
+        return { cause: 'queueFull', reason: 'the queue is full' };
+      }
     }
     const wait = queue.findExpectedWait(work.caller, now);
     const isLate = wait !== undefined && wait > EARLY_REFUSAL_FACTOR * (work.deadline - now);
-    return isLate ? 'the expected wait passes the deadline' : undefined;
+    const reason = 'the expected wait passes the deadline';
+    return isLate ? { cause: 'expectedWait', reason } : undefined;
   }
 
-  private dispatch(now: Millis): readonly AdmissionDecision[] {
+  protected override dispatch(now: Millis): readonly AdmissionDecision[] {
     const started: AdmissionDecision[] = [];
     const missed = new Map<FairQueue, Set<Work>>();
     this.queues.forEach((queue) => {
@@ -282,26 +227,25 @@
     queue.remove(work);
     queue.moveToBack(work.caller);
     this.count(work, -1);
-    const load = this.loads.get(instance) ?? { short: 0, long: 0, connections: 0 };
-    load[work.length] += 1;
-    load.connections += 1;
-    this.loads.set(instance, load);
+    this.slots.occupy(instance, work.length);
     return { kind: 'start', work, instance, reason };
   }
 
-  private hasRoomAnywhere(length: Work['length']): boolean {
-    return [...this.capacities.keys()].some((instance) => this.hasRoom(instance, length));
+  private hasRoomAnywhere(length: WorkLength): boolean {
+    return this.slots.listInstances().some((instance) => this.hasRoom(instance, length));
   }
 
-  private hasRoom(instance: string, length: Work['length']): boolean {
-    const capacity = this.capacities.get(instance) ?? NO_CAPACITY;
-    const load = this.loads.get(instance) ?? { short: 0, long: 0, connections: 0 };
+  private hasRoom(instance: string, length: WorkLength): boolean {
+    const { slots } = this;
+    const capacity = slots.readCapacity(instance);
+    const inUse = slots.countConnections(instance);
     if (length === 'short') {
-      return load.connections < capacity.connections && load.short < capacity.concurrency;
+      const isSlotFree = slots.countRunning(instance, 'short') < capacity.concurrency;
+      return inUse < capacity.connections && isSlotFree;
     }
     // One connection is reserved for short work, unless there is only one.
     const connections = Math.max(1, capacity.connections - 1);
-    const hasConnection = capacity.connections > 0 && load.connections < connections;
-    return hasConnection && load.long < capacity.longPermits;
+    const hasConnection = capacity.connections > 0 && inUse < connections;
+    return hasConnection && slots.countRunning(instance, 'long') < capacity.longPermits;
   }
 }
--- a/packages/core/src/router.ts
+++ b/packages/core/src/router.ts
@@ -36,6 +36,11 @@
 
   /** Cost of a typical statement; a read waits this long for a replica before it costs a write. */
   abstract readTypicalCost(): Millis;
+
+  /** True while work that only the primary may serve waits for it. */
+  isPrimaryNeeded(): boolean {
+    return false;
+  }
 }
 
 /** The properties of a statement that determine its route. */
@@ -116,7 +121,7 @@
       return { kind: 'instances', instances: [primary], reason: 'no replica is fresh enough' };
     }
     const primaryWait = view.findExpectedWait(primary) + view.readTypicalCost();
-    const isSooner = this.findLeastWait(replicas, view) > primaryWait;
+    const isSooner = !view.isPrimaryNeeded() && this.findLeastWait(replicas, view) > primaryWait;
     // Only writes need the primary, so a read uses it only if every replica is expected later.
     if (!isSooner) return { kind: 'instances', instances: replicas, reason: 'replica' };
     const reason = 'replica, or the primary when it is free first';
--- a/packages/engine/src/attempt.ts
+++ b/packages/engine/src/attempt.ts
@@ -41,6 +41,7 @@
     private readonly requestId: string,
     private readonly kind: 'read' | 'write',
     private readonly organisation: string | undefined,
+    private readonly isTransaction = false,
   ) {
     const now = context.readNow();
     this.deadline = now + route.timeoutMs;
@@ -87,8 +88,9 @@
 
   private createRequest(deadline: Millis): WorkRequest {
     const { context, route, requestId, kind, organisation, objective, excluded } = this;
+    const { isTransaction } = this;
     return {
-      ...{ requestId, kind, organisation, objective, deadline, excluded },
+      ...{ requestId, kind, isTransaction, organisation, objective, deadline, excluded },
       contract: route.contract,
       caller: organisation ?? context.options.caller,
       database: route.database,
--- a/packages/engine/src/configuration.ts
+++ b/packages/engine/src/configuration.ts
@@ -40,6 +40,12 @@
   readonly organisations?: OrganisationIndex | undefined;
 }
 
+/** True when the routes of a group differ in priority, so that some of its work goes before other. */
+export function hasSeveralPriorities({ routes }: ServiceConfiguration, group: string): boolean {
+  const own = [...routes.values()].filter((route) => route.group === group);
+  return new Set(own.map(({ priority }) => priority)).size > 1;
+}
+
 /** Receives each configuration that is put in force. */
 type Listener = (configuration: ServiceConfiguration) => void;
 
--- a/packages/engine/src/directory.ts
+++ b/packages/engine/src/directory.ts
@@ -1,6 +1,6 @@
 import type { Clock, Millis } from '@shallotpick/core';
 import type { GroupAccess } from './access.js';
-import type { ServiceConfiguration } from './configuration.js';
+import { hasSeveralPriorities, type ServiceConfiguration } from './configuration.js';
 import type { Forwarding } from './forwarding.js';
 import type { GroupService } from './group.js';
 import type { Log } from './log.js';
@@ -96,11 +96,12 @@
     if (!this.configuration || !this.mayPlace()) return false;
     this.placedVersion = placement.version;
     let isChanged = false;
-    this.configuration.groups.forEach((settings, name) => {
+    const { configuration } = this;
+    configuration.groups.forEach((settings, name) => {
       if (!placement.isHome(name)) return;
       const known = this.local.get(name);
       const group = known ?? this.startGroup(name);
-      group.updateSettings(settings);
+      group.updateSettings(settings, hasSeveralPriorities(configuration, name));
       isChanged ||= !known;
     });
     this.local.forEach((group, name) => {
--- a/packages/engine/src/dispatcher.ts
+++ b/packages/engine/src/dispatcher.ts
@@ -1,22 +1,36 @@
 import {
-  type AdmissionDecision,
   AdmissionQueue,
   type Capacity,
   type Clock,
+  type ExpectedWait,
   type Millis,
+  type QueueDecision,
+  type RankedWork,
+  type RefusalCause,
   type Route,
   type RouteRequest,
+  type SlotQueue,
+  SlotTable,
   type Work,
+  WorkQueue,
 } from '@shallotpick/core';
 import { NotRunError } from './errors.js';
 import type { SessionCommit } from './view.js';
+import { WorkMeter } from './workmeter.js';
 
+/** Bounds the queue of a group whose routes have one rank. */
 const MAX_QUEUED = 2_000;
+const LEADER_KEY = 'leader';
+const ANY_KEY = 'any';
+/** Callers that are refused are told to come back within this time after room is expected. */
+const RETURN_SPREAD_MS: Millis = 1_000;
 
 /** Admission request for one statement or transaction. */
 export interface WorkRequest extends Omit<RouteRequest, 'minPosition'> {
   readonly requestId: string;
   readonly caller: string;
+  /** True for a transaction, which occupies a slot for each of its statements. */
+  readonly isTransaction?: boolean | undefined;
   /** Organisation in whose name the work runs; undefined for callers without a key. */
   readonly organisation: string | undefined;
   /** Database that the caller named; work on one database has similar cost. */
@@ -40,14 +54,28 @@
 /** Queued work and the promise that its caller waits for. */
 interface Pending {
   readonly request: WorkRequest;
+  readonly work: RankedWork;
   readonly addedAt: Millis;
   readonly resolve: (admitted: AdmittedWork) => void;
   readonly reject: (error: Error) => void;
 }
 
+/** Work that was refused, and why. */
+export interface Refusal {
+  readonly request: WorkRequest;
+  readonly cause: RefusalCause;
+  readonly reason: string;
+  readonly waitedMs: Millis;
+  /** The expectation for which it was refused. */
+  readonly expectedWaitMs: Millis | undefined;
+  readonly limitMs: Millis | undefined;
+}
+
 /** Callbacks and clock of a dispatcher. */
 export interface DispatcherOptions {
   readonly clock: Clock;
+  /** Returns a number from 0 up to 1; refused callers come back spread by it. */
+  readonly random?: () => number;
   /** Called on each dispatch, since replicas and the leader may change while work is queued. */
   readonly findRoute: (request: WorkRequest, now: Millis) => Route;
   readonly onStart: (
@@ -56,24 +84,37 @@
     reason: string,
     waitedMs: Millis,
   ) => void;
+  readonly onRefuse?: (refusal: Refusal) => void;
 }
 
-/** Promise-based front of a group's admission queue. */
+/** Promise-based front of a group's queue. */
 export class Dispatcher {
-  private readonly queue: AdmissionQueue;
+  private readonly slots = new SlotTable();
+
+  private readonly meter = new WorkMeter();
 
   private readonly pending = new Map<number, Pending>();
 
-  /** Admitted work of the present instances; that of removed ones is no longer counted. */
-  private readonly running = new Set<AdmittedWork>();
+  private queue: SlotQueue<RankedWork>;
+
+  /** The queue by rank while it is in use. */
+  private ranked: WorkQueue | undefined;
 
   private nextWorkId = 1;
 
   constructor(private readonly options: DispatcherOptions) {
-    this.queue = new AdmissionQueue({
-      maxQueued: MAX_QUEUED,
-      findRoute: (work, now) => this.findRoute(work, now),
-    });
+    this.queue = this.createPlainQueue();
+  }
+
+  /** Starts or stops the ordering by rank; queued work moves to the other queue. */
+  updateRanking(isRanked: boolean): void {
+    if (isRanked === (this.ranked !== undefined)) return;
+    const findRoute = (work: Work, now: Millis): Route => this.findRoute(work, now);
+    this.ranked = isRanked ? new WorkQueue({ findRoute }, this.slots) : undefined;
+    this.queue = this.ranked ?? this.createPlainQueue();
+    const now = this.options.clock.readNow();
+    const waiting = [...this.pending.values()];
+    waiting.forEach(({ work }) => this.handleDecisions(this.queue.add(work, now)));
   }
 
   /**
@@ -83,9 +124,9 @@
    */
   async add(request: WorkRequest): Promise<AdmittedWork> {
     const now = this.options.clock.readNow();
-    const work = this.createWork(request);
+    const work = this.createWork(request, now);
     return new Promise<AdmittedWork>((resolve, reject) => {
-      this.pending.set(work.id, { request, addedAt: now, resolve, reject });
+      this.pending.set(work.id, { request, work, addedAt: now, resolve, reject });
       this.handleDecisions(this.queue.add(work, now));
     });
   }
@@ -96,11 +137,23 @@
     );
   }
 
+  /** Reduces the concurrency of an instance that is slower than the others. */
+  limitConcurrency(instance: string, concurrency: number): number {
+    if (!this.ranked) return concurrency;
+    return this.meter.limitConcurrency(instance, concurrency, this.options.clock.readNow());
+  }
+
+  /** True while work by rank waits for the leader, so that reads leave it to that work. */
+  isLeaderNeeded(): boolean {
+    return (this.ranked?.countQueued(LEADER_KEY) ?? 0) > 0;
+  }
+
   /** Removes an instance; its work may go on, but no longer counts, even if its id is added again. */
   removeInstance(instance: string): void {
     this.queue.removeInstance(instance);
-    this.running.forEach((admitted) => {
-      if (admitted.instance === instance) this.running.delete(admitted);
+    this.meter.removeInstance(instance);
+    this.meter.list().forEach((admitted) => {
+      if (admitted.instance === instance) this.meter.withdraw(admitted);
     });
   }
 
@@ -111,19 +164,24 @@
 
   /** Records that a statement starts or has ended while the work keeps its connection. */
   updateBusy(admitted: AdmittedWork, isBusy: boolean): void {
-    if (!this.running.has(admitted)) return;
+    if (!this.meter.has(admitted)) return;
     const { work, instance } = admitted;
+    const now = this.options.clock.readNow();
+    this.meter.updateBusy(admitted, isBusy, now);
     if (isBusy) this.queue.handleBusy(instance, work);
-    else this.handleDecisions(this.queue.handleIdle(instance, work, this.options.clock.readNow()));
+    else this.handleDecisions(this.queue.handleIdle(instance, work, now));
   }
 
   /** Ends the work and frees its slot; `isIdle` when its last statement had already ended. */
   remove(admitted: AdmittedWork, isIdle = false): void {
-    if (!this.running.delete(admitted)) return;
-    const { work, instance } = admitted;
-    this.handleDecisions(
-      this.queue.handleDone(instance, work, this.options.clock.readNow(), isIdle),
-    );
+    const now = this.options.clock.readNow();
+    if (this.meter.end(admitted, now)) this.release(admitted, isIdle, now);
+  }
+
+  /** Frees the slot of work that has not run. */
+  withdraw(admitted: AdmittedWork): void {
+    const now = this.options.clock.readNow();
+    if (this.meter.withdraw(admitted)) this.release(admitted, false, now);
   }
 
   /** Rejects all queued work. */
@@ -132,11 +190,23 @@
     this.pending.clear();
   }
 
-  private createWork({ kind, contract, caller, deadline, priority }: WorkRequest): Work {
-    const routeKey = kind === 'write' || contract.maxAgeMs <= 0 ? 'leader' : 'any';
+  private createPlainQueue(): SlotQueue<RankedWork> {
+    const findRoute = (work: Work, now: Millis): Route => this.findRoute(work, now);
+    return new AdmissionQueue({ maxQueued: MAX_QUEUED, findRoute }, this.slots);
+  }
+
+  private release({ work, instance }: AdmittedWork, isIdle: boolean, now: Millis): void {
+    this.handleDecisions(this.queue.handleDone(instance, work, now, isIdle));
+  }
+
+  private createWork(request: WorkRequest, now: Millis): RankedWork {
+    const { kind, contract, caller, deadline, objective, priority } = request;
+    const routeKey = kind === 'write' || contract.maxAgeMs <= 0 ? LEADER_KEY : ANY_KEY;
     const id = this.nextWorkId;
     this.nextWorkId += 1;
-    return { id, caller, length: 'short', deadline, routeKey, priority };
+    const length = this.ranked ? this.meter.classify(request, now) : 'short';
+    const costMs = this.meter.findCost(request, now)?.medianMs;
+    return { id, caller, length, deadline, objective, routeKey, priority, costMs };
   }
 
   private findRoute({ id }: Work, now: Millis): Route {
@@ -145,27 +215,45 @@
     return this.options.findRoute(request, now);
   }
 
-  private handleDecisions(decisions: readonly AdmissionDecision[]): void {
+  private handleDecisions(decisions: readonly QueueDecision[]): void {
     decisions.forEach((decision) => this.handleDecision(decision));
   }
 
-  private handleDecision(decision: AdmissionDecision): void {
+  private handleDecision(decision: QueueDecision): void {
     const { work, reason } = decision;
+    const now = this.options.clock.readNow();
     const pending = this.pending.get(work.id);
     this.pending.delete(work.id);
     if (decision.kind === 'refuse') {
-      pending?.reject(new NotRunError(reason));
+      if (pending) this.refuse(pending, decision, now);
       return;
     }
     const { instance } = decision;
-    const admitted = { work, instance };
-    this.running.add(admitted);
     if (!pending) {
-      this.remove(admitted);
+      this.handleDecisions(this.queue.handleDone(instance, work, now));
       return;
     }
-    const waitedMs = this.options.clock.readNow() - pending.addedAt;
-    this.options.onStart(pending.request, instance, reason, waitedMs);
+    const admitted = { work, instance };
+    this.meter.start(admitted, pending.request, now);
+    this.options.onStart(pending.request, instance, reason, now - pending.addedAt);
     pending.resolve(admitted);
   }
+
+  private refuse(
+    { request, addedAt, reject }: Pending,
+    { cause, reason, expected }: QueueDecision & { readonly kind: 'refuse' },
+    now: Millis,
+  ): void {
+    const { waitMs: expectedWaitMs, limitMs } = expected ?? {};
+    const waitedMs = now - addedAt;
+    this.options.onRefuse?.({ request, cause, reason, waitedMs, expectedWaitMs, limitMs });
+    reject(new NotRunError(expected ? `${reason}; ${this.describeReturn(expected)}` : reason));
+  }
+
+  /** Tells when room is expected, spread so that refused callers don't come back together. */
+  private describeReturn({ waitMs, limitMs }: ExpectedWait): string {
+    const { random = Math.random } = this.options;
+    const roomMs = Math.max(0, waitMs - limitMs) + random() * RETURN_SPREAD_MS;
+    return `room expected in ${Math.round(roomMs)} ms`;
+  }
 }
--- a/packages/engine/src/group.ts
+++ b/packages/engine/src/group.ts
@@ -1,4 +1,5 @@
 import {
+  type Capacity,
   type Clock,
   type ExpiredInstance,
   type Millis,
@@ -102,6 +103,7 @@
         ...{ group: name, zone, ageClock, log, metrics, samples },
         listMembers: () => this.listMembers(),
         findLeader: (now) => this.findLeader(now),
+        isLeaderNeeded: () => this.dispatcher.isLeaderNeeded(),
       },
       this.createdAt,
     );
@@ -109,6 +111,7 @@
       clock,
       findRoute: (request, now) => this.router.route(request, now),
       onStart: (...started) => this.router.logRoute(...started),
+      onRefuse: (refusal) => this.router.logRefusal(refusal),
     });
     this.takeover = options.createTakeover(this);
   }
@@ -117,8 +120,10 @@
     return this.options.name;
   }
 
-  updateSettings(settings: GroupSettings): void {
+  /** `isRanked`: the group's work differs in rank, so that its order matters. */
+  updateSettings(settings: GroupSettings, isRanked = false): void {
     this.settings = settings;
+    this.dispatcher.updateRanking(isRanked);
   }
 
   listMembers(): readonly Member[] {
@@ -202,9 +207,16 @@
     const limit = member.computeLimit(share, now);
     member.pool.updateLimit(limit);
     if (member.isUsable()) member.pool.warmUp(Math.min(WARM_CONNECTIONS, limit));
-    const concurrency = Math.min(limit, member.instance.slots + EXTRA_CONCURRENCY);
-    const capacity = { connections: limit, concurrency, longPermits: 0 };
-    this.dispatcher.updateCapacity(member.id, capacity);
+    this.dispatcher.updateCapacity(member.id, this.computeCapacity(member, limit, now));
+  }
+
+  /** Divides an instance's slots; a slow instance gets less work, unless only it may serve it. */
+  private computeCapacity(member: Member, limit: number, now: Millis): Capacity {
+    const { slots } = member.instance;
+    const most = Math.min(limit, slots + EXTRA_CONCURRENCY);
+    const isLeader = this.findLeader(now) === member;
+    const concurrency = isLeader ? most : this.dispatcher.limitConcurrency(member.id, most);
+    return { connections: limit, concurrency, longPermits: Math.max(1, slots - 1) };
   }
 
   /** Connects to the assigned instance; undefined when that fails. */
@@ -217,7 +229,7 @@
     const { instance } = admitted;
     const member = this.members.find(instance);
     if (!member) {
-      dispatcher.remove(admitted);
+      dispatcher.withdraw(admitted);
       return undefined;
     }
     member.updateRunning(true);
@@ -234,7 +246,7 @@
         instance,
         error: String(error),
       });
-      dispatcher.remove(admitted);
+      dispatcher.withdraw(admitted);
       return undefined;
     }
   }
--- a/packages/engine/src/metrics.ts
+++ b/packages/engine/src/metrics.ts
@@ -86,6 +86,23 @@
     'verdict',
   ]);
 
+  /** Time in the queue of a group served here, by `priority` and `outcome` (started, refused). */
+  readonly queueWait = new Histogram({
+    name: 'shallotpick_queue_wait_seconds',
+    help: 'Time that work waited in the queue of its group',
+    buckets: SECONDS_BUCKETS,
+    labelNames: ['priority', 'outcome'],
+    registers: [this.registry],
+  });
+
+  /** Work refused in the queue, by `cause` and `priority`. */
+  readonly queueRefusals = createCounter(
+    this.registry,
+    'queue_refusals_total',
+    'Work refused in the queue',
+    ['cause', 'priority'],
+  );
+
   readonly callers = new Gauge({
     name: 'shallotpick_callers',
     help: 'Open caller connections',
--- a/packages/engine/src/transaction.ts
+++ b/packages/engine/src/transaction.ts
@@ -165,7 +165,8 @@
   private async open(id: string): Promise<Failure | undefined> {
     const { context, route, isReadOnly, organisation } = this;
     const mayBeOld = isReadOnly && route.contract.maxAgeMs > 0;
-    const attempts = new Attempts(context, route, id, mayBeOld ? 'read' : 'write', organisation);
+    const kind = mayBeOld ? 'read' : 'write';
+    const attempts = new Attempts(context, route, id, kind, organisation, true);
     for (;;) {
       const lease = await attempts.admit();
       if (!isLease(lease)) return lease;
--- a/packages/engine/src/view.ts
+++ b/packages/engine/src/view.ts
@@ -27,6 +27,8 @@
   readonly freshPosition: LogPosition | undefined;
   readonly excluded: ReadonlySet<string>;
   readonly now: Millis;
+  /** True while work that only the leader may serve waits for it. */
+  readonly isLeaderNeeded: boolean;
 }
 
 /**
@@ -73,6 +75,10 @@
     return costs.length > 0 ? Math.min(...costs) : 0;
   }
 
+  override isPrimaryNeeded(): boolean {
+    return this.options.isLeaderNeeded;
+  }
+
   private find(id: string): Member | undefined {
     return this.options.members.find((member) => member.id === id);
   }
--- a/packages/engine/src/workrouter.ts
+++ b/packages/engine/src/workrouter.ts
@@ -8,7 +8,7 @@
   type Route,
   Router,
 } from '@shallotpick/core';
-import type { WorkRequest } from './dispatcher.js';
+import type { Refusal, WorkRequest } from './dispatcher.js';
 import { NotRunError } from './errors.js';
 import type { Log } from './log.js';
 import type { Member } from './member.js';
@@ -45,6 +45,8 @@
   readonly listMembers: () => readonly Member[];
   /** Returns the confirmed leader when it may receive work. */
   readonly findLeader: (now: Millis) => Member | undefined;
+  /** True while work that only the leader may serve waits for it. */
+  readonly isLeaderNeeded: () => boolean;
 }
 
 /** Chooses the instances that may serve one group's work, and logs the choice. */
@@ -91,6 +93,7 @@
       lastCommit,
       excluded,
       now,
+      isLeaderNeeded: this.options.isLeaderNeeded(),
     });
     const minPosition = after ?? { term: 0, offset: 0 };
     return this.router.route({ ...request, minPosition }, view, now);
@@ -111,7 +114,8 @@
   /** Logs a routing decision with its reason and the age of the newest leader position. */
   logRoute(request: WorkRequest, instance: string, reason: string, waitedMs: Millis): void {
     const { group, log, metrics, ageClock, samples } = this.options;
-    const { requestId, kind, contract } = request;
+    const { requestId, kind, contract, priority } = request;
+    metrics.queueWait.observe({ priority, outcome: 'started' }, waitedMs / 1_000);
     metrics.statements.inc({ target: reason.startsWith('replica') ? 'replica' : 'leader' });
     const { after } = this.findPositions(request);
     const newest = samples.readLatest();
@@ -122,4 +126,19 @@
       ...(newest ? { leaderSeenMsAgo: Math.round(ageClock.readNow() - newest.takenAt) } : {}),
     });
   }
+
+  /** Logs a refusal with the rank of the work and the expectation for which it was refused. */
+  logRefusal({ request, cause, reason, waitedMs, expectedWaitMs, limitMs }: Refusal): void {
+    const { group, log, metrics } = this.options;
+    const { requestId, kind, caller, priority, objective, deadline } = request;
+    metrics.queueWait.observe({ priority, outcome: 'refused' }, waitedMs / 1_000);
+    metrics.queueRefusals.inc({ cause, priority });
+    log.info('refused in queue', {
+      ...{ request: requestId, group, kind, caller, priority, cause, reason },
+      waitedMs: Math.round(waitedMs),
+      objectiveToDeadlineMs: Math.round(deadline - objective),
+      ...(expectedWaitMs === undefined ? {} : { expectedWaitMs: Math.round(expectedWaitMs) }),
+      ...(limitMs === undefined ? {} : { limitMs: Math.round(limitMs) }),
+    });
+  }
 }
--- a/packages/forwarding/src/home.ts
+++ b/packages/forwarding/src/home.ts
@@ -83,9 +83,9 @@
 
 function toWorkRequest(request: ForwardedRequest, now: Millis): WorkRequest {
   const { requestId, kind, caller, priority, lastCommit, excluded, organisation } = request;
-  const { database = '', objectiveMs = request.remainingMs } = request;
+  const { database = '', objectiveMs = request.remainingMs, isTransaction } = request;
   return {
-    ...{ requestId, kind, caller, priority, organisation, database },
+    ...{ requestId, kind, caller, priority, organisation, database, isTransaction },
     objective: now + objectiveMs,
     contract: { ...DEFAULT_CONTRACT, maxAgeMs: request.maxAgeMs },
     deadline: now + request.remainingMs,
--- a/packages/forwarding/src/link.ts
+++ b/packages/forwarding/src/link.ts
@@ -155,7 +155,7 @@
     const lease = this.nextLease;
     this.nextLease += 1;
     const { requestId, kind, contract, caller, deadline, priority, lastCommit, excluded } = request;
-    const { organisation, database, objective } = request;
+    const { organisation, database, objective, isTransaction } = request;
     if (organisation !== undefined && !this.supports('organisations')) {
       return { kind: 'refused', reason: 'the home knows no organisations', mayTryOther: true };
     }
@@ -164,6 +164,7 @@
       request: {
         ...{ requestId, kind, caller, priority, database },
         ...(organisation === undefined ? {} : { organisation }),
+        ...(isTransaction ? { isTransaction } : {}),
         objectiveMs: objective - now,
         maxAgeMs: contract.maxAgeMs,
         remainingMs: deadline - now,
--- a/packages/forwarding/src/message.ts
+++ b/packages/forwarding/src/message.ts
@@ -43,6 +43,7 @@
   /** Time left until the work must have been admitted. */
   remainingMs: z.number(),
   priority: z.number(),
+  isTransaction: z.boolean().optional(),
   /** Organisation in whose name the work runs; instances are told. Only homes that know the field get it. */
   organisation: name.optional(),
   database: name.optional(),
