Limit the concurrency of an instance by its latency

Cause: a group has several homes, each of which may send one statement more than the instance has slots. Work then waits at the instance, first come first served, and the order of the queue at the home has little effect.

Change: ConcurrencyLimit lowers the concurrency of an instance at a home while its statements take more than twice the usual latency, down to the home's share of the slots, and raises it while there is room. It replaces the comparison of an instance with the others. A commit's status request finds a connection while the limit allows one.

--- a/packages/engine/src/commitconfirmation.ts
+++ b/packages/engine/src/commitconfirmation.ts
@@ -203,6 +203,7 @@
     if (!member || this.asked.has(member.id)) return;
     const { id, probe } = member;
     this.asked.add(id);
+    this.options.metrics.proofRequests.inc();
     const isPreferred = (connection: ConnectionTrace): boolean =>
       this.gate.isFollowed(id, connection);
     probe
--- a/packages/engine/src/dispatcher.ts
+++ b/packages/engine/src/dispatcher.ts
@@ -3,6 +3,7 @@
   type Capacity,
   type Clock,
   type ExpectedWait,
+  type LimitRange,
   type Millis,
   type QueueDecision,
   type RankedWork,
@@ -137,10 +138,15 @@
     );
   }
 
-  /** Reduces the concurrency of an instance that is slower than the others. */
-  limitConcurrency(instance: string, concurrency: number): number {
-    if (!this.ranked) return concurrency;
-    return this.meter.limitConcurrency(instance, concurrency, this.options.clock.readNow());
+  /** Chooses the concurrency of an instance; that of a slow or crowded one is lower. */
+  chooseConcurrency(instance: string, range: LimitRange): number {
+    if (!this.ranked) return range.most;
+    return this.meter.updateLimit(instance, range, this.options.clock.readNow());
+  }
+
+  /** Records the latency of a statement of admitted work. */
+  recordLatency(admitted: AdmittedWork, request: WorkRequest, tookMs: Millis): void {
+    this.meter.recordLatency(admitted, request, tookMs, this.options.clock.readNow());
   }
 
   /** True while work by rank waits for the leader, so that reads leave it to that work. */
--- a/packages/engine/src/group.ts
+++ b/packages/engine/src/group.ts
@@ -207,15 +207,15 @@
     const limit = member.computeLimit(share, now);
     member.pool.updateLimit(limit);
     if (member.isUsable()) member.pool.warmUp(Math.min(WARM_CONNECTIONS, limit));
-    this.dispatcher.updateCapacity(member.id, this.computeCapacity(member, limit, now));
+    this.dispatcher.updateCapacity(member.id, this.computeCapacity(member, limit));
   }
 
-  /** Divides an instance's slots; a slow instance gets less work, unless only it may serve it. */
-  private computeCapacity(member: Member, limit: number, now: Millis): Capacity {
+  /** Each home may always use its share of the slots, so that a slow instance stays in use. */
+  private computeCapacity(member: Member, limit: number): Capacity {
     const { slots } = member.instance;
+    const least = Math.ceil(slots / Math.max(1, this.options.countVms() ?? 1));
     const most = Math.min(limit, slots + EXTRA_CONCURRENCY);
-    const isLeader = this.findLeader(now) === member;
-    const concurrency = isLeader ? most : this.dispatcher.limitConcurrency(member.id, most);
+    const concurrency = this.dispatcher.chooseConcurrency(member.id, { least, most });
     return { connections: limit, concurrency, longPermits: Math.max(1, slots - 1) };
   }
 
@@ -237,7 +237,8 @@
       const connection = await member.pool.connectFor(request.organisation);
       const { after } = this.router.findPositions(request);
       const { confirmation } = this;
-      return createLease({ admitted, member, connection, dispatcher, clock, after, confirmation });
+      const common = { dispatcher, clock, confirmation };
+      return createLease({ ...common, request, admitted, member, connection, after });
     } catch (error) {
       member.updateRunning(false);
       member.handleConnectionFailure(error, clock.readNow());
--- a/packages/engine/src/lease.ts
+++ b/packages/engine/src/lease.ts
@@ -1,7 +1,7 @@
 import type { Clock, LogPosition, Millis } from '@shallotpick/core';
 import type { CommitConfirmation } from './commitconfirmation.js';
 import type { InstanceConnection } from './connection.js';
-import type { AdmittedWork, Dispatcher } from './dispatcher.js';
+import type { AdmittedWork, Dispatcher, WorkRequest } from './dispatcher.js';
 import type { Member } from './member.js';
 
 /** A connection held by one request or transaction until it is released. */
@@ -60,6 +60,7 @@
 
 /** What a lease consists of. */
 export interface LeaseParts {
+  readonly request: WorkRequest;
   readonly admitted: AdmittedWork;
   readonly member: Member;
   readonly connection: InstanceConnection;
@@ -71,7 +72,7 @@
 
 /** Creates the lease of a member's connection for admitted work. */
 export function createLease(parts: LeaseParts): Lease {
-  const { admitted, member, connection, dispatcher, clock, after, confirmation } = parts;
+  const { request, admitted, member, connection, dispatcher, clock, after, confirmation } = parts;
   const use = createLeaseUse(
     (isBusy) => {
       member.updateRunning(isBusy);
@@ -90,7 +91,10 @@
     isLeader: member.probe.leads,
     after,
     latencyMs: member.estimateLatency(clock.readNow()),
-    recordLatency: (tookMs) => member.recordLatency(tookMs, clock.readNow()),
+    recordLatency: (tookMs) => {
+      member.recordLatency(tookMs, clock.readNow());
+      dispatcher.recordLatency(admitted, request, tookMs);
+    },
     handleDemotion: () => member.probe.clearLeadership(),
     confirmCommit: (position, timeoutMs) => {
       const commit = { leader: member.id, connection, position, acknowledgedAt: clock.readNow() };
--- a/packages/engine/src/metrics.ts
+++ b/packages/engine/src/metrics.ts
@@ -103,6 +103,14 @@
     ['cause', 'priority'],
   );
 
+  /** Status requests that were to prove commits. */
+  readonly proofRequests = createCounter(
+    this.registry,
+    'proof_requests_total',
+    'Status requests for the proof of commits',
+    [],
+  );
+
   readonly callers = new Gauge({
     name: 'shallotpick_callers',
     help: 'Open caller connections',
--- a/packages/engine/src/probe.ts
+++ b/packages/engine/src/probe.ts
@@ -119,7 +119,8 @@
   }
 
   /**
-   * Asks for the status on an idle connection, a preferred one if possible, unless none is idle.
+   * Asks for the status on an idle connection, a preferred one if possible, or on a new one while the
+   * limit allows it; does nothing otherwise.
    *
    * @throws ConnectionError when the instance doesn't answer in time.
    */
@@ -127,8 +128,10 @@
     isPreferred: (connection: ConnectionTrace) => boolean,
     timeoutMs: Millis,
   ): Promise<void> {
-    const connection = this.options.pool.takeIdle(isPreferred);
-    if (!connection) return;
+    const { pool } = this.options;
+    const idle = pool.takeIdle(isPreferred);
+    if (!idle && !pool.hasRoom()) return;
+    const connection = idle ?? (await pool.connect());
     const sentAt = this.readNow();
     const command = { operation: { kind: 'status' } } as const;
     const reply = await this.sendOn(connection, command.operation, timeoutMs);
--- a/packages/engine/src/transaction.ts
+++ b/packages/engine/src/transaction.ts
@@ -65,9 +65,12 @@
   }
 
   async run(id: string, statement: DataStatement): Promise<Reply> {
-    const reply = await this.runWithLease(id, (lease) => {
+    const reply = await this.runWithLease(id, async (lease) => {
       const limit = this.route.timeoutMs * REPLY_TIMEOUT_FRACTION;
-      return runStatement(lease.connection, this.context, statement, { id }, limit);
+      const startedAt = this.context.readNow();
+      const ran = await runStatement(lease.connection, this.context, statement, { id }, limit);
+      lease.recordLatency(this.context.readNow() - startedAt);
+      return ran;
     });
     if (reply.failure) return this.fail(reply.failure);
     if (this.context.isWrite(statement)) this.writes.handleWrite(reply);
--- a/packages/engine/src/workmeter.ts
+++ b/packages/engine/src/workmeter.ts
@@ -1,7 +1,9 @@
 import {
-  InstancePace,
+  ConcurrencyLimit,
   type LearntCost,
+  type LimitRange,
   type Millis,
+  UsualLatency,
   WorkCosts,
   type WorkLength,
 } from '@shallotpick/core';
@@ -24,14 +26,19 @@
 
 /**
  * Measures how long the work of one group occupies its slots, a transaction's statements together,
- * and learns the cost of each kind of work and the pace of each instance.
+ * and learns the cost of each kind of work. The latencies of statements limit the concurrency of the
+ * instances.
  */
 export class WorkMeter {
   private readonly running = new Map<AdmittedWork, RunningWork>();
 
   private readonly costs = new WorkCosts();
 
-  private readonly paces = new Map<string, InstancePace>();
+  private readonly latencies = new WorkCosts();
+
+  private readonly usual = new Map<string, UsualLatency>();
+
+  private readonly limits = new Map<string, ConcurrencyLimit>();
 
   /** Returns the cost of work like this; undefined while it isn't known. */
   findCost(request: WorkRequest, now: Millis): LearntCost | undefined {
@@ -46,13 +53,29 @@
     return costMs >= LONG_RATIO * typicalMs ? 'long' : 'short';
   }
 
-  /** Reduces the concurrency of an instance that takes longer than the others for its work. */
-  limitConcurrency(instance: string, concurrency: number, now: Millis): number {
-    return this.paces.get(instance)?.limitConcurrency(concurrency, now) ?? concurrency;
+  /** Records the latency of a statement of the work, including its wait at the instance. */
+  recordLatency(
+    { instance }: AdmittedWork,
+    request: WorkRequest,
+    tookMs: Millis,
+    now: Millis,
+  ): void {
+    const kind = formatKind(request);
+    this.latencies.add(kind, tookMs, now);
+    const median = this.latencies.find(kind, now)?.medianMs;
+    if (median === undefined) return;
+    const usual = this.usual.get(kind) ?? new UsualLatency();
+    this.usual.set(kind, usual);
+    this.findLimit(instance).add(tookMs, usual.update(median, now));
+  }
+
+  /** Updates the concurrency of an instance from the latencies of its work. */
+  updateLimit(instance: string, range: LimitRange, now: Millis): number {
+    return this.limits.get(instance)?.update(range, now) ?? range.most;
   }
 
   removeInstance(instance: string): void {
-    this.paces.delete(instance);
+    this.limits.delete(instance);
   }
 
   /** True while the work is measured. */
@@ -81,9 +104,7 @@
     if (!work) return false;
     this.updateBusy(admitted, false, now);
     const { request, busyMs } = work;
-    const usualMs = this.findCost(request, now)?.medianMs;
     this.costs.add(formatKind(request), busyMs, now);
-    if (usualMs !== undefined) this.findPace(admitted.instance).add(busyMs, usualMs, now);
     return this.running.delete(admitted);
   }
 
@@ -92,11 +113,11 @@
     return this.running.delete(admitted);
   }
 
-  private findPace(instance: string): InstancePace {
-    const known = this.paces.get(instance);
+  private findLimit(instance: string): ConcurrencyLimit {
+    const known = this.limits.get(instance);
     if (known) return known;
-    const pace = new InstancePace();
-    this.paces.set(instance, pace);
-    return pace;
+    const limit = new ConcurrencyLimit();
+    this.limits.set(instance, limit);
+    return limit;
   }
 }
