Give each organisation its own retry budget

Cause: one organisation could use up the retries of all callers of a VM.

Change: RetryBudgets asks the budget of the organisation and that of all.

Result: specs of core.

--- a/packages/core/src/retry.ts
+++ b/packages/core/src/retry.ts
@@ -34,6 +34,47 @@
   }
 }
 
+/** Organisations whose budgets are kept; the least recently used goes first. */
+const MAX_ORGANISATIONS = 1_000;
+
+/** Budgets of a `RetryBudgets`. */
+export interface RetryBudgetsOptions {
+  readonly total: RetryBudgetOptions;
+  readonly organisation: RetryBudgetOptions;
+}
+
+/** One retry budget for all callers, and one for each organisation, which must both allow a retry. */
+export class RetryBudgets {
+  private readonly total: RetryBudget;
+
+  // A Map iterates in insertion order; each first attempt moves its organisation to the end.
+  private readonly organisations = new Map<string, RetryBudget>();
+
+  constructor(private readonly options: RetryBudgetsOptions) {
+    this.total = new RetryBudget(options.total);
+  }
+
+  /** Counts a first attempt; `organisation` is undefined for callers without a key. */
+  addRequest(organisation: string | undefined): void {
+    this.total.addRequest();
+    if (organisation === undefined) return;
+    const known = this.organisations.get(organisation);
+    const budget = known ?? new RetryBudget(this.options.organisation);
+    this.organisations.delete(organisation);
+    this.organisations.set(organisation, budget);
+    budget.addRequest();
+    if (this.organisations.size <= MAX_ORGANISATIONS) return;
+    const [oldest] = this.organisations.keys();
+    if (oldest !== undefined) this.organisations.delete(oldest);
+  }
+
+  /** Takes one retry from the budgets; false when one of them is exhausted. */
+  requestRetry(organisation: string | undefined): boolean {
+    const own = organisation === undefined ? undefined : this.organisations.get(organisation);
+    return own?.requestRetry() !== false && this.total.requestRetry();
+  }
+}
+
 /** Bounds of the exponential delay between retries. */
 export interface RetryDelayOptions {
   readonly baseMs: Millis;
--- a/packages/core/test/retry.spec.ts
+++ b/packages/core/test/retry.spec.ts
@@ -1,6 +1,6 @@
 import { expect } from 'earl';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
-import { createRetryDelay, RetryBudget, SessionPositions } from '../src/index.js';
+import { createRetryDelay, RetryBudget, RetryBudgets, SessionPositions } from '../src/index.js';
 
 describe('RetryBudget', () => {
   // Guards against retries that multiply the load on failing instances.
@@ -17,6 +17,21 @@
   });
 });
 
+describe('RetryBudgets', () => {
+  // One organisation at many times its usual: its retries must leave some to the others.
+  it('gives each organisation its own share of the retries of all', () => {
+    const budgets = new RetryBudgets({
+      total: { ratio: 0, capacity: 4 },
+      organisation: { ratio: 0, capacity: 3 },
+    });
+    ['hot', 'small', undefined].forEach((name) => budgets.addRequest(name));
+    const granted = ['hot', 'hot', 'hot', 'hot', 'small', undefined].map((name) =>
+      budgets.requestRetry(name),
+    );
+    expect(granted).toEqual([true, true, true, false, true, false]);
+  });
+});
+
 describe('createRetryDelay', () => {
   // Guards against delays that are unbounded, or not reproducible in seeded runs.
   it('grows up to its limit and is reproducible for a given generator', () => {
--- a/packages/engine/src/attempt.ts
+++ b/packages/engine/src/attempt.ts
@@ -46,7 +46,7 @@
     const now = context.readNow();
     this.deadline = now + route.timeoutMs;
     this.objective = now + route.targetLatencyMs;
-    context.options.retries.addRequest();
+    context.options.retries.addRequest(organisation);
   }
 
   readRemaining(): Millis {
@@ -123,7 +123,11 @@
    */
   async prepareRetry(lease: Lease, verdict: Verdict): Promise<boolean> {
     const { options, isClosed } = this.context;
-    if (isClosed || this.context.readNow() >= this.deadline || !options.retries.requestRetry()) {
+    if (
+      isClosed ||
+      this.context.readNow() >= this.deadline ||
+      !options.retries.requestRetry(this.organisation)
+    ) {
       return false;
     }
     options.metrics.retries.inc({ verdict });
--- a/packages/engine/src/context.ts
+++ b/packages/engine/src/context.ts
@@ -1,4 +1,4 @@
-import type { Clock, LogPosition, Millis, RetryBudget } from '@shallotpick/core';
+import type { Clock, LogPosition, Millis, RetryBudgets } from '@shallotpick/core';
 import type { ConfigurationHolder } from './configuration.js';
 import type { GroupAccess } from './access.js';
 import type { CallerIdentity } from './identity.js';
@@ -23,7 +23,7 @@
   readonly metrics: Metrics;
   readonly configuration: ConfigurationHolder;
   readonly findGroup: (name: string) => GroupAccess | undefined;
-  readonly retries: RetryBudget;
+  readonly retries: RetryBudgets;
   readonly quota: OperationQuota;
 }
 
--- a/packages/engine/src/proxy.ts
+++ b/packages/engine/src/proxy.ts
@@ -1,4 +1,4 @@
-import { type Clock, InstanceRoster, type Millis, RetryBudget } from '@shallotpick/core';
+import { type Clock, InstanceRoster, type Millis, RetryBudgets } from '@shallotpick/core';
 import type { ConfigurationHolder, ServiceConfiguration } from './configuration.js';
 import type { ConfigurationVerifier } from './configurationverifier.js';
 import type { GroupAccess } from './access.js';
@@ -21,7 +21,11 @@
 const LARGE_FLEET_TICK_MS: Millis = 50;
 const SESSION_TICK_MS: Millis = 250;
 /** Retries add at most `ratio` to the load; `capacity` covers the burst of a failover. */
-const RETRY_BUDGET = { ratio: 0.3, capacity: 200 };
+const RETRY_BUDGETS = {
+  total: { ratio: 0.3, capacity: 200 },
+  /** No organisation uses up the retries of the others. */
+  organisation: { ratio: 0.3, capacity: 50 },
+};
 /** Time until the load balancer notices that this VM isn't ready and sends no new callers. */
 const BALANCER_DELAY_MS: Millis = 2_300;
 /** Time reserved before the platform kills the process, so that the last answers are sent. */
@@ -80,7 +84,7 @@
 
   private nextCaller = 1;
 
-  private readonly retries = new RetryBudget(RETRY_BUDGET);
+  private readonly retries = new RetryBudgets(RETRY_BUDGETS);
 
   private tickTimer: NodeJS.Timeout | undefined;
 
