--- a/packages/engine/src/index.ts
+++ b/packages/engine/src/index.ts
@@ -3,7 +3,7 @@
 export { ClientGuard, ClientWatch } from './clientguard.js';
 export type { ClientGuardOptions, ClientWait, CutReason } from './clientguard.js';
 export { SuspendAwareClock, SystemClock } from './clock.js';
-export { ConfigurationHolder } from './configuration.js';
+export { ConfigurationHolder, hasSeveralPriorities } from './configuration.js';
 export type { DatabaseRoute, GroupSettings, ServiceConfiguration } from './configuration.js';
 export { InstanceConnection, InstanceConnector } from './connection.js';
 export type { ReplyObserver } from './connection.js';
@@ -39,7 +39,8 @@
 export { ObjectWatcher } from './watcher.js';
 export type { ObjectWatcherOptions } from './watcher.js';
 export { GroupService } from './group.js';
-export type { WorkRequest } from './dispatcher.js';
+export { Dispatcher } from './dispatcher.js';
+export type { AdmittedWork, Refusal, WorkRequest } from './dispatcher.js';
 export { CommitConfirmation } from './commitconfirmation.js';
 export { WriteTracker } from './writetracker.js';
 export { findAccess } from './setup.js';
--- a/packages/engine/src/workrouter.ts
+++ b/packages/engine/src/workrouter.ts
@@ -130,13 +130,12 @@
   /** Logs a refusal with the rank of the work and the expectation for which it was refused. */
   logRefusal({ request, cause, reason, waitedMs, expectedWaitMs, limitMs }: Refusal): void {
     const { group, log, metrics } = this.options;
-    const { requestId, kind, caller, priority, objective, deadline } = request;
+    const { requestId, kind, caller, priority } = request;
     metrics.queueWait.observe({ priority, outcome: 'refused' }, waitedMs / 1_000);
     metrics.queueRefusals.inc({ cause, priority });
     log.info('refused in queue', {
       ...{ request: requestId, group, kind, caller, priority, cause, reason },
       waitedMs: Math.round(waitedMs),
-      objectiveToDeadlineMs: Math.round(deadline - objective),
       ...(expectedWaitMs === undefined ? {} : { expectedWaitMs: Math.round(expectedWaitMs) }),
       ...(limitMs === undefined ? {} : { limitMs: Math.round(limitMs) }),
     });
--- a/packages/engine/test/probe.spec.ts
+++ b/packages/engine/test/probe.spec.ts
@@ -70,10 +70,26 @@
     await wait(20);
     return probed.count;
   };
-  return { clock, probe, state, probed, tick, instance, connector, lines };
+  return { clock, probe, pool, state, probed, tick, instance, connector, lines };
 }
 
 describe('InstanceProbe', () => {
+  // Full slots: the proof of a commit must not wait until a long read gives its connection back.
+  it('asks for the status on a new connection when none is idle', async () => {
+    const { probe, pool, instance } = createProbe(false);
+    await pool.connect();
+    let asked = 0;
+    instance.intercept = ({ operation }) => {
+      if (operation.kind === 'status') asked += 1;
+      return undefined;
+    };
+    await probe.askStatus(() => true, LONG_MS);
+    pool.updateLimit(2);
+    const used = pool.takeIdle();
+    await probe.askStatus(() => true, LONG_MS);
+    expect([asked, used !== undefined, pool.countOpen()]).toEqual([1, true, 2]);
+  });
+
   // Guards against probes that load a busy instance as much as the callers' work.
   it('sends no probe while replies to callers give the same information', async () => {
     const { clock, probe, tick } = createProbe(false);
