Let urgent work exceed the concurrency of an instance by one

Cause: with one slot at a home, work of the first priority waits for the end of a long read.

Change: work of the group's first priority may exceed the limit by one.

--- a/packages/core/src/workqueue.ts
+++ b/packages/core/src/workqueue.ts
@@ -11,6 +11,8 @@
 const MAX_MISSES = 3;
 /** A lane is served after this many starts of a higher rank, so that none starves. */
 const MAX_PASSED_OVER = 32;
+/** Urgent work may exceed the concurrency of an instance by this. */
+const URGENT_EXTRA = 1;
 /** Bounds the memory while costs are unknown; with known costs the deadlines bound the queue. */
 const MAX_QUEUED = 10_000;
 
@@ -18,6 +20,8 @@
 export interface WorkQueueOptions {
   /** Called on each dispatch, since replicas and the primary can change while work waits. */
   readonly findRoute: (work: RankedWork, now: Millis) => Route;
+  /** Priority of the work that may exceed the concurrency, so as not to wait for other work. */
+  readonly urgentPriority?: number;
 }
 
 /** True when `lane` goes before `other`. */
@@ -157,7 +161,7 @@
   private start(work: RankedWork, lane: WorkLane, now: Millis): QueueDecision | undefined {
     const route = this.options.findRoute(work, now);
     if (route.kind === 'wait') return undefined;
-    const instance = route.instances.find((id) => this.hasSlot(id, work));
+    const instance = route.instances.find((id) => this.hasSlot(id, work, this.isUrgent(lane)));
     if (instance === undefined) return undefined;
     lane.take(work);
     this.forget(work);
@@ -173,20 +177,28 @@
     });
   }
 
+  private isUrgent({ isLate, priority }: WorkLane): boolean {
+    return !isLate && priority === this.options.urgentPriority;
+  }
+
   private hasFreeSlot(): boolean {
-    return this.slots
-      .listInstances()
-      .some((id) => this.slots.countRunning(id) < this.slots.readCapacity(id).concurrency);
+    const hasUrgent = this.lanes.some((lane) => this.isUrgent(lane) && lane.countQueued() > 0);
+    return this.slots.listInstances().some((id) => this.isBelowLimit(id, hasUrgent));
+  }
+
+  private isBelowLimit(instance: string, isUrgent: boolean): boolean {
+    const { concurrency } = this.slots.readCapacity(instance);
+    const limit = concurrency === 0 ? 0 : concurrency + (isUrgent ? URGENT_EXTRA : 0);
+    return this.slots.countRunning(instance) < limit;
   }
 
-  private hasSlot(instance: string, { length }: RankedWork): boolean {
+  private hasSlot(instance: string, { length }: RankedWork, isUrgent: boolean): boolean {
     const { slots } = this;
-    const capacity = slots.readCapacity(instance);
+    const { connections, longPermits } = slots.readCapacity(instance);
     const isFree =
-      slots.countConnections(instance) < capacity.connections &&
-      slots.countRunning(instance) < capacity.concurrency;
+      slots.countConnections(instance) < connections && this.isBelowLimit(instance, isUrgent);
     if (length === 'short') return isFree;
-    return isFree && slots.countRunning(instance, 'long') < capacity.longPermits;
+    return isFree && slots.countRunning(instance, 'long') < longPermits;
   }
 
   private findRefusal(work: RankedWork, lane: WorkLane, now: Millis): QueueDecision | undefined {
--- a/packages/core/test/workqueue.spec.ts
+++ b/packages/core/test/workqueue.spec.ts
@@ -177,6 +177,15 @@
     expect(load.started.length).toEqual(SLOTS);
   });
 
+  // Burst of long reads while an instance is slow: one of them would hold the only slot for long.
+  it('lets urgent work exceed the concurrency by one', () => {
+    const load = new Load(1);
+    const queue = new WorkQueue({ findRoute, urgentPriority: 0 }, load.slots);
+    const works = [...createMany(1, LOOKUP), ...createMany(2, POSTING)];
+    works.forEach((work) => load.collect(queue.add({ ...work, routeKey: 'leader' }, 0)));
+    expect(load.started.map(({ priority }) => priority)).toEqual([0]);
+  });
+
   // Guards against work that is lost, started twice or above the capacity, whatever the order.
   it('starts or refuses each item once, within the capacity', () => {
     const work = fc.record({
--- a/packages/engine/src/configuration.ts
+++ b/packages/engine/src/configuration.ts
@@ -40,10 +40,17 @@
   readonly organisations?: OrganisationIndex | undefined;
 }
 
-/** True when the routes of a group differ in priority, so that some of its work goes before other. */
-export function hasSeveralPriorities({ routes }: ServiceConfiguration, group: string): boolean {
+/**
+ * Finds the priority of a group's routes that goes before the others; undefined when they all have
+ * the same, so that no work of the group goes before other.
+ */
+export function findUrgentPriority(
+  { routes }: ServiceConfiguration,
+  group: string,
+): number | undefined {
   const own = [...routes.values()].filter((route) => route.group === group);
-  return new Set(own.map(({ priority }) => priority)).size > 1;
+  const priorities = new Set(own.map(({ priority }) => priority));
+  return priorities.size > 1 ? Math.min(...priorities) : undefined;
 }
 
 /** Receives each configuration that is put in force. */
--- a/packages/engine/src/directory.ts
+++ b/packages/engine/src/directory.ts
@@ -1,6 +1,6 @@
 import type { Clock, Millis } from '@shallotpick/core';
 import type { GroupAccess } from './access.js';
-import { hasSeveralPriorities, type ServiceConfiguration } from './configuration.js';
+import { findUrgentPriority, type ServiceConfiguration } from './configuration.js';
 import type { Forwarding } from './forwarding.js';
 import type { GroupService } from './group.js';
 import type { Log } from './log.js';
@@ -101,7 +101,7 @@
       if (!placement.isHome(name)) return;
       const known = this.local.get(name);
       const group = known ?? this.startGroup(name);
-      group.updateSettings(settings, hasSeveralPriorities(configuration, name));
+      group.updateSettings(settings, findUrgentPriority(configuration, name));
       isChanged ||= !known;
     });
     this.local.forEach((group, name) => {
--- a/packages/engine/src/dispatcher.ts
+++ b/packages/engine/src/dispatcher.ts
@@ -101,17 +101,22 @@
   /** The queue by rank while it is in use. */
   private ranked: WorkQueue | undefined;
 
+  private urgentPriority: number | undefined;
+
   private nextWorkId = 1;
 
   constructor(private readonly options: DispatcherOptions) {
     this.queue = this.createPlainQueue();
   }
 
-  /** Starts or stops the ordering by rank; queued work moves to the other queue. */
-  updateRanking(isRanked: boolean): void {
-    if (isRanked === (this.ranked !== undefined)) return;
-    const findRoute = (work: Work, now: Millis): Route => this.findRoute(work, now);
-    this.ranked = isRanked ? new WorkQueue({ findRoute }, this.slots) : undefined;
+  /**
+   * Starts the ordering by rank with the priority that goes before others, or stops it if there is
+   * none; queued work moves to the new queue.
+   */
+  updateRanking(urgentPriority: number | undefined): void {
+    if (urgentPriority === this.urgentPriority) return;
+    this.urgentPriority = urgentPriority;
+    this.ranked = urgentPriority === undefined ? undefined : this.createRankedQueue(urgentPriority);
     this.queue = this.ranked ?? this.createPlainQueue();
     const now = this.options.clock.readNow();
     const waiting = [...this.pending.values()];
@@ -201,6 +206,11 @@
     return new AdmissionQueue({ maxQueued: MAX_QUEUED, findRoute }, this.slots);
   }
 
+  private createRankedQueue(urgentPriority: number): WorkQueue {
+    const findRoute = (work: Work, now: Millis): Route => this.findRoute(work, now);
+    return new WorkQueue({ findRoute, urgentPriority }, this.slots);
+  }
+
   private release({ work, instance }: AdmittedWork, isIdle: boolean, now: Millis): void {
     this.handleDecisions(this.queue.handleDone(instance, work, now, isIdle));
   }
--- a/packages/engine/src/group.ts
+++ b/packages/engine/src/group.ts
@@ -120,10 +120,10 @@
     return this.options.name;
   }
 
-  /** `isRanked`: the group's work differs in rank, so that its order matters. */
-  updateSettings(settings: GroupSettings, isRanked = false): void {
+  /** `urgentPriority`: the priority that goes before others, if the group's work differs in rank. */
+  updateSettings(settings: GroupSettings, urgentPriority?: number): void {
     this.settings = settings;
-    this.dispatcher.updateRanking(isRanked);
+    this.dispatcher.updateRanking(urgentPriority);
   }
 
   listMembers(): readonly Member[] {
--- a/packages/engine/src/index.ts
+++ b/packages/engine/src/index.ts
@@ -3,7 +3,7 @@
 export { ClientGuard, ClientWatch } from './clientguard.js';
 export type { ClientGuardOptions, ClientWait, CutReason } from './clientguard.js';
 export { SuspendAwareClock, SystemClock } from './clock.js';
-export { ConfigurationHolder, hasSeveralPriorities } from './configuration.js';
+export { ConfigurationHolder, findUrgentPriority } from './configuration.js';
 export type { DatabaseRoute, GroupSettings, ServiceConfiguration } from './configuration.js';
 export { InstanceConnection, InstanceConnector } from './connection.js';
 export type { ReplyObserver } from './connection.js';
