Keep the usual latencies of a bounded number of kinds of work

Cause: the map of usual latencies grew with every database ever named.

Change: UsualLatencies drops the least recently used kind.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -59,7 +59,7 @@
 export type { LearntCost } from './workcost.js';
 export { ConcurrencyLimit } from './concurrencylimit.js';
 export type { LimitRange } from './concurrencylimit.js';
-export { UsualLatency } from './usuallatency.js';
+export { UsualLatencies } from './usuallatency.js';
 export type { Work } from './fairqueue.js';
 export { FailoverCoordinator } from './failover.js';
 export { COOLDOWN_MS } from './failovertrigger.js';
--- a/packages/core/test/concurrencylimit.spec.ts
+++ b/packages/core/test/concurrencylimit.spec.ts
@@ -1,5 +1,5 @@
 import { expect } from 'earl';
-import { ConcurrencyLimit, UsualLatency } from '../src/index.js';
+import { ConcurrencyLimit, UsualLatencies } from '../src/index.js';
 
 const RANGE = { least: 2, most: 7 };
 const USUAL_MS = 10;
@@ -44,12 +44,18 @@
   });
 });
 
-describe('UsualLatency', () => {
+describe('UsualLatencies', () => {
   // Overload that lasts: the crowded latency must not become the usual one within seconds.
   it('follows the median down at once, and up slowly', () => {
-    const usual = new UsualLatency();
-    expect(usual.update(20, 0)).toEqual(20);
-    expect(usual.update(10, 0)).toEqual(10);
-    expect(usual.update(100, 5_000)).toBeLessThan(12);
+    const latencies = new UsualLatencies();
+    const addMany = (tookMs: number, now: number): number | undefined => {
+      for (let sample = 0; sample < 40; sample += 1) latencies.add('k', tookMs, now);
+      return latencies.add('k', tookMs, now);
+    };
+    expect(latencies.add('k', 20, 0)).toEqual(undefined);
+    expect(addMany(20, 0)).toEqual(20);
+    expect(addMany(10, 0)).toEqual(10);
+    expect(addMany(100, 5_000)).toEqual(10);
+    expect(latencies.add('k', 100, 10_000)).toEqual(11);
   });
 });
--- a/packages/engine/src/workmeter.ts
+++ b/packages/engine/src/workmeter.ts
@@ -3,7 +3,7 @@
   type LearntCost,
   type LimitRange,
   type Millis,
-  UsualLatency,
+  UsualLatencies,
   WorkCosts,
   type WorkLength,
 } from '@shallotpick/core';
@@ -34,9 +34,7 @@
 
   private readonly costs = new WorkCosts();
 
-  private readonly latencies = new WorkCosts();
-
-  private readonly usual = new Map<string, UsualLatency>();
+  private readonly latencies = new UsualLatencies();
 
   private readonly limits = new Map<string, ConcurrencyLimit>();
 
@@ -60,13 +58,8 @@
     tookMs: Millis,
     now: Millis,
   ): void {
-    const kind = formatKind(request);
-    this.latencies.add(kind, tookMs, now);
-    const median = this.latencies.find(kind, now)?.medianMs;
-    if (median === undefined) return;
-    const usual = this.usual.get(kind) ?? new UsualLatency();
-    this.usual.set(kind, usual);
-    this.findLimit(instance).add(tookMs, usual.update(median, now));
+    const usualMs = this.latencies.add(formatKind(request), tookMs, now);
+    if (usualMs !== undefined) this.findLimit(instance).add(tookMs, usualMs);
   }
 
   /** Updates the concurrency of an instance from the latencies of its work. */
