Refuse what the rate of service of its rank leaves no time for

Cause: reads of a low priority were admitted by what was queued ahead of them, were passed over by work that came later, and were told at their deadline.

Change: the wait is also estimated from the rate at which the lane was served in the last second.

--- a/packages/core/src/worklane.ts
+++ b/packages/core/src/worklane.ts
@@ -1,5 +1,6 @@
 import type { Millis } from './clock.js';
 import type { Work } from './fairqueue.js';
+import { ServiceRate } from './servicerate.js';
 
 /** Work with what decides about its rank. */
 export interface RankedWork extends Work {
@@ -65,6 +66,8 @@
 
   private passedOver = 0;
 
+  private readonly rate = new ServiceRate();
+
   constructor(
     readonly routeKey: string,
     readonly length: RankedWork['length'],
@@ -87,7 +90,8 @@
     this.passedOver += 1;
   }
 
-  add(work: RankedWork): void {
+  add(work: RankedWork, now: Millis): void {
+    if (this.queued === 0) this.rate.start(now);
     const known = this.callers.get(work.caller);
     const caller = known ?? new CallerQueue();
     if (!known) this.callers.set(work.caller, caller);
@@ -123,7 +127,8 @@
   }
 
   /** Removes work that starts, and charges its caller. */
-  take(work: RankedWork): void {
+  take(work: RankedWork, now: Millis): void {
+    this.rate.add(readCost(work), now);
     const caller = this.callers.get(work.caller);
     if (caller) caller.creditMs -= readCost(work);
     this.remove(work);
@@ -152,4 +157,13 @@
   readBacklog(): Millis {
     return this.backlogMs;
   }
+
+  /**
+   * Estimates the wait of new work of the caller from the rate at which this lane was served lately;
+   * undefined while that isn't known.
+   */
+  estimateWait(caller: string, costMs: Millis, now: Millis): Millis | undefined {
+    if (this.queued === 0) return undefined;
+    return this.rate.estimateTime(this.findBacklogBefore(caller, costMs), now);
+  }
 }
--- a/packages/core/src/workqueue.ts
+++ b/packages/core/src/workqueue.ts
@@ -9,6 +9,11 @@
 
 /** Items of one lane that a dispatch tries before it considers the lane blocked. */
 const MAX_MISSES = 3;
+/**
+ * Work is refused for the rate at which its lane was served only when it would miss its deadline by
+ * this factor, so that the queue doesn't run empty when the load falls.
+ */
+const RATE_MARGIN = 1.5;
 /** A lane is served after this many starts of a higher rank, so that none starves. */
 const MAX_PASSED_OVER = 32;
 /** Urgent work may exceed the concurrency of an instance by this. */
@@ -62,7 +67,7 @@
     const lane = this.findLane(work, findLatestStart(work) < now);
     const refusal = this.findRefusal(work, lane, now);
     if (refusal) return [refusal];
-    this.insert(work, lane);
+    this.insert(work, lane, now);
     this.expiry.add(work);
     return this.dispatch(now);
   }
@@ -94,8 +99,8 @@
     return decisions;
   }
 
-  private insert(work: RankedWork, lane: WorkLane): void {
-    lane.add(work);
+  private insert(work: RankedWork, lane: WorkLane, now: Millis): void {
+    lane.add(work, now);
     this.laneOf.set(work, lane);
   }
 
@@ -154,7 +159,7 @@
     const late = this.findLane(work, true);
     const refusal = this.findRefusal(work, late, now);
     if (refusal) this.forget(work);
-    else this.insert(work, late);
+    else this.insert(work, late, now);
     return refusal;
   }
 
@@ -163,7 +168,7 @@
     if (route.kind === 'wait') return undefined;
     const instance = route.instances.find((id) => this.hasSlot(id, work, this.isUrgent(lane)));
     if (instance === undefined) return undefined;
-    lane.take(work);
+    lane.take(work, now);
     this.forget(work);
     this.countPassedOver(lane);
     this.slots.occupy(instance, work.length);
@@ -215,7 +220,7 @@
 
   /** Estimates the wait behind work of equal or higher rank; undefined when it isn't known. */
   private estimateWait(work: RankedWork, lane: WorkLane, now: Millis): ExpectedWait | undefined {
-    const { costMs } = work;
+    const { costMs, caller, deadline } = work;
     const ahead = this.lanes.filter(
       (other) => other.routeKey === lane.routeKey && !isBefore(lane, other),
     );
@@ -223,19 +228,19 @@
     if (costMs === undefined || backlogMs === 0) return undefined;
     const route = this.options.findRoute(work, now);
     if (route.kind === 'wait') return undefined;
-    const slots = route.instances.reduce(
-      (sum, id) => sum + this.slots.readCapacity(id).concurrency,
-      0,
-    );
+    const slots = this.countSlots(route.instances);
     if (slots === 0) return undefined;
-    const limitMs = work.deadline - now - costMs;
-    if (backlogMs / slots <= limitMs) return undefined;
+    const limitMs = deadline - now - costMs;
+    // Work of higher rank that is yet to come goes before as well, which the rate accounts for.
+    const byRateMs = (lane.estimateWait(caller, costMs, now) ?? 0) / RATE_MARGIN;
+    if (Math.max(backlogMs / slots, byRateMs) <= limitMs) return undefined;
     // Other callers are served in turn, so only the shorter part of their work goes before.
-    const sharedMs = ahead.reduce(
-      (sum, other) =>
-        sum + (other === lane ? other.findBacklogBefore(work.caller, costMs) : other.readBacklog()),
-      0,
-    );
-    return { waitMs: sharedMs / slots, limitMs };
+    const ownMs = lane.findBacklogBefore(caller, costMs);
+    const higherMs = backlogMs - lane.readBacklog();
+    return { waitMs: Math.max((higherMs + ownMs) / slots, byRateMs), limitMs };
+  }
+
+  private countSlots(instances: readonly string[]): number {
+    return instances.reduce((sum, id) => sum + this.slots.readCapacity(id).concurrency, 0);
   }
 }
--- a/packages/core/test/workqueue.spec.ts
+++ b/packages/core/test/workqueue.spec.ts
@@ -148,6 +148,19 @@
     ]);
   });
 
+  // Postings that last: lookups that are passed over must be refused at once, not at their deadline.
+  it('refuses on arrival what the work of higher rank still to come leaves no time for', () => {
+    const load = new Load();
+    load.add(createMany(4, { ...LOOKUP, deadline: 3_000 }));
+    for (let now = 0; now < 1_000; now += 50) {
+      load.add(createMany(4, { ...POSTING, objective: FOREVER }), now);
+      load.run(2, now);
+    }
+    load.add(createMany(1, { ...LOOKUP, deadline: 3_000 }), 1_000);
+    const causes = load.refused.map((one) => one.kind === 'refuse' && one.cause);
+    expect(causes.at(-1)).toEqual('expectedWait');
+  });
+
   // One organisation at many times its usual: only its own work is refused.
   it('refuses work of the caller whose queue is long, not that of others', () => {
     const load = new Load();
