Order work of one rank for different instances by the time left

Change: of two lanes of one rank that goes first whose next work has the earlier latest start. The rate of service counts one more item, so that it is never nothing.

Result: specs of core.

--- a/packages/core/src/servicerate.ts
+++ b/packages/core/src/servicerate.ts
@@ -25,10 +25,13 @@
     this.since += (now - this.since) / 2;
   }
 
-  /** Computes the time until work of this cost is done; undefined early in a busy time. */
-  estimateTime(costMs: Millis, now: Millis): Millis | undefined {
+  /**
+   * Computes the time until work of the cost `aheadMs` is done, as if another item of `itemMs` had
+   * just been; undefined early in a busy time.
+   */
+  estimateTime(aheadMs: Millis, itemMs: Millis, now: Millis): Millis | undefined {
     const time = now - this.since;
     if (time < MIN_TIME_MS) return undefined;
-    return this.doneMs > 0 ? (costMs * time) / this.doneMs : Number.POSITIVE_INFINITY;
+    return (aheadMs * time) / Math.max(1, this.doneMs + itemMs);
   }
 }
--- a/packages/core/src/worklane.ts
+++ b/packages/core/src/worklane.ts
@@ -126,6 +126,12 @@
     return undefined;
   }
 
+  /** Returns the latest start of the next work in turn. */
+  findNextStart(): Millis {
+    const next = this.findNext(new Set());
+    return next ? findLatestStart(next) : Number.POSITIVE_INFINITY;
+  }
+
   /** Removes work that starts, and charges its caller. */
   take(work: RankedWork, now: Millis): void {
     this.rate.add(readCost(work), now);
@@ -164,6 +170,7 @@
    */
   estimateWait(caller: string, costMs: Millis, now: Millis): Millis | undefined {
     if (this.queued === 0) return undefined;
-    return this.rate.estimateTime(this.findBacklogBefore(caller, costMs), now);
+    const aheadMs = this.findBacklogBefore(caller, costMs);
+    return this.rate.estimateTime(aheadMs, costMs, now);
   }
 }
--- a/packages/core/src/workqueue.ts
+++ b/packages/core/src/workqueue.ts
@@ -38,8 +38,9 @@
 
 /**
  * Queue by rank: work that can still make its objective goes before work that can't, and within
- * both a lower priority number goes first, then the shorter kind of work. Callers of one rank are served in turn, and a caller's
- * work in the order of its latest start. Work that isn't expected to make its deadline is refused.
+ * both a lower priority number goes first, then the shorter kind of work. Callers of one rank are
+ * served in turn, and a caller's work in the order of its latest start. Work that isn't expected to
+ * make its deadline is refused.
  */
 export class WorkQueue extends SlotQueue<RankedWork> {
   /** Highest rank first. */
@@ -124,10 +125,18 @@
     return created;
   }
 
-  /** Chooses the lane of the highest rank, or one that has been passed over too often. */
+  /**
+   * Chooses the lane of the highest rank, or one that has been passed over too often. Of two lanes of
+   * one rank, which run on different instances, that goes first whose next work has less time left.
+   */
   private chooseLane(blocked: ReadonlySet<WorkLane>): WorkLane | undefined {
     const ready = this.lanes.filter((lane) => lane.countQueued() > 0 && !blocked.has(lane));
-    return ready.find((lane) => lane.countPassedOver() >= MAX_PASSED_OVER) ?? ready[0];
+    const owed = ready.find((lane) => lane.countPassedOver() >= MAX_PASSED_OVER);
+    const [first, ...rest] = ready;
+    if (owed || !first) return owed;
+    return rest
+      .filter((lane) => !isBefore(first, lane))
+      .reduce((best, lane) => (lane.findNextStart() < best.findNextStart() ? lane : best), first);
   }
 
   /** Starts the next work of the lane that can start; false when none can. */
