Rank work only where organisations share a group

Change: the ranked queue acts where the routes of a group differ in priority and the configuration names organisations.

--- a/packages/engine/src/configuration.ts
+++ b/packages/engine/src/configuration.ts
@@ -42,12 +42,13 @@
 
 /**
  * Finds the priority of a group's routes that goes before the others; undefined when they all have
- * the same, so that no work of the group goes before other.
+ * the same, or no organisations share the group, so that no work goes before other.
  */
 export function findUrgentPriority(
-  { routes }: ServiceConfiguration,
+  { routes, organisations }: ServiceConfiguration,
   group: string,
 ): number | undefined {
+  if (!organisations) return undefined;
   const own = [...routes.values()].filter((route) => route.group === group);
   const priorities = new Set(own.map(({ priority }) => priority));
   return priorities.size > 1 ? Math.min(...priorities) : undefined;
--- a/packages/engine/test/dispatcher.spec.ts
+++ b/packages/engine/test/dispatcher.spec.ts
@@ -4,6 +4,7 @@
   type AdmittedWork,
   Dispatcher,
   findUrgentPriority,
+  OrganisationIndex,
   type Refusal,
   type WorkRequest,
 } from '../src/index.js';
@@ -132,14 +133,18 @@
 
 describe('findUrgentPriority', () => {
   // Guards against another order for deployments that have not asked for one.
-  it('finds the first priority of groups whose routes differ in it', () => {
+  it('finds the first priority of groups whose routes differ in it and that organisations share', () => {
     const limits = { timeoutMs: 600, transactionIdleMs: 300 };
-    const configuration = createConfiguration(20, limits);
-    expect(findUrgentPriority(configuration, 'g')).toEqual(undefined);
-    const [first] = configuration.routes.values();
-    const routes = new Map(configuration.routes);
+    const organisations = new OrganisationIndex([]);
+    const plain = createConfiguration(20, limits);
+    const shared = { ...plain, organisations };
+    const [first] = plain.routes.values();
+    const routes = new Map(plain.routes);
     if (first) routes.set('other', { ...first, priority: first.priority + 1 });
-    expect(findUrgentPriority({ ...configuration, routes }, 'g')).toEqual(first?.priority);
-    expect(findUrgentPriority({ ...configuration, routes }, 'other group')).toEqual(undefined);
+    const found = [shared, { ...plain, routes }, { ...shared, routes }].map((configuration) =>
+      findUrgentPriority(configuration, 'g'),
+    );
+    expect(found).toEqual([undefined, undefined, first?.priority]);
+    expect(findUrgentPriority({ ...shared, routes }, 'other group')).toEqual(undefined);
   });
 });
