Don't take the time without a leader for a low rate of service

Cause: the rate at which a lane was served fell to nothing while no instance could serve it, so that writes that had waited for a successor, and those that came after it, were refused for it.

Change: a route that tells to wait starts the measurement of the rate anew.

Result: spec of core, which fails without the change.

--- a/packages/core/src/worklane.ts
+++ b/packages/core/src/worklane.ts
@@ -80,6 +80,11 @@
     return this.queued;
   }
 
+  /** Measures the rate of service anew. */
+  restartRate(now: Millis): void {
+    this.rate.start(now);
+  }
+
   /** Returns the starts of work of a higher rank since this lane had its last one. */
   countPassedOver(): number {
     return this.passedOver;
--- a/packages/core/src/workqueue.ts
+++ b/packages/core/src/workqueue.ts
@@ -173,7 +173,7 @@
   }
 
   private start(work: RankedWork, lane: WorkLane, now: Millis): QueueDecision | undefined {
-    const route = this.options.findRoute(work, now);
+    const route = this.findRoute(work, lane, now);
     if (route.kind === 'wait') return undefined;
     const instance = route.instances.find((id) => this.hasSlot(id, work, this.isUrgent(lane)));
     if (instance === undefined) return undefined;
@@ -184,6 +184,13 @@
     return { kind: 'start', work, instance, reason: route.reason };
   }
 
+  /** Time in which no instance may serve a lane, as in a failover, doesn't count in its rate. */
+  private findRoute(work: RankedWork, lane: WorkLane, now: Millis): Route {
+    const route = this.options.findRoute(work, now);
+    if (route.kind === 'wait') lane.restartRate(now);
+    return route;
+  }
+
   private countPassedOver(started: WorkLane): void {
     this.lanes.forEach((lane) => {
       const isSame = lane.routeKey === started.routeKey;
@@ -235,7 +242,7 @@
     );
     const backlogMs = ahead.reduce((sum, other) => sum + other.readBacklog(), 0);
     if (costMs === undefined || backlogMs === 0) return undefined;
-    const route = this.options.findRoute(work, now);
+    const route = this.findRoute(work, lane, now);
     if (route.kind === 'wait') return undefined;
     const slots = this.countSlots(route.instances);
     if (slots === 0) return undefined;
--- a/packages/core/test/workqueue.spec.ts
+++ b/packages/core/test/workqueue.spec.ts
@@ -179,6 +179,27 @@
     expect(causes.at(-1)).toEqual('expectedWait');
   });
 
+  // Leader lost under load: what has waited for the successor must be served, not refused.
+  it('does not take the time without a leader for a low rate of service', () => {
+    const slots = new SlotTable();
+    slots.updateCapacity('leader', { connections: 9, concurrency: 2, longPermits: 1 });
+    let hasLeader = false;
+    const queue = new WorkQueue(
+      { findRoute: (work) => (hasLeader ? findRoute(work) : { kind: 'wait', reason: '' }) },
+      slots,
+    );
+    const add = (now: number): readonly QueueDecision[] =>
+      queue.add(createWork({ ...POSTING, objective: now + 600, deadline: now + 600 }), now);
+    const decisions = [0, 500, 1_000, 1_500].flatMap((now) => [
+      ...Array.from({ length: 10 }, () => add(now)).flat(),
+      ...queue.handleTick(now),
+    ]);
+    hasLeader = true;
+    decisions.push(...queue.handleTick(1_550), ...add(1_550));
+    const refused = decisions.filter((one) => one.kind === 'refuse' && one.work.deadline > 1_550);
+    expect([refused, decisions.filter(({ kind }) => kind === 'start').length]).toEqual([[], 2]);
+  });
+
   // One organisation at many times its usual: only its own work is refused.
   it('refuses work of the caller whose queue is long, not that of others', () => {
     const load = new Load();
