--- a/packages/engine/src/group.ts
+++ b/packages/engine/src/group.ts
@@ -5,14 +5,20 @@
   type Millis,
   PositionSamples,
   type RegisteredInstance,
+  type ZoneBudget,
 } from '@shallotpick/core';
 import { GroupAccess } from './access.js';
 import { CommitConfirmation } from './commitconfirmation.js';
 import type { GroupSettings } from './configuration.js';
 import type { InstanceConnector } from './connection.js';
-import { type AdmittedWork, Dispatcher, type WorkRequest } from './dispatcher.js';
-import { NotRunError } from './errors.js';
-import { createLease, type Lease } from './lease.js';
+import {
+  type AdmittedWork,
+  Dispatcher,
+  type DispatcherOptions,
+  type WorkRequest,
+} from './dispatcher.js';
+import { ConnectionLimitError, NotRunError } from './errors.js';
+import { createLease, type Lease, type LeaseParts } from './lease.js';
 import type { Log } from './log.js';
 import { type Member, WARM_CONNECTIONS } from './member.js';
 import { GroupMembers } from './members.js';
@@ -21,7 +27,9 @@
 import type { Suspicion } from './suspicion.js';
 import type { TakeoverDriver } from './takeover.js';
 import { wait } from './timing.js';
+import { WorkEvidence } from './workevidence.js';
 import { WorkRouter } from './workrouter.js';
+import { ZoneRouter } from './zonerouter.js';
 
 /** One statement more than the slots keeps an instance busy during network round trips. */
 const EXTRA_CONCURRENCY = 1;
@@ -52,6 +60,8 @@
   readonly mustReserve: () => boolean;
   /** How long a leaving instance may still receive work. */
   readonly drainMs: Millis;
+  /** Budget for reads that leave the zone; undefined when none does so by choice. */
+  readonly zoneBudget?: ZoneBudget | undefined;
 }
 
 /**
@@ -71,6 +81,10 @@
 
   private readonly router: WorkRouter;
 
+  private readonly zoneRouter: ZoneRouter | undefined;
+
+  private readonly evidence: WorkEvidence;
+
   private readonly createdAt: Millis;
 
   private settings: GroupSettings;
@@ -89,7 +103,10 @@
         if (leads && position) samples.add({ position, takenAt: sentAt });
         this.dispatcher.handleTick();
       },
-      onRemove: (instance) => this.dispatcher.removeInstance(instance),
+      onRemove: (instance) => {
+        this.dispatcher.removeInstance(instance);
+        this.evidence.remove(instance);
+      },
       onReply: (...reply) => this.confirmation.handleReply(...reply),
     });
     this.confirmation = new CommitConfirmation({
@@ -98,19 +115,25 @@
       listMembers: () => this.listEligible(),
       readRecord: () => this.takeover.readRecord(),
     });
+    this.evidence = new WorkEvidence({ group: name, log, metrics });
+    this.zoneRouter =
+      options.zoneBudget &&
+      new ZoneRouter({ group: name, zone, budget: options.zoneBudget, log, metrics });
     this.router = new WorkRouter(
       {
         ...{ group: name, zone, ageClock, log, metrics, samples },
         listMembers: () => this.listMembers(),
         findLeader: (now) => this.findLeader(now),
         isLeaderNeeded: () => this.dispatcher.isLeaderNeeded(),
+        zoneRouter: this.zoneRouter,
+        evidence: this.evidence,
       },
       this.createdAt,
     );
     this.dispatcher = new Dispatcher({
       clock,
       findRoute: (request, now) => this.router.route(request, now),
-      onStart: (...started) => this.router.logRoute(...started),
+      onStart: (...started) => this.handleStart(...started),
       onRefuse: (refusal) => this.router.logRefusal(refusal),
     });
     this.takeover = options.createTakeover(this);
@@ -193,6 +216,37 @@
     this.dispatcher.stop();
   }
 
+  /** Creates the receiver of what a piece of work came to. */
+  private createResults(member: Member, isRead: boolean): LeaseParts['results'] {
+    const { clock } = this.options;
+    return {
+      handleReply: (reply, tookMs) => {
+        if (!isRead) return;
+        this.evidence.handleReply(member, reply, tookMs, clock.readNow());
+        this.zoneRouter?.handleReply(member, reply);
+      },
+      handleLoss: (tookMs) => {
+        if (isRead) this.evidence.handleLoss(member, tookMs, clock.readNow());
+      },
+    };
+  }
+
+  /** Notes a failed connection, unless the instance has only reached its connection limit. */
+  private handleConnectionLoss(member: Member, error: unknown): void {
+    if (error instanceof ConnectionLimitError) return;
+    this.evidence.handleLoss(member, 0, this.options.clock.readNow());
+  }
+
+  private handleStart(...started: Parameters<DispatcherOptions['onStart']>): void {
+    const [request, instance] = started;
+    const member = this.members.find(instance);
+    const isBounded = request.kind === 'read' && request.contract.maxAgeMs > 0;
+    const now = this.options.clock.readNow();
+    if (member && isBounded) this.zoneRouter?.handleStart(member, now);
+    if (member && isBounded) this.evidence.handleStart(member, now);
+    this.router.logRoute(...started);
+  }
+
   /** This proxy's share of an instance's connections. */
   private computeShare(): number {
     const vms = this.options.countVms();
@@ -237,11 +291,13 @@
       const connection = await member.pool.connectFor(request.organisation);
       const { after } = this.router.findPositions(request);
       const { confirmation } = this;
-      const common = { dispatcher, clock, confirmation };
+      const results = this.createResults(member, request.kind === 'read');
+      const common = { dispatcher, clock, confirmation, results };
       return createLease({ ...common, request, admitted, member, connection, after });
     } catch (error) {
       member.updateRunning(false);
       member.handleConnectionFailure(error, clock.readNow());
+      this.handleConnectionLoss(member, error);
       log.info('connection to instance failed', {
         request: request.requestId,
         instance,
