--- a/packages/engine/src/attempt.ts
+++ b/packages/engine/src/attempt.ts
@@ -41,11 +41,12 @@
     private readonly requestId: string,
     private readonly kind: 'read' | 'write',
     private readonly organisation: string | undefined,
+    private readonly isTransaction = false,
   ) {
     const now = context.readNow();
     this.deadline = now + route.timeoutMs;
     this.objective = now + route.targetLatencyMs;
-    context.options.retries.addRequest();
+    context.options.retries.addRequest(organisation);
   }
 
   readRemaining(): Millis {
@@ -98,8 +99,9 @@
 
   private createRequest(deadline: Millis): WorkRequest {
     const { context, route, requestId, kind, organisation, objective, excluded } = this;
+    const { isTransaction } = this;
     return {
-      ...{ requestId, kind, organisation, objective, deadline, excluded },
+      ...{ requestId, kind, isTransaction, organisation, objective, deadline, excluded },
       contract: route.contract,
       caller: organisation ?? context.options.caller,
       database: route.database,
@@ -132,7 +134,11 @@
    */
   async prepareRetry(lease: Lease, verdict: Verdict): Promise<boolean> {
     const { options, isClosed } = this.context;
-    if (isClosed || this.context.readNow() >= this.deadline || !options.retries.requestRetry()) {
+    if (
+      isClosed ||
+      this.context.readNow() >= this.deadline ||
+      !options.retries.requestRetry(this.organisation)
+    ) {
       return false;
     }
     options.metrics.retries.inc({ verdict });
--- a/packages/engine/src/configuration.ts
+++ b/packages/engine/src/configuration.ts
@@ -40,6 +40,20 @@
   readonly organisations?: OrganisationIndex | undefined;
 }
 
+/**
+ * Finds the priority of a group's routes that goes before the others; undefined when they all have
+ * the same, or no organisations share the group, so that no work goes before other.
+ */
+export function findUrgentPriority(
+  { routes, organisations }: ServiceConfiguration,
+  group: string,
+): number | undefined {
+  if (!organisations) return undefined;
+  const own = [...routes.values()].filter((route) => route.group === group);
+  const priorities = new Set(own.map(({ priority }) => priority));
+  return priorities.size > 1 ? Math.min(...priorities) : undefined;
+}
+
 /** Receives each configuration that is put in force. */
 type Listener = (configuration: ServiceConfiguration) => void;
 
--- a/packages/engine/src/group.ts
+++ b/packages/engine/src/group.ts
@@ -1,4 +1,5 @@
 import {
+  type Capacity,
   type Clock,
   type ExpiredInstance,
   type Millis,
@@ -123,6 +124,7 @@
         ...{ group: name, zone, ageClock, log, metrics, samples },
         listMembers: () => this.listMembers(),
         findLeader: (now) => this.findLeader(now),
+        isLeaderNeeded: () => this.dispatcher.isLeaderNeeded(),
         zoneRouter: this.zoneRouter,
         evidence: this.evidence,
       },
@@ -132,6 +134,7 @@
       clock,
       findRoute: (request, now) => this.router.route(request, now),
       onStart: (...started) => this.handleStart(...started),
+      onRefuse: (refusal) => this.router.logRefusal(refusal),
     });
     this.takeover = options.createTakeover(this);
   }
@@ -140,8 +143,10 @@
     return this.options.name;
   }
 
-  updateSettings(settings: GroupSettings): void {
+  /** `urgentPriority`: the priority that goes before others, if the group's work differs in rank. */
+  updateSettings(settings: GroupSettings, urgentPriority?: number): void {
     this.settings = settings;
+    this.dispatcher.updateRanking(urgentPriority);
   }
 
   listMembers(): readonly Member[] {
@@ -256,9 +261,16 @@
     const limit = member.computeLimit(share, now);
     member.pool.updateLimit(limit);
     if (member.isUsable()) member.pool.warmUp(Math.min(WARM_CONNECTIONS, limit));
-    const concurrency = Math.min(limit, member.instance.slots + EXTRA_CONCURRENCY);
-    const capacity = { connections: limit, concurrency, longPermits: 0 };
-    this.dispatcher.updateCapacity(member.id, capacity);
+    this.dispatcher.updateCapacity(member.id, this.computeCapacity(member, limit));
+  }
+
+  /** Each home may always use its share of the slots, so that a slow instance stays in use. */
+  private computeCapacity(member: Member, limit: number): Capacity {
+    const { slots } = member.instance;
+    const least = Math.ceil(slots / Math.max(1, this.options.countVms() ?? 1));
+    const most = Math.min(limit, slots + EXTRA_CONCURRENCY);
+    const concurrency = this.dispatcher.chooseConcurrency(member.id, { least, most });
+    return { connections: limit, concurrency, longPermits: Math.max(1, slots - 1) };
   }
 
   /** Connects to the assigned instance; undefined when that fails. */
@@ -271,7 +283,7 @@
     const { instance } = admitted;
     const member = this.members.find(instance);
     if (!member) {
-      dispatcher.remove(admitted);
+      dispatcher.withdraw(admitted);
       return undefined;
     }
     member.updateRunning(true);
@@ -280,9 +292,8 @@
       const { after } = this.router.findPositions(request);
       const { confirmation } = this;
       const results = this.createResults(member, request.kind === 'read');
-      return createLease({
-        ...{ admitted, member, connection, dispatcher, clock, after, confirmation, results },
-      });
+      const common = { dispatcher, clock, confirmation, results };
+      return createLease({ ...common, request, admitted, member, connection, after });
     } catch (error) {
       member.updateRunning(false);
       member.handleConnectionFailure(error, clock.readNow());
@@ -292,7 +303,7 @@
         instance,
         error: String(error),
       });
-      dispatcher.remove(admitted);
+      dispatcher.withdraw(admitted);
       return undefined;
     }
   }
--- a/packages/engine/src/lease.ts
+++ b/packages/engine/src/lease.ts
@@ -1,7 +1,7 @@
 import type { Clock, LogPosition, Millis } from '@shallotpick/core';
 import type { CommitConfirmation } from './commitconfirmation.js';
 import type { InstanceConnection } from './connection.js';
-import type { AdmittedWork, Dispatcher } from './dispatcher.js';
+import type { AdmittedWork, Dispatcher, WorkRequest } from './dispatcher.js';
 import type { Member } from './member.js';
 import type { Reply } from './statement.js';
 
@@ -65,6 +65,7 @@
 
 /** What a lease consists of. */
 export interface LeaseParts {
+  readonly request: WorkRequest;
   readonly admitted: AdmittedWork;
   readonly member: Member;
   readonly connection: InstanceConnection;
@@ -78,7 +79,8 @@
 
 /** Creates the lease of a member's connection for admitted work. */
 export function createLease(parts: LeaseParts): Lease {
-  const { admitted, member, connection, dispatcher, clock, after, confirmation, results } = parts;
+  const { request, admitted, member, connection, dispatcher, clock } = parts;
+  const { after, confirmation, results } = parts;
   const use = createLeaseUse(
     (isBusy) => {
       member.updateRunning(isBusy);
@@ -97,7 +99,10 @@
     isLeader: member.probe.leads,
     after,
     latencyMs: member.estimateLatency(clock.readNow()),
-    recordLatency: (tookMs) => member.recordLatency(tookMs, clock.readNow()),
+    recordLatency: (tookMs) => {
+      member.recordLatency(tookMs, clock.readNow());
+      dispatcher.recordLatency(admitted, request, tookMs);
+    },
     handleReply: (...reply) => results.handleReply(...reply),
     handleLoss: (tookMs) => results.handleLoss(tookMs),
     handleDemotion: () => member.probe.clearLeadership(),
--- a/packages/engine/src/transaction.ts
+++ b/packages/engine/src/transaction.ts
@@ -65,9 +65,12 @@
   }
 
   async run(id: string, statement: DataStatement): Promise<Reply> {
-    const reply = await this.runWithLease(id, (lease) => {
+    const reply = await this.runWithLease(id, async (lease) => {
       const limit = this.route.timeoutMs * REPLY_TIMEOUT_FRACTION;
-      return runStatement(lease.connection, this.context, statement, { id }, limit);
+      const startedAt = this.context.readNow();
+      const ran = await runStatement(lease.connection, this.context, statement, { id }, limit);
+      lease.recordLatency(this.context.readNow() - startedAt);
+      return ran;
     });
     if (reply.failure) return this.fail(reply.failure);
     if (this.context.isWrite(statement)) this.writes.handleWrite(reply);
@@ -165,7 +168,8 @@
   private async open(id: string): Promise<Failure | undefined> {
     const { context, route, isReadOnly, organisation } = this;
     const mayBeOld = isReadOnly && route.contract.maxAgeMs > 0;
-    const attempts = new Attempts(context, route, id, mayBeOld ? 'read' : 'write', organisation);
+    const kind = mayBeOld ? 'read' : 'write';
+    const attempts = new Attempts(context, route, id, kind, organisation, true);
     for (;;) {
       const lease = await attempts.admit();
       if (!isLease(lease)) return lease;
--- a/packages/engine/test/zonerouter.spec.ts
+++ b/packages/engine/test/zonerouter.spec.ts
@@ -52,6 +52,7 @@
       evidence: new WorkEvidence(common),
       listMembers: () => members,
       findLeader: () => leader,
+      isLeaderNeeded: () => false,
     },
     0,
   );
