Keep a link whose home is sending, however late its answer to a ping

The entry's side of a link took the answer to a ping for the only sign of life. On a slow link the answer, or the ping itself, waits behind large messages; after 3 s the link was closed with all of its work, although bytes went on arriving. The home's side counted bytes already.

Both sides now use `PeerActivity`: bytes that arrive from the peer, or that it takes, count as signs of life. A home that doesn't answer still gets no new work after 300 ms.

--- a/packages/forwarding/src/home.ts
+++ b/packages/forwarding/src/home.ts
@@ -27,7 +27,7 @@
   LINK_FEATURES,
   LINK_VERSION,
 } from './message.js';
-import { SilenceMeter } from './silence.js';
+import { PeerActivity, SilenceMeter } from './silence.js';
 import { type MessageHandler, MessageSocket } from './socket.js';
 
 /** Longer than callers wait; the VM that passed the work on ends it before. */
@@ -122,10 +122,7 @@
 
   private readonly silence: SilenceMeter;
 
-  private bytesRead = 0;
-
-  /** Bytes that waited for the peer to read them at the last tick. */
-  private bytesWaiting = 0;
+  private readonly activity: PeerActivity;
 
   constructor(
     private readonly host: ForwardingHost,
@@ -135,6 +132,7 @@
   ) {
     this.openedAt = host.clock.readNow();
     this.silence = new SilenceMeter(this.openedAt);
+    this.activity = new PeerActivity(rawSocket);
     this.socket = new MessageSocket(rawSocket, this, guard);
     this.socket.requireMessage();
   }
@@ -147,7 +145,8 @@
   /** Ends the link when its peer is gone, so that the leases of the peer serve others. */
   handleTick(now: Millis): void {
     this.silence.handleTick(now);
-    if (this.hasSignOfLife()) this.silence.reset();
+    // While the peer reads too slowly, nothing is read from it (`pauseUntilDrained`).
+    if (this.activity.checkProgress()) this.silence.reset();
     const silentMs = this.silence.measure();
     if (silentMs < DEAD_PEER_MS) return;
     this.host.log.warn('peer of a link is gone', {
@@ -160,17 +159,6 @@
     this.socket.close('the peer is silent');
   }
 
-  /** True when the peer has sent or read something since the last tick. */
-  private hasSignOfLife(): boolean {
-    const { bytesRead, writableLength } = this.rawSocket;
-    // While the peer reads too slowly, nothing is read from it (`pauseUntilDrained`).
-    const isReading = this.rawSocket.isPaused() && writableLength < this.bytesWaiting;
-    const hasSent = bytesRead > this.bytesRead;
-    this.bytesRead = bytesRead;
-    this.bytesWaiting = writableLength;
-    return hasSent || isReading;
-  }
-
   countLeases(): number {
     return this.held.size;
   }
--- a/packages/forwarding/src/link.ts
+++ b/packages/forwarding/src/link.ts
@@ -25,7 +25,7 @@
 } from './message.js';
 import { PermitExchange } from './permitexchange.js';
 import { createRemoteLease, RemoteConnection } from './remote.js';
-import { SilenceMeter } from './silence.js';
+import { PeerActivity, SilenceMeter } from './silence.js';
 import { type MessageHandler, MessageSocket } from './socket.js';
 
 const PING_INTERVAL_MS: Millis = 500;
@@ -33,7 +33,10 @@
 const BUSY_PING_INTERVAL_MS: Millis = 100;
 /** A home that has not answered a ping for this long gets no new work until it answers. */
 const SILENCE_MS: Millis = 300;
-/** A link without an answer for this long is closed; operations that run on it may have run. */
+/**
+ * A link without an answer, and without any other sign of its peer, for this long is closed;
+ * operations that run on it may have run.
+ */
 const DEAD_LINK_MS: Millis = 3_000;
 const CONNECT_TIMEOUT_MS: Millis = 300;
 /** Pings without an answer whose time is remembered. */
@@ -110,9 +113,11 @@
   /** When the oldest ping without an answer was sent. */
   private unansweredSince: Millis | undefined;
 
-  /** Time for which a ping has been without an answer. */
+  /** Time for which a ping has been without an answer and the home without another sign of life. */
   private readonly silence: SilenceMeter;
 
+  private readonly activity: PeerActivity;
+
   private roundTripMs: Millis = 1;
 
   /** Optional parts of the protocol that the home knows. */
@@ -131,6 +136,7 @@
     this.openedAt = clock.readNow();
     this.usedAt = this.openedAt;
     this.silence = new SilenceMeter(this.openedAt);
+    this.activity = new PeerActivity(socket);
     this.socket = new MessageSocket(socket, this, options.guard);
     this.send({ type: 'hello', version: LINK_VERSION, vm });
     this.ping(this.openedAt);
@@ -213,7 +219,9 @@
       return;
     }
     this.silence.handleTick(now);
-    if (this.unansweredSince === undefined) this.silence.reset();
+    // On a slow link a ping or its answer may wait behind large messages.
+    const isActive = this.activity.checkProgress();
+    if (isActive || this.unansweredSince === undefined) this.silence.reset();
     if (this.silence.measure() >= DEAD_LINK_MS) {
       this.closeDead(now);
       return;
--- a/packages/forwarding/src/silence.ts
+++ b/packages/forwarding/src/silence.ts
@@ -1,3 +1,4 @@
+import type { Socket } from 'node:net';
 import type { Millis } from '@shallotpick/core';
 
 /** More time than this between two ticks means that this process itself stood still. */
@@ -31,3 +32,22 @@
     return this.silentMs;
   }
 }
+
+/** Finds signs that the peer of a socket is alive, whatever its messages say. */
+export class PeerActivity {
+  private bytesRead = 0;
+
+  /** Bytes that waited for the peer to read them at the last check. */
+  private bytesWaiting = 0;
+
+  constructor(private readonly socket: Pick<Socket, 'bytesRead' | 'writableLength'>) {}
+
+  /** True when the peer has sent or read something since the last check. */
+  checkProgress(): boolean {
+    const { bytesRead, writableLength } = this.socket;
+    const hasProgress = bytesRead > this.bytesRead || writableLength < this.bytesWaiting;
+    this.bytesRead = bytesRead;
+    this.bytesWaiting = writableLength;
+    return hasProgress;
+  }
+}
--- a/packages/forwarding/test/deadpeer.spec.ts
+++ b/packages/forwarding/test/deadpeer.spec.ts
@@ -1,12 +1,17 @@
 import { expect } from 'earl';
 import { wait } from '@shallotpick/engine';
 import { SilenceMeter } from '../src/silence.js';
-import { type FakeFleet, startFleet } from './fleet.js';
+import { createForwarding, type FakeFleet, findFreePort, startFleet } from './fleet.js';
 import { RawPeer } from './rawpeer.js';
+import { SlowHome } from './slowhome.js';
 
 const PING_INTERVAL_MS = 500;
 /** Longer than a probe holds its transaction. */
 const PROBE_MS = 50;
+const TICK_MS = 25;
+/** Together longer than a link may be without an answer. */
+const PIECES = 90;
+const PIECE_INTERVAL_MS = 50;
 
 describe('a VM whose link is silent', () => {
   let fleet: FakeFleet;
@@ -72,6 +77,23 @@
   }).timeout(10_000);
 });
 
+describe('a home that sends a large message slowly', () => {
+  // The answer to a ping waits behind it; the link was closed with all of its work.
+  it('keeps its link until it sends nothing more', async () => {
+    const home = new SlowHome();
+    const address = { id: 'home', zone: 'z', host: '127.0.0.1', port: await home.listen() };
+    const { forwarding } = createForwarding(await findFreePort(), [address]);
+    const ticks = setInterval(() => forwarding.handleTick(), TICK_MS);
+    await home.opened;
+    await home.sendPieces(PIECES, PIECE_INTERVAL_MS);
+    expect(home.countClosed()).toEqual(0);
+    await home.closed;
+    clearInterval(ticks);
+    forwarding.stop();
+    home.close();
+  }).timeout(15_000);
+});
+
 describe('the time for which a peer is silent', () => {
   // A process that has stood still must not take what it could not read for the peer's silence.
   it('counts a stall of this process as one tick', () => {
