Tell a short value of a session from the hash of a long one

Connections remember long values and prepared statements by `sha256 HASH`, and short ones as they are. A session that set just that text on a shared connection made it pass for the long value of another session, which was then not set. A text that begins like a hash is hashed as well.

--- a/packages/engine/src/setup.ts
+++ b/packages/engine/src/setup.ts
@@ -4,6 +4,7 @@
 
 /** Longer texts are remembered by their hash, so that connections hold little between sessions. */
 const MAX_REMEMBERED_LENGTH = 256;
+const HASH_PREFIX = 'sha256 ';
 /** Prepared statements of a connection; it is reset before it has more. */
 const MAX_STATEMENTS = 1_000;
 
@@ -25,9 +26,10 @@
   return state.statements.get(statement.name)?.access;
 }
 
+/** Returns a text that stands for this one only; one that looks like a hash is hashed as well. */
 function truncate(text: string): string {
-  if (text.length <= MAX_REMEMBERED_LENGTH) return text;
-  return `sha256 ${createHash('sha256').update(text).digest('hex')}`;
+  if (text.length <= MAX_REMEMBERED_LENGTH && !text.startsWith(HASH_PREFIX)) return text;
+  return `${HASH_PREFIX}${createHash('sha256').update(text).digest('hex')}`;
 }
 
 function createStatementKey({ access, shape }: PreparedStatement): string {
