Don't take a caller of the daemon in the middle of a message for idle

A draining daemon refused a caller that had begun a message and not ended it, as on a slow link. Such a caller is idle once the message has been answered; the drain limit bounds how long that may take. The test failed before the change.

--- a/packages/daemon/src/caller.ts
+++ b/packages/daemon/src/caller.ts
@@ -102,11 +102,11 @@
     return this.processId === processId && this.secret === secret;
   }
 
-  /** True between requests and outside a transaction. */
+  /** True between requests, none of which has begun to arrive, and outside a transaction. */
   isIdle(): boolean {
-    const hasWork =
-      this.running || this.queuedRequests.length > 0 || this.pipelineFrames.length > 0;
-    return !hasWork && !this.handler?.isInTransaction();
+    const hasInput =
+      this.queuedRequests.length > 0 || this.pipelineFrames.length > 0 || this.reader.isInMessage();
+    return !this.running && !hasInput && !this.handler?.isInTransaction();
   }
 
   /** Sends bytes; returns true when the socket buffer is full and `onDrain` will be called. */
