Keep the zone's other replicas before those of other zones

The rank of a read that stays put the best instance of another zone second, so that it left the zone, outside share and budget, when only the first replica of the zone was full. The order of the router now holds for all but the first. The test fails without the change (a, c, b for a, b, c).

--- a/packages/core/src/zonebalance.ts
+++ b/packages/core/src/zonebalance.ts
@@ -84,7 +84,7 @@
     const alternatives = this.findAlternatives(candidates);
     if (!alternatives) return candidates;
     const { near, far } = alternatives;
-    const chosen = this.mayLeave(now) ? [far, near] : [near, far];
+    const chosen = this.mayLeave(now) ? [far, near] : [near];
     return [...chosen, ...candidates.filter((one) => !chosen.includes(one))];
   }
 
--- a/packages/core/test/zonebalance.spec.ts
+++ b/packages/core/test/zonebalance.spec.ts
@@ -77,6 +77,20 @@
     expect(Math.max(...decide({ near: () => 0.4, far: () => 0.1 }))).toEqual(0);
   });
 
+  // A read that left its zone while only the first of the zone's replicas was full.
+  it('keeps the order of the other candidates while no read leaves', () => {
+    const describeOne = (id: string, zone: string, workMs: Millis): ZoneCandidate => ({
+      ...{ id, zone, workMs, pathMs: 0, measuredAt: 0 },
+    });
+    const candidates = [
+      describeOne('a', 'near', COST_MS),
+      describeOne('b', 'near', 2 * COST_MS),
+      describeOne('c', 'far', COST_MS),
+    ];
+    const balance = new ZoneBalance('near', new ZoneBudget(BUDGET));
+    expect(balance.rank(candidates, 0).map(({ id }) => id)).toEqual(['a', 'b', 'c']);
+  });
+
   // A zone at twice its demand refused reads while the others were idle.
   it('sends away what a zone at twice its demand cannot serve', () => {
     const shares = decide({ near: () => 1.2, far: () => 0.2 }).slice(SETTLED_STEPS);
