Refuse work that reaches a group after its stop

Work waits for a permit or a connection before it is queued. When this VM ceased to be a home of the group meanwhile, it was queued in a dispatcher without ticks, and its promise never settled. The dispatcher now refuses what is added after its stop. The test fails without the change.

--- a/packages/engine/src/dispatcher.ts
+++ b/packages/engine/src/dispatcher.ts
@@ -25,6 +25,7 @@
 const ANY_KEY = 'any';
 /** Callers that are refused are told to come back within this time after room is expected. */
 const RETURN_SPREAD_MS: Millis = 1_000;
+const STOPPED = 'the proxy stops';
 
 /** Admission request for one statement or transaction. */
 export interface WorkRequest extends Omit<RouteRequest, 'minPosition'> {
@@ -105,6 +106,8 @@
 
   private nextWorkId = 1;
 
+  private isStopped = false;
+
   constructor(private readonly options: DispatcherOptions) {
     this.queue = this.createPlainQueue();
   }
@@ -129,6 +132,7 @@
    * @throws NotRunError when the queue refuses the work or it isn't admitted in time.
    */
   async add(request: WorkRequest): Promise<AdmittedWork> {
+    if (this.isStopped) throw new NotRunError(STOPPED);
     const now = this.options.clock.readNow();
     const work = this.createWork(request, now);
     return new Promise<AdmittedWork>((resolve, reject) => {
@@ -195,9 +199,10 @@
     if (this.meter.withdraw(admitted)) this.release(admitted, false, now);
   }
 
-  /** Rejects all queued work. */
+  /** Rejects all queued work, and what is added from now on. */
   stop(): void {
-    this.pending.forEach(({ reject }) => reject(new NotRunError('the proxy stops')));
+    this.isStopped = true;
+    this.pending.forEach(({ reject }) => reject(new NotRunError(STOPPED)));
     this.pending.clear();
   }
 
--- a/packages/engine/test/dispatcher.spec.ts
+++ b/packages/engine/test/dispatcher.spec.ts
@@ -129,6 +129,15 @@
     await trial.add('served', { deadline: trial.clock.readNow() + 3 * COST_MS });
     expect(trial.errors).toEqual([]);
   });
+
+  // A group that is no longer served has no ticks, so what it queued would never be answered.
+  it('refuses work once it has stopped', async () => {
+    const trial = new Trial();
+    await trial.add('running');
+    trial.dispatcher.stop();
+    await trial.add('after');
+    expect(trial.errors).toEqual(['NotRunError: the proxy stops']);
+  });
 });
 
 describe('findUrgentPriority', () => {
