Ignore results of an earlier start of an instance

Reads that were under way when an instance was removed or restarted reported their losses afterwards. They counted against the next start of the same id, which was ejected though it had failed nothing, and left an entry for an id that never came back. Evidence and concurrency limits now take results of present members only; bytes between zones count as before. The test fails without the change (one ejection for none).

--- a/packages/engine/src/group.ts
+++ b/packages/engine/src/group.ts
@@ -216,24 +216,38 @@
     this.dispatcher.stop();
   }
 
-  /** Creates the receiver of what a piece of work came to. */
-  private createResults(member: Member, isRead: boolean): LeaseParts['results'] {
+  /** Creates the receiver of what a piece of work came to, which is no evidence once its member is removed. */
+  private createResults(
+    member: Member,
+    admitted: AdmittedWork,
+    request: WorkRequest,
+  ): LeaseParts['results'] {
     const { clock } = this.options;
+    const isEvidence = (): boolean => request.kind === 'read' && this.isPresent(member);
     return {
+      recordLatency: (tookMs) => {
+        if (!this.isPresent(member)) return;
+        member.recordLatency(tookMs, clock.readNow());
+        this.dispatcher.recordLatency(admitted, request, tookMs);
+      },
       handleReply: (reply, tookMs) => {
-        if (!isRead) return;
-        this.evidence.handleReply(member, reply, tookMs, clock.readNow());
-        this.zoneRouter?.handleReply(member, reply);
+        if (isEvidence()) this.evidence.handleReply(member, reply, tookMs, clock.readNow());
+        if (request.kind === 'read') this.zoneRouter?.handleReply(member, reply);
       },
       handleLoss: (tookMs) => {
-        if (isRead) this.evidence.handleLoss(member, tookMs, clock.readNow());
+        if (isEvidence()) this.evidence.handleLoss(member, tookMs, clock.readNow());
       },
     };
   }
 
+  /** False for a removed member, also when a later start of its instance has taken its place. */
+  private isPresent(member: Member): boolean {
+    return this.members.find(member.id) === member;
+  }
+
   /** Notes a failed connection, unless the instance has only reached its connection limit. */
   private handleConnectionLoss(member: Member, error: unknown): void {
-    if (error instanceof ConnectionLimitError) return;
+    if (error instanceof ConnectionLimitError || !this.isPresent(member)) return;
     this.evidence.handleLoss(member, 0, this.options.clock.readNow());
   }
 
@@ -291,9 +305,9 @@
       const connection = await member.pool.connectFor(request.organisation);
       const { after } = this.router.findPositions(request);
       const { confirmation } = this;
-      const results = this.createResults(member, request.kind === 'read');
+      const results = this.createResults(member, admitted, request);
       const common = { dispatcher, clock, confirmation, results };
-      return createLease({ ...common, request, admitted, member, connection, after });
+      return createLease({ ...common, admitted, member, connection, after });
     } catch (error) {
       member.updateRunning(false);
       member.handleConnectionFailure(error, clock.readNow());
--- a/packages/engine/src/lease.ts
+++ b/packages/engine/src/lease.ts
@@ -1,7 +1,7 @@
 import type { Clock, LogPosition, Millis } from '@shallotpick/core';
 import type { CommitConfirmation } from './commitconfirmation.js';
 import type { InstanceConnection } from './connection.js';
-import type { AdmittedWork, Dispatcher, WorkRequest } from './dispatcher.js';
+import type { AdmittedWork, Dispatcher } from './dispatcher.js';
 import type { Member } from './member.js';
 import type { Reply } from './statement.js';
 
@@ -65,7 +65,6 @@
 
 /** What a lease consists of. */
 export interface LeaseParts {
-  readonly request: WorkRequest;
   readonly admitted: AdmittedWork;
   readonly member: Member;
   readonly connection: InstanceConnection;
@@ -74,12 +73,12 @@
   readonly after: LogPosition | undefined;
   readonly confirmation: CommitConfirmation;
   /** Receives what the work came to; see `Lease`. */
-  readonly results: Pick<Lease, 'handleReply' | 'handleLoss'>;
+  readonly results: Pick<Lease, 'recordLatency' | 'handleReply' | 'handleLoss'>;
 }
 
 /** Creates the lease of a member's connection for admitted work. */
 export function createLease(parts: LeaseParts): Lease {
-  const { request, admitted, member, connection, dispatcher, clock } = parts;
+  const { admitted, member, connection, dispatcher, clock } = parts;
   const { after, confirmation, results } = parts;
   const use = createLeaseUse(
     (isBusy) => {
@@ -99,10 +98,7 @@
     isLeader: member.probe.leads,
     after,
     latencyMs: member.estimateLatency(clock.readNow()),
-    recordLatency: (tookMs) => {
-      member.recordLatency(tookMs, clock.readNow());
-      dispatcher.recordLatency(admitted, request, tookMs);
-    },
+    recordLatency: (tookMs) => results.recordLatency(tookMs),
     handleReply: (...reply) => results.handleReply(...reply),
     handleLoss: (tookMs) => results.handleLoss(tookMs),
     handleDemotion: () => member.probe.clearLeadership(),
--- a/packages/engine/test/group.spec.ts
+++ b/packages/engine/test/group.spec.ts
@@ -12,6 +12,8 @@
 /** Limits of real time, for a busy machine. */
 const MAX_PROBE_MS = 2_000;
 const MAX_ADMISSION_MS = 2_000;
+/** Enough lost reads to eject an instance. */
+const LOSSES = 10;
 const WORK = {
   ...{ requestId: 'r', contract: DEFAULT_CONTRACT, caller: 'c', priority: 1 },
   ...{ kind: 'write' as const, lastCommit: undefined, excluded: new Set<string>() },
@@ -32,9 +34,10 @@
 async function createGroup(connectionLimit = 20) {
   const clock = new ManualClock(1_000);
   const instance = new FakeInstance('leader');
+  const metrics = new Metrics();
   instance.isLeader = true;
   const group = new GroupService({
-    ...{ name: 'g', zone: 'z', clock, ageClock: clock, metrics: new Metrics(), drainMs: 7_000 },
+    ...{ name: 'g', zone: 'z', clock, ageClock: clock, metrics, drainMs: 7_000 },
     log: createEngineLog('error', 'test'),
     connector: new FakeConnector(new Map([['leader', instance]])),
     suspicion: new Suspicion(),
@@ -57,7 +60,7 @@
     group.updateInstances([{ ...INSTANCE, startedAt: 2 }]);
     await tick();
   };
-  return { clock, group, instance, lease, restart };
+  return { clock, group, instance, lease, metrics, restart };
 }
 
 describe('GroupService', () => {
@@ -106,4 +109,16 @@
     lease.recordLatency(LONG_MS);
     expect(member?.estimateLatency(clock.readNow())).toEqual(before);
   });
+
+  // Reads that an earlier start left unanswered ejected the next one, which had failed none.
+  it('does not count the losses of an earlier start', async () => {
+    const { clock, group, lease, metrics, restart } = await createGroup();
+    lease.release();
+    const deadline = clock.readNow() + LONG_MS;
+    const read = await group.admit({ ...WORK, kind: 'read', deadline });
+    await restart();
+    for (let loss = 0; loss < LOSSES; loss += 1) read.handleLoss(LONG_MS);
+    expect((await metrics.ejections.get()).values).toEqual([]);
+    read.release();
+  });
 });
