Keep what becomes late in a full queue

Work that missed its objective was checked against the bound of the queue while it still counted in it, so a full queue refused its own work as it became late. The test fails without the change (one refusal for none).

--- a/packages/core/src/workqueue.ts
+++ b/packages/core/src/workqueue.ts
@@ -165,9 +165,11 @@
   /** Moves work behind that which can make its objective, unless it can't make its deadline. */
   private handleLate(work: RankedWork, lane: WorkLane, now: Millis): QueueDecision | undefined {
     lane.remove(work);
+    // It doesn't count against itself when the queue is full.
+    this.laneOf.delete(work);
     const late = this.findLane(work, true);
     const refusal = this.findRefusal(work, late, now);
-    if (refusal) this.forget(work);
+    if (refusal) this.expiry.remove(work);
     else this.insert(work, late, now);
     return refusal;
   }
--- a/packages/core/test/workqueue.spec.ts
+++ b/packages/core/test/workqueue.spec.ts
@@ -11,6 +11,8 @@
 
 const SLOTS = 4;
 const FOREVER = 1e9;
+/** Bound of a queue without known costs. */
+const MAX_QUEUED = 10_000;
 
 let nextId = 0;
 
@@ -151,6 +153,15 @@
     );
   });
 
+  // Work in a full queue took its own place for another's and was refused when it became late.
+  it('keeps what becomes late in a full queue', () => {
+    const load = new Load();
+    load.add(createMany(MAX_QUEUED, { costMs: undefined, objective: 100 }));
+    load.collect(load.queue.handleTick(200));
+    load.endOne(200);
+    expect([load.refused.length, load.started.length]).toEqual([0, 1]);
+  });
+
   // Burst of postings: work that can't be served in time only delays other work.
   it('refuses on arrival what is not expected to make its deadline', () => {
     const load = new Load();
