Serve ranks that were passed over beside urgent work

Urgent work may exceed the concurrency by one. It may now exceed the limit as well. The test fails without the change (never started for the 33rd start).

--- a/packages/core/src/workqueue.ts
+++ b/packages/core/src/workqueue.ts
@@ -16,8 +16,8 @@
 const RATE_MARGIN = 1.5;
 /** A lane is served after this many starts of a higher rank, so that none starves. */
 const MAX_PASSED_OVER = 32;
-/** Urgent work may exceed the concurrency of an instance by this. */
-const URGENT_EXTRA = 1;
+/** Urgent work, and a lane that is owed a turn, may exceed the concurrency of an instance by this. */
+const EXTRA_CONCURRENCY = 1;
 /** Bounds the memory while costs are unknown; with known costs the deadlines bound the queue. */
 const MAX_QUEUED = 10_000;
 
@@ -36,6 +36,11 @@
   return lane.length === 'short' && other.length === 'long';
 }
 
+/** True when the lane has been passed over so often that it is served next. */
+function isOwed(lane: WorkLane): boolean {
+  return lane.countPassedOver() >= MAX_PASSED_OVER;
+}
+
 /**
  * Queue by rank: work that can still make its objective goes before work that can't, and within
  * both a lower priority number goes first, then the shorter kind of work. Callers of one rank are
@@ -131,7 +136,7 @@
    */
   private chooseLane(blocked: ReadonlySet<WorkLane>): WorkLane | undefined {
     const ready = this.lanes.filter((lane) => lane.countQueued() > 0 && !blocked.has(lane));
-    const owed = ready.find((lane) => lane.countPassedOver() >= MAX_PASSED_OVER);
+    const owed = ready.find(isOwed);
     const [first, ...rest] = ready;
     if (owed || !first) return owed;
     return rest
@@ -177,7 +182,7 @@
   private start(work: RankedWork, lane: WorkLane, now: Millis): QueueDecision | undefined {
     const route = this.findRoute(work, lane, now);
     if (route.kind === 'wait') return undefined;
-    const instance = route.instances.find((id) => this.hasSlot(id, work, this.isUrgent(lane)));
+    const instance = route.instances.find((id) => this.hasSlot(id, work, this.mayExceed(lane)));
     if (instance === undefined) return undefined;
     lane.take(work, now);
     this.forget(work);
@@ -200,26 +205,29 @@
     });
   }
 
-  private isUrgent({ isLate, priority }: WorkLane): boolean {
-    return !isLate && priority === this.options.urgentPriority;
+  /** Urgent work may keep an instance above its limit, so a lane that is owed a turn may join it. */
+  private mayExceed(lane: WorkLane): boolean {
+    const { urgentPriority } = this.options;
+    if (urgentPriority === undefined) return false;
+    return isOwed(lane) || (!lane.isLate && lane.priority === urgentPriority);
   }
 
   private hasFreeSlot(): boolean {
-    const hasUrgent = this.lanes.some((lane) => this.isUrgent(lane) && lane.countQueued() > 0);
-    return this.slots.listInstances().some((id) => this.isBelowLimit(id, hasUrgent));
+    const mayExceed = this.lanes.some((lane) => lane.countQueued() > 0 && this.mayExceed(lane));
+    return this.slots.listInstances().some((id) => this.isBelowLimit(id, mayExceed));
   }
 
-  private isBelowLimit(instance: string, isUrgent: boolean): boolean {
+  private isBelowLimit(instance: string, mayExceed: boolean): boolean {
     const { concurrency } = this.slots.readCapacity(instance);
-    const limit = concurrency === 0 ? 0 : concurrency + (isUrgent ? URGENT_EXTRA : 0);
+    const limit = concurrency === 0 ? 0 : concurrency + (mayExceed ? EXTRA_CONCURRENCY : 0);
     return this.slots.countRunning(instance) < limit;
   }
 
-  private hasSlot(instance: string, { length }: RankedWork, isUrgent: boolean): boolean {
+  private hasSlot(instance: string, { length }: RankedWork, mayExceed: boolean): boolean {
     const { slots } = this;
     const { connections, longPermits } = slots.readCapacity(instance);
     const isFree =
-      slots.countConnections(instance) < connections && this.isBelowLimit(instance, isUrgent);
+      slots.countConnections(instance) < connections && this.isBelowLimit(instance, mayExceed);
     if (length === 'short') return isFree;
     return isFree && slots.countRunning(instance, 'long') < longPermits;
   }
--- a/packages/core/test/workqueue.spec.ts
+++ b/packages/core/test/workqueue.spec.ts
@@ -249,6 +249,18 @@
     expect(load.started.map(({ priority }) => priority)).toEqual([0]);
   });
 
+  // Urgent work that kept its extra slot in use left no slot below the limit for any other work.
+  it('serves other work after a bounded number of starts of urgent work', () => {
+    const load = new Load(1);
+    const queue = new WorkQueue({ findRoute, urgentPriority: 0 }, load.slots);
+    const waiting = createWork({ ...LOOKUP, routeKey: 'leader' });
+    [waiting, ...createMany(100, POSTING)].forEach((work) => load.collect(queue.add(work, 0)));
+    for (let ended = 0; ended < 50; ended += 1) {
+      load.collect(queue.handleDone('leader', waiting, 0));
+    }
+    expect(load.started.indexOf(waiting)).toEqual(32);
+  });
+
   // Guards against work that is lost, started twice or above the capacity, whatever the order.
   it('starts or refuses each item once, within the capacity', () => {
     const work = fc.record({
