--- a/packages/core/src/worklane.ts
+++ b/packages/core/src/worklane.ts
@@ -50,8 +50,8 @@
 }
 
 /**
- * Work of one rank and length that may run on the same instances. Callers are served in turn by the time that
- * their work takes (deficit round robin).
+ * Work of one rank and length that may run on the same instances. Callers are served in turn by the
+ * time that their work takes (deficit round robin).
  */
 export class WorkLane {
   // A Map iterates in insertion order: the first caller is the next in turn.
--- a/packages/core/test/workqueue.spec.ts
+++ b/packages/core/test/workqueue.spec.ts
@@ -77,24 +77,24 @@
   }
 }
 
-const POSTING = { priority: 0, objective: 200, costMs: 10 };
-const ADJUSTMENT = { priority: 1, objective: 400, costMs: 30 };
-const LOOKUP = { priority: 2, objective: 1_500, deadline: 12_000, costMs: 50 };
+const URGENT = { priority: 0, objective: 200, costMs: 10 };
+const USUAL = { priority: 1, objective: 400, costMs: 30 };
+const BULK = { priority: 2, objective: 1_500, deadline: 12_000, costMs: 50 };
 
 describe('WorkQueue', () => {
   // Burst of long reads beside short writes: the reads would delay each write by their own cost.
   it('serves a high priority before the work that came first', () => {
     const load = new Load();
-    load.add([...createMany(20, LOOKUP), ...createMany(2, ADJUSTMENT), ...createMany(2, POSTING)]);
+    load.add([...createMany(20, BULK), ...createMany(2, USUAL), ...createMany(2, URGENT)]);
     expect(load.run(5).map(({ priority }) => priority)).toEqual([0, 0, 1, 1, 2]);
   });
 
   // Leader lost under load: what is too late by the end of the takeover must not delay the rest.
   it('serves what is late after what can still make its objective, in order of rank', () => {
     const load = new Load();
-    const late = [createWork({ ...LOOKUP, objective: 100 }), createWork(POSTING)];
-    load.add([...late, createWork({ ...ADJUSTMENT, objective: 800 })]);
-    load.add(createMany(1, LOOKUP));
+    const late = [createWork({ ...BULK, objective: 100 }), createWork(URGENT)];
+    load.add([...late, createWork({ ...USUAL, objective: 800 })]);
+    load.add(createMany(1, BULK));
     const order = load.run(4, 300).map(({ priority }) => priority);
     expect(order).toEqual([1, 2, 0, 2]);
   });
@@ -138,12 +138,12 @@
 
   // Overload that lasts: strict priority would starve the lowest class.
   it('serves every class after a bounded number of starts of higher ones', () => {
-    const kinds = fc.constantFrom(POSTING, ADJUSTMENT, { ...LOOKUP, objective: 0 });
+    const kinds = fc.constantFrom(URGENT, USUAL, { ...BULK, objective: 0 });
     const burst = fc.array(kinds, { minLength: 1, maxLength: 200 });
     fc.assert(
       fc.property(burst, (works) => {
         const load = new Load();
-        const waiting = createWork({ ...LOOKUP, caller: 'y', priority: 3 });
+        const waiting = createWork({ ...BULK, caller: 'y', priority: 3 });
         load.add([waiting, ...works.map((kind) => createWork(kind))]);
         const index = load.run(works.length + 1).indexOf(waiting);
         // Three lanes go before it, each of which may itself be owed one turn.
@@ -162,12 +162,12 @@
     expect([load.refused.length, load.started.length]).toEqual([0, 1]);
   });
 
-  // Burst of postings: work that can't be served in time only delays other work.
+  // Overload: work that can't be served in time only delays other work.
   it('refuses on arrival what is not expected to make its deadline', () => {
     const load = new Load();
-    load.add(createMany(100, { ...ADJUSTMENT, deadline: 1_000 }));
-    load.add(createMany(1, { ...LOOKUP, routeKey: 'leader', deadline: 600 }));
-    load.add(createMany(1, { ...POSTING, deadline: 600 }));
+    load.add(createMany(100, { ...USUAL, deadline: 1_000 }));
+    load.add(createMany(1, { ...BULK, routeKey: 'leader', deadline: 600 }));
+    load.add(createMany(1, { ...URGENT, deadline: 600 }));
     const [refusal] = load.refused;
     expect(load.refused.length).toEqual(1);
     expect(refusal?.work.priority).toEqual(2);
@@ -177,15 +177,15 @@
     ]);
   });
 
-  // Postings that last: lookups that are passed over must be refused at once, not at their deadline.
+  // Urgent work without pause: what it passes over must be refused at once, not at its deadline.
   it('refuses on arrival what the work of higher rank still to come leaves no time for', () => {
     const load = new Load();
-    load.add(createMany(8, { ...LOOKUP, deadline: 3_000 }));
+    load.add(createMany(8, { ...BULK, deadline: 3_000 }));
     for (let now = 0; now < 1_000; now += 50) {
-      load.add(createMany(4, { ...POSTING, objective: FOREVER }), now);
+      load.add(createMany(4, { ...URGENT, objective: FOREVER }), now);
       load.run(2, now);
     }
-    load.add(createMany(1, { ...LOOKUP, deadline: 3_000 }), 1_000);
+    load.add(createMany(1, { ...BULK, deadline: 3_000 }), 1_000);
     const causes = load.refused.map((one) => one.kind === 'refuse' && one.cause);
     expect(causes.at(-1)).toEqual('expectedWait');
   });
@@ -200,7 +200,7 @@
       slots,
     );
     const add = (now: number): readonly QueueDecision[] =>
-      queue.add(createWork({ ...POSTING, objective: now + 600, deadline: now + 600 }), now);
+      queue.add(createWork({ ...URGENT, objective: now + 600, deadline: now + 600 }), now);
     const decisions = [0, 500, 1_000, 1_500].flatMap((now) => [
       ...Array.from({ length: 10 }, () => add(now)).flat(),
       ...queue.handleTick(now),
@@ -244,7 +244,7 @@
   it('lets urgent work exceed the concurrency by one', () => {
     const load = new Load(1);
     const queue = new WorkQueue({ findRoute, urgentPriority: 0 }, load.slots);
-    const works = [...createMany(1, LOOKUP), ...createMany(2, POSTING)];
+    const works = [...createMany(1, BULK), ...createMany(2, URGENT)];
     works.forEach((work) => load.collect(queue.add({ ...work, routeKey: 'leader' }, 0)));
     expect(load.started.map(({ priority }) => priority)).toEqual([0]);
   });
@@ -253,8 +253,8 @@
   it('serves other work after a bounded number of starts of urgent work', () => {
     const load = new Load(1);
     const queue = new WorkQueue({ findRoute, urgentPriority: 0 }, load.slots);
-    const waiting = createWork({ ...LOOKUP, routeKey: 'leader' });
-    [waiting, ...createMany(100, POSTING)].forEach((work) => load.collect(queue.add(work, 0)));
+    const waiting = createWork({ ...BULK, routeKey: 'leader' });
+    [waiting, ...createMany(100, URGENT)].forEach((work) => load.collect(queue.add(work, 0)));
     for (let ended = 0; ended < 50; ended += 1) {
       load.collect(queue.handleDone('leader', waiting, 0));
     }
--- a/packages/engine/test/dispatcher.spec.ts
+++ b/packages/engine/test/dispatcher.spec.ts
@@ -99,7 +99,7 @@
     expect(trial.started).toEqual(['running', 'high', 'low']);
   });
 
-  // Burst of postings: a refusal must tell rank, wait and limit, and when to come back.
+  // Overload: a refusal must tell rank, wait and limit, and when to come back.
   it('refuses what is not expected to make its deadline, with the reason', async () => {
     const trial = new Trial();
     trial.dispatcher.updateRanking(0);
