--- a/packages/engine/test/dispatcher.spec.ts
+++ b/packages/engine/test/dispatcher.spec.ts
@@ -99,7 +99,7 @@
     expect(trial.started).toEqual(['running', 'high', 'low']);
   });
 
-  // Burst of postings: a refusal must tell rank, wait and limit, and when to come back.
+  // Overload: a refusal must tell rank, wait and limit, and when to come back.
   it('refuses what is not expected to make its deadline, with the reason', async () => {
     const trial = new Trial();
     trial.dispatcher.updateRanking(0);
@@ -129,6 +129,15 @@
     await trial.add('served', { deadline: trial.clock.readNow() + 3 * COST_MS });
     expect(trial.errors).toEqual([]);
   });
+
+  // A group that is no longer served has no ticks, so what it queued would never be answered.
+  it('refuses work once it has stopped', async () => {
+    const trial = new Trial();
+    await trial.add('running');
+    trial.dispatcher.stop();
+    await trial.add('after');
+    expect(trial.errors).toEqual(['NotRunError: the proxy stops']);
+  });
 });
 
 describe('findUrgentPriority', () => {
