Check a caller's key again when its work gets a connection

The key was checked when a statement arrived. A statement may then wait for a permit and a connection for most of its time limit, and was sent to the instance although its key had been revoked, or the lease on the configuration had ended, meanwhile. An attempt now checks the key after the wait and gives its connection and permit back.

--- a/packages/engine/src/attempt.ts
+++ b/packages/engine/src/attempt.ts
@@ -73,10 +73,11 @@
       permit = await context.options.quota.take(this.organisation, deadline);
       const lease = await group.admit(this.createRequest(deadline));
       permit = await this.refreshPermit(permit, lease);
-      if (!context.isClosed) return lease;
+      const loss = this.findLoss();
+      if (!loss) return lease;
       lease.release();
       permit.giveBack();
-      return { verdict: 'aborted', reason: 'the caller has left' };
+      return loss;
     } catch (error) {
       if (!(error instanceof NotRunError)) throw error;
       permit?.giveBack();
@@ -97,6 +98,13 @@
     }
   }
 
+  /** Finds out whether the caller has left, or lost its key, while the work waited. */
+  private findLoss(): Failure | undefined {
+    const { context, route, organisation } = this;
+    if (context.isClosed) return { verdict: 'aborted', reason: 'the caller has left' };
+    return context.options.identity.checkAgain(route, organisation);
+  }
+
   private createRequest(deadline: Millis): WorkRequest {
     const { context, route, requestId, kind, organisation, objective, excluded } = this;
     const { isTransaction } = this;
--- a/packages/engine/src/identity.ts
+++ b/packages/engine/src/identity.ts
@@ -15,6 +15,10 @@
   verdict: 'overloaded',
   reason: 'the keys in force are not known at present',
 };
+const MOVED_KEY: Failure = {
+  verdict: 'overloaded',
+  reason: 'the key has moved to another organisation',
+};
 
 /** The identity of one caller: the key that it gave, which is checked again for each operation. */
 export class CallerIdentity {
@@ -49,4 +53,13 @@
     if (!organisation) return { kind: 'refused', failure: UNKNOWN_KEY };
     return { kind: 'allowed', organisation: organisation.name };
   }
+
+  /** Returns the failure that ends work which was authorized before in an organisation's name. */
+  checkAgain(route: DatabaseRoute, organisation: string | undefined): Failure | undefined {
+    const authorization = this.authorize(route);
+    if (authorization.kind === 'refused') return authorization.failure;
+    const { organisation: holder } = authorization;
+    const isHeld = organisation === undefined || holder === undefined || holder === organisation;
+    return isHeld ? undefined : MOVED_KEY;
+  }
 }
--- a/packages/engine/test/organisations.spec.ts
+++ b/packages/engine/test/organisations.spec.ts
@@ -1,8 +1,21 @@
 import { expect } from 'earl';
-import { CallerIdentity, ConfigurationHolder, OrganisationIndex } from '../src/index.js';
+import { RetryBudgets } from '@shallotpick/core';
+import {
+  CallerIdentity,
+  ConfigurationHolder,
+  createEngineLog,
+  type GroupAccess,
+  type Lease,
+  Metrics,
+  OrganisationIndex,
+  Session,
+  SystemClock,
+  UnlimitedQuota,
+} from '../src/index.js';
 import { createConfiguration } from './store.js';
 
 const LIMIT = { ratePerSecond: 10, burst: 5 };
+const NO_RETRIES = { ratio: 0, capacity: 0 };
 const BASE = createConfiguration(6, { timeoutMs: 100, transactionIdleMs: 100 });
 const [ROUTE] = BASE.routes.values();
 
@@ -81,3 +94,43 @@
     );
   });
 });
+
+describe('a session of an organisation', () => {
+  const createSession = (onAdmit: (configuration: ConfigurationHolder) => void) => {
+    const configuration = new ConfigurationHolder();
+    const released: string[] = [];
+    const lease = {
+      connection: { isUsable: () => false },
+      release: () => released.push('lease'),
+    } as unknown as Lease;
+    const group = {
+      admit: async () => {
+        onAdmit(configuration);
+        return lease;
+      },
+    } as unknown as GroupAccess;
+    const session = new Session({
+      ...{ configuration, database: ROUTE?.database ?? '', caller: 'caller-1' },
+      identity: new CallerIdentity('a', configuration, () => true),
+      clock: new SystemClock(),
+      log: createEngineLog('error', 'vm'),
+      metrics: new Metrics(),
+      findGroup: () => group,
+      retries: new RetryBudgets({ total: NO_RETRIES, organisation: NO_RETRIES }),
+      quota: new UnlimitedQuota(),
+    });
+    return { configuration, released, session };
+  };
+  const put = (configuration: ConfigurationHolder, version: number, name: string, key: string) => {
+    const organisations = new OrganisationIndex([{ name, keys: [key], rateLimit: undefined }]);
+    configuration.update({ ...BASE, version, organisations });
+  };
+
+  // Work that had waited for a connection ran after its key was revoked.
+  it('starts no work whose key was revoked while the work waited', async () => {
+    const { configuration, released, session } = createSession((it) => put(it, 2, 'north', 'b'));
+    put(configuration, 1, 'north', 'a');
+    const { failure } = await session.run({ id: '1', statement: { kind: 'read', text: 'READ a' } });
+    expect([failure?.verdict, released]).toEqual(['unauthenticated', ['lease']]);
+  });
+});
