End a transaction whose key has moved to another organisation

An open transaction was ended when its key was refused, but not when the key belonged to another organisation by then: it went on in the former name. It ends now, not run, at its next request or tick.

--- a/packages/engine/src/session.ts
+++ b/packages/engine/src/session.ts
@@ -50,8 +50,8 @@
     const { transaction } = this;
     if (!transaction || limit === undefined) return;
     transaction.handleTick(now, limit);
-    const { kind } = this.context.options.identity.authorize(transaction.route);
-    if (kind === 'refused') transaction.abort('the key is no longer in force');
+    const failure = this.findKeyFailure(transaction);
+    if (failure) transaction.abort(failure.reason);
   }
 
   /** Returns the bytes of the session's values and prepared statements. */
@@ -157,11 +157,15 @@
 
   /** Ends the transaction of a caller whose organisation has lost the key. */
   private refuseLostKey(transaction: Transaction): Reply | undefined {
-    const authorization = this.context.options.identity.authorize(transaction.route);
-    if (authorization.kind === 'allowed') return undefined;
-    transaction.abort(authorization.failure.reason);
+    const failure = this.findKeyFailure(transaction);
+    if (!failure) return undefined;
+    transaction.abort(failure.reason);
     this.transaction = undefined;
-    return this.refuseCaller(authorization.failure);
+    return this.refuseCaller(failure);
+  }
+
+  private findKeyFailure({ route, organisation }: Transaction): Failure | undefined {
+    return this.context.options.identity.checkAgain(route, organisation);
   }
 
   /** Refuses a request for the caller's key. */
--- a/packages/engine/src/transaction.ts
+++ b/packages/engine/src/transaction.ts
@@ -37,7 +37,7 @@
     private readonly context: SessionContext,
     readonly route: DatabaseRoute,
     private readonly isReadOnly: boolean,
-    private readonly organisation: string | undefined,
+    readonly organisation: string | undefined,
   ) {
     this.usedAt = context.readNow();
   }
--- a/packages/engine/test/organisations.spec.ts
+++ b/packages/engine/test/organisations.spec.ts
@@ -133,4 +133,17 @@
     const { failure } = await session.run({ id: '1', statement: { kind: 'read', text: 'READ a' } });
     expect([failure?.verdict, released]).toEqual(['unauthenticated', ['lease']]);
   });
+
+  // An open transaction went on in the name of an organisation that no longer had the key.
+  it('ends its transaction when the key moves to another organisation', async () => {
+    const { configuration, session } = createSession(() => undefined);
+    put(configuration, 1, 'north', 'a');
+    await session.run({ id: '1', statement: { kind: 'begin', isReadOnly: false } });
+    put(configuration, 2, 'south', 'a');
+    const { failure, state } = await session.run({ id: '2', statement: { kind: 'commit' } });
+    expect({ failure, state }).toEqual({
+      failure: { verdict: 'overloaded', reason: 'the key has moved to another organisation' },
+      state: 'idle',
+    });
+  });
 });
