Answer operations that wait for a permit when all limits go

The quota's tick stopped as soon as a configuration without rate limits was in force. An operation that waited for a permit at that moment, as during a change of the lender, was then never answered and its session never went on. The tick now goes on until no operation waits. The new test timed out before.

--- a/packages/engine/src/fleetquota.ts
+++ b/packages/engine/src/fleetquota.ts
@@ -152,7 +152,8 @@
   }
 
   private handleTick(): void {
-    if (!this.isActive) return;
+    // Operations that asked for a permit before the limits went are still answered.
+    if (!this.isActive && !this.parts.some((part) => part.hasWaiting())) return;
     const now = this.options.ageClock.readNow();
     if (now - this.vmsReadAt >= VMS_INTERVAL_MS) this.readVms(now);
     if (this.options.isDraining()) this.parts.forEach(({ lender }) => lender.release());
--- a/packages/engine/src/permitpart.ts
+++ b/packages/engine/src/permitpart.ts
@@ -79,6 +79,11 @@
     });
   }
 
+  /** True while operations wait for a permit. */
+  hasWaiting(): boolean {
+    return this.waiting.size > 0;
+  }
+
   handleTick(): void {
     this.lender.updateVms(this.options.listVms());
     const now = this.options.clock.readNow();
--- a/packages/engine/test/fleetquota.spec.ts
+++ b/packages/engine/test/fleetquota.spec.ts
@@ -18,12 +18,14 @@
 const LIMIT = { ratePerSecond: 0, burst: 40 };
 const ALLOWED = LIMIT.burst * (1 + RULE.excess) + RULE.slack;
 const DEADLINE_MS = 5_000;
+const TICK_MS = 25;
 const NAMES = Array.from({ length: VM_COUNT }, (_, index) => `vm-${index}`);
 const BASE = createConfiguration(6, { timeoutMs: 100, transactionIdleMs: 100 });
 const clock = new SystemClock();
 
 interface FakeVm {
   readonly quota: FleetQuota;
+  readonly configuration: ConfigurationHolder;
   readonly metrics: Metrics;
   isDraining: boolean;
 }
@@ -37,6 +39,7 @@
     const configuration = new ConfigurationHolder();
     const fake: FakeVm = {
       isDraining: false,
+      configuration,
       metrics,
       quota: new FleetQuota({
         ...{ vm, rule: RULE, clock, ageClock: clock, log, metrics, configuration },
@@ -140,4 +143,17 @@
     while (sum(await listLentParts(vms)) < 4) await wait(10);
     expect((await listLentParts(vms))[index]).toEqual(0);
   });
+
+  // An operation that waited for a permit was never answered.
+  it('ends the waiting of operations when the configuration drops all limits', async () => {
+    const [vm] = vms;
+    if (!vm) throw new Error('no VM');
+    vms.forEach((one) => Object.assign(one, { isDraining: true }));
+    while (sum(await listLentParts(vms)) > 0) await wait(10);
+    const takes = Array.from({ length: 100 }, async () => take(vm));
+    await wait(TICK_MS);
+    vm.configuration.update({ ...BASE, version: 2 });
+    const taken = await Promise.race([Promise.all(takes), wait(DEADLINE_MS)]);
+    expect(taken?.includes(undefined)).toEqual(true);
+  });
 }).timeout(30_000);
