Run no statement of a transaction that was aborted during its BEGIN

An abort while the transaction acquired its connection, as when its key is revoked or the process shuts down, was noted, but the statement that opened the transaction ran all the same. It is refused now and the connection is closed. The new test saw the statement succeed before.

--- a/packages/engine/src/transaction.ts
+++ b/packages/engine/src/transaction.ts
@@ -174,10 +174,11 @@
       const lease = await attempts.admit();
       if (!isLease(lease)) return lease;
       const failure = await this.openOn(lease, attempts);
-      if (!failure && context.isClosed) {
+      // Aborted meanwhile, as when the caller has left or lost its key.
+      if (!failure && this.failure) {
         lease.connection.close();
         lease.release();
-        return { verdict: 'aborted', reason: 'the caller has left' };
+        return this.failure;
       }
       if (!failure) {
         this.lease = lease;
--- a/packages/engine/test/session.spec.ts
+++ b/packages/engine/test/session.spec.ts
@@ -105,6 +105,19 @@
     });
   });
 
+  // A transaction that was aborted during its BEGIN still ran its first statement.
+  it('runs no statement of a transaction that was aborted while it was opened', async () => {
+    const session = fixture.createSession('fresh');
+    fixture.leader.intercept = ({ operation }) => {
+      if (operation.kind === 'begin') session.abort('the proxy is shutting down');
+      return undefined;
+    };
+    await run(session, BEGIN);
+    const answer = await run(session, WRITE);
+    expect([answer.verdict, answer.state]).toEqual(['aborted', 'failed']);
+    expect(fixture.leader.received.filter((text) => text.includes('WRITE'))).toEqual([]);
+  });
+
   // Guards against idle transactions that hold a connection.
   it('aborts a transaction that is idle for too long and reports it', async () => {
     const session = fixture.createSession('fresh');
