Let a later entry of one organisation replace the keys of an earlier one

Cause: of two entries with one name the last set the limit, but the keys of both were valid, also those that their author took for replaced (by review). Change: entries are made distinct by name before their keys are indexed. Result: the new spec failed before.

--- a/packages/engine/src/organisations.ts
+++ b/packages/engine/src/organisations.ts
@@ -23,7 +23,9 @@
 
   constructor(organisations: readonly KeyedOrganisation[]) {
     const shared = new Set<string>();
-    organisations.forEach(({ keys, name, rateLimit }) => {
+    // Of two entries with one name only the last counts, also for the keys.
+    const distinct = new Map(organisations.map((one) => [one.name, one]));
+    distinct.forEach(({ keys, name, rateLimit }) => {
       const organisation = { name, rateLimit };
       this.byName.set(name, organisation);
       keys.forEach((key) => {
--- a/packages/engine/test/organisations.spec.ts
+++ b/packages/engine/test/organisations.spec.ts
@@ -50,6 +50,16 @@
     expect(index.sharedKeys).toEqual(1);
   });
 
+  // Keys of an entry that a later one replaces are taken for gone by their author.
+  it('lose the keys of an entry that a later one of the same name replaces', () => {
+    const index = new OrganisationIndex([
+      { name: 'north', keys: ['old'], rateLimit: undefined },
+      { name: 'north', keys: ['new'], rateLimit: LIMIT },
+    ]);
+    expect(index.findByKey('old')).toEqual(undefined);
+    expect(index.findByKey('new')?.rateLimit).toEqual(LIMIT);
+  });
+
   it('may hold one key twice', () => {
     const index = new OrganisationIndex([{ name: 'north', keys: ['a', 'a'], rateLimit: LIMIT }]);
     expect(index.findByKey('a')?.name).toEqual('north');
