--- a/packages/core/src/admission.ts
+++ b/packages/core/src/admission/admission.ts
@@ -1,6 +1,6 @@
-import type { Millis } from './clock.js';
+import type { Millis } from '../clock.js';
 import { FairQueue, type Work } from './fairqueue.js';
-import type { Route } from './router.js';
+import type { Route } from '../routing/router.js';
 import { type QueueDecision, type RefusalCause, SlotQueue } from './slotqueue.js';
 import type { SlotTable, WorkLength } from './slottable.js';
 
--- a/packages/core/src/backoff.ts
+++ b/packages/core/src/admission/backoff.ts
@@ -1,4 +1,4 @@
-import type { Millis } from './clock.js';
+import type { Millis } from '../clock.js';
 
 const BASE_DELAY_MS: Millis = 100;
 /** Limits how long a pending step still waits after the platform has recovered. */
--- a/packages/core/src/concurrencylimit.ts
+++ b/packages/core/src/admission/concurrencylimit.ts
@@ -1,4 +1,4 @@
-import type { Millis } from './clock.js';
+import type { Millis } from '../clock.js';
 
 /** Weight of a new sample in the moving average. */
 const SAMPLE_WEIGHT = 0.1;
--- a/packages/core/src/cost.ts
+++ b/packages/core/src/admission/cost.ts
@@ -1,5 +1,5 @@
-import type { Millis } from './clock.js';
-import { computeHash } from './rendezvous.js';
+import type { Millis } from '../clock.js';
+import { computeHash } from '../membership/rendezvous.js';
 
 /** Size of the LRU table of fingerprints, so that generated texts cannot fill the memory. */
 const MAX_FINGERPRINTS = 2_000;
--- a/packages/core/src/expirybuckets.ts
+++ b/packages/core/src/admission/expirybuckets.ts
@@ -1,4 +1,4 @@
-import type { Millis } from './clock.js';
+import type { Millis } from '../clock.js';
 
 /** Work that expires within the same bucket is found together. */
 const BUCKET_MS: Millis = 25;
--- a/packages/core/src/fairqueue.ts
+++ b/packages/core/src/admission/fairqueue.ts
@@ -1,4 +1,4 @@
-import type { Millis } from './clock.js';
+import type { Millis } from '../clock.js';
 
 const GAP_WEIGHT = 0.1;
 /** Without a start for this long the rate of a queue is unknown and nothing is refused early. */
--- a/packages/core/src/retry.ts
+++ b/packages/core/src/admission/retry.ts
@@ -1,6 +1,6 @@
 import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
 import { uniformInt } from 'pure-rand/distribution/uniformInt';
-import type { Millis } from './clock.js';
+import type { Millis } from '../clock.js';
 
 /** Options of a `RetryBudget`. */
 export interface RetryBudgetOptions {
--- a/packages/core/src/servicerate.ts
+++ b/packages/core/src/admission/servicerate.ts
@@ -1,4 +1,4 @@
-import type { Millis } from './clock.js';
+import type { Millis } from '../clock.js';
 
 /** No rate is told earlier after the start of a busy time. */
 const MIN_TIME_MS: Millis = 200;
--- a/packages/core/src/slotqueue.ts
+++ b/packages/core/src/admission/slotqueue.ts
@@ -1,4 +1,4 @@
-import type { Millis } from './clock.js';
+import type { Millis } from '../clock.js';
 import type { Work } from './fairqueue.js';
 import { type Capacity, SlotTable } from './slottable.js';
 
--- a/packages/core/src/usuallatency.ts
+++ b/packages/core/src/admission/usuallatency.ts
@@ -1,4 +1,4 @@
-import type { Millis } from './clock.js';
+import type { Millis } from '../clock.js';
 import { WorkCosts } from './workcost.js';
 
 /** The usual latency rises by at most this share a second, so that a crowded time doesn't count. */
--- a/packages/core/src/workcost.ts
+++ b/packages/core/src/admission/workcost.ts
@@ -1,4 +1,4 @@
-import type { Millis } from './clock.js';
+import type { Millis } from '../clock.js';
 
 /** Samples of one kind of work that are kept. */
 const MAX_SAMPLES = 32;
--- a/packages/core/src/workqueue.ts
+++ b/packages/core/src/admission/workqueue.ts
@@ -1,6 +1,6 @@
-import type { Millis } from './clock.js';
+import type { Millis } from '../clock.js';
 import { ExpiryBuckets } from './expirybuckets.js';
-import type { Route } from './router.js';
+import type { Route } from '../routing/router.js';
 import { type ExpectedWait, type QueueDecision, SlotQueue } from './slotqueue.js';
 import type { SlotTable } from './slottable.js';
 import { findLatestStart, type RankedWork, WorkLane } from './worklane.js';
--- a/packages/core/src/clientlimits.ts
+++ b/packages/core/src/clients/clientlimits.ts
@@ -1,5 +1,5 @@
-import type { Millis } from './clock.js';
-import type { VmLimits } from './vmpower.js';
+import type { Millis } from '../clock.js';
+import type { VmLimits } from '../membership/vmpower.js';
 
 const MIB_BYTES = 1024 * 1024;
 
--- a/packages/core/src/chain.ts
+++ b/packages/core/src/configuration/chain.ts
@@ -1,4 +1,4 @@
-import { InvalidNoteError } from './errors.js';
+import { InvalidNoteError } from '../errors.js';
 import {
   applyNote,
   checkNote,
--- a/packages/core/src/configurationlease.ts
+++ b/packages/core/src/configuration/configurationlease.ts
@@ -1,4 +1,4 @@
-import type { Millis } from './clock.js';
+import type { Millis } from '../clock.js';
 
 /** Proof that no version of the configuration above `version` was in force at `provedAt`. */
 export interface ConfigurationProof {
--- a/packages/core/src/follower.ts
+++ b/packages/core/src/configuration/follower.ts
@@ -1,6 +1,6 @@
-import type { FailoverAction } from './failovertypes.js';
-import type { Millis } from './clock.js';
-import type { GroupRecord, InstanceStatus } from './group.js';
+import type { FailoverAction } from '../takeover/failovertypes.js';
+import type { Millis } from '../clock.js';
+import type { GroupRecord, InstanceStatus } from '../group.js';
 import { RepeatLimiter } from './repeatlimiter.js';
 
 /** True when the instance is the primary that the record names, in the record's term. */
--- a/packages/core/src/gossipqueue.ts
+++ b/packages/core/src/configuration/gossipqueue.ts
@@ -1,4 +1,4 @@
-import type { Millis } from './clock.js';
+import type { Millis } from '../clock.js';
 
 /** Number of times that each change is sent, in addition to the logarithm of the fleet's size. */
 const EXTRA_SENDS = 3;
--- a/packages/core/src/note.ts
+++ b/packages/core/src/configuration/note.ts
@@ -1,7 +1,7 @@
 import { z } from 'zod';
-import type { Contract } from './contract.js';
-import { InvalidNoteError } from './errors.js';
-import type { DatabaseGroup } from './group.js';
+import type { Contract } from '../routing/contract.js';
+import { InvalidNoteError } from '../errors.js';
+import type { DatabaseGroup } from '../group.js';
 
 /** Largest size of a value that the platform accepts. */
 export const MAX_VALUE_BYTES = 1_000_000;
--- a/packages/core/src/notegossip.ts
+++ b/packages/core/src/configuration/notegossip.ts
@@ -1,7 +1,7 @@
-import type { Millis } from './clock.js';
+import type { Millis } from '../clock.js';
 import { NoteChain } from './chain.js';
 import type { Configuration } from './note.js';
-import { ExchangeFeature, type NoteUpdate, type PeerExchange } from './peer.js';
+import { ExchangeFeature, type NoteUpdate, type PeerExchange } from '../membership/peer.js';
 import { createShards, ShardCollector, SNAPSHOT_INTERVAL, type SnapshotShard } from './snapshot.js';
 
 /** Size limit of the notes in a message; any note or shard that the platform accepts fits. */
--- a/packages/core/src/notestore.ts
+++ b/packages/core/src/configuration/notestore.ts
@@ -1,5 +1,5 @@
 import { type ChainDecision, NoteChain } from './chain.js';
-import { CoreError, InvalidNoteError } from './errors.js';
+import { CoreError, InvalidNoteError } from '../errors.js';
 import {
   type Configuration,
   EMPTY_CONFIGURATION,
--- a/packages/core/src/repeatlimiter.ts
+++ b/packages/core/src/configuration/repeatlimiter.ts
@@ -1,4 +1,4 @@
-import type { Millis } from './clock.js';
+import type { Millis } from '../clock.js';
 
 /** Minimum interval between two sends of the same request. */
 const REPEAT_MS: Millis = 100;
--- a/packages/core/src/snapshot.ts
+++ b/packages/core/src/configuration/snapshot.ts
@@ -1,5 +1,5 @@
 import { z } from 'zod';
-import { InvalidNoteError } from './errors.js';
+import { InvalidNoteError } from '../errors.js';
 import { type Configuration, shardSchema } from './note.js';
 
 /** Number of notes between two snapshots; limits how many notes a starting daemon reads. */
--- a/packages/core/src/group.ts
+++ b/packages/core/src/group.ts
@@ -1,5 +1,5 @@
 import type { Millis } from './clock.js';
-import type { Incarnations } from './incarnations.js';
+import type { Incarnations } from './takeover/incarnations.js';
 import type { LogPosition } from './position.js';
 
 /** One database server of a group, as release notes describe it. */
--- a/packages/core/src/link.ts
+++ b/packages/core/src/membership/link.ts
@@ -1,5 +1,5 @@
-import type { FenceAnswer } from './failovertypes.js';
-import type { InstanceStatus } from './group.js';
+import type { FenceAnswer } from '../takeover/failovertypes.js';
+import type { InstanceStatus } from '../group.js';
 
 /** Client of one instance's control functions. Calls reject when no answer arrives in time. */
 export abstract class InstanceLink {
--- a/packages/core/src/membership.ts
+++ b/packages/core/src/membership/membership.ts
@@ -1,11 +1,11 @@
-import type { Millis } from './clock.js';
-import { FailureDetector } from './failuredetector.js';
+import type { Millis } from '../clock.js';
+import { FailureDetector } from '../takeover/failuredetector.js';
 import { VmListTracker } from './vmlist.js';
 import { MemberTable } from './membertable.js';
 import { PingTargets } from './pingtargets.js';
-import { GossipQueue, TokenBucket } from './gossipqueue.js';
+import { GossipQueue, TokenBucket } from '../configuration/gossipqueue.js';
 import type { MemberUpdate } from './peer.js';
-import type { ListedVm } from './platform.js';
+import type { ListedVm } from '../configuration/platform.js';
 import { SuspicionTracker } from './suspicion.js';
 import { PeerSync } from './peersync.js';
 import { MembershipView, type Vm } from './vm.js';
--- a/packages/core/src/peer.ts
+++ b/packages/core/src/membership/peer.ts
@@ -1,6 +1,6 @@
-import type { Millis } from './clock.js';
-import type { GroupRecord } from './group.js';
-import type { PrimaryObservation } from './primarymonitor.js';
+import type { Millis } from '../clock.js';
+import type { GroupRecord } from '../group.js';
+import type { PrimaryObservation } from '../takeover/primarymonitor.js';
 import type { Vm } from './vm.js';
 
 /** State of a VM as another one sees it. A higher incarnation replaces every lower one. */
--- a/packages/core/src/roster.ts
+++ b/packages/core/src/membership/roster.ts
@@ -1,5 +1,5 @@
-import type { Millis } from './clock.js';
-import type { DatabaseInstance, InstanceRole } from './group.js';
+import type { Millis } from '../clock.js';
+import type { DatabaseInstance, InstanceRole } from '../group.js';
 
 /** Time within which live instances whose entries expired in a store outage register again. */
 const MISSING_TIMEOUT_MS: Millis = 2_500;
--- a/packages/core/src/suspicion.ts
+++ b/packages/core/src/membership/suspicion.ts
@@ -1,4 +1,4 @@
-import type { Millis } from './clock.js';
+import type { Millis } from '../clock.js';
 import type { MemberUpdate } from './peer.js';
 
 /** A suspect that does not refute the suspicion within this time is declared dead. */
--- a/packages/core/src/vmlist.ts
+++ b/packages/core/src/membership/vmlist.ts
@@ -1,4 +1,4 @@
-import type { ListedVm } from './platform.js';
+import type { ListedVm } from '../configuration/platform.js';
 
 /** Finds the changes between two versions of the platform's VM list. */
 export class VmListTracker {
--- a/packages/core/src/lender.ts
+++ b/packages/core/src/quota/lender.ts
@@ -1,5 +1,5 @@
-import type { Millis } from './clock.js';
-import type { BorrowGrant, BorrowRequest } from './peer.js';
+import type { Millis } from '../clock.js';
+import type { BorrowGrant, BorrowRequest } from '../membership/peer.js';
 import {
   REPORT_TTL_MS,
   LENDING_DELAY_MS,
--- a/packages/core/src/lenderchoice.ts
+++ b/packages/core/src/quota/lenderchoice.ts
@@ -1,4 +1,4 @@
-import type { Millis } from './clock.js';
+import type { Millis } from '../clock.js';
 
 /** A VM that has acknowledged a lender acknowledges no other one for this long. */
 export const ACKNOWLEDGEMENT_MS: Millis = 1_200;
--- a/packages/core/src/operationlimit.ts
+++ b/packages/core/src/quota/operationlimit.ts
@@ -1,5 +1,5 @@
-import type { Millis } from './clock.js';
-import { rankVms } from './rendezvous.js';
+import type { Millis } from '../clock.js';
+import { rankVms } from '../membership/rendezvous.js';
 
 const SECOND_MS: Millis = 1_000;
 /** Length of the intervals in which operations are counted. */
--- a/packages/core/src/permitclient.ts
+++ b/packages/core/src/quota/permitclient.ts
@@ -1,8 +1,8 @@
-import type { Millis } from './clock.js';
+import type { Millis } from '../clock.js';
 import { LenderChoice } from './lenderchoice.js';
 import { PermitHolder, type PermitHolderOptions } from './permitholder.js';
 import type { PermitAnswer, PermitRequest } from './permitmessage.js';
-import { rankVms } from './rendezvous.js';
+import { rankVms } from '../membership/rendezvous.js';
 
 /** Interval of the requests that only acknowledge the lender. */
 const HEARTBEAT_MS: Millis = 400;
--- a/packages/core/src/permitholder.ts
+++ b/packages/core/src/quota/permitholder.ts
@@ -1,4 +1,4 @@
-import type { Millis } from './clock.js';
+import type { Millis } from '../clock.js';
 import { computeFloor, computePermitLifetime, type QuotaRule } from './operationlimit.js';
 import { PermitBatch, PermitHolding } from './permitholding.js';
 import {
--- a/packages/core/src/permitholding.ts
+++ b/packages/core/src/quota/permitholding.ts
@@ -1,4 +1,4 @@
-import type { Millis } from './clock.js';
+import type { Millis } from '../clock.js';
 import { WindowAccount } from './windowaccount.js';
 
 /** Fewer operations in the life of a permit are no reason to ask ahead. */
--- a/packages/core/src/permitlender.ts
+++ b/packages/core/src/quota/permitlender.ts
@@ -1,4 +1,4 @@
-import type { Millis } from './clock.js';
+import type { Millis } from '../clock.js';
 import { ACKNOWLEDGEMENT_MS } from './lenderchoice.js';
 import {
   COUNT_INTERVAL_MS,
--- a/packages/core/src/permitmessage.ts
+++ b/packages/core/src/quota/permitmessage.ts
@@ -1,4 +1,4 @@
-import type { Millis } from './clock.js';
+import type { Millis } from '../clock.js';
 import type { AgedCounts } from './windowaccount.js';
 
 /** Orders the copies of a lender's accounts: by term, then by sequence. */
--- a/packages/core/src/quota.ts
+++ b/packages/core/src/quota/quota.ts
@@ -1,5 +1,5 @@
-import type { Millis } from './clock.js';
-import type { BorrowGrant, BorrowRequest } from './peer.js';
+import type { Millis } from '../clock.js';
+import type { BorrowGrant, BorrowRequest } from '../membership/peer.js';
 import { EMPTY_SHARES, mapShares, type Shares } from './share.js';
 
 /** A holder renews its grant within this time. */
--- a/packages/core/src/windowaccount.ts
+++ b/packages/core/src/quota/windowaccount.ts
@@ -1,4 +1,4 @@
-import type { Millis } from './clock.js';
+import type { Millis } from '../clock.js';
 import { COUNT_INTERVAL_MS } from './operationlimit.js';
 
 /** Length of the intervals of a copy. */
--- a/packages/core/src/contract.ts
+++ b/packages/core/src/routing/contract.ts
@@ -1,4 +1,4 @@
-import type { Millis } from './clock.js';
+import type { Millis } from '../clock.js';
 
 /** Selects the statements that a contract covers. Every given field must match. */
 export interface ContractMatch {
--- a/packages/core/src/ejection.ts
+++ b/packages/core/src/routing/ejection.ts
@@ -1,4 +1,4 @@
-import type { Millis } from './clock.js';
+import type { Millis } from '../clock.js';
 
 /** How long the first ejection lasts; each further one takes twice as long. */
 const FIRST_EJECTION_MS: Millis = 1_000;
--- a/packages/core/src/leastrecent.ts
+++ b/packages/core/src/routing/leastrecent.ts
@@ -1,4 +1,4 @@
-import type { Millis } from './clock.js';
+import type { Millis } from '../clock.js';
 
 /** How long a measurement counts at least. */
 const WINDOW_MS: Millis = 5_000;
--- a/packages/core/src/outlier.ts
+++ b/packages/core/src/routing/outlier.ts
@@ -1,4 +1,4 @@
-import type { Millis } from './clock.js';
+import type { Millis } from '../clock.js';
 import { Ejection } from './ejection.js';
 import { ResultWindow, type WorkResult } from './resultwindow.js';
 
--- a/packages/core/src/resultwindow.ts
+++ b/packages/core/src/routing/resultwindow.ts
@@ -1,4 +1,4 @@
-import type { Millis } from './clock.js';
+import type { Millis } from '../clock.js';
 
 /** Time in which the weight of a result halves. */
 const HALF_LIFE_MS: Millis = 2_000;
--- a/packages/core/src/router.ts
+++ b/packages/core/src/routing/router.ts
@@ -1,7 +1,7 @@
-import type { Millis } from './clock.js';
+import type { Millis } from '../clock.js';
 import type { Contract } from './contract.js';
-import type { DatabaseGroup, DatabaseInstance, GroupRecord, InstanceStatus } from './group.js';
-import { hasPosition, type LogPosition } from './position.js';
+import type { DatabaseGroup, DatabaseInstance, GroupRecord, InstanceStatus } from '../group.js';
+import { hasPosition, type LogPosition } from '../position.js';
 
 /** One proxy's knowledge of a group, used for routing. */
 export interface GroupView {
--- a/packages/core/src/samples.ts
+++ b/packages/core/src/routing/samples.ts
@@ -1,5 +1,5 @@
-import type { Millis } from './clock.js';
-import { comparePositions, hasPosition, type LogPosition } from './position.js';
+import type { Millis } from '../clock.js';
+import { comparePositions, hasPosition, type LogPosition } from '../position.js';
 
 /** Samples older than this are dropped, since no read needs them. */
 const KEEP_MS: Millis = 10_000;
--- a/packages/core/src/sessionpositions.ts
+++ b/packages/core/src/routing/sessionpositions.ts
@@ -1,4 +1,4 @@
-import { chooseLater, formatPosition, type LogPosition, parsePosition } from './position.js';
+import { chooseLater, formatPosition, type LogPosition, parsePosition } from '../position.js';
 
 /**
  * The least log position that a session's reads must see, for each group. A position only
--- a/packages/core/src/zonebalance.ts
+++ b/packages/core/src/routing/zonebalance.ts
@@ -1,4 +1,4 @@
-import type { Millis } from './clock.js';
+import type { Millis } from '../clock.js';
 import type { ZoneBudget } from './zonebudget.js';
 
 /** Gap between two changes of the share. */
--- a/packages/core/src/zonebudget.ts
+++ b/packages/core/src/routing/zonebudget.ts
@@ -1,4 +1,4 @@
-import type { Millis } from './clock.js';
+import type { Millis } from '../clock.js';
 
 const SECOND_MS: Millis = 1_000;
 /** Unused budget that is kept for a short peak. */
--- a/packages/core/src/commitgate.ts
+++ b/packages/core/src/takeover/commitgate.ts
@@ -1,5 +1,5 @@
-import type { Millis } from './clock.js';
-import { chooseLater, formatPosition, hasPosition, type LogPosition } from './position.js';
+import type { Millis } from '../clock.js';
+import { chooseLater, formatPosition, hasPosition, type LogPosition } from '../position.js';
 import { type ConnectionTrace, ProcessContinuity } from './processcontinuity.js';
 import { LATE_CALL_MS } from './takeoverstep.js';
 import type { FenceReport } from './takeovertypes.js';
--- a/packages/core/src/failover.ts
+++ b/packages/core/src/takeover/failover.ts
@@ -7,17 +7,17 @@
   WriteAction,
   WriteOutcome,
 } from './failovertypes.js';
-import { Backoff } from './backoff.js';
-import type { Millis } from './clock.js';
-import { FollowerDirector, isLeading } from './follower.js';
-import type { GroupRecord, InstanceStatus } from './group.js';
+import { Backoff } from '../admission/backoff.js';
+import type { Millis } from '../clock.js';
+import { FollowerDirector, isLeading } from '../configuration/follower.js';
+import type { GroupRecord, InstanceStatus } from '../group.js';
 import { isCounted } from './incarnations.js';
 import { FailoverTrigger } from './failovertrigger.js';
 import { PrimaryMonitor, type PrimaryObservation } from './primarymonitor.js';
 import { RejoinTracker } from './rejoin.js';
-import { RepeatLimiter } from './repeatlimiter.js';
+import { RepeatLimiter } from '../configuration/repeatlimiter.js';
 import { FenceQuorum } from './fencequorum.js';
-import { decodeStoreVersion } from './storeversion.js';
+import { decodeStoreVersion } from '../configuration/storeversion.js';
 
 /** For this long after the start of fencing, the suspected primary is no candidate. */
 const PREFER_OTHERS_MS: Millis = 100;
--- a/packages/core/src/failovertrigger.ts
+++ b/packages/core/src/takeover/failovertrigger.ts
@@ -1,6 +1,6 @@
-import type { Millis } from './clock.js';
-import { isLeading } from './follower.js';
-import type { GroupRecord } from './group.js';
+import type { Millis } from '../clock.js';
+import { isLeading } from '../configuration/follower.js';
+import type { GroupRecord } from '../group.js';
 import { type PrimaryMonitor, UNREACHABLE_AFTER_MS } from './primarymonitor.js';
 import type { RejoinTracker } from './rejoin.js';
 
--- a/packages/core/src/failovertypes.ts
+++ b/packages/core/src/takeover/failovertypes.ts
@@ -1,5 +1,5 @@
-import type { DatabaseGroup, GroupRecord } from './group.js';
-import type { LogPosition } from './position.js';
+import type { DatabaseGroup, GroupRecord } from '../group.js';
+import type { LogPosition } from '../position.js';
 
 /** An instance's answer to a fence request. */
 export interface FenceAnswer {
--- a/packages/core/src/failuredetector.ts
+++ b/packages/core/src/takeover/failuredetector.ts
@@ -1,4 +1,4 @@
-import type { Millis } from './clock.js';
+import type { Millis } from '../clock.js';
 
 /** Initial ping timeout; it grows with the round-trip time of the peer. */
 const PING_TIMEOUT_MS: Millis = 150;
--- a/packages/core/src/fencequorum.ts
+++ b/packages/core/src/takeover/fencequorum.ts
@@ -1,7 +1,7 @@
 import type { FailoverOptions, FenceAnswer } from './failovertypes.js';
-import { countMajority } from './group.js';
+import { countMajority } from '../group.js';
 import { type Incarnations, isCounted } from './incarnations.js';
-import { comparePositions } from './position.js';
+import { comparePositions } from '../position.js';
 
 /** Collects the answers to the fences of one term and chooses the instance to promote. */
 export class FenceQuorum {
--- a/packages/core/src/fencereports.ts
+++ b/packages/core/src/takeover/fencereports.ts
@@ -1,6 +1,6 @@
-import type { Millis } from './clock.js';
+import type { Millis } from '../clock.js';
 import type { Incarnation } from './incarnation.js';
-import { comparePositions, formatPosition, type LogPosition } from './position.js';
+import { comparePositions, formatPosition, type LogPosition } from '../position.js';
 import type { FenceReport, InstanceView, StartReport } from './takeovertypes.js';
 
 /** A report, the incarnation that gave it, and when it was known. */
--- a/packages/core/src/fencing.ts
+++ b/packages/core/src/takeover/fencing.ts
@@ -1,4 +1,4 @@
-import type { Millis } from './clock.js';
+import type { Millis } from '../clock.js';
 import { findLeaderToStop } from './handover.js';
 import { isAlive } from './instanceview.js';
 import type { OrderTimer } from './ordertimer.js';
--- a/packages/core/src/fencingstep.ts
+++ b/packages/core/src/takeover/fencingstep.ts
@@ -1,5 +1,5 @@
 import { type AttemptContext, type AttemptDecision, createAction, WAIT } from './attemptcontext.js';
-import type { Millis } from './clock.js';
+import type { Millis } from '../clock.js';
 import { chooseHandoverTarget, mayReplicaBeReplaced } from './handover.js';
 import { findLeader } from './instanceview.js';
 import type { GateAnswer } from './promotiongate.js';
--- a/packages/core/src/grouprecord.ts
+++ b/packages/core/src/takeover/grouprecord.ts
@@ -1,6 +1,6 @@
 import { z } from 'zod';
-import type { GroupRecord } from './group.js';
-import { MAX_TERM } from './position.js';
+import type { GroupRecord } from '../group.js';
+import { MAX_TERM } from '../position.js';
 
 const MAX_NAME_LENGTH = 1_000;
 const nameSchema = z.string().max(MAX_NAME_LENGTH);
--- a/packages/core/src/handover.ts
+++ b/packages/core/src/takeover/handover.ts
@@ -1,4 +1,4 @@
-import type { Millis } from './clock.js';
+import type { Millis } from '../clock.js';
 import { isSamePlace } from './incarnation.js';
 import { findLeader, hasAnswered, isAlive } from './instanceview.js';
 import { PROMOTION_TIMEOUT_MS } from './takeoverstep.js';
--- a/packages/core/src/logholder.ts
+++ b/packages/core/src/takeover/logholder.ts
@@ -1,6 +1,6 @@
-import type { Millis } from './clock.js';
+import type { Millis } from '../clock.js';
 import type { Incarnation } from './incarnation.js';
-import { chooseLater, comparePositions, type LogPosition } from './position.js';
+import { chooseLater, comparePositions, type LogPosition } from '../position.js';
 
 /**
  * How long a group without a leader waits for a log that may hold the only copy of an acknowledged
--- a/packages/core/src/logholders.ts
+++ b/packages/core/src/takeover/logholders.ts
@@ -1,8 +1,8 @@
-import type { Millis } from './clock.js';
+import type { Millis } from '../clock.js';
 import { formatIncarnation, type Incarnation } from './incarnation.js';
 import { findLeader, hasAnswered, isAlive } from './instanceview.js';
 import { LogHolder } from './logholder.js';
-import { hasPosition, type LogPosition } from './position.js';
+import { hasPosition, type LogPosition } from '../position.js';
 import type { InstanceView } from './takeovertypes.js';
 
 /** Number of incarnations that are remembered as no longer needed. */
--- a/packages/core/src/majority.ts
+++ b/packages/core/src/takeover/majority.ts
@@ -1,7 +1,7 @@
-import type { Millis } from './clock.js';
-import { countMajority, type InstanceStatus } from './group.js';
+import type { Millis } from '../clock.js';
+import { countMajority, type InstanceStatus } from '../group.js';
 import { type Incarnations, isCounted } from './incarnations.js';
-import { chooseLater, hasPosition, LOG_START, type LogPosition } from './position.js';
+import { chooseLater, hasPosition, LOG_START, type LogPosition } from '../position.js';
 
 /** Readings arrive each millisecond while commits wait, and contracts allow ages of a minute. */
 const MAX_READINGS = 512;
--- a/packages/core/src/ordertimer.ts
+++ b/packages/core/src/takeover/ordertimer.ts
@@ -1,4 +1,4 @@
-import type { Millis } from './clock.js';
+import type { Millis } from '../clock.js';
 
 /** Gap between repeated orders to an instance that has not answered. */
 const REPEAT_MS: Millis = 150;
--- a/packages/core/src/primarymonitor.ts
+++ b/packages/core/src/takeover/primarymonitor.ts
@@ -1,10 +1,10 @@
-import type { Millis } from './clock.js';
+import type { Millis } from '../clock.js';
 import {
   countMajority,
   type DatabaseGroup,
   type GroupRecord,
   type InstanceStatus,
-} from './group.js';
+} from '../group.js';
 import { type Incarnations, isCounted } from './incarnations.js';
 
 /** An instance that has answered no probe for this long counts as unreachable. */
--- a/packages/core/src/processcontinuity.ts
+++ b/packages/core/src/takeover/processcontinuity.ts
@@ -1,4 +1,4 @@
-import type { Millis } from './clock.js';
+import type { Millis } from '../clock.js';
 
 /** When a connection to an instance was opened, and whether it still is. */
 export interface ConnectionTrace {
--- a/packages/core/src/promotingstep.ts
+++ b/packages/core/src/takeover/promotingstep.ts
@@ -1,5 +1,5 @@
 import { type AttemptContext, type AttemptDecision, createAction } from './attemptcontext.js';
-import type { Millis } from './clock.js';
+import type { Millis } from '../clock.js';
 import { findLeader } from './instanceview.js';
 import {
   PROMOTION_ANSWER_TIMEOUT_MS,
--- a/packages/core/src/promotiongate.ts
+++ b/packages/core/src/takeover/promotiongate.ts
@@ -1,7 +1,7 @@
-import type { Millis } from './clock.js';
+import type { Millis } from '../clock.js';
 import { type Incarnation, isSameIncarnation } from './incarnation.js';
 import { isAlive } from './instanceview.js';
-import type { LogPosition } from './position.js';
+import type { LogPosition } from '../position.js';
 import type { InFlightOrder } from './promotionorders.js';
 import type { SuccessorSelector } from './successor.js';
 import { CONFIRMATION_TTL_MS } from './takeoverstep.js';
--- a/packages/core/src/promotionorders.ts
+++ b/packages/core/src/takeover/promotionorders.ts
@@ -1,4 +1,4 @@
-import type { Millis } from './clock.js';
+import type { Millis } from '../clock.js';
 import type { PromotionGrant } from './promotiongate.js';
 import { LATE_CALL_MS, LEASE_MARGIN_MS, LEASE_MS, PROMOTION_TIMEOUT_MS } from './takeoverstep.js';
 import type { PromotionAnswer, PromotionRecord } from './takeovertypes.js';
--- a/packages/core/src/provenlogs.ts
+++ b/packages/core/src/takeover/provenlogs.ts
@@ -1,7 +1,7 @@
-import type { Millis } from './clock.js';
+import type { Millis } from '../clock.js';
 import { formatIncarnation } from './incarnation.js';
 import { findLeader } from './instanceview.js';
-import { hasPosition } from './position.js';
+import { hasPosition } from '../position.js';
 import type { InstanceView } from './takeovertypes.js';
 
 /**
--- a/packages/core/src/recordview.ts
+++ b/packages/core/src/takeover/recordview.ts
@@ -1,6 +1,10 @@
-import type { Millis } from './clock.js';
+import type { Millis } from '../clock.js';
 import { formatIncarnation, type Incarnation, isSameIncarnation } from './incarnation.js';
-import { compareStoreVersions, encodeStoreVersion, type StoreVersion } from './storeversion.js';
+import {
+  compareStoreVersions,
+  encodeStoreVersion,
+  type StoreVersion,
+} from '../configuration/storeversion.js';
 import { ATTEMPT_TIMEOUT_MS } from './takeoverstep.js';
 import type { PromotionRecord } from './takeovertypes.js';
 
--- a/packages/core/src/rejoin.ts
+++ b/packages/core/src/takeover/rejoin.ts
@@ -1,10 +1,10 @@
-import { Backoff } from './backoff.js';
-import type { Millis } from './clock.js';
+import { Backoff } from '../admission/backoff.js';
+import type { Millis } from '../clock.js';
 import type { FailoverOptions } from './failovertypes.js';
-import { isLeading } from './follower.js';
-import { countMajority, type GroupRecord, type InstanceStatus } from './group.js';
+import { isLeading } from '../configuration/follower.js';
+import { countMajority, type GroupRecord, type InstanceStatus } from '../group.js';
 import { type Incarnations, isCounted } from './incarnations.js';
-import { hasPosition, type LogPosition } from './position.js';
+import { hasPosition, type LogPosition } from '../position.js';
 
 /** An incarnation that does not count yet, and what it has to hold before it does. */
 interface ReturnedInstance {
--- a/packages/core/src/requiredplan.ts
+++ b/packages/core/src/takeover/requiredplan.ts
@@ -1,4 +1,4 @@
-import type { Millis } from './clock.js';
+import type { Millis } from '../clock.js';
 import { findLeader } from './instanceview.js';
 import type { SuccessorSelector } from './successor.js';
 import type { InstanceView, TakeoverPlan } from './takeovertypes.js';
--- a/packages/core/src/successor.ts
+++ b/packages/core/src/takeover/successor.ts
@@ -1,11 +1,11 @@
-import type { Millis } from './clock.js';
+import type { Millis } from '../clock.js';
 import { EstablishedStarts } from './establishedstarts.js';
 import { type FencedLog, FenceReports, type IncarnationReport } from './fencereports.js';
 import { formatIncarnation, type Incarnation, isSameIncarnation } from './incarnation.js';
 import { findLeader, hasAnswered } from './instanceview.js';
 import { LOST_LOG_TIMEOUT_MS } from './logholder.js';
 import { LogHolders } from './logholders.js';
-import { hasPosition, type LogPosition } from './position.js';
+import { hasPosition, type LogPosition } from '../position.js';
 import { ProvenLogs } from './provenlogs.js';
 import type {
   FenceReport,
--- a/packages/core/src/takeover.ts
+++ b/packages/core/src/takeover/takeover.ts
@@ -1,5 +1,5 @@
 import type { AttemptDecision } from './attemptcontext.js';
-import type { Millis } from './clock.js';
+import type { Millis } from '../clock.js';
 import { FencingOrders } from './fencing.js';
 import { FencingStep } from './fencingstep.js';
 import { type Incarnation, isSamePlace } from './incarnation.js';
@@ -10,7 +10,7 @@
 import { PromotionOrders } from './promotionorders.js';
 import { PromotingStep } from './promotingstep.js';
 import { formatSettledClaim, hasSameMembers, PromotionRecordView } from './recordview.js';
-import { compareStoreVersions, type StoreVersion } from './storeversion.js';
+import { compareStoreVersions, type StoreVersion } from '../configuration/storeversion.js';
 import { SuccessorSelector } from './successor.js';
 import { findRequiredPlan } from './requiredplan.js';
 import type {
--- a/packages/core/src/takeoverstep.ts
+++ b/packages/core/src/takeover/takeoverstep.ts
@@ -1,7 +1,7 @@
-import type { Millis } from './clock.js';
-import type { LogPosition } from './position.js';
+import type { Millis } from '../clock.js';
+import type { LogPosition } from '../position.js';
 import type { PromotionGrant } from './promotiongate.js';
-import type { StoreVersion } from './storeversion.js';
+import type { StoreVersion } from '../configuration/storeversion.js';
 import type {
   PromotionAnswer,
   PromotionRecord,
--- a/packages/core/src/takeovertypes.ts
+++ b/packages/core/src/takeover/takeovertypes.ts
@@ -1,6 +1,6 @@
-import type { Millis } from './clock.js';
+import type { Millis } from '../clock.js';
 import type { Incarnation } from './incarnation.js';
-import type { LogPosition } from './position.js';
+import type { LogPosition } from '../position.js';
 
 /** A group's record in the platform's store: which VM may order a promotion. */
 export interface PromotionRecord {
--- a/packages/core/src/unprovenentries.ts
+++ b/packages/core/src/takeover/unprovenentries.ts
@@ -1,4 +1,4 @@
-import type { Millis } from './clock.js';
+import type { Millis } from '../clock.js';
 
 /** A registered instance that has not answered within this time counts as no member. */
 const UNPROVEN_TIMEOUT_MS: Millis = 2_000;
--- a/packages/core/test/pingtargets.spec.ts
+++ b/packages/core/test/pingtargets.spec.ts
@@ -1,6 +1,6 @@
 import { expect } from 'earl';
 import fc from 'fast-check';
-import { PingTargets } from '../src/pingtargets.js';
+import { PingTargets } from '../src/membership/pingtargets.js';
 import type { MemberUpdate } from '../src/index.js';
 
 const toUpdate = (id: string, state: MemberUpdate['state']): MemberUpdate => ({
