--- a/packages/soak/test/soak.spec.ts
+++ b/packages/soak/test/soak.spec.ts
@@ -87,8 +87,8 @@
   'runs a passed-on write twice': {
     mutant: {
       file: 'forwarding/src/home.ts',
-      from: 'const reply = await runObserved(connection, command);',
-      to: 'await runObserved(connection, command); const reply = await runObserved(connection, command);',
+      from: 'const reply = await runObserved(lease.connection, command);',
+      to: 'await runObserved(lease.connection, command); const reply = await runObserved(lease.connection, command);',
     },
     faults: [],
     invariant: 'a write is committed at most once',
