Remove a method that nothing calls and say what a probe's connection is for

CallerIdentity.findOrganisation had no caller, and the comment of ConnectionPool.connect did not tell its preference nor that callers use connectFor. Change: the method is gone, the comment reworded; no behaviour, test or check changes.

--- a/packages/engine/src/identity.ts
+++ b/packages/engine/src/identity.ts
@@ -29,11 +29,6 @@
     private readonly areKeysInForce: () => boolean,
   ) {}
 
-  /** The organisation that holds the key now, also where the caller needs no key. */
-  findOrganisation(): string | undefined {
-    return this.configuration.read()?.organisations?.findByKey(this.key)?.name;
-  }
-
   /**
    * Returns the failure with which a new session is refused. Each of its operations is checked
    * again, so that a key which can't be proved to be in force at present does not end the session.
--- a/packages/engine/src/pool.ts
+++ b/packages/engine/src/pool.ts
@@ -76,7 +76,10 @@
     return this.countOpen() < this.limit;
   }
 
-  /** Takes an idle connection of any organisation, or opens one in the name of this VM. */
+  /**
+   * Takes an idle connection, one in the name of this VM if possible, or opens one. Callers' work
+   * uses `connectFor`.
+   */
   async connect(): Promise<C> {
     return this.takeIdle(isOwn) ?? this.openOne(undefined);
   }
