Report requests that the end of a connection leaves unanswered

Cause: not known yet.

Change: CloseReporter counts each end by its reason, and logs reason, number and age of the unanswered requests with the version and the age of the configuration. Requests that are read after the connection was closed here are counted as well. No logic changes.

--- a/packages/engine/src/clientguard.ts
+++ b/packages/engine/src/clientguard.ts
@@ -43,7 +43,7 @@
 
   constructor(
     private readonly guard: ClientGuard,
-    private readonly onCut: () => void,
+    private readonly onCut: (reason: CutReason) => void,
     isShared: boolean,
   ) {
     this.memory = guard.memory.open(() => this.cut('memory'), isShared);
@@ -76,7 +76,7 @@
   private cut(reason: CutReason): void {
     this.guard.report(reason);
     this.close();
-    this.onCut();
+    this.onCut(reason);
   }
 }
 
@@ -125,7 +125,7 @@
    * Watches a connection; `onCut` must close it. A shared one carries the work of many clients, and
    * is closed for lack of memory only when no client's own holds much.
    */
-  watch(onCut: () => void, isShared = false): ClientWatch {
+  watch(onCut: (reason: CutReason) => void, isShared = false): ClientWatch {
     const watch = new ClientWatch(this, onCut, isShared);
     this.watches.add(watch);
     return watch;
--- a/packages/engine/src/index.ts
+++ b/packages/engine/src/index.ts
@@ -3,6 +3,14 @@
 export { ClientGuard, ClientWatch } from './clientguard.js';
 export type { ClientGuardOptions, ClientWait, CutReason } from './clientguard.js';
 export { SuspendAwareClock, SystemClock } from './clock.js';
+export { CloseReporter } from './closereporter.js';
+export type {
+  CallerClose,
+  CloseReason,
+  CloseReporterOptions,
+  IdleCloseReason,
+  UnansweredRequest,
+} from './closereporter.js';
 export { ConfigurationHolder, findUrgentPriority } from './configuration.js';
 export type { DatabaseRoute, GroupSettings, ServiceConfiguration } from './configuration.js';
 export { InstanceConnection, InstanceConnector } from './connection.js';
--- a/packages/engine/src/proxy.ts
+++ b/packages/engine/src/proxy.ts
@@ -1,4 +1,5 @@
 import { type Clock, InstanceRoster, type Millis, RetryBudgets } from '@shallotpick/core';
+import type { IdleCloseReason } from './closereporter.js';
 import type { ConfigurationHolder, ServiceConfiguration } from './configuration.js';
 import type { ConfigurationVerifier } from './configurationverifier.js';
 import type { GroupAccess } from './access.js';
@@ -39,7 +40,7 @@
   readonly session: Session;
   /** True when no request is in progress and none has arrived for a short while. */
   isQuiescent(): boolean;
-  close(): void;
+  close(reason: IdleCloseReason): void;
 }
 
 /** Services of a proxy. */
@@ -194,7 +195,7 @@
     clearTimeout(this.tickTimer);
     clearInterval(this.sessionTimer);
     this.options.fleet.stop();
-    this.callers.forEach((caller) => caller.close());
+    this.callers.forEach((caller) => caller.close('stop'));
     this.options.forwarding?.stop();
     this.options.groups.stop();
     this.options.log.info('stopped', { callers: this.callers.size });
@@ -209,7 +210,7 @@
     if (!caller.isQuiescent()) return;
     if (!caller.session.isIdle()) {
       if (elapsed >= graceMs / 2) caller.session.abort('the proxy is shutting down');
-    } else if (elapsed >= BALANCER_DELAY_MS) caller.close();
+    } else if (elapsed >= BALANCER_DELAY_MS) caller.close('drain');
   }
 
   /** The name that a caller gave, or one of this VM's own where that is a secret key. */
@@ -297,7 +298,7 @@
       now - isolatedSince >= ISOLATION_LIMIT_MS + BALANCER_DELAY_MS
     ) {
       this.callers.forEach((caller) => {
-        if (caller.isQuiescent() && caller.session.isIdle()) caller.close();
+        if (caller.isQuiescent() && caller.session.isIdle()) caller.close('isolation');
       });
     }
     this.callers.forEach((caller) => caller.session.handleTick(now));
