Split the wiring of the engine by what it creates

createProxy was one function of some 170 lines. The watchers of the store now stand in sources.ts, the parts of an adapter in proxyparts.ts, and wiring.ts creates the rest in one short function a part.

--- a/packages/engine/src/index.ts
+++ b/packages/engine/src/index.ts
@@ -101,4 +101,4 @@
 export { PROMOTIONS_KIND } from './takeover.js';
 export { wait, waitAtMost } from './timing.js';
 export { createProxy } from './wiring.js';
-export type { ProxyParts } from './wiring.js';
+export type { ProxyParts } from './proxyparts.js';
--- /dev/null
+++ b/packages/engine/src/sources.ts
@@ -0,0 +1,176 @@
+import type { Clock, Millis } from '@shallotpick/core';
+import type { ConfigurationHolder } from './configuration.js';
+import { ConfigurationVerifier } from './configurationverifier.js';
+import type { GroupDirectory } from './directory.js';
+import type { EraAwareStore } from './era.js';
+import { StoreError } from './errors.js';
+import type { Placement } from './placement.js';
+import type { Proxy } from './proxy.js';
+import type { ProxyParts } from './proxyparts.js';
+import type { StoredObject } from './store.js';
+import { PROMOTIONS_KIND } from './takeover.js';
+import { ObjectWatcher, type ObjectWatcherOptions } from './watcher.js';
+
+/** Fraction of the time allowed for applying a change that one watch call may take. */
+const WATCH_FRACTION = 0.6;
+/**
+ * A key is given up this long before the time limit for its revocation, which covers the way of a
+ * request from its caller.
+ */
+const REVOCATION_MARGIN_MS: Millis = 500;
+/**
+ * A VM that is no home is told of a new configuration by homes, too, so that a lost watch call of its
+ * own does not delay the configuration.
+ */
+const ENTRY_WATCH_MS: Millis = 25_000;
+/** Time beyond its wait in which a watch call is answered and the next one has a proof. */
+const WATCH_ANSWER_MS: Millis = 1_500;
+/** Promotion records are written conditionally, so reading one late does no harm. */
+const PROMOTIONS_WATCH_MS: Millis = 12_000;
+
+/** Receivers of what the store holds, created after its watchers. */
+export interface SourceReceivers {
+  proxy?: Pick<Proxy, 'roster' | 'applyRoster'>;
+  groups?: GroupDirectory;
+}
+
+/** What the watchers of the store need. */
+export interface SourceOptions {
+  readonly parts: ProxyParts;
+  readonly store: EraAwareStore;
+  readonly clock: Clock;
+  /** Clock that includes suspensions of the VM. */
+  readonly ageClock: Clock;
+  readonly placement: Placement;
+  readonly configuration: ConfigurationHolder;
+  readonly receivers: SourceReceivers;
+}
+
+type WatcherParts = Pick<
+  ObjectWatcherOptions,
+  'kind' | 'findWatchTime' | 'onListing' | 'onChange'
+> &
+  Partial<Pick<ObjectWatcherOptions, 'onAnswer' | 'clock' | 'isNeeded' | 'countWatchers'>>;
+
+/** Creates a watcher that runs while this VM is a home of some group. */
+function createWatcher(
+  { parts, store, clock, placement, receivers }: SourceOptions,
+  watched: WatcherParts,
+): ObjectWatcher {
+  return new ObjectWatcher({
+    ...{ store, clock, log: parts.log, random: Math.random },
+    countWatchers: () => 1,
+    isNeeded: () => receivers.groups?.mayPlace() === true && placement.isAnyHome(),
+    onAnswer: () => undefined,
+    ...watched,
+  });
+}
+
+/** The source of the operator's configuration, which every VM watches. */
+export class ConfigurationSource {
+  readonly watcher: ObjectWatcher;
+
+  /** Proves that no later version is in force. */
+  readonly verifier: ConfigurationVerifier;
+
+  constructor(private readonly options: SourceOptions) {
+    const { parts, ageClock, placement, configuration } = options;
+    const { log, metrics, zone, revocationMs } = parts;
+    const watchMs = (parts.configurationApplyMs + parts.stableWindowMs) * WATCH_FRACTION;
+    this.verifier = new ConfigurationVerifier({
+      ...{ configuration, ageClock, log, metrics },
+      leaseMs: revocationMs === undefined ? undefined : revocationMs - REVOCATION_MARGIN_MS,
+      findRank: () => placement.findReaderRank(zone),
+      maxProofAgeMs: 2 * watchMs + WATCH_ANSWER_MS,
+      readConfiguration: async () => this.read(),
+    });
+    this.watcher = createWatcher(options, {
+      kind: parts.configurationKind,
+      clock: ageClock,
+      isNeeded: () => true,
+      findWatchTime: () => (placement.isAnyHome() ? watchMs : ENTRY_WATCH_MS),
+      onListing: (objects) => objects.forEach((object) => this.handleObject(object)),
+      onChange: (object, isDeleted) => {
+        if (!isDeleted) this.handleObject(object);
+      },
+      onAnswer: (askedAt) => this.verifier.handleAnswer(askedAt),
+    });
+  }
+
+  private async read(): Promise<void> {
+    const { parts, store } = this.options;
+    const { objects, isPartial } = await store.list(parts.configurationKind);
+    objects.forEach((object) => this.handleObject(object));
+    if (isPartial) throw new StoreError('the list of configurations is partial');
+  }
+
+  private handleObject(object: StoredObject): void {
+    const { parts, configuration } = this.options;
+    const decoded = parts.decodeConfiguration(object);
+    this.verifier.handleStoredVersion(decoded?.version);
+    if (decoded) configuration.update(decoded);
+  }
+}
+
+/** The watcher of the registered instances. */
+export interface InstanceSource {
+  readonly watcher: ObjectWatcher;
+  /** Lists the instances anew and applies what has changed. */
+  refresh(): Promise<void>;
+}
+
+/** Creates the source of the registered instances. */
+export function createInstanceSource(options: SourceOptions): InstanceSource {
+  const { parts, store, clock, placement, receivers } = options;
+  const { instancesKind: kind } = parts;
+  const watchMs = (parts.drainMs + parts.stableWindowMs) * WATCH_FRACTION;
+  const handleListing = (objects: readonly StoredObject[], isPartial: boolean): void => {
+    const decoded = objects.flatMap((object) => parts.decodeInstance(object) ?? []);
+    const roster = receivers.proxy?.roster;
+    if (isPartial) decoded.forEach((instance) => roster?.update(instance));
+    else roster?.updateAll(decoded, clock.readNow());
+  };
+  const watcher = createWatcher(options, {
+    kind,
+    findWatchTime: () => watchMs,
+    countWatchers: () => placement.countPool(),
+    onListing: (objects, _, isPartial) => handleListing(objects, isPartial),
+    onChange: (object, isDeleted) => {
+      const decoded = isDeleted ? undefined : parts.decodeInstance(object);
+      if (decoded) receivers.proxy?.roster.update(decoded);
+      else receivers.proxy?.roster.remove(object.name, clock.readNow());
+    },
+  });
+  const refresh = async (): Promise<void> => {
+    const { objects, isPartial = false } = await store.list(kind);
+    handleListing(objects, isPartial);
+    receivers.proxy?.applyRoster();
+  };
+  return { watcher, refresh };
+}
+
+/** Creates the watcher of the promotion records, which the takeovers of the local groups receive. */
+export function createPromotionWatcher(options: SourceOptions): ObjectWatcher {
+  const { receivers } = options;
+  const handleRecord = (object: StoredObject, era: number): void =>
+    receivers.groups?.findLocal(object.name)?.takeover.handleRecordObject(object, era);
+  /** Tells the groups whose record a whole listing lacks. */
+  const handleMissing = (objects: readonly StoredObject[], era: number): void => {
+    const names = new Set(objects.map(({ name }) => name));
+    const groups = receivers.groups?.listLocal().filter(({ name }) => !names.has(name)) ?? [];
+    groups.forEach(({ takeover }) => takeover.handleRecordObject(undefined, era));
+  };
+  return createWatcher(options, {
+    kind: PROMOTIONS_KIND,
+    findWatchTime: () => PROMOTIONS_WATCH_MS,
+    onListing: (objects, era, isPartial) => {
+      objects.forEach((object) => handleRecord(object, era));
+      if (!isPartial) handleMissing(objects, era);
+    },
+    onChange: (object, isDeleted, era) => {
+      if (!isDeleted) handleRecord(object, era);
+    },
+    onAnswer: (askedAt) =>
+      receivers.groups?.listLocal().forEach(({ takeover }) => takeover.handleAnswer(askedAt)),
+  });
+}
