Refuse operations that wait for a permit when the quota stops

What callers saw: nothing but the close of their connections, since the proxy closes them before its quota stops. An operation that a stopping process still held, or that asked afterwards, was never answered.

Cause: PermitPart.stop cleared its timer and left the waiting operations; the ticks that would have ended them had stopped as well.

Change: stop rejects what waits, and take refuses once stopped.

--- a/packages/engine/src/permitpart.ts
+++ b/packages/engine/src/permitpart.ts
@@ -42,6 +42,7 @@
   lender: 'no VM issues permits for the organisation',
   deadline: 'no permit for the organisation in time',
 };
+const STOPPED = 'the proxy stops';
 
 /** Takes and lends the permits for one part of the organisations on this VM. */
 export class PermitPart {
@@ -54,6 +55,8 @@
 
   private flushTimer: NodeJS.Timeout | undefined;
 
+  private isStopped = false;
+
   constructor(private readonly options: PermitPartOptions) {
     this.client = new PermitClient(options);
     this.lender = new PermitLender(options);
@@ -65,6 +68,7 @@
    * @throws NotRunError when there is none.
    */
   async take(organisation: string, deadline: Millis): Promise<HeldPermit> {
+    if (this.isStopped) throw new NotRunError(STOPPED);
     const now = this.options.clock.readNow();
     const { holder } = this.client;
     holder.recordDemand(organisation, now);
@@ -91,8 +95,13 @@
     this.send();
   }
 
+  /** Refuses the operations that wait, and those that ask from now on. */
   stop(): void {
+    this.isStopped = true;
     clearTimeout(this.flushTimer);
+    const waiters = [...this.waiting.values()].flat();
+    this.waiting.clear();
+    waiters.forEach(({ reject }) => reject(new NotRunError(STOPPED)));
   }
 
   private scheduleFlush(): void {
--- a/packages/engine/test/fleetquota.spec.ts
+++ b/packages/engine/test/fleetquota.spec.ts
@@ -156,4 +156,17 @@
     const taken = await Promise.race([Promise.all(takes), wait(DEADLINE_MS)]);
     expect(taken?.includes(undefined)).toEqual(true);
   });
+
+  // A process that stops has no ticks, so an operation that waited was never answered.
+  it('ends the waiting of operations when it stops, and refuses later ones', async () => {
+    const [vm] = vms;
+    if (!vm) throw new Error('no VM');
+    vms.forEach((one) => Object.assign(one, { isDraining: true }));
+    while (sum(await listLentParts(vms)) > 0) await wait(10);
+    const waiting = Array.from({ length: 100 }, async () => take(vm));
+    vm.quota.stop();
+    const taken = await Promise.race([Promise.all([...waiting, take(vm)]), wait(DEADLINE_MS)]);
+    expect(taken?.at(-1)).toEqual(undefined);
+    expect(taken?.length).toEqual(waiting.length + 1);
+  });
 }).timeout(30_000);
