Open the leases of a group in a module of their own

What connects admitted work to its instance, and passes on what the work came to, is now the lease opener's. No change of behaviour; the engine's specs of groups, sessions and probes pass.

--- a/packages/engine/src/group.ts
+++ b/packages/engine/src/group.ts
@@ -11,14 +11,10 @@
 import { CommitConfirmation } from './commitconfirmation.js';
 import type { GroupSettings } from './configuration.js';
 import type { InstanceConnector } from './connection.js';
-import {
-  type AdmittedWork,
-  Dispatcher,
-  type DispatcherOptions,
-  type WorkRequest,
-} from './dispatcher.js';
-import { ConnectionLimitError, NotRunError } from './errors.js';
-import { createLease, type Lease, type LeaseParts } from './lease.js';
+import { Dispatcher, type DispatcherOptions, type WorkRequest } from './dispatcher.js';
+import { NotRunError } from './errors.js';
+import type { Lease } from './lease.js';
+import { LeaseOpener } from './leaseopener.js';
 import type { Log } from './log.js';
 import { type Member, WARM_CONNECTIONS } from './member.js';
 import { GroupMembers } from './members.js';
@@ -85,6 +81,8 @@
 
   private readonly evidence: WorkEvidence;
 
+  private readonly opener: LeaseOpener;
+
   private readonly createdAt: Millis;
 
   private settings: GroupSettings;
@@ -136,6 +134,11 @@
       onStart: (...started) => this.handleStart(...started),
       onRefuse: (refusal) => this.router.logRefusal(refusal),
     });
+    this.opener = new LeaseOpener({
+      ...{ clock, log, members: this.members, dispatcher: this.dispatcher, router: this.router },
+      ...{ confirmation: this.confirmation, evidence: this.evidence },
+      zoneRouter: this.zoneRouter,
+    });
     this.takeover = options.createTakeover(this);
   }
 
@@ -186,7 +189,7 @@
     const { clock } = this.options;
     for (;;) {
       this.router.checkServable(request, clock.readNow());
-      const lease = await this.openLease(await this.dispatcher.add(request), request);
+      const lease = await this.opener.open(await this.dispatcher.add(request), request);
       if (lease) return lease;
       if (clock.readNow() >= request.deadline) throw new NotRunError('no connection in time');
       await wait(RECONNECT_DELAY_MS);
@@ -216,41 +219,6 @@
     this.dispatcher.stop();
   }
 
-  /** Creates the receiver of what a piece of work came to, which is no evidence once its member is removed. */
-  private createResults(
-    member: Member,
-    admitted: AdmittedWork,
-    request: WorkRequest,
-  ): LeaseParts['results'] {
-    const { clock } = this.options;
-    const isEvidence = (): boolean => request.kind === 'read' && this.isPresent(member);
-    return {
-      recordLatency: (tookMs) => {
-        if (!this.isPresent(member)) return;
-        member.recordLatency(tookMs, clock.readNow());
-        this.dispatcher.recordLatency(admitted, request, tookMs);
-      },
-      handleReply: (reply, tookMs) => {
-        if (isEvidence()) this.evidence.handleReply(member, reply, tookMs, clock.readNow());
-        if (request.kind === 'read') this.zoneRouter?.handleReply(member, reply);
-      },
-      handleLoss: (tookMs) => {
-        if (isEvidence()) this.evidence.handleLoss(member, tookMs, clock.readNow());
-      },
-    };
-  }
-
-  /** False for a removed member, also when a later start of its instance has taken its place. */
-  private isPresent(member: Member): boolean {
-    return this.members.find(member.id) === member;
-  }
-
-  /** Notes a failed connection, unless the instance has only reached its connection limit. */
-  private handleConnectionLoss(member: Member, error: unknown): void {
-    if (error instanceof ConnectionLimitError || !this.isPresent(member)) return;
-    this.evidence.handleLoss(member, 0, this.options.clock.readNow());
-  }
-
   private handleStart(...started: Parameters<DispatcherOptions['onStart']>): void {
     const [request, instance] = started;
     const member = this.members.find(instance);
@@ -286,39 +254,4 @@
     const concurrency = this.dispatcher.chooseConcurrency(member.id, { least, most });
     return { connections: limit, concurrency, longPermits: Math.max(1, slots - 1) };
   }
-
-  /** Connects to the assigned instance; undefined when that fails. */
-  private async openLease(
-    admitted: AdmittedWork,
-    request: WorkRequest,
-  ): Promise<Lease | undefined> {
-    const { clock, log } = this.options;
-    const { dispatcher } = this;
-    const { instance } = admitted;
-    const member = this.members.find(instance);
-    if (!member) {
-      dispatcher.withdraw(admitted);
-      return undefined;
-    }
-    member.updateRunning(true);
-    try {
-      const connection = await member.pool.connectFor(request.organisation);
-      const { after } = this.router.findPositions(request);
-      const { confirmation } = this;
-      const results = this.createResults(member, admitted, request);
-      const common = { dispatcher, clock, confirmation, results };
-      return createLease({ ...common, admitted, member, connection, after });
-    } catch (error) {
-      member.updateRunning(false);
-      member.handleConnectionFailure(error, clock.readNow());
-      this.handleConnectionLoss(member, error);
-      log.info('connection to instance failed', {
-        request: request.requestId,
-        instance,
-        error: String(error),
-      });
-      dispatcher.withdraw(admitted);
-      return undefined;
-    }
-  }
 }
