Refuse work at its deadline while its connection is being opened

What callers saw: a request whose instance took no connection waited up to 400 ms (the time limit of a connection) beyond its deadline before it was refused; on a route of 100 ms that is four times its time. One whose connection came late was sent although no time was left, and cut after a millisecond: a write then had an unknown outcome where "not run" would have been true.

Cause: GroupService.admit awaited the pool without regard to the deadline.

Evidence: the new spec failed before (no refusal within 2 s of a connection that stays open-ended).

Change: the lease opener refuses the work at its deadline. The slot is kept until the connection is open or has failed, so that no more of them are opened than before; the connection is left to later work, and nothing is learnt of a cost.

--- a/packages/engine/src/leaseopener.ts
+++ b/packages/engine/src/leaseopener.ts
@@ -1,11 +1,12 @@
 import type { Clock } from '@shallotpick/core';
 import type { CommitConfirmation } from './commitconfirmation.js';
 import type { AdmittedWork, Dispatcher, WorkRequest } from './dispatcher.js';
-import { ConnectionLimitError } from './errors.js';
+import { ConnectionLimitError, NotRunError } from './errors.js';
 import { createLease, type Lease, type LeaseParts } from './lease.js';
 import type { Log } from './log.js';
 import type { Member } from './member.js';
 import type { GroupMembers } from './members.js';
+import { waitAtMost } from './timing.js';
 import type { WorkEvidence } from './workevidence.js';
 import type { WorkRouter } from './workrouter.js';
 import type { ZoneRouter } from './zonerouter.js';
@@ -26,15 +27,35 @@
 export class LeaseOpener {
   constructor(private readonly options: LeaseOpenerOptions) {}
 
-  /** Connects to the assigned instance; undefined when that fails. */
+  /**
+   * Connects to the assigned instance; undefined when that fails. A connection that takes longer
+   * keeps the slot until it is open, and is left to later work.
+   *
+   * @throws NotRunError when there is no connection by the work's deadline.
+   */
   async open(admitted: AdmittedWork, request: WorkRequest): Promise<Lease | undefined> {
-    const { clock, log, members, dispatcher, router, confirmation } = this.options;
-    const { instance } = admitted;
-    const member = members.find(instance);
+    const { clock, members, dispatcher } = this.options;
+    const member = members.find(admitted.instance);
     if (!member) {
       dispatcher.withdraw(admitted);
       return undefined;
     }
+    const opening = this.openOn(member, admitted, request);
+    try {
+      return await waitAtMost(opening, request.deadline - clock.readNow());
+    } catch {
+      opening.then((lease) => this.withdraw(admitted, lease)).catch(() => undefined);
+      throw new NotRunError('no connection in time');
+    }
+  }
+
+  private async openOn(
+    member: Member,
+    admitted: AdmittedWork,
+    request: WorkRequest,
+  ): Promise<Lease | undefined> {
+    const { clock, log, dispatcher, router, confirmation } = this.options;
+    const { instance } = admitted;
     member.updateRunning(true);
     try {
       const connection = await member.pool.connectFor(request.organisation);
@@ -56,6 +77,12 @@
     }
   }
 
+  /** Frees the slot and the connection of work that has not run. */
+  private withdraw(admitted: AdmittedWork, lease: Lease | undefined): void {
+    this.options.dispatcher.withdraw(admitted);
+    lease?.release();
+  }
+
   /** Creates the receiver of what a piece of work came to, which is no evidence once its member is removed. */
   private createResults(
     member: Member,
--- a/packages/engine/test/group.spec.ts
+++ b/packages/engine/test/group.spec.ts
@@ -1,6 +1,13 @@
 import { DEFAULT_CONTRACT, ManualClock, type RegisteredInstance } from '@shallotpick/core';
 import { expect } from 'earl';
-import { createEngineLog, GroupService, Metrics, Suspicion, wait } from '../src/index.js';
+import {
+  createEngineLog,
+  GroupService,
+  type InstanceConnection,
+  Metrics,
+  Suspicion,
+  wait,
+} from '../src/index.js';
 import { FakeConnector, FakeInstance } from './fake.js';
 
 const INSTANCE: RegisteredInstance = {
@@ -9,6 +16,7 @@
 };
 /** Longer than the interval between two probes. */
 const LONG_MS = 400;
+const SHORT_MS = 50;
 /** Limits of real time, for a busy machine. */
 const MAX_PROBE_MS = 2_000;
 const MAX_ADMISSION_MS = 2_000;
@@ -30,16 +38,30 @@
   handleTick: () => undefined,
 } as unknown as ReturnType<CreateTakeover>;
 
+/** Opens connections once `ready` has settled. */
+class HeldConnector extends FakeConnector {
+  ready: Promise<void> = Promise.resolve();
+
+  opened = 0;
+
+  override async open(instance: RegisteredInstance): Promise<InstanceConnection> {
+    await this.ready;
+    this.opened += 1;
+    return super.open(instance);
+  }
+}
+
 /** Creates a group with one instance, which leads and serves work, on a manual clock. */
 async function createGroup(connectionLimit = 20) {
   const clock = new ManualClock(1_000);
   const instance = new FakeInstance('leader');
+  const connector = new HeldConnector(new Map([['leader', instance]]));
   const metrics = new Metrics();
   instance.isLeader = true;
   const group = new GroupService({
     ...{ name: 'g', zone: 'z', clock, ageClock: clock, metrics, drainMs: 7_000 },
     log: createEngineLog('error', 'test'),
-    connector: new FakeConnector(new Map([['leader', instance]])),
+    connector,
     suspicion: new Suspicion(),
     createTakeover: () => NO_TAKEOVER,
     countVms: () => 1,
@@ -60,7 +82,7 @@
     group.updateInstances([{ ...INSTANCE, startedAt: 2 }]);
     await tick();
   };
-  return { clock, group, instance, lease, metrics, restart };
+  return { clock, connector, group, instance, lease, metrics, restart };
 }
 
 describe('GroupService', () => {
@@ -121,4 +143,25 @@
     expect((await metrics.ejections.get()).values).toEqual([]);
     read.release();
   });
+
+  // Work waited for a connection beyond its deadline, and was sent when no time was left.
+  it('refuses work at its deadline while a connection is being opened, and keeps that', async () => {
+    const { clock, connector, group, lease } = await createGroup();
+    lease.release();
+    const work = { ...WORK, organisation: 'o' };
+    let finish = (): void => undefined;
+    connector.ready = new Promise((resolve) => {
+      finish = resolve;
+    });
+    const deadline = clock.readNow() + SHORT_MS;
+    const outcome = group.admit({ ...work, deadline }).catch(String);
+    expect(await Promise.race([outcome, wait(MAX_ADMISSION_MS)])).toEqual(
+      'NotRunError: no connection in time',
+    );
+    const before = connector.opened;
+    finish();
+    await wait(SHORT_MS);
+    await group.admit({ ...work, deadline: clock.readNow() + LONG_MS });
+    expect(connector.opened - before).toEqual(1);
+  });
 });
