Start no group on a proxy that has stopped

What callers saw: nothing, as far as is known: a process that has stopped has closed its callers and ends. The request of a session that it still held was never answered.

Cause: a watch that was in progress brought a configuration after the stop, and the directory started the groups that it named, which no tick serves.

Evidence: the new spec failed before (the group was started).

Change: the directory of a stopped proxy places no groups.

--- a/packages/engine/src/directory.ts
+++ b/packages/engine/src/directory.ts
@@ -33,6 +33,8 @@
 
   private placedVersion = -1;
 
+  private isStopped = false;
+
   private readonly createdAt: Millis;
 
   constructor(private readonly options: GroupDirectoryOptions) {
@@ -76,7 +78,9 @@
     return { total: forwarded.length, reachable: reachable.length };
   }
 
+  /** Stops the groups; none is started any more. */
   stop(): void {
+    this.isStopped = true;
     this.local.forEach((group) => group.stop());
   }
 
@@ -93,7 +97,7 @@
 
   private place(): boolean {
     const { placement } = this.options;
-    if (!this.configuration || !this.mayPlace()) return false;
+    if (this.isStopped || !this.configuration || !this.mayPlace()) return false;
     this.placedVersion = placement.version;
     let isChanged = false;
     const { configuration } = this;
