Wait for a home's first status before refusing work of an organisation

Cause: a link to a home of another zone, or to one that has just become a home, is opened by the work itself. Whether the home knows organisations stands in its first status, which can't have arrived by then, so the first such work on each new link was refused.

Change: such work waits for the first status, for as long as the home is not silent (300 ms), the link is whole and the caller waits; then it is sent, or passed to another home. The admissions of a link have a module of their own (admissionexchange.ts), and so has the conversion of requests (workrequest.ts), which moves out of home.ts and link.ts.

--- a/packages/forwarding/src/home.ts
+++ b/packages/forwarding/src/home.ts
@@ -1,5 +1,5 @@
 import type { Socket } from 'node:net';
-import { DEFAULT_CONTRACT, type Millis } from '@shallotpick/core';
+import type { Millis } from '@shallotpick/core';
 import {
   type ClientGuard,
   type Command,
@@ -13,7 +13,6 @@
   runObserved,
   type SessionState,
   type TransactionState,
-  type WorkRequest,
   WriteTracker,
 } from '@shallotpick/engine';
 import { match } from 'ts-pattern';
@@ -21,7 +20,6 @@
 import {
   decodeEntryMessage,
   type EntryMessage,
-  type ForwardedRequest,
   type ForwardedSession,
   type HomeMessage,
   LINK_FEATURES,
@@ -29,6 +27,7 @@
 } from './message.js';
 import { PeerActivity, SilenceMeter } from './silence.js';
 import { type MessageHandler, MessageSocket } from './socket.js';
+import { toWorkRequest } from './workrequest.js';
 
 /** Longer than callers wait; the VM that passed the work on ends it before. */
 const CONFIRMATION_TIMEOUT_MS: Millis = 5_000;
@@ -83,22 +82,6 @@
   return { variables: new Map(variables), statements: new Map(statements) };
 }
 
-function toWorkRequest(request: ForwardedRequest, now: Millis): WorkRequest {
-  const { requestId, kind, caller, priority, lastCommit, excluded, organisation } = request;
-  const { database = '', objectiveMs = request.remainingMs, isTransaction } = request;
-  return {
-    ...{ requestId, kind, caller, priority, organisation, database, isTransaction },
-    objective: now + objectiveMs,
-    contract: { ...DEFAULT_CONTRACT, maxAgeMs: request.maxAgeMs },
-    deadline: now + request.remainingMs,
-    lastCommit: lastCommit && {
-      position: lastCommit.position,
-      acknowledgedAt: now - lastCommit.ageMs,
-    },
-    excluded: new Set(excluded),
-  };
-}
-
 /** What the owner of an entry's link is told. */
 export interface EntryLinkObserver {
   /** The peer is known to be this VM. */
--- a/packages/forwarding/src/link.ts
+++ b/packages/forwarding/src/link.ts
@@ -6,15 +6,9 @@
   PermitAnswer,
   PermitRequest,
 } from '@shallotpick/core';
-import type {
-  ClientGuard,
-  HomeStatus,
-  Lease,
-  Log,
-  VmAddress,
-  WorkRequest,
-} from '@shallotpick/engine';
+import type { ClientGuard, HomeStatus, Log, VmAddress, WorkRequest } from '@shallotpick/engine';
 import { match } from 'ts-pattern';
+import { type Admission, AdmissionExchange } from './admissionexchange.js';
 import { LinkAddressError } from './errors.js';
 import {
   decodeHomeMessage,
@@ -45,12 +39,6 @@
 /** The part of a status that proves the configuration in force. */
 type ProofPart = Pick<HomeMessage & { readonly type: 'status' }, 'answers' | 'configuration'>;
 
-/** The result of asking a home for a connection. */
-export type Admission =
-  | { readonly kind: 'granted'; readonly lease: Lease }
-  /** The work has not run; with `mayTryOther` another home may serve it. */
-  | { readonly kind: 'refused'; readonly reason: string; readonly mayTryOther: boolean };
-
 /** The home, and the services of a link to it. */
 export interface HomeLinkOptions {
   readonly vm: string;
@@ -66,13 +54,6 @@
   readonly onClose: () => void;
 }
 
-/** An admission without an answer. */
-interface PendingAdmission {
-  readonly resolve: (admission: Admission) => void;
-  /** When the caller stops waiting. */
-  readonly deadline: Millis;
-}
-
 /** @throws LinkAddressError when no connection can be opened to the address. */
 function openSocket({ id, host, port = 0 }: VmAddress): Socket {
   try {
@@ -86,14 +67,12 @@
 export class HomeLink implements MessageHandler {
   private readonly socket: MessageSocket;
 
-  private readonly admissions = new Map<number, PendingAdmission>();
+  private readonly admissions: AdmissionExchange;
 
   private readonly connections = new Map<number, RemoteConnection>();
 
   private readonly permits = new PermitExchange((message) => this.send(message));
 
-  private nextLease = 1;
-
   /** When the link last had work. */
   usedAt: Millis;
 
@@ -133,6 +112,7 @@
     socket.once('connect', () => {
       this.isOpen = true;
     });
+    this.admissions = new AdmissionExchange(clock, (message) => this.send(message));
     this.openedAt = clock.readNow();
     this.usedAt = this.openedAt;
     this.silence = new SilenceMeter(this.openedAt);
@@ -165,43 +145,8 @@
 
   /** Asks the home for a connection. */
   async admit(group: string, request: WorkRequest): Promise<Admission> {
-    const now = this.options.clock.readNow();
-    this.usedAt = now;
-    const lease = this.nextLease;
-    this.nextLease += 1;
-    const { requestId, kind, contract, caller, deadline, priority, lastCommit, excluded } = request;
-    const { organisation, database, objective, isTransaction } = request;
-    if (organisation !== undefined && !this.supports('organisations')) {
-      return { kind: 'refused', reason: 'the home knows no organisations', mayTryOther: true };
-    }
-    const message: EntryMessage = {
-      ...{ type: 'admit', lease, group },
-      request: {
-        ...{ requestId, kind, caller, priority, database },
-        ...(organisation === undefined ? {} : { organisation }),
-        ...(isTransaction ? { isTransaction } : {}),
-        objectiveMs: objective - now,
-        maxAgeMs: contract.maxAgeMs,
-        remainingMs: deadline - now,
-        excluded: [...excluded],
-        ...(lastCommit
-          ? {
-              lastCommit: {
-                position: lastCommit.position,
-                ageMs: now - lastCommit.acknowledgedAt,
-              },
-            }
-          : {}),
-      },
-    };
-    return new Promise((resolve) => {
-      this.admissions.set(lease, { resolve, deadline });
-      try {
-        this.send(message);
-      } catch (error) {
-        this.settle(lease, { kind: 'refused', reason: String(error), mayTryOther: false });
-      }
-    });
+    this.usedAt = this.options.clock.readNow();
+    return this.admissions.request(group, request);
   }
 
   /** Asks the VM for permits; undefined when it doesn't answer or issues none. */
@@ -213,7 +158,7 @@
 
   handleTick(now: Millis): void {
     if (this.isClosed) return;
-    if (this.admissions.size + this.connections.size > 0) this.usedAt = now;
+    if (this.admissions.count() + this.connections.size > 0) this.usedAt = now;
     if (!this.isOpen && now - this.openedAt >= CONNECT_TIMEOUT_MS) {
       this.socket.close('no connection in time');
       return;
@@ -226,17 +171,17 @@
       this.closeDead(now);
       return;
     }
-    const interval = this.admissions.size > 0 ? BUSY_PING_INTERVAL_MS : PING_INTERVAL_MS;
+    const interval = this.admissions.count() > 0 ? BUSY_PING_INTERVAL_MS : PING_INTERVAL_MS;
     if (now - this.lastPingAt >= interval) this.ping(now);
-    if (this.isSilent(now)) this.withdraw('the home is silent', true, () => true);
-    this.withdraw('not admitted in time', false, ({ deadline }) => now >= deadline);
+    if (this.isSilent(now)) this.admissions.withdrawAll('the home is silent');
+    this.admissions.withdrawOverdue(now);
   }
 
   handleMessage(message: unknown): void {
     match(decodeHomeMessage(message))
       .with({ type: 'granted' }, (granted) => this.handleGranted(granted))
       .with({ type: 'refused' }, ({ lease, reason, mayTryOther }) =>
-        this.settle(lease, { kind: 'refused', reason, mayTryOther }),
+        this.admissions.settle(lease, { kind: 'refused', reason, mayTryOther }),
       )
       .with({ type: 'reply' }, (reply) => this.connections.get(reply.lease)?.handleReply(reply))
       .with({ type: 'broken' }, ({ lease, reason }) => {
@@ -254,9 +199,7 @@
   handleClose(reason: string): void {
     this.isClosed = true;
     this.options.log.info('link closed', { home: this.options.home.id, reason });
-    this.admissions.forEach((_, lease) => {
-      this.settle(lease, { kind: 'refused', reason, mayTryOther: true });
-    });
+    this.admissions.close(reason);
     this.connections.forEach((connection) => connection.fail(`link to a home: ${reason}`));
     this.connections.clear();
     this.permits.close();
@@ -300,6 +243,7 @@
     if (this.unansweredSince !== undefined) this.roundTripMs = now - this.unansweredSince;
     this.unansweredSince = undefined;
     this.status = status;
+    this.admissions.handleStatus(status, this.features);
   }
 
   /** Passes on the proof in the answer to a ping; it is at least as old as the ping. */
@@ -325,25 +269,6 @@
       this.connections.delete(lease);
     };
     const created = createRemoteLease(granted, connection, this.roundTripMs, send, onRelease);
-    this.settle(lease, { kind: 'granted', lease: created });
-  }
-
-  private settle(lease: number, admission: Admission): void {
-    const pending = this.admissions.get(lease);
-    this.admissions.delete(lease);
-    pending?.resolve(admission);
-  }
-
-  /** Takes back admissions without an answer, so that the work can be tried elsewhere. */
-  private withdraw(
-    reason: string,
-    mayTryOther: boolean,
-    isMeant: (pending: PendingAdmission) => boolean,
-  ): void {
-    this.admissions.forEach((pending, lease) => {
-      if (!isMeant(pending)) return;
-      this.send({ type: 'release', lease });
-      this.settle(lease, { kind: 'refused', reason, mayTryOther });
-    });
+    this.admissions.settle(lease, { kind: 'granted', lease: created });
   }
 }
