Refuse only the request whose admission fails unexpectedly at a home

Cause: EntryLink.handleAdmit closed the link after any error that was not a NotRunError.

Evidence: the spec "are refused alone after an unexpected error" fails on the earlier code: the request gets "home: closed by the peer", and the lease of another request is lost.

Change: the error is logged as before, and that request is refused; it has not run. Other homes are not asked, where it might fail alike.

--- a/packages/forwarding/src/home.ts
+++ b/packages/forwarding/src/home.ts
@@ -247,11 +247,18 @@
     this.admit(admit, held)
       .catch((error: unknown) => {
         this.host.log.error('admission failed', { vm: this.peer, error: String(error) });
-        this.socket.close('an unexpected error');
+        this.refuse(lease, held, 'an unexpected error', false);
       })
       .finally(() => memory.finishMessage(bytes));
   }
 
+  /** Refuses work that has not run, unless the peer no longer waits for it. */
+  private refuse(lease: number, held: HeldLease, reason: string, mayTryOther: boolean): void {
+    if (this.held.get(lease) !== held) return;
+    this.held.delete(lease);
+    this.send({ type: 'refused', lease, reason, mayTryOther });
+  }
+
   private async admit({ lease: id, request }: AdmitMessage, held: HeldLease): Promise<void> {
     if (!(await this.verified)) return;
     try {
@@ -269,12 +276,10 @@
       });
     } catch (error) {
       if (!(error instanceof NotRunError)) throw error;
-      if (this.held.get(id) !== held) return;
-      this.held.delete(id);
       // A group that has moved to other homes stops with the work that waited here.
       const hasMoved = this.host.findLocalGroup(held.group.name) !== held.group;
       const mayTryOther = hasMoved || this.host.readStatus().isIsolated;
-      this.send({ type: 'refused', lease: id, reason: error.message, mayTryOther });
+      this.refuse(id, held, error.message, mayTryOther);
     }
   }
 
--- a/packages/forwarding/test/oddrequests.spec.ts
+++ b/packages/forwarding/test/oddrequests.spec.ts
@@ -166,4 +166,13 @@
     await admit(createRequest(WAIT_MS));
     expect(other.connection.isUsable()).toEqual(true);
   });
+
+  // An unexpected error at one request closed the link, with the work of others.
+  it('are refused alone after an unexpected error', async () => {
+    const other = await admit(createRequest(WAIT_MS));
+    const refused = admit(createRequest(WAIT_MS, { requestId: 'unexpected' }));
+    await expect(refused).toBeRejectedWith('an unexpected error');
+    expect(home.errors).toEqual(['admission failed']);
+    expect(other.connection.isUsable()).toEqual(true);
+  });
 });
