Let the soak's operator change the configuration and check every answer

The soak looked only at requests that a stopping process cut, and its operator changed nothing but keys, so it could not have shown it.

AnswerChecker judges each connection of a VM that is left alone, by what its caller saw and by what the VM logs of unanswered requests. Its check of a graceful stop replaces the one of the soak: that passed over all requests within six seconds of a disruptive fault, this one over those of VMs that were themselves killed, paused or cut off since. Log lines that fall into a stall of the soak's own process are counted as unjudged.

--- a/packages/soak/src/faultinjector.ts
+++ b/packages/soak/src/faultinjector.ts
@@ -1,8 +1,10 @@
 import type { EmulatedPlatform } from '@shallotpick/emulator';
 import { match, P } from 'ts-pattern';
+import { CHANGE_KINDS, injectChangeFault } from './changefaults.js';
 import type { SoakFault } from './faultschedule.js';
 import { GROUP_KINDS, injectGroupFault } from './groupfaults.js';
 import { injectKeyFault, KEY_KINDS } from './keyfaults.js';
+import type { SoakOperator } from './operator.js';
 import type { SoakOrganisations } from './organisations.js';
 import { injectOutageFault, OUTAGE_KINDS } from './outagefaults.js';
 import { injectPartitionFault, PARTITION_KINDS } from './partitionfaults.js';
@@ -19,6 +21,7 @@
     private readonly platform: EmulatedPlatform,
     private readonly vms: readonly SoakVm[],
     private readonly organisations: SoakOrganisations,
+    private readonly operator: SoakOperator,
   ) {}
 
   /** Starts a fault; the promise is settled when it has ended. */
@@ -34,7 +37,7 @@
   }
 
   private async run({ kind, durationMs, targetSeed }: SoakFault): Promise<void> {
-    const { platform, vms } = this;
+    const { platform, vms, operator } = this;
     const vm = vms[targetSeed % vms.length]!;
     const group = platform.groups[targetSeed % platform.groups.length]!;
     const details = { durationMs, targetSeed };
@@ -42,6 +45,9 @@
       .with(P.union(...VM_KINDS), (one) => injectVmFault(one, vms, vm, durationMs))
       .with(P.union(...STORE_KINDS), (one) => injectStoreFault(one, platform, group, details))
       .with(P.union(...KEY_KINDS), () => injectKeyFault(this.organisations, details))
+      .with(P.union(...CHANGE_KINDS), (one) =>
+        injectChangeFault(one, { operator, vms, vm, ...details }),
+      )
       .with(P.union(...GROUP_KINDS), (one) => injectGroupFault(one, platform, group, details))
       .with(P.union(...RESTART_KINDS), (one) => injectRestartFault(one, platform, group, details))
       .with(P.union(...PARTITION_KINDS), (one) =>
--- a/packages/soak/src/faultkinds.ts
+++ b/packages/soak/src/faultkinds.ts
@@ -1,3 +1,4 @@
+import { CHANGE_KINDS, type ChangeFaultKind } from './changefaults.js';
 import { GROUP_KINDS, type GroupFaultKind } from './groupfaults.js';
 import { KEY_KINDS, type KeyFaultKind } from './keyfaults.js';
 import { OUTAGE_KINDS, type OutageFaultKind } from './outagefaults.js';
@@ -39,12 +40,13 @@
   | RestartFaultKind
   | KeyFaultKind
   | OutageFaultKind
-  | PartitionFaultKind;
+  | PartitionFaultKind
+  | ChangeFaultKind;
 
 /** How often the kinds of a selection are listed. */
 const WEIGHTS = {
   ...{ restorations: 12, restarts: 4, oddEntries: 12, outages: 3, partitions: 5 },
-  keys: 8,
+  ...{ keys: 8, changes: 8, signals: 16 },
 };
 
 /** Kinds that a run draws beside the usual ones. */
@@ -61,6 +63,16 @@
   readonly outages?: boolean | undefined;
   /** True when VMs also differ in which instances they reach, and how soon the store answers them. */
   readonly partitions?: boolean | undefined;
+  /** True when the operator also writes configurations in series, beside more signals. */
+  readonly changes?: boolean | undefined;
+}
+
+function listChangeKinds(): readonly SoakFaultKind[] {
+  const signals: readonly SoakFaultKind[] = ['stopVm', 'reloadVm', 'silenceStore', 'slowStore'];
+  return [
+    ...Array<typeof CHANGE_KINDS>(WEIGHTS.changes).fill(CHANGE_KINDS).flat(),
+    ...Array<typeof signals>(WEIGHTS.signals).fill(signals).flat(),
+  ];
 }
 
 /** Lists the kinds of a selection, each as often as its weight says. */
@@ -70,6 +82,7 @@
   oddEntries,
   outages,
   partitions,
+  changes,
   organisations = 0,
 }: FaultSelection): readonly SoakFaultKind[] {
   return [
@@ -81,30 +94,7 @@
     ...(partitions
       ? Array<typeof PARTITION_KINDS>(WEIGHTS.partitions).fill(PARTITION_KINDS).flat()
       : []),
+    ...(changes ? listChangeKinds() : []),
     ...(outages ? Array<typeof OUTAGE_KINDS>(WEIGHTS.outages).fill(OUTAGE_KINDS).flat() : []),
   ];
 }
-
-/** Faults that must not interrupt a request; any other fault may, so it suspends that check. */
-const NON_DISRUPTIVE_KINDS: ReadonlySet<SoakFaultKind> = new Set<SoakFaultKind>([
-  'stopVm',
-  'reloadVm',
-  'compactStore',
-  'writeOddEntry',
-  'revokeKey',
-]);
-
-/** Tells whether a fault must not interrupt any request. */
-export function isNonDisruptive({ kind }: { readonly kind: SoakFaultKind }): boolean {
-  return NON_DISRUPTIVE_KINDS.has(kind);
-}
-
-const OUTAGE_KIND_SET: ReadonlySet<SoakFaultKind> = new Set<SoakFaultKind>([
-  ...OUTAGE_KINDS,
-  ...PARTITION_KINDS,
-]);
-
-/** Tells whether a fault is one of the outage kinds, which end later than their duration. */
-export function isOutage({ kind }: { readonly kind: SoakFaultKind }): boolean {
-  return OUTAGE_KIND_SET.has(kind);
-}
--- a/packages/soak/src/invariantchecker.ts
+++ b/packages/soak/src/invariantchecker.ts
@@ -80,6 +80,8 @@
     commits: 0,
     unsavable: 0,
     lostWithOrder: 0,
+    /** Log lines of unanswered requests that fell into a stall of the soak's own process. */
+    unjudged: 0,
   };
 
   private readonly sentStatements = new Map<string, SentStatement>();
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -25,6 +25,8 @@
       /** Lets VMs differ in what they reach, and draws the platform's rules. */
       partitions: { type: 'boolean', default: false },
       instances: { type: 'string', default: '3' },
+      /** Writes configurations in series, beside callers that pipeline requests. */
+      changes: { type: 'boolean', default: false },
       /** Number of organisations, whose keys come and go. */
       organisations: { type: 'string', default: '0' },
       /** Lets another writer leave entries that can't be used. */
@@ -44,6 +46,7 @@
       restarts: values.restarts,
       outages: values.outages,
       partitions: values.partitions,
+      changes: values.changes,
       instances: Number(values.instances),
       organisations: Number(values.organisations),
       oddEntries: values['odd-entries'],
--- a/packages/soak/src/organisations.ts
+++ b/packages/soak/src/organisations.ts
@@ -1,5 +1,6 @@
 import { randomBytes } from 'node:crypto';
-import type { Millis } from '@shallotpick/core';
+import type { Random } from '@shallotpick/bench';
+import type { Millis, OperationRate } from '@shallotpick/core';
 import type { KeyedOrganisation } from '@shallotpick/engine';
 
 const KEY_BYTES = 12;
@@ -25,6 +26,8 @@
 
   private readonly revocations: Revocation[] = [];
 
+  private readonly rateLimits = new Map<string, OperationRate>();
+
   /** @param publish writes the organisations into the configuration, as the operator does */
   constructor(
     count: number,
@@ -41,10 +44,24 @@
   encode(): readonly KeyedOrganisation[] | undefined {
     if (this.list.length === 0) return undefined;
     return this.list.map(({ name, key }) => ({
-      ...{ name, keys: this.revoked.has(key) ? [] : [key], rateLimit: undefined },
+      ...{ name, keys: this.revoked.has(key) ? [] : [key] },
+      rateLimit: this.rateLimits.get(name),
     }));
   }
 
+  /** Draws the rate limits, of which half of the organisations have none. */
+  drawRateLimits(random: Random, mostPerSecond: number): void {
+    this.list.forEach(({ name }) => {
+      const ratePerSecond = 1 + random.nextInt(mostPerSecond);
+      if (random.nextInt(2) === 0) this.rateLimits.delete(name);
+      else this.rateLimits.set(name, { ratePerSecond, burst: ratePerSecond });
+    });
+  }
+
+  removeRateLimits(): void {
+    this.rateLimits.clear();
+  }
+
   /** Takes the key of one organisation away; returns the function that gives it back. */
   revokeKey(index: number): () => void {
     const found = this.list[index % Math.max(1, this.list.length)];
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -1,22 +1,28 @@
 import { mkdir } from 'node:fs/promises';
 import { join } from 'node:path';
 import { createRandom, type Random } from '@shallotpick/bench';
-import { DEFAULT_CONTRACT, type Millis } from '@shallotpick/core';
+import type { Millis } from '@shallotpick/core';
 import {
   DEFAULT_PROMOTION_RULES,
   EmulatedPlatform,
   type EmulatedGroupOptions,
   type PromotionRules,
 } from '@shallotpick/emulator';
-import { type DatabaseRoute, type GroupSettings, wait } from '@shallotpick/engine';
-import { type InterruptedRequest, SoakCaller } from './caller.js';
+import { wait } from '@shallotpick/engine';
+import { AnswerChecker } from './answerchecker.js';
+import type { SoakCaller, SoakCallerOptions } from './caller.js';
 import { InvariantChecker, type Violation } from './invariantchecker.js';
 import { FaultInjector } from './faultinjector.js';
-import { type FaultSelection, isNonDisruptive, isOutage } from './faultkinds.js';
+import type { FaultSelection } from './faultkinds.js';
 import { createFaultSchedule, type SoakFault } from './faultschedule.js';
+import { SoakOperator } from './operator.js';
 import { SoakOrganisations } from './organisations.js';
+import { PipeliningCaller } from './pipeliningcaller.js';
 import { choosePromotionRules } from './platformrules.js';
+import { StallWatch } from './stallwatch.js';
 import { createSubRandom } from './subrandom.js';
+import { TransactionCaller } from './transactioncaller.js';
+import { VisitingCaller } from './visitingcaller.js';
 import { SoakVm } from './vm.js';
 
 const ZONES = ['zone-a', 'zone-b', 'zone-c'];
@@ -29,15 +35,15 @@
 const FINAL_WINDOW_MS: Millis = 1_500;
 /** Share of the operations that must succeed once no fault is active. */
 const MIN_SUCCESS_SHARE = 0.95;
-/** Time after a disruptive fault during which interrupted requests are no violation. */
-const POST_FAULT_EXEMPTION_MS: Millis = 6_000;
-/** A request that was interrupted within this time may never have been read. */
-const UNREAD_REQUEST_MS: Millis = 200;
 const READY_POLL_MS: Millis = 250;
 // Concurrent runs derive separate loopback addresses from their process ids.
 const MAX_BYTE = 253;
 const BYTE_BITS = 8;
 
+/** Callers of other kinds in a run with changes, as shares of the usual ones. */
+const PIPELINING_SHARE = 0.25;
+const VISITING_SHARE = 0.1;
+
 const INSTANCE = { slots: 3, statementCostMs: 3, connectCostMs: 6 };
 
 /** Size, program and faults of a run. */
@@ -76,19 +82,6 @@
   readonly promotionRules: PromotionRules;
 }
 
-function createRoute(group: string, index: number): DatabaseRoute {
-  const maxAgeMs = [0, 1_500, 2_500][index] ?? 0;
-  return {
-    database: `${group}-${['fresh', 'aged', 'own'][index]}`,
-    group,
-    contract: { ...DEFAULT_CONTRACT, maxAgeMs },
-    readsOwnWrites: index !== 1,
-    timeoutMs: 1_000,
-    targetLatencyMs: 200,
-    priority: 1,
-  };
-}
-
 /** Runs real processes against the emulated platform under random faults. */
 export class Soak {
   private readonly random: Random;
@@ -97,11 +90,13 @@
 
   private readonly platform: EmulatedPlatform;
 
-  private readonly routes: readonly DatabaseRoute[];
+  private readonly stalls = new StallWatch();
 
-  private readonly organisations: SoakOrganisations;
+  private readonly answers: AnswerChecker;
 
-  private configurationVersion = 0;
+  private readonly operator: SoakOperator;
+
+  private readonly organisations: SoakOrganisations;
 
   private readonly startedAt = performance.now();
 
@@ -109,32 +104,36 @@
 
   private callers: readonly SoakCaller[] = [];
 
-  private ready: readonly SoakVm[] = [];
+  /** Callers that pipeline requests or visit databases; recovery isn't judged by them. */
+  private otherCallers: readonly SoakCaller[] = [];
 
-  private activeOutages = 0;
+  private ready: readonly SoakVm[] = [];
 
   private readonly promotionRules: PromotionRules;
 
-  private lastDisruptionEndsAt: Millis = Number.NEGATIVE_INFINITY;
-
   private isStopped = false;
 
   constructor(private readonly options: SoakOptions) {
     this.random = createRandom(options.seed);
     this.organisations = new SoakOrganisations(
       options.organisations ?? 0,
-      () => this.writeConfiguration(),
+      () => this.operator.write(),
       () => this.readNow(),
     );
     this.checker = new InvariantChecker(() => this.readNow(), this.organisations);
+    this.answers = new AnswerChecker(this.checker, this.stalls);
     this.promotionRules = options.promotionRules ?? this.choosePromotionRules();
     const groups = Array.from({ length: options.groups }, (_, index) => this.createGroup(index));
-    this.routes = groups.flatMap(({ name }) => [0, 1, 2].map((kind) => createRoute(name, kind)));
     this.platform = new EmulatedPlatform({
       ...{ zones: ZONES, groups, observer: this.checker },
       instancesPerGroup: options.instances ?? DEFAULT_INSTANCES,
       random: () => this.random.next(),
     });
+    this.operator = new SoakOperator({
+      groups: groups.map(({ name }) => name),
+      ...{ connections: this.connections, organisations: this.organisations },
+      publish: (configuration) => this.platform.writeConfiguration(configuration),
+    });
   }
 
   /** Runs the soak; the processes are stopped even when it fails. */
@@ -150,6 +149,7 @@
     }
     const { checker } = this;
     await checker.checkLogs(this.options.directory);
+    await this.answers.checkLogs(this.options.directory);
     return {
       violations: checker.violations,
       formattedViolations: checker.formatViolations(),
@@ -186,33 +186,22 @@
   private async start(): Promise<void> {
     const { platform, options } = this;
     await mkdir(options.directory, { recursive: true });
+    this.stalls.start();
     await platform.start();
-    this.writeConfiguration();
+    this.operator.write();
     this.vms = Array.from({ length: options.vms }, (_, index) => this.createVm(index));
     await Promise.all(this.vms.map((vm) => vm.open()));
-    this.callers = Array.from({ length: options.callers }, (_, index) => this.createCaller(index));
+    this.createCallers();
     this.watchReadiness().catch((error: unknown) =>
       this.checker.addViolation('the soak runs without internal errors', String(error)),
     );
-    this.callers.forEach((caller) => {
+    [...this.callers, ...this.otherCallers].forEach((caller) => {
       caller.run().catch((error: unknown) => {
         this.checker.addViolation('callers get well-formed responses', String(error));
       });
     });
   }
 
-  private writeConfiguration(): void {
-    const { platform, routes, organisations } = this;
-    const groups = platform.groups.map(({ name }): GroupSettings => ({
-      ...{ name, connectionLimit: this.connections, synchronousReplicas: 1 },
-    }));
-    this.configurationVersion += 1;
-    platform.writeConfiguration({
-      ...{ version: this.configurationVersion, routes, groups, transactionIdleMs: 3_000 },
-      organisations: organisations.encode(),
-    });
-  }
-
   private get connections(): number {
     return this.options.connections ?? DEFAULT_CONNECTIONS;
   }
@@ -234,24 +223,34 @@
     });
   }
 
-  private createCaller(index: number): SoakCaller {
+  private createCallers(): void {
+    const { callers, changes } = this.options;
+    const create = (count: number, createOne: (options: SoakCallerOptions) => SoakCaller) =>
+      Array.from({ length: count }, (_, index) => createOne(this.createCallerOptions(index)));
+    this.callers = create(callers, (options) => new TransactionCaller(options));
+    if (!changes) return;
+    this.otherCallers = [
+      ...create(
+        Math.ceil(callers * PIPELINING_SHARE),
+        (options) => new PipeliningCaller({ ...options, name: `pipelining-${options.name}` }),
+      ),
+      ...create(
+        Math.ceil(callers * VISITING_SHARE),
+        (options) => new VisitingCaller({ ...options, name: `visiting-${options.name}` }),
+      ),
+    ];
+  }
+
+  private createCallerOptions(index: number): SoakCallerOptions {
     const { list } = this.organisations;
-    return new SoakCaller({
+    const { routes } = this.operator;
+    return {
       organisation: list[index % Math.max(1, list.length)],
-      ...{ name: `caller${index}`, route: this.routes[index % this.routes.length]! },
-      ...{ checker: this.checker, random: this.random, readNow: () => this.readNow() },
+      ...{ name: `caller${index}`, route: routes[index % routes.length]! },
+      ...{ checker: this.checker, answers: this.answers, random: this.random },
+      readNow: () => this.readNow(),
       findVm: () => this.ready[this.random.nextInt(Math.max(1, this.ready.length))],
-      handleInterruptedRequest: (request) => this.handleInterruptedRequest(request),
-    });
-  }
-
-  private handleInterruptedRequest({ vm, id, text, waitedMs }: InterruptedRequest): void {
-    if (this.activeOutages > 0) return;
-    if (this.readNow() - this.lastDisruptionEndsAt < POST_FAULT_EXEMPTION_MS) return;
-    // A request sent while its session was being closed may never have been read.
-    if (!this.checker.hasExecuted(id) && waitedMs < UNREAD_REQUEST_MS) return;
-    const detail = `${vm.name}: ${id} ${text}, after ${Math.round(waitedMs)} ms`;
-    this.checker.addViolation('a graceful shutdown interrupts no request', detail);
+    };
   }
 
   /** Polls readiness as the load balancer does; with no VM ready, callers use any running one. */
@@ -267,35 +266,20 @@
   }
 
   private async inject(faults: readonly SoakFault[]): Promise<void> {
-    const injector = new FaultInjector(this.platform, this.vms, this.organisations);
+    const { platform, vms, organisations, operator } = this;
+    const injector = new FaultInjector(platform, vms, organisations, operator);
     const start = performance.now();
     for (const fault of faults) {
       await wait(Math.max(0, fault.at - (performance.now() - start)));
-      if (!isNonDisruptive(fault)) this.handleDisruption(fault.durationMs);
-      const isEnded = injector.start(fault);
-      if (isOutage(fault)) this.watchOutage(isEnded);
+      injector
+        .start(fault)
+        .catch((error: unknown) =>
+          this.checker.addViolation('the soak runs without internal errors', String(error)),
+        );
     }
     await injector.waitForCompletion();
   }
 
-  /** An outage ends with the last of its effects, which may be later than its duration. */
-  private watchOutage(isEnded: Promise<void>): void {
-    this.activeOutages += 1;
-    isEnded
-      .finally(() => {
-        this.activeOutages -= 1;
-        this.handleDisruption(0);
-      })
-      .catch((error: unknown) =>
-        this.checker.addViolation('the soak runs without internal errors', String(error)),
-      );
-  }
-
-  private handleDisruption(durationMs: Millis): void {
-    const endsAt = this.readNow() + durationMs;
-    this.lastDisruptionEndsAt = Math.max(this.lastDisruptionEndsAt, endsAt);
-  }
-
   /** Checks that every group is served again in time and that no acknowledged commit is lost. */
   private async checkRecovery(): Promise<void> {
     const { checker } = this;
@@ -325,7 +309,8 @@
 
   private async stop(): Promise<void> {
     this.isStopped = true;
-    this.callers.forEach((caller) => caller.stop());
+    this.stalls.stop();
+    [...this.callers, ...this.otherCallers].forEach((caller) => caller.stop());
     await Promise.all(this.vms.map((vm) => vm.close()));
     await this.platform.stop();
   }
--- a/packages/soak/src/vm.ts
+++ b/packages/soak/src/vm.ts
@@ -16,6 +16,8 @@
 /** Limit for the connections to a leaving instance to be released. */
 export const DRAIN_MS: Millis = 7_000;
 const STABLE_WINDOW_MS: Millis = 4_000;
+/** A process that runs again catches up within this time. */
+const RESUME_MS: Millis = 1_000;
 const READY_TIMEOUT_MS: Millis = 300;
 const STATUS_OK = 200;
 
@@ -67,6 +69,15 @@
 
   private readonly log: WriteStream;
 
+  /** When the process logged first, so that it accepts connections soon. */
+  private startedAt: Millis = Number.POSITIVE_INFINITY;
+
+  /** When the process ended; infinite while it runs. */
+  private exitedAt: Millis = Number.POSITIVE_INFINITY;
+
+  /** Until when the process was killed or paused, or its callers were cut off, last. */
+  private disturbedUntil: Millis = Number.NEGATIVE_INFINITY;
+
   /** True once the process has logged; before, it has no signal handlers and a signal ends it. */
   private hasStarted = false;
 
@@ -79,13 +90,19 @@
     this.storeProxy = new FaultProxy(() => this.storeService.port);
     this.promotionProxy = new FaultProxy(() => promotionPort);
     this.callerProxy = new FaultProxy(() => this.ports[0] ?? 0, options.host);
-    this.log = createWriteStream(join(directory, `${name}.log`), { flags: 'a' });
+    this.log = createWriteStream(join(directory, `${name}.log`), { flags: 'w' });
   }
 
   get name(): string {
     return this.options.name;
   }
 
+  /** True when the process has run since then, and was neither killed nor paused nor cut off from callers since then. */
+  isLeftAloneSince(time: Millis): boolean {
+    const isServed = time > this.startedAt && time < this.exitedAt;
+    return isServed && !this.isPaused && time > this.disturbedUntil;
+  }
+
   isRunning(): boolean {
     return this.child !== undefined;
   }
@@ -118,7 +135,10 @@
     this.child = child;
     this.hasStarted = false;
     child.stdout.once('data', () => {
-      if (this.child === child) this.hasStarted = true;
+      if (this.child !== child) return;
+      this.hasStarted = true;
+      this.startedAt = performance.now();
+      this.exitedAt = Number.POSITIVE_INFINITY;
     });
     this.expectedExit = 'none';
     this.isStopping = false;
@@ -141,6 +161,7 @@
     const { child } = this;
     if (!child) return;
     this.expectedExit = 'kill';
+    this.disturbedUntil = performance.now();
     await this.waitForExit(child, 'SIGKILL', GRACE_MS);
   }
 
@@ -150,10 +171,17 @@
   }
 
   resume(): void {
+    if (this.isPaused) this.disturbedUntil = performance.now() + RESUME_MS;
     this.isPaused = false;
     this.child?.kill('SIGCONT');
   }
 
+  /** Resets the connections of the callers. */
+  resetCallers(): void {
+    this.disturbedUntil = performance.now();
+    this.callerProxy.resetConnections();
+  }
+
   /** Sends SIGHUP to reload the settings, unless the process is still starting. */
   reload(): void {
     if (this.hasStarted) this.child?.kill('SIGHUP');
@@ -205,6 +233,8 @@
     this.isStopping = false;
     const { expectedExit: expectedEnd, name } = this;
     const exit = signal ?? code;
+    this.exitedAt = performance.now();
+    if (signal) this.disturbedUntil = this.exitedAt;
     const hasNoSignalHandler = signal === 'SIGTERM' && !this.hasStarted;
     if (expectedEnd === 'stop' && code !== 0 && signal !== 'SIGKILL' && !hasNoSignalHandler) {
       this.options.reportViolation('a stopped process exits with code 0', `${name}: ${exit}`);
--- a/packages/soak/src/vmfaults.ts
+++ b/packages/soak/src/vmfaults.ts
@@ -37,6 +37,16 @@
   );
 }
 
+/** Stops the VMs with an interval between the signals; each starts again after a short time. */
+export async function restartInOrder(vms: readonly SoakVm[], intervalMs: Millis): Promise<void> {
+  await Promise.all(
+    vms.map(async (vm, index) => {
+      await wait(index * intervalMs);
+      await restart([vm], (one) => one.stop());
+    }),
+  );
+}
+
 /** Kills all VMs at one moment; they start again after a short time. */
 export async function killAll(vms: readonly SoakVm[]): Promise<void> {
   await restart(vms, (one) => one.kill());
@@ -49,7 +59,7 @@
   vm: SoakVm,
   durationMs: Millis,
 ): Promise<void> {
-  const { storeProxy, promotionProxy, callerProxy } = vm;
+  const { storeProxy, promotionProxy } = vm;
   const { silence, cutOneWay, delay, refuse } = PROXY_FAULTS;
   await match(kind)
     .with('stopVm', () => restart([vm], (one) => one.stop()))
@@ -72,6 +82,6 @@
     .with('resetStore', () => injectProxyFault(storeProxy, durationMs, refuse))
     .with('abandonStore', async () => storeProxy.silenceOpenConnections())
     .with('silencePromotions', () => injectProxyFault(promotionProxy, durationMs, silence))
-    .with('resetCallers', async () => callerProxy.resetConnections())
+    .with('resetCallers', async () => vm.resetCallers())
     .exhaustive();
 }
