--- a/packages/soak/src/pipeliningcaller.ts
+++ b/packages/soak/src/pipeliningcaller.ts
@@ -5,7 +5,7 @@
 const MAX_BURST = 8;
 /** Share of the requests behind which a burst pauses for less than this. */
 const SPLIT_SHARE = 0.3;
-const MAX_SPLIT_MS = 4;
+const MAX_SPLIT_MS = 30;
 /** Limit of the pause between two bursts. */
 const MAX_PAUSE_MS = 120;
 /** Share of the operations after which the caller ends its session in the usual way. */
