End a read of the leader at its route's timeout

What callers saw: a read that only the leader may serve could be answered up to 300 ms after its route's timeout, when both its BEGIN and the read took long.

Cause: the time limit was computed before BEGIN and then allowed to the read in full as well.

Evidence: the new spec failed before (a success after 350 ms on a route of 250 ms).

Change: the limit of the read is computed after BEGIN.

--- a/packages/engine/src/single.ts
+++ b/packages/engine/src/single.ts
@@ -109,15 +109,15 @@
     const { attempts, context, statement, id } = this;
     const { connection } = lease;
     const startedAt = context.readNow();
-    const limit = attempts.computeReplyTimeout(lease);
     try {
       connection.setUp(context, statement);
       const begin = { operation: { kind: 'begin', isReadOnly: false } } as const;
-      const opened = await runCommand(connection, begin, limit);
+      const opened = await runCommand(connection, begin, attempts.computeReplyTimeout(lease));
       if (opened.failure) {
         lease.release();
         return { kind: 'refused', failure: opened.failure };
       }
+      const limit = attempts.computeReplyTimeout(lease);
       const running = runStatement(connection, context, statement, { id }, limit);
       const end = rollBack(connection, limit);
       const reply = await running;
--- a/packages/engine/test/session.spec.ts
+++ b/packages/engine/test/session.spec.ts
@@ -1,10 +1,14 @@
 import { expect } from 'earl';
 import { type Session, type Statement, wait } from '../src/index.js';
 import { createFixture, type Fixture } from './fixture.js';
+import { createConfiguration } from './store.js';
 
 const READ: Statement = { kind: 'read', text: 'READ a' };
 const WRITE: Statement = { kind: 'write', text: 'WRITE a b' };
 const BEGIN: Statement = { kind: 'begin', isReadOnly: false };
+const SHORT_TIMEOUT_MS = 250;
+/** Time until a watch that is in progress has answered. */
+const WATCH_MS = 50;
 
 describe('Session', () => {
   let fixture: Fixture;
@@ -169,4 +173,15 @@
     expect((await run(session, execute)).verdict).toEqual('unknownStatement');
     expect((await run(fixture.createSession('other'), READ)).verdict).toEqual('unknownDatabase');
   });
+
+  // A read had the time that was left twice, once for its BEGIN and once for itself.
+  it('ends a read of the leader at its timeout, however long its BEGIN took', async () => {
+    const next = createConfiguration(20, { timeoutMs: SHORT_TIMEOUT_MS, transactionIdleMs: 300 });
+    fixture.store.put('configurations', 'main', { ...next, version: 2 });
+    await wait(WATCH_MS);
+    fixture.leader.readDelayMs = ({ operation }) =>
+      operation.kind === 'begin' || operation.kind === 'read' ? SHORT_TIMEOUT_MS * 0.7 : 1;
+    const session = fixture.createSession('fresh');
+    expect((await run(session, READ)).verdict).toEqual('failed');
+  });
 });
