End every lease of a link although the end of one fails unexpectedly

An unexpected error in the release of one lease of a link that broke was thrown out of the socket's event and ended the process; in the release of one lease of an open link, it closed the link.

Cause: EntryLink.end let the error pass, also in the loop over all leases.

Evidence: the spec "end alone when their release fails unexpectedly" fails on the earlier code with an uncaught RangeError.

Change: the error is logged ("lease not ended") and ends nothing else.

Result: the specs of odd requests pass.

--- a/packages/forwarding/src/home.ts
+++ b/packages/forwarding/src/home.ts
@@ -374,7 +374,12 @@
     const held = this.held.get(id);
     this.held.delete(id);
     if (!held?.lease) return;
-    if (isClosed) held.lease.connection.close();
-    held.lease.release();
+    try {
+      if (isClosed) held.lease.connection.close();
+      held.lease.release();
+    } catch (error) {
+      // The other leases of the link are not affected.
+      this.host.log.error('lease not ended', { vm: this.peer, error: String(error) });
+    }
   }
 }
--- a/packages/forwarding/test/oddrequests.spec.ts
+++ b/packages/forwarding/test/oddrequests.spec.ts
@@ -5,6 +5,7 @@
   type Lease,
   type Reply,
   type SessionState,
+  wait,
   type WorkRequest,
 } from '@shallotpick/engine';
 /* eslint-disable import-x/no-relative-packages -- Test code of the engine is not in its package. */
@@ -22,6 +23,7 @@
 const SEED = 52;
 const RUNS = 150;
 const WAIT_MS = 1_000;
+const POLL_MS = 5;
 const LONG_NAME = 'n'.repeat(5_000);
 const MIB = 1024 * 1024;
 /** Positions have up to 15 digits. */
@@ -95,15 +97,22 @@
   let entry: FakeEntry;
   let granted: WorkRequest | undefined;
   let next: Reply;
+  let released: string[];
 
   const admit = async (work: WorkRequest): Promise<Lease> => entry.forwarding.admit('g', work);
 
   beforeEach(async () => {
+    released = [];
     home = await startHome('home');
     home.group = new FakeGroup(async (work) => {
       granted = work;
       if (work.requestId === 'unexpected') throw new RangeError('unexpected');
-      return createFakeLease(new ScriptedConnection(() => next));
+      return createFakeLease(new ScriptedConnection(() => next), {
+        release: () => {
+          released.push(work.requestId);
+          if (work.requestId === 'unreleased') throw new RangeError('unreleased');
+        },
+      });
     });
     next = { rows: [], digest: 'x', failure: undefined, state: 'open', position: undefined };
     entry = new FakeEntry([home.address]);
@@ -175,4 +184,20 @@
     expect(home.errors).toEqual(['admission failed']);
     expect(other.connection.isUsable()).toEqual(true);
   });
+
+  // An error at the end of one lease kept the others, and ended the process when the link broke.
+  it('end alone when their release fails unexpectedly', async () => {
+    const requestIds = ['unreleased', 'kept', 'unreleased', 'last'];
+    const leases = await Promise.all(
+      requestIds.map((requestId) => admit(createRequest(WAIT_MS, { requestId }))),
+    );
+    leases[0]?.release();
+    await admit(createRequest(WAIT_MS));
+    expect(leases[1]?.connection.isUsable()).toEqual(true);
+    entry.stop();
+    while (home.forwarding.countLeases() > 0) await wait(POLL_MS);
+    expect(released).toEqual([...requestIds, 'r']);
+    const errors = home.errors.filter((message) => message === 'lease not ended');
+    expect(errors.length).toEqual(2);
+  });
 });
