Refuse the requests of sessions whose group a release note withdraws

Cause: an admission without a group ended as one of a caller that has left, whom nobody answers.

Evidence: the new spec failed before this change: no answer within 3 s.

Change: such a request is refused as not run (SP001).

Result: the spec passes, with the others of groupchange.spec.ts.

--- a/packages/bench/test/groupchange.spec.ts
+++ b/packages/bench/test/groupchange.spec.ts
@@ -2,9 +2,13 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { formatNoteKey, type ReleaseNote } from '@shallotpick/core';
 import pg from 'pg';
+import { serialize } from '@shallotpick/wire';
 import { type Cluster, createCluster, PROFILES } from '../src/index.js';
+import { RawClient } from './rawclient.js';
 
 const SLOW_MS = 400;
+/** Longer than a request waits for the answer that it gets. */
+const ANSWER_MS = 3_000;
 
 /** Creates a note that lowers the slots of the instances; the daemon then replaces the group server. */
 function createChange(cluster: Cluster): ReleaseNote {
@@ -20,6 +24,20 @@
   };
 }
 
+/** Creates a note that withdraws the group. */
+function createWithdrawal(cluster: Cluster): ReleaseNote {
+  const name = cluster.groups[0]?.options.name ?? '';
+  const empty = { groups: [], contracts: [] };
+  const withdrawn = { groups: [name], contracts: [] };
+  return { ...{ id: 'withdrawal', base: 1, added: empty, changed: empty }, withdrawn };
+}
+
+/** Puts a second note into force. */
+async function release(cluster: Cluster, note: ReleaseNote): Promise<void> {
+  cluster.platform.set(formatNoteKey(2), JSON.stringify(note));
+  while (cluster.daemons[0]?.readConfiguration().number !== 2) await sleep(5);
+}
+
 describe('a group that a note changes', () => {
   let cluster: Cluster;
 
@@ -44,4 +62,19 @@
     expect(rows).toEqual([{ value: 'paid' }]);
     await client.end();
   });
+
+  // A request of an open session got neither an answer nor a refusal once its group was withdrawn,
+  // and a series with Flush got its end without an error.
+  it('refuses the requests of open sessions when it is withdrawn', async () => {
+    const port = cluster.daemons[0]?.readCallerPort() ?? 0;
+    const client = await RawClient.open(port, 'booking-1');
+    await release(cluster, createWithdrawal(cluster));
+    const answer = await Promise.race([client.query('SELECT 1'), sleep(ANSWER_MS)]);
+    expect(answer).toEqual(['E SP001', 'Z I']);
+    client.send(serialize.parse({ text: 'SELECT 1' }), serialize.flush());
+    client.send(serialize.sync());
+    const end = await Promise.race([client.readUntil('Z'), sleep(ANSWER_MS)]);
+    expect(end).toEqual(['E SP001', 'Z I']);
+    client.socket.destroy();
+  });
 });
--- a/packages/daemon/src/requestadmission.ts
+++ b/packages/daemon/src/requestadmission.ts
@@ -29,7 +29,11 @@
     const { group, options } = context;
     // All sessions of one user on one host share a queue, so opening more gains no advantage.
     const caller = `${context.user}@${options.caller.address}`;
-    if (!group || context.isClosed) return undefined;
+    if (context.isClosed) return undefined;
+    if (!group) {
+      refuse(createNotRunError(`database group "${context.groupName}" is no longer served`));
+      return undefined;
+    }
     const admission = this.findMinPosition(group, deadline).then((minPosition) =>
       group.admit({
         kind,
