End the waits for a majority with the server of their group

Cause: a replaced server counted as idle as soon as nothing held one of its connections, and was stopped within a second; its stop ended no wait of its monitor, and a later admission was queued for a tick that never came.

Change: a server with such waits is not idle. Its stop ends them: a commit has an unknown outcome (08007), a request that has not run is refused (SP001), and so is what is admitted later.

--- a/packages/bench/test/groupchange.spec.ts
+++ b/packages/bench/test/groupchange.spec.ts
@@ -9,6 +9,8 @@
 const SLOW_MS = 400;
 /** Longer than a request waits for the answer that it gets. */
 const ANSWER_MS = 3_000;
+/** Longer than a commit waits for its majority, and a request for a connection. */
+const WAIT_MS = 13_000;
 
 /** Creates a note that lowers the slots of the instances; the daemon then replaces the group server. */
 function createChange(cluster: Cluster): ReleaseNote {
@@ -77,4 +79,35 @@
     expect(end).toEqual(['E SP001', 'Z I']);
     client.socket.destroy();
   });
+
+  // Guards against a wait that ends with the stop of the replaced group server: its caller got
+  // neither an answer nor an error.
+  it('answers a commit that waits for its majority while the group is replaced', async () => {
+    const [primary, ...replicas] = cluster.groups[0]?.instances ?? [];
+    replicas.forEach(({ options: { id } }) => {
+      cluster.groups[0]?.cutReplication(primary?.options.id ?? '', id);
+    });
+    const port = cluster.daemons[0]?.readCallerPort() ?? 0;
+    const client = await RawClient.open(port, 'booking-1');
+    client.send(serialize.query("INSERT INTO items (key, value) VALUES ('seat', 'paid')"));
+    await sleep(SLOW_MS);
+    await release(cluster, createChange(cluster));
+    const answer = await Promise.race([client.readUntil('Z'), sleep(WAIT_MS)]);
+    expect(answer).toEqual(['E 08007', 'Z I']);
+    client.socket.destroy();
+  });
+
+  // As above, for the first request of a session, which waits for the position of the group.
+  it('answers a request that waits for the position of the group while it is replaced', async () => {
+    const instances = cluster.groups[0]?.instances ?? [];
+    const port = cluster.daemons[0]?.readCallerPort() ?? 0;
+    const client = await RawClient.open(port, 'booking-1');
+    await Promise.all(instances.map((instance) => instance.stop()));
+    client.send(serialize.query('SELECT 1'));
+    await sleep(SLOW_MS);
+    await release(cluster, createChange(cluster));
+    const answer = await Promise.race([client.readUntil('Z'), sleep(WAIT_MS)]);
+    expect(answer).toEqual(['E SP001', 'Z I']);
+    client.socket.destroy();
+  });
 });
--- a/packages/daemon/src/admission.ts
+++ b/packages/daemon/src/admission.ts
@@ -17,6 +17,7 @@
 import type { ConnectionPool } from './pool.js';
 
 const MAX_QUEUED = 5_000;
+const STOPPED = 'the group is no longer served here';
 
 /** A request for a slot. */
 export interface WorkRequest extends RouteRequest {
@@ -71,6 +72,8 @@
 
   private nextId = 1;
 
+  private isStopped = false;
+
   constructor(private readonly dependencies: AdmissionDependencies) {
     this.quota = dependencies.createQuota((instance) => this.updateCapacity(instance));
     this.queue = new AdmissionQueue({
@@ -104,6 +107,7 @@
    * @throws RefusedError when none is available before the deadline; the request did not run.
    */
   async admit(request: WorkRequest): Promise<Slot> {
+    if (this.isStopped) throw new RefusedError(STOPPED);
     const { caller, contract, deadline, statement, kind } = request;
     const costKey = statement === undefined ? undefined : computeCostKey(statement, contract.name);
     const isLong =
@@ -146,11 +150,12 @@
     return this.pending.size === 0;
   }
 
-  /** Refuses all queued work. */
+  /** Refuses all queued work, and what is added from now on. */
   stop(): void {
+    this.isStopped = true;
     const pending = [...this.pending.values()];
     this.pending.clear();
-    pending.forEach(({ reject }) => reject(new RefusedError('the group is no longer served here')));
+    pending.forEach(({ reject }) => reject(new RefusedError(STOPPED)));
   }
 
   private findInstance(id: string): DatabaseGroup['instances'][number] | undefined {
--- a/packages/daemon/src/group.ts
+++ b/packages/daemon/src/group.ts
@@ -111,9 +111,9 @@
     this.options.pools.forEach((pool) => pool.drain());
   }
 
-  /** True when no request is running, queued or holding a connection. */
+  /** True when no request is running, queued, holding a connection or waiting for a majority. */
   isIdle(): boolean {
-    return this.leaseCount === 0 && this.admission.isIdle();
+    return this.leaseCount === 0 && this.admission.isIdle() && this.monitor.isIdle();
   }
 
   /** Sets the leaving instances, which get no new work; closes their idle connections. */
--- a/packages/daemon/src/status.ts
+++ b/packages/daemon/src/status.ts
@@ -28,6 +28,9 @@
   | { readonly kind: 'acknowledged'; readonly position: LogPosition }
   | { readonly kind: 'unknown'; readonly reason: string };
 
+const STOPPED = 'the group is no longer served here';
+const STOPPED_COMMIT: CommitOutcome = { kind: 'unknown', reason: STOPPED };
+
 /** A session that waits for its initial position. */
 interface PendingPosition {
   readonly resolve: (position: LogPosition) => void;
@@ -80,10 +83,19 @@
     });
   }
 
+  /** Stops polling, and ends the waits: a commit without a majority has an unknown outcome. */
   stop(): void {
     this.stopped = true;
     this.wakeups.forEach((wake) => wake());
     this.options.links.forEach((link) => link.close());
+    [...this.pendingCommits.keys()].forEach((id) => this.finishCommit(id, STOPPED_COMMIT));
+    this.pendingPositions.forEach(({ reject }) => reject(new RefusedError(STOPPED)));
+    this.pendingPositions.clear();
+  }
+
+  /** True when no commit and no session waits for the instances. */
+  isIdle(): boolean {
+    return this.pendingCommits.size + this.pendingPositions.size === 0;
   }
 
   /** Latest statuses of the instances that respond. */
@@ -102,6 +114,7 @@
 
   /** Waits until a majority holds everything that the primary has committed so far. */
   async waitForMajority(primary: string, term: number): Promise<CommitOutcome> {
+    if (this.stopped) return STOPPED_COMMIT;
     const now = this.options.clock.readNow();
     const id = this.createId();
     const deadline = now + ACKNOWLEDGE_TIMEOUT_MS;
@@ -121,6 +134,7 @@
    * @throws RefusedError when no majority of the group responds.
    */
   async findInitialPosition(deadline: Millis): Promise<LogPosition> {
+    if (this.stopped) throw new RefusedError(STOPPED);
     const id = this.createId();
     const minPosition = new Promise<LogPosition>((resolve, reject) => {
       this.pendingPositions.set(id, { resolve, reject });
