Answer the running requests of callers when a daemon stops

Cause: the stop destroyed the sockets of all callers that were left.

Evidence: the five specs of shutdown.spec.ts failed before this change; each client got nothing before the end of its connection.

Change: the stop ends the wait or the instance connection of the request in progress, whose runner then answers with what is known: not run (SP001), no effect (SP003) or outcome unknown (08007). Nothing is retried then, and no group is started again. Requests behind it don't run; 57P01 ends the connection. A caller that doesn't take its answer is cut after 2 s.

--- a/packages/bench/src/naive.ts
+++ b/packages/bench/src/naive.ts
@@ -123,6 +123,10 @@
     }
   }
 
+  handleStop(): void {
+    this.caller.close();
+  }
+
   handleClose(): void {
     this.connection?.close();
     if (this.target) this.release(this.target);
--- a/packages/daemon/src/caller.ts
+++ b/packages/daemon/src/caller.ts
@@ -30,6 +30,8 @@
 ]);
 /** How long a refused caller may take to read the error. */
 const REFUSE_TIMEOUT_MS = 2_000;
+/** How long the running request of a caller may take to be answered when the daemon stops. */
+const STOP_TIMEOUT_MS = 2_000;
 const MAX_CANCEL_KEY = 2 ** 31 - 1;
 
 /** Handles the requests of a caller connection; implemented by the session. */
@@ -38,6 +40,8 @@
   handleStart(parameters: ReadonlyMap<string, string>): Promise<ErrorFields | undefined>;
   handleRequest(request: CallerRequest): Promise<void>;
   handleClose(): void;
+  /** Ends the wait or the statement of the running request, which is still answered. */
+  handleStop(): void;
   /** Cancels the queued or running request. */
   handleCancel(): void;
   isInTransaction(): boolean;
@@ -73,6 +77,9 @@
   /** True once a fatal error was sent; further input of the caller is discarded. */
   private refused = false;
 
+  /** True once no further request is run. */
+  private stopping = false;
+
   constructor(
     private readonly socket: Socket,
     private readonly guard: ClientGuard,
@@ -128,10 +135,26 @@
     setTimeout(() => this.socket.destroy(), REFUSE_TIMEOUT_MS).unref();
   }
 
+  /** Ends the running request with an answer, and the connection behind it. */
+  stop(): void {
+    if (this.stopping) return;
+    this.stopping = true;
+    if (!this.running) {
+      this.refuseStopped();
+      return;
+    }
+    this.handler?.handleStop();
+    setTimeout(() => this.socket.destroy(), STOP_TIMEOUT_MS).unref();
+  }
+
   close(): void {
     this.socket.destroy();
   }
 
+  private refuseStopped(): void {
+    this.refuse({ code: SQLSTATE.shuttingDown, message: 'the proxy is shutting down' });
+  }
+
   private handleData(chunk: Buffer): void {
     if (this.refused) return;
     this.reader.add(chunk);
@@ -262,6 +285,10 @@
 
   private runRequests(): void {
     if (this.running || this.closed || !this.handler) return;
+    if (this.stopping) {
+      this.refuseStopped();
+      return;
+    }
     const request = this.queuedRequests.shift();
     if (!request) {
       this.update();
--- a/packages/daemon/src/context.ts
+++ b/packages/daemon/src/context.ts
@@ -50,6 +50,9 @@
   readonly idempotencyKeys: Set<string>;
 }
 
+/** Why the wait for a connection ends without one. */
+export type WaitInterruption = 'cancelled' | 'closed' | 'stopped';
+
 /** State shared by the request runners of a session. */
 export class SessionContext {
   /** The database from the startup message, which names a database group. */
@@ -78,14 +81,17 @@
 
   isClosed = false;
 
+  /** True once the daemon stops: the running request is the last, and is not retried. */
+  isStopping = false;
+
   /** Interrupts the wait for a connection. */
-  interruptWait: ((reason: 'cancelled' | 'closed') => void) | undefined;
+  interruptWait: ((reason: WaitInterruption) => void) | undefined;
 
   constructor(readonly options: SessionOptions) {}
 
   /** The current server of the group; a release note may replace it between two requests. */
   get group(): GroupServer | undefined {
-    return this.options.findGroup(this.groupName);
+    return this.isStopping ? undefined : this.options.findGroup(this.groupName);
   }
 
   readTransactionState(): TransactionState {
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -130,7 +130,7 @@
     this.dependencies.groups.handleListedRecords(listed, version);
   }
 
-  /** Stops accepting sessions, waits for running requests up to the drain limit, and stops. */
+  /** Stops accepting sessions, waits for running requests up to the drain limit, and ends the rest. */
   async drain(): Promise<void> {
     const { clock, settings, log } = this.dependencies;
     this.draining = true;
@@ -148,11 +148,12 @@
     this.stop();
   }
 
+  /** Ends running requests, each with an answer, and closes the connections of the callers. */
   stop(): void {
     this.stopWatching();
     this.dependencies.peering.stop();
     this.handshakes.forEach((socket) => socket.destroy());
-    this.callers.forEach((caller) => caller.close());
+    this.callers.forEach((caller) => caller.stop());
     this.dependencies.groups.stop();
     this.dependencies.callerServer.close();
     this.dependencies.metricsServer.close();
--- a/packages/daemon/src/requestadmission.ts
+++ b/packages/daemon/src/requestadmission.ts
@@ -1,10 +1,12 @@
 import type { Contract, LogPosition, Millis } from '@shallotpick/core';
-import type { SessionContext } from './context.js';
+import type { SessionContext, WaitInterruption } from './context.js';
 import type { GroupServer, Lease } from './group.js';
 import { createNotRunError, type Refusal } from './refusal.js';
 import { SQLSTATE } from './sqlstate.js';
 import type { RequestSummary } from './summary.js';
 
+const STOPPING = 'the proxy is shutting down';
+
 /** Admits one request of a session: finds what it requires and waits for a connection. */
 export class RequestAdmission {
   readonly contract: Contract;
@@ -30,6 +32,10 @@
     // All sessions of one user on one host share a queue, so opening more gains no advantage.
     const caller = `${context.user}@${options.caller.address}`;
     if (context.isClosed) return undefined;
+    if (context.isStopping) {
+      refuse(createNotRunError(STOPPING));
+      return undefined;
+    }
     if (!group) {
       refuse(createNotRunError(`database group "${context.groupName}" is no longer served`));
       return undefined;
@@ -44,7 +50,7 @@
         statement: this.findCostStatement(),
       }),
     );
-    const interruption = new Promise<'cancelled' | 'closed'>((resolve) => {
+    const interruption = new Promise<WaitInterruption>((resolve) => {
       context.interruptWait = resolve;
     });
     try {
@@ -53,6 +59,7 @@
       admission.then((late) => late.release()).catch(() => undefined);
       const message = 'cancelled before the request was sent; it did not run';
       if (first === 'cancelled') refuse({ code: SQLSTATE.cancelled, message });
+      if (first === 'stopped') refuse(createNotRunError(STOPPING));
     } catch (error) {
       refuse(createNotRunError(error instanceof Error ? error.message : 'refused'));
     } finally {
--- a/packages/daemon/src/session.ts
+++ b/packages/daemon/src/session.ts
@@ -69,6 +69,13 @@
     context.releaseLease();
   }
 
+  handleStop(): void {
+    const { context } = this;
+    context.isStopping = true;
+    context.interruptWait?.('stopped');
+    context.lease?.connection.close();
+  }
+
   private async runRequest(request: CallerRequest): Promise<void> {
     const { context, pipeline } = this;
     const isLoneSync = request.kind === 'extended' && request.frames.length === 1;
--- a/packages/daemon/src/single.ts
+++ b/packages/daemon/src/single.ts
@@ -47,7 +47,8 @@
       if (!lease) return;
       const outcome = await this.runOn(lease, kind);
       if (outcome.kind === 'done' || this.context.isClosed) return;
-      const mayRetry = !outcome.wasSent || this.admission.contract.repeat === 'allowed';
+      const mayRepeat = !outcome.wasSent || this.admission.contract.repeat === 'allowed';
+      const mayRetry = mayRepeat && !this.context.isStopping;
       if (!mayRetry || clock.readNow() >= deadline || !retryBudget.requestRetry()) {
         this.sendFailure(outcome.error);
         return;
--- a/packages/daemon/test/caller.spec.ts
+++ b/packages/daemon/test/caller.spec.ts
@@ -32,6 +32,7 @@
         handleStart: async () => undefined,
         handleRequest: async () => undefined,
         handleClose: () => undefined,
+        handleStop: () => undefined,
         handleCancel: () => undefined,
         isInTransaction: () => false,
       };
