Answer the earlier requests before a PostgreSQL caller is refused

Cause: the connection was ended at once, whatever was in progress.

Evidence: the new spec of session.spec.ts failed before this change: the client got 08P01 alone for two requests and a malformed message.

Change: nothing more is read, and the caller is refused behind the answers to the requests that were read before. Without such a request it is refused at once, as before.

--- a/packages/bench/test/session.spec.ts
+++ b/packages/bench/test/session.spec.ts
@@ -283,4 +283,15 @@
     await Promise.all(holders.map((holder) => holder.cancel()));
     expect(findPrimary().storage.findRow('items', 'alone')).toEqual(undefined);
   });
+
+  // The error of a later message took the place of the answer to a request that an instance ran.
+  it('answers the earlier requests before it refuses a malformed message', async () => {
+    const malformed = Buffer.from([0x51, 0, 0, 0, 1]);
+    client.send(serialize.query('/* cost=200 */ SELECT 1'), serialize.query(put('ahead')));
+    client.send(malformed);
+    expect(await client.readUntil('closed')).toEqual([
+      ...['T', 'D 1', 'C SELECT 1', 'Z I', 'C INSERT 0 1', 'Z I'],
+      ...['E 08P01', 'closed'],
+    ]);
+  });
 });
--- a/packages/daemon/src/caller.ts
+++ b/packages/daemon/src/caller.ts
@@ -70,6 +70,9 @@
 
   private started = false;
 
+  /** True once the caller has been told that its session has started. */
+  private hasSession = false;
+
   private running = false;
 
   private closed = false;
@@ -77,6 +80,9 @@
   /** True once a fatal error was sent; further input of the caller is discarded. */
   private refused = false;
 
+  /** Refuses the caller behind the requests that were read before; nothing more is read. */
+  private fault: Omit<ErrorFields, 'severity'> | undefined;
+
   /** True once no further request is run. */
   private stopping = false;
 
@@ -156,23 +162,32 @@
   }
 
   private handleData(chunk: Buffer): void {
-    if (this.refused) return;
+    if (this.refused || this.fault) return;
     this.reader.add(chunk);
     try {
-      for (let frame = this.reader.read(); frame; frame = this.reader.read()) {
+      for (let frame = this.reader.read(); frame && !this.fault; frame = this.reader.read()) {
         if (this.started) this.handleFrame(frame);
         else this.handleStartup(frame);
       }
     } catch (error) {
       const message = error instanceof Error ? error.message : 'malformed message';
-      this.refuse({ code: SQLSTATE.protocolViolation, message });
-      return;
+      this.endInput({ code: SQLSTATE.protocolViolation, message });
     }
     this.watch.endWait('end of message');
     this.update();
     this.runRequests();
   }
 
+  /** Drops what follows the requests read so far, and refuses the caller behind them. */
+  private endInput(fault: Omit<ErrorFields, 'severity'>): void {
+    this.fault = fault;
+    this.pipelineFrames = [];
+    this.pipelineBytes = 0;
+    this.reader.drain();
+    // No request came before.
+    if (!this.hasSession && this.queuedRequests.length === 0) this.refuse(fault);
+  }
+
   /** Counts what the connection holds and waits for, and reads on or stops reading accordingly. */
   private update(): void {
     const { socket, reader, watch } = this;
@@ -237,6 +252,7 @@
         encodeReadyForQuery('I'),
       ]),
     );
+    this.hasSession = true;
     this.running = false;
     this.runRequests();
   }
@@ -259,9 +275,7 @@
       this.pipelineBytes = 0;
     } else if (this.pipelineBytes > MAX_PIPELINE_BYTES) {
       const message = `a series without Sync exceeds ${MAX_PIPELINE_BYTES} bytes; it was not run`;
-      this.refuse({ code: SQLSTATE.programLimit, message });
-      this.pipelineFrames = [];
-      this.socket.pause();
+      this.endInput({ code: SQLSTATE.programLimit, message });
     }
   }
 
@@ -290,6 +304,10 @@
       return;
     }
     const request = this.queuedRequests.shift();
+    if (!request && this.fault) {
+      this.refuse(this.fault);
+      return;
+    }
     if (!request) {
       this.update();
       return;
