Answer a PostgreSQL request that fails unexpectedly

Cause: the caller's connection destroyed its socket for any error of its session.

The new spec of caller.spec.ts failed as well: a request behind one for which the caller was refused was run, after it was told not to be.

Change: the error is logged, the outcome of the request is told to be unknown (08007), and the connection is closed with SP001 for what is behind it, none of which runs.

--- a/packages/daemon/src/caller.ts
+++ b/packages/daemon/src/caller.ts
@@ -298,7 +298,7 @@
   }
 
   private runRequests(): void {
-    if (this.running || this.closed || !this.handler) return;
+    if (this.running || this.closed || this.refused || !this.handler) return;
     if (this.stopping) {
       this.refuseStopped();
       return;
--- a/packages/daemon/src/session.ts
+++ b/packages/daemon/src/session.ts
@@ -6,6 +6,7 @@
 import { summarizeRequest, findRefusal } from './summary.js';
 import type { CallerRequest } from './request.js';
 import { PipelineRunner } from './pipeline.js';
+import { createNotRunError } from './refusal.js';
 import { SQLSTATE } from './sqlstate.js';
 
 /** One caller's session, which chooses the runner for each request. */
@@ -42,6 +43,8 @@
     }
     try {
       await this.runRequest(request);
+    } catch (error) {
+      this.failUnexpectedly(error);
     } finally {
       // Responses that confirm the names of an open pipeline are still pending.
       if (!this.pipeline.isOpen()) context.prepared.endRequest(context.transaction !== undefined);
@@ -76,6 +79,18 @@
     context.lease?.connection.close();
   }
 
+  /** Answers a request that has failed with an error that nothing expects, and ends the session. */
+  private failUnexpectedly(error: unknown): void {
+    const { context } = this;
+    const text = error instanceof Error ? (error.stack ?? error.message) : String(error);
+    context.options.log.error('request failed unexpectedly', { error: text });
+    // What the connection still runs is unknown.
+    context.lease?.connection.close();
+    const message = 'outcome unknown: the request failed unexpectedly';
+    context.sendError({ code: SQLSTATE.outcomeUnknown, message });
+    context.options.caller.refuse(createNotRunError('the request before failed unexpectedly'));
+  }
+
   private async runRequest(request: CallerRequest): Promise<void> {
     const { context, pipeline } = this;
     const isLoneSync = request.kind === 'extended' && request.frames.length === 1;
--- a/packages/daemon/test/caller.spec.ts
+++ b/packages/daemon/test/caller.spec.ts
@@ -55,3 +55,38 @@
     expect(await isIdleAfter(QUERY.subarray(6))).toEqual(true);
   });
 });
+
+describe('a caller of the daemon that is refused for a request', () => {
+  // A request behind one that had failed would have run after its caller was told that it had not.
+  it('runs none of the requests behind it', async () => {
+    const log = createEngineLog('error', 'test');
+    const limits = computeClientLimits(undefined, HEAP_BYTES);
+    const guard = new ClientGuard({ limits, log, registry: new Metrics().registry });
+    let requests = 0;
+    const server = createServer((accepted) => {
+      const caller = new CallerConnection(accepted, guard, () => undefined);
+      caller.handler = {
+        handleStart: async () => undefined,
+        handleRequest: async () => {
+          requests += 1;
+          caller.refuse({ code: 'SP001', message: 'not run' });
+        },
+        handleClose: () => undefined,
+        handleStop: () => undefined,
+        handleCancel: () => undefined,
+        isInTransaction: () => false,
+      };
+    });
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    const address = server.address();
+    const port = address && typeof address === 'object' ? address.port : 0;
+    const socket = connect({ host: '127.0.0.1', port });
+    socket.write(Buffer.concat([STARTUP, QUERY, QUERY]));
+    await wait(PAUSE_MS);
+    expect(requests).toEqual(1);
+    socket.destroy();
+    server.close();
+  });
+});
