Check that every request gets a reply beside changes, in virtual time

Checked: each request has a reply within its route's timeout and 160 ms (twice the timeout inside a transaction, whose first statement opens it and then runs), none throws, no timer throws, no rejection is unhandled, and what was refused as without effect has none. VMs reach each other in the process, without links.

--- /dev/null
+++ b/packages/engine/test/everyreply.spec.ts
@@ -0,0 +1,31 @@
+import { expect } from 'earl';
+import * as fc from 'fast-check';
+import { steps } from './changes.js';
+import { ChangeTrial } from './changetrial.js';
+
+/** Limit of real time; long runs by hand need it. */
+const TIMEOUT_MS = 3_600_000;
+const SEED = 20_261_206;
+/** By hand, REPLY_RUNS and REPLY_SEED give others. */
+const RUNS = 8;
+
+describe('a request beside changes of the configuration, the homes and the lenders', () => {
+  // A request that had been read whole got neither an answer nor a refusal.
+  it('gets a reply in time, and none that promises too much', async function findReplies() {
+    this.timeout(TIMEOUT_MS);
+    const seed = Number(process.env.REPLY_SEED ?? SEED);
+    const numRuns = Number(process.env.REPLY_RUNS ?? RUNS);
+    let replies = 0;
+    let successes = 0;
+    const property = fc.asyncProperty(fc.nat(), steps, async (draws, series) => {
+      const trial = new ChangeTrial(draws);
+      const violations = await trial.run(series);
+      replies += trial.replies;
+      successes += trial.successes;
+      expect(violations).toEqual([]);
+    });
+    await fc.assert(property, { seed, numRuns, endOnFailure: true });
+    // Most trials are of no use where nearly everything is refused.
+    expect(successes * 4 > replies).toEqual(true);
+  });
+});
--- a/packages/engine/test/fake.ts
+++ b/packages/engine/test/fake.ts
@@ -35,6 +35,9 @@
   /** Received commands as `id kind text`, without the proxy's own BEGIN, ROLLBACK and STATUS. */
   readonly received: string[] = [];
 
+  /** Ids of the writes and commits that took effect. */
+  readonly committed: string[] = [];
+
   readonly connections = new Set<FakeConnection>();
 
   /** Injects a failure for a command: a verdict, or `lose` to close the connection. */
@@ -121,7 +124,7 @@
       : undefined;
   }
 
-  private reply({ operation }: Command, verdict: Verdict | undefined): Reply {
+  private reply({ id, operation }: Command, verdict: Verdict | undefined): Reply {
     const { kind } = operation;
     const { target } = this;
     if (verdict) {
@@ -136,6 +139,7 @@
     if (kind === 'commit' || kind === 'rollback') this.state = 'idle';
     const isCommit = kind === 'commit' || (kind === 'write' && this.state === 'idle');
     if (isCommit) target.commit();
+    if (isCommit && id !== undefined) target.committed.push(id);
     const rows = this.createRows(kind);
     const digest = `digest of ${target.id}`;
     return { rows, digest, failure: undefined, state: this.state, position: target.position };
@@ -148,7 +152,10 @@
     super();
   }
 
-  override async open({ id }: RegisteredInstance): Promise<InstanceConnection> {
+  override async open(
+    { id }: RegisteredInstance,
+    _timeoutMs?: Millis,
+  ): Promise<InstanceConnection> {
     await wait(1);
     const instance = this.instances.get(id);
     if (!instance || instance.isDown) throw new ConnectionError('refused');
