Permit operations that wait when their limit is dropped

What callers saw: an operation that waited for a permit when a configuration without its organisation's limit came into force was refused after up to 1 s, "no VM issues permits for the organisation", while one that asked a moment later started at once.

Cause: only new operations were checked for a limit; those that waited went on to ask a lender.

The spec had demanded a refusal there, which showed only that the wait ends; it now demands that all 100 are permitted.

Change: a part permits what waits for an organisation that has no limit.

--- a/packages/engine/src/permitpart.ts
+++ b/packages/engine/src/permitpart.ts
@@ -151,6 +151,10 @@
 
   private takePermit(organisation: string, now: Millis): HeldPermit | undefined {
     const { holder } = this.client;
+    // The limit went while the operation waited.
+    if (!this.options.findRate(organisation)) {
+      return { organisation, endsAt: Number.POSITIVE_INFINITY };
+    }
     const permit = holder.take(organisation, now);
     if (permit || this.client.hasLender()) return permit;
     return holder.takeFloor(organisation, this.options.listVms(), now);
--- a/packages/engine/test/fleetquota.spec.ts
+++ b/packages/engine/test/fleetquota.spec.ts
@@ -144,8 +144,9 @@
     expect((await listLentParts(vms))[index]).toEqual(0);
   });
 
-  // An operation that waited for a permit was never answered.
-  it('ends the waiting of operations when the configuration drops all limits', async () => {
+  // An operation that waited for a permit was never answered, and later refused for a limit that
+  // was no longer in force.
+  it('permits the operations that wait when the configuration drops all limits', async () => {
     const [vm] = vms;
     if (!vm) throw new Error('no VM');
     vms.forEach((one) => Object.assign(one, { isDraining: true }));
@@ -154,7 +155,8 @@
     await wait(TICK_MS);
     vm.configuration.update({ ...BASE, version: 2 });
     const taken = await Promise.race([Promise.all(takes), wait(DEADLINE_MS)]);
-    expect(taken?.includes(undefined)).toEqual(true);
+    expect(taken?.length).toEqual(100);
+    expect(taken?.includes(undefined)).toEqual(false);
   });
 
   // A process that stops has no ticks, so an operation that waited was never answered.
