--- a/packages/engine/src/proxy.ts
+++ b/packages/engine/src/proxy.ts
@@ -6,10 +6,9 @@
 import type { GroupDirectory } from './directory.js';
 import type { Fleet } from './fleet.js';
 import type { Forwarding, HomeStatus } from './forwarding.js';
-import type { GroupService } from './group.js';
 import { CallerIdentity } from './identity.js';
+import { findLostZones, IsolationMonitor } from './isolation.js';
 import type { Log } from './log.js';
-import type { Member } from './member.js';
 import type { Metrics } from './metrics.js';
 import type { Placement } from './placement.js';
 import type { OperationQuota } from './operationquota.js';
@@ -60,23 +59,6 @@
   readonly isRegistryReachable: () => boolean;
 }
 
-function findLostZones(members: readonly Member[]): ReadonlySet<string> {
-  const zones = new Set(members.map(({ instance }) => instance.zone));
-  members.forEach(({ instance, probe }) => probe.isAnswering() && zones.delete(instance.zone));
-  return zones;
-}
-
-/** True when at most half of the groups are served here or reached through other VMs. */
-function isMostUnreachable(
-  local: readonly GroupService[],
-  forwarded: { readonly total: number; readonly reachable: number },
-  isHomeIsolated: boolean,
-): boolean {
-  if (forwarded.total === 0) return isHomeIsolated;
-  const reachable = forwarded.reachable + (isHomeIsolated ? 0 : local.length);
-  return reachable * 2 <= forwarded.total + local.length;
-}
-
 /** One proxy process: its callers' connections and database groups. */
 export class Proxy {
   readonly roster: InstanceRoster;
@@ -95,11 +77,7 @@
 
   private isRosterChanged = false;
 
-  /** Since when at least half of the instances haven't answered; other VMs may reach them. */
-  private isolatedSince: Millis | undefined = Number.NEGATIVE_INFINITY;
-
-  /** True while at least half of the instances of the groups served here don't answer. */
-  private isHomeIsolated = true;
+  private readonly isolation: IsolationMonitor;
 
   /** Zones without an answering instance; their VMs are probably partitioned as well. */
   private lostZones: ReadonlySet<string> = new Set();
@@ -108,6 +86,11 @@
     this.roster = new InstanceRoster(() => {
       this.isRosterChanged = true;
     });
+    const { clock, log, groups } = options;
+    this.isolation = new IsolationMonitor({
+      ...{ clock, log, groups },
+      areKeysUsable: () => this.areKeysUsable(),
+    });
     options.configuration.addListener((next) => this.handleConfiguration(next));
   }
 
@@ -120,8 +103,7 @@
   /** True when the load balancer may send new callers to this VM. */
   isReady(): boolean {
     if (this.draining || !this.options.configuration.read()) return false;
-    const now = this.options.clock.readNow();
-    return this.isolatedSince === undefined || now - this.isolatedSince < ISOLATION_LIMIT_MS;
+    return !this.isolation.hasLasted(ISOLATION_LIMIT_MS);
   }
 
   isDraining(): boolean {
@@ -139,7 +121,7 @@
 
   /** Whether this VM can serve work that other VMs pass on to it. */
   readHomeStatus(): HomeStatus {
-    return { isIsolated: this.isHomeIsolated, isDraining: this.draining };
+    return { isIsolated: this.isolation.isHomeIsolated, isDraining: this.draining };
   }
 
   /** Creates the session of a caller; `key` is what the caller gave to identify itself. */
@@ -247,7 +229,7 @@
     if (groups.handleTick()) this.isRosterChanged = true;
     this.roster.handleTick(clock.readNow(), isRegistryReachable());
     this.applyRoster();
-    this.updateIsolation();
+    this.isolation.handleTick();
     const local = groups.listLocal();
     this.lostZones = findLostZones(local.flatMap((group) => group.listEligible()));
     local.forEach((group) => {
@@ -267,23 +249,6 @@
     });
   }
 
-  private updateIsolation(): void {
-    const { clock, log, groups } = this.options;
-    const local = groups.listLocal();
-    const total = local.reduce((sum, group) => sum + group.listEligible().length, 0);
-    const answering = local.reduce((sum, group) => sum + group.countAnswering(), 0);
-    this.isHomeIsolated = answering * 2 <= total;
-    const forwarded = groups.countForwarded();
-    // A VM that may serve no keyed work is as good as one that reaches no instance.
-    const isIsolated =
-      isMostUnreachable(local, forwarded, this.isHomeIsolated) || !this.areKeysUsable();
-    const wasIsolated = this.isolatedSince !== undefined;
-    if (isIsolated === wasIsolated) return;
-    const message = isIsolated ? 'most instances unreachable' : 'most instances reachable';
-    log.info(message, { total, answering, forwarded });
-    this.isolatedSince = isIsolated ? clock.readNow() : undefined;
-  }
-
   private areKeysUsable(): boolean {
     const { configuration, verifier } = this.options;
     return !configuration.read()?.organisations || verifier.areKeysInForce();
@@ -291,12 +256,8 @@
 
   private handleSessionTick(): void {
     const now = this.options.clock.readNow();
-    const { isolatedSince } = this;
     // The load balancer now sends reconnecting callers to a VM that reaches the instances.
-    if (
-      isolatedSince !== undefined &&
-      now - isolatedSince >= ISOLATION_LIMIT_MS + BALANCER_DELAY_MS
-    ) {
+    if (this.isolation.hasLasted(ISOLATION_LIMIT_MS + BALANCER_DELAY_MS)) {
       this.callers.forEach((caller) => {
         if (caller.isQuiescent() && caller.session.isIdle()) caller.close('isolation');
       });
