Write the refusal of a stopping proxy and a setup of the quota's specs once

Two modules named the same refusal, and two specs repeated six lines of setup. No change of behaviour; the specs of the dispatcher and the quota pass.

--- a/packages/engine/src/dispatcher.ts
+++ b/packages/engine/src/dispatcher.ts
@@ -15,7 +15,7 @@
   type Work,
   WorkQueue,
 } from '@shallotpick/core';
-import { NotRunError } from './errors.js';
+import { createStoppedError, NotRunError } from './errors.js';
 import type { SessionCommit } from './view.js';
 import { WorkMeter } from './workmeter.js';
 
@@ -25,7 +25,6 @@
 const ANY_KEY = 'any';
 /** Callers that are refused are told to come back within this time after room is expected. */
 const RETURN_SPREAD_MS: Millis = 1_000;
-const STOPPED = 'the proxy stops';
 
 /** Admission request for one statement or transaction. */
 export interface WorkRequest extends Omit<RouteRequest, 'minPosition'> {
@@ -132,7 +131,7 @@
    * @throws NotRunError when the queue refuses the work or it isn't admitted in time.
    */
   async add(request: WorkRequest): Promise<AdmittedWork> {
-    if (this.isStopped) throw new NotRunError(STOPPED);
+    if (this.isStopped) throw createStoppedError();
     const now = this.options.clock.readNow();
     const work = this.createWork(request, now);
     return new Promise<AdmittedWork>((resolve, reject) => {
@@ -202,7 +201,7 @@
   /** Rejects all queued work, and what is added from now on. */
   stop(): void {
     this.isStopped = true;
-    this.pending.forEach(({ reject }) => reject(new NotRunError(STOPPED)));
+    this.pending.forEach(({ reject }) => reject(createStoppedError()));
     this.pending.clear();
   }
 
--- a/packages/engine/src/errors.ts
+++ b/packages/engine/src/errors.ts
@@ -23,3 +23,8 @@
 
 /** The work was refused and has not run. */
 export const NotRunError = EngineError.subclass('NotRunError');
+
+/** Creates the refusal of work that a stopping proxy will not start. */
+export function createStoppedError(): InstanceType<typeof NotRunError> {
+  return new NotRunError('the proxy stops');
+}
--- a/packages/engine/src/permitpart.ts
+++ b/packages/engine/src/permitpart.ts
@@ -10,7 +10,7 @@
   type PermitLenderOptions,
   type PermitRequest,
 } from '@shallotpick/core';
-import { NotRunError } from './errors.js';
+import { createStoppedError, NotRunError } from './errors.js';
 
 /** Requests of callers that arrive within this time are sent to the lender as one. */
 const BATCH_MS: Millis = 2;
@@ -42,7 +42,6 @@
   lender: 'no VM issues permits for the organisation',
   deadline: 'no permit for the organisation in time',
 };
-const STOPPED = 'the proxy stops';
 
 /** Takes and lends the permits for one part of the organisations on this VM. */
 export class PermitPart {
@@ -68,7 +67,7 @@
    * @throws NotRunError when there is none.
    */
   async take(organisation: string, deadline: Millis): Promise<HeldPermit> {
-    if (this.isStopped) throw new NotRunError(STOPPED);
+    if (this.isStopped) throw createStoppedError();
     const now = this.options.clock.readNow();
     const { holder } = this.client;
     holder.recordDemand(organisation, now);
@@ -101,7 +100,7 @@
     clearTimeout(this.flushTimer);
     const waiters = [...this.waiting.values()].flat();
     this.waiting.clear();
-    waiters.forEach(({ reject }) => reject(new NotRunError(STOPPED)));
+    waiters.forEach(({ reject }) => reject(createStoppedError()));
   }
 
   private scheduleFlush(): void {
--- a/packages/engine/test/fleetquota.spec.ts
+++ b/packages/engine/test/fleetquota.spec.ts
@@ -84,6 +84,16 @@
 
 const sum = (numbers: readonly number[]): number => numbers.reduce((a, b) => a + b, 0);
 
+/** Has a VM wait for permits that no VM lends. */
+async function waitForPermits(vms: readonly FakeVm[]) {
+  const [vm] = vms;
+  if (!vm) throw new Error('no VM');
+  vms.forEach((one) => Object.assign(one, { isDraining: true }));
+  while (sum(await listLentParts(vms)) > 0) await wait(10);
+  const takes = Array.from({ length: 100 }, async () => take(vm));
+  return { vm, takes };
+}
+
 describe('the quota of an organisation over a fleet', () => {
   let vms: readonly FakeVm[];
 
@@ -147,11 +157,7 @@
   // An operation that waited for a permit was never answered, and later refused for a limit that
   // was no longer in force.
   it('permits the operations that wait when the configuration drops all limits', async () => {
-    const [vm] = vms;
-    if (!vm) throw new Error('no VM');
-    vms.forEach((one) => Object.assign(one, { isDraining: true }));
-    while (sum(await listLentParts(vms)) > 0) await wait(10);
-    const takes = Array.from({ length: 100 }, async () => take(vm));
+    const { vm, takes } = await waitForPermits(vms);
     await wait(TICK_MS);
     vm.configuration.update({ ...BASE, version: 2 });
     const taken = await Promise.race([Promise.all(takes), wait(DEADLINE_MS)]);
@@ -161,14 +167,10 @@
 
   // A process that stops has no ticks, so an operation that waited was never answered.
   it('ends the waiting of operations when it stops, and refuses later ones', async () => {
-    const [vm] = vms;
-    if (!vm) throw new Error('no VM');
-    vms.forEach((one) => Object.assign(one, { isDraining: true }));
-    while (sum(await listLentParts(vms)) > 0) await wait(10);
-    const waiting = Array.from({ length: 100 }, async () => take(vm));
+    const { vm, takes } = await waitForPermits(vms);
     vm.quota.stop();
-    const taken = await Promise.race([Promise.all([...waiting, take(vm)]), wait(DEADLINE_MS)]);
+    const taken = await Promise.race([Promise.all([...takes, take(vm)]), wait(DEADLINE_MS)]);
     expect(taken?.at(-1)).toEqual(undefined);
-    expect(taken?.length).toEqual(waiting.length + 1);
+    expect(taken?.length).toEqual(takes.length + 1);
   });
 }).timeout(30_000);
