--- a/packages/forwarding/test/linkpair.ts
+++ b/packages/forwarding/test/linkpair.ts
@@ -47,8 +47,12 @@
     return new Promise((resolve, reject) => {
       this.waiting.add(reject);
       this.grant(request)
-        .then(resolve, reject)
-        .finally(() => this.waiting.delete(reject));
+        .then((lease) => {
+          // Work that has been refused meanwhile needs none.
+          if (this.waiting.delete(reject)) resolve(lease);
+          else lease.release();
+        })
+        .catch(reject);
     });
   }
 
@@ -56,6 +60,7 @@
   stop(): void {
     this.isStopped = true;
     this.waiting.forEach((reject) => reject(new NotRunError('the proxy stops')));
+    this.waiting.clear();
   }
 }
 
