Try another home when a draining home refuses work that waited there

Cause: EntryLink let the VM try another home only after a move of the group or while this home is isolated.

Evidence: the spec "goes to another home when the home drains and refuses it" of drainedhome.spec.ts fails on the earlier code. Its neighbours, for a group that moves, a home that stops or is isolated, held before.

Change: a draining home lets the VM try another one. A home that serves still doesn't, so that a full group isn't asked several times.

Result: the specs of drainedhome.spec.ts pass.

--- a/packages/forwarding/src/home.ts
+++ b/packages/forwarding/src/home.ts
@@ -278,7 +278,8 @@
       if (!(error instanceof NotRunError)) throw error;
       // A group that has moved to other homes stops with the work that waited here.
       const hasMoved = this.host.findLocalGroup(held.group.name) !== held.group;
-      const mayTryOther = hasMoved || this.host.readStatus().isIsolated;
+      const { isIsolated, isDraining } = this.host.readStatus();
+      const mayTryOther = hasMoved || isIsolated || isDraining;
       this.refuse(id, held, error.message, mayTryOther);
     }
   }
