Refuse a statement that a home never sent, instead of leaving it in doubt

Callers saw, where a home lost its connection between the grant of a lease and the statement (a move, a drain, a broken connection): "unknown outcome" for a write that no instance had received, so that they may not try it again.

Cause: the home ran the statement on the closed connection, and told the VM "broken", which stands for work that may have run. On the home's own callers the same case is retried (SingleStatementRunner.runOn).

Evidence: the spec "is refused, not in doubt, when its connection is lost between grant and statement" fails on the earlier code (ConnectionError).

Change: the home answers such a statement with "overloaded", a verdict for work that has not run, and ends the lease; the VM tries again within its deadline. It does so only while no other operation of the lease is without a reply: the refusal would be taken for the reply to that one, which may have run. A second spec shows this, and fails without the condition.

--- a/packages/forwarding/src/home.ts
+++ b/packages/forwarding/src/home.ts
@@ -49,16 +49,15 @@
   /** Absent until the work has been admitted. */
   readonly lease: Lease | undefined;
   readonly writes: WriteTracker;
+  /** Operations that have no reply yet. */
+  readonly running: Set<RunMessage>;
 }
 
 const EMPTY_SESSION: ForwardedSession = { variables: [] };
 
-/** The reply to an operation that was not run for lack of memory. */
-function createRefusal(state: TransactionState): Reply {
-  const failure = {
-    verdict: 'overloaded',
-    reason: 'too many large requests at this home',
-  } as const;
+/** The reply to an operation that was not sent to an instance. */
+function createRefusal(reason: string, state: TransactionState): Reply {
+  const failure = { verdict: 'overloaded', reason } as const;
   return { rows: [], digest: undefined, failure, state, position: undefined };
 }
 
@@ -242,7 +241,12 @@
       this.send({ type: 'refused', lease, reason, mayTryOther: true });
       return;
     }
-    const held: HeldLease = { group, lease: undefined, writes: new WriteTracker() };
+    const held: HeldLease = {
+      group,
+      lease: undefined,
+      writes: new WriteTracker(),
+      running: new Set(),
+    };
     this.held.set(lease, held);
     this.admit(admit, held)
       .catch((error: unknown) => {
@@ -291,19 +295,29 @@
       this.send({ type: 'broken', lease: id, reason: 'the lease has ended' });
       return;
     }
+    // Behind another operation, whose outcome may be unknown, a reply would be taken for its own.
+    if (held.running.size === 0 && !held.lease.connection.isUsable()) {
+      this.end(id, true);
+      this.sendReply(id, createRefusal('the connection broke before', 'idle'));
+      return;
+    }
     const { memory } = this.socket.watch;
     if (!memory.startMessage(bytes)) {
       this.guard.report('large request');
       const { state } = held.lease.connection;
-      this.sendReply(id, createRefusal(state));
+      this.sendReply(id, createRefusal('too many large requests at this home', state));
       return;
     }
+    held.running.add(message);
     this.run(message, held, held.lease)
       .catch((error: unknown) => {
         this.end(message.lease, true);
         this.send({ type: 'broken', lease: message.lease, reason: String(error) });
       })
-      .finally(() => memory.finishMessage(bytes));
+      .finally(() => {
+        held.running.delete(message);
+        memory.finishMessage(bytes);
+      });
   }
 
   private async run(
--- a/packages/forwarding/test/drainedhome.spec.ts
+++ b/packages/forwarding/test/drainedhome.spec.ts
@@ -18,11 +18,12 @@
   let entry: FakeEntry;
   let refuse: (error: Error) => void;
   let admitted: Promise<string>;
+  let connection: EchoConnection;
 
   /** Starts two homes: the first one lets work wait, the second one serves it at once. */
   beforeEach(async () => {
     homes = [await startHome('first'), await startHome('second')];
-    const connection = new EchoConnection(() => 0);
+    connection = new EchoConnection(() => 0);
     const granted = createFakeLease(connection, { instance: 'of second' });
     homes[0]!.group = new FakeGroup(
       async () =>
@@ -84,4 +85,23 @@
     refuse(new NotRunError('no room in time'));
     expect(String(await admitted)).toInclude('no room in time');
   });
+
+  // The caller was told that its write may have run, although the home had never sent it.
+  it('is refused, not in doubt, when its connection is lost between grant and statement', async () => {
+    const lease = await entry.forwarding.admit('g', createRequest(DEADLINE_MS));
+    connection.close();
+    const { failure } = await lease.connection.run({ operation: { kind: 'write', text: 'WRITE' } });
+    expect(failure?.verdict).toEqual('overloaded');
+    expect(homes[1]!.forwarding.countLeases()).toEqual(0);
+  });
+
+  // A refusal of the second statement would be taken for the reply to the first, which may have run.
+  it('is in doubt when its connection is lost with an earlier statement', async () => {
+    const lease = await entry.forwarding.admit('g', createRequest(DEADLINE_MS));
+    const operation = { kind: 'write', text: 'WRITE' } as const;
+    connection.loseNext();
+    const runs = [lease.connection.run({ operation }), lease.connection.run({ operation })];
+    const results = await Promise.allSettled(runs);
+    expect(results.map(({ status }) => status)).toEqual(['rejected', 'rejected']);
+  });
 });
--- a/packages/forwarding/test/echoinstance.ts
+++ b/packages/forwarding/test/echoinstance.ts
@@ -23,6 +23,8 @@
 
   private breakOff: (error: Error) => void = () => undefined;
 
+  private isLosing = false;
+
   private last: Promise<unknown> = Promise.resolve();
 
   /** `readDelayMs` tells how long the next command takes; undefined to lose it. */
@@ -34,7 +36,13 @@
     this.breaks.catch(() => undefined);
   }
 
+  /** Has the next command close the connection as soon as it is sent. */
+  loseNext(): void {
+    this.isLosing = true;
+  }
+
   override async run(command: Command): Promise<Reply> {
+    if (this.isLosing) this.close();
     const reply = this.last.then(() => this.runNext(command));
     this.last = reply.catch(() => undefined);
     return Promise.race([reply, this.breaks]);
