Open a link again after it was closed while it was being opened

Where the memory of a process is used up, the guard closes the connection that holds most, and this may be a new link that is about to send its first message.

Cause: the link's end was handled before the link was remembered, so that the closed link stayed in the map for good.

Evidence: closedlink.spec.ts fails on the earlier code ("no hello has arrived" after the home may be tried again).

Change: a link that has ended while it was opened is not remembered.

--- a/packages/forwarding/src/forwarder.ts
+++ b/packages/forwarding/src/forwarder.ts
@@ -230,6 +230,7 @@
     if (known || !this.mayUse(home, now)) return known;
     try {
       const link = this.openLink(home);
+      if (link.isClosed) return undefined;
       this.links.set(home.id, link);
       return link;
     } catch (error) {
--- a/packages/forwarding/src/link.ts
+++ b/packages/forwarding/src/link.ts
@@ -78,7 +78,8 @@
 
   private isOpen = false;
 
-  private isClosed = false;
+  /** True once the link has ended, which may happen while it is opened. */
+  isClosed = false;
 
   private readonly openedAt: Millis;
 
--- a/packages/forwarding/test/fleet.ts
+++ b/packages/forwarding/test/fleet.ts
@@ -118,7 +118,7 @@
   };
 }
 
-/** Creates the forwarding service of a VM without groups, and the errors that it logs. */
+/** Creates the forwarding service of a VM without groups, its guard, and the errors that it logs. */
 export function createForwarding(
   port: number,
   homes: readonly VmAddress[] = [],
@@ -138,10 +138,9 @@
     findVm: async () => undefined,
     ...overrides,
   };
-  return {
-    forwarding: new LinkForwarding(host, { host: '127.0.0.1', port }, createGuard(host)),
-    errors,
-  };
+  const guard = createGuard(host);
+  const forwarding = new LinkForwarding(host, { host: '127.0.0.1', port }, guard);
+  return { forwarding, guard, errors };
 }
 
 /** Starts a fleet and waits until its VMs know each other. */
