Move the conversion of replies on a link to a module of its own

home.ts runs the work of one VM; how replies and session values are carried is another job. No behaviour changes.

--- a/packages/forwarding/src/home.ts
+++ b/packages/forwarding/src/home.ts
@@ -11,8 +11,6 @@
   NotRunError,
   type Reply,
   runObserved,
-  type SessionState,
-  type TransactionState,
   WriteTracker,
 } from '@shallotpick/engine';
 import { match } from 'ts-pattern';
@@ -25,6 +23,7 @@
   LINK_FEATURES,
   LINK_VERSION,
 } from './message.js';
+import { createRefusal, createReplyMessage, toSessionState } from './reply.js';
 import { PeerActivity, SilenceMeter } from './silence.js';
 import { type MessageHandler, MessageSocket } from './socket.js';
 import { toWorkRequest } from './workrequest.js';
@@ -55,32 +54,6 @@
 
 const EMPTY_SESSION: ForwardedSession = { variables: [] };
 
-/** The reply to an operation that was not sent to an instance. */
-function createRefusal(reason: string, state: TransactionState): Reply {
-  const failure = { verdict: 'overloaded', reason } as const;
-  return { rows: [], digest: undefined, failure, state, position: undefined };
-}
-
-function createReplyMessage(
-  lease: number,
-  { rows, digest, failure, state, position }: Reply,
-): HomeMessage {
-  return {
-    ...{ type: 'reply', lease },
-    reply: {
-      ...{ rows: [...rows], state },
-      ...(digest === undefined ? {} : { digest }),
-      ...(failure ? { failure } : {}),
-      ...(position ? { position } : {}),
-    },
-  };
-}
-
-function toSessionState({ variables, prepared }: ForwardedSession): SessionState {
-  const statements = prepared ? [[prepared.name, prepared] as const] : [];
-  return { variables: new Map(variables), statements: new Map(statements) };
-}
-
 /** What the owner of an entry's link is told. */
 export interface EntryLinkObserver {
   /** The peer is known to be this VM. */
