--- a/packages/soak/src/answerchecker.ts
+++ b/packages/soak/src/answerchecker.ts
@@ -108,7 +108,7 @@
     const waitedMs = this.readWaitedMs(sentAt);
     const detail = `${vm.name}: ${id ?? ''} ${text}, after ${Math.round(waitedMs)} ms`;
     const wasRun = id !== undefined && this.checker.hasExecuted(id);
-    if (!wasRun && waitedMs < UNREAD_REQUEST_MS) {
+    if (!wasRun && (waitedMs < UNREAD_REQUEST_MS || this.wasStalledSince(sentAt))) {
       this.undecided.set(vm.name, [...(this.undecided.get(vm.name) ?? []), detail]);
       return;
     }
@@ -137,6 +137,11 @@
     return now - since - this.stalls.readStalledMs(since, now);
   }
 
+  /** True when the soak's process stood still for so long that the VM may not have got a request. */
+  private wasStalledSince(time: Millis): boolean {
+    return this.stalls.readStalledMs(time, performance.now()) > MAX_JUDGED_STALL_MS;
+  }
+
   private isCloseStalled({ isReadAfterClose, timestamp = '' }: LogLine): boolean {
     if (!isReadAfterClose) return false;
     const at = Date.parse(timestamp) - performance.timeOrigin;
--- a/packages/soak/src/callersession.ts
+++ b/packages/soak/src/callersession.ts
@@ -55,7 +55,8 @@
   }
 
   /**
-   * Sends the name of the database; requests may follow before the answer.
+   * Sends the name of the database; requests may follow before the answer. A session that isn't
+   * opened in time is closed.
    *
    * @throws ConnectionError when the VM refuses the session or doesn't answer.
    */
@@ -63,10 +64,15 @@
     const { caller, organisation } = this.options;
     const line = formatConnect(database, organisation?.key ?? caller);
     const request = this.createRequest(undefined, `CONNECT ${database}`);
-    const { failure } = await this.exchange(request, line, CONNECT_TIMEOUT_MS);
-    if (!failure) return;
-    this.isRefused = true;
-    throw new ConnectionError(failure.reason);
+    try {
+      const { failure } = await this.exchange(request, line, CONNECT_TIMEOUT_MS);
+      if (!failure) return;
+      this.isRefused = true;
+      throw new ConnectionError(failure.reason);
+    } catch (error) {
+      this.close();
+      throw error;
+    }
   }
 
   /**
