Put callers of the soak at a distance from some VMs

Cause of what the soak could not see: on loopback a caller reads the end of a connection before it sends the next request.

--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -44,6 +44,9 @@
 const PIPELINING_SHARE = 0.25;
 const VISITING_SHARE = 0.1;
 
+/** Times that bytes need between callers and VMs in a run with changes, VM after VM. */
+const CALLER_DELAYS_MS: readonly Millis[] = [0, 5, 20];
+
 const INSTANCE = { slots: 3, statementCostMs: 3, connectCostMs: 6 };
 
 /** Size, program and faults of a run. */
@@ -207,7 +210,7 @@
   }
 
   private createVm(index: number): SoakVm {
-    const { program, directory, connections } = this.options;
+    const { program, directory, connections, changes } = this.options;
     const hasLinks = connections !== undefined;
     // A link comes from the address that its VM has registered, which on loopback is one for all.
     const { platform } = this;
@@ -217,6 +220,7 @@
         ? '127.0.0.1'
         : `127.${1 + (process.pid % MAX_BYTE)}.${1 + (process.pid >> BYTE_BITS)}.${index + 1}`,
       hasLinks,
+      callerDelayMs: changes ? CALLER_DELAYS_MS[index % CALLER_DELAYS_MS.length]! : 0,
       createStoreService: (paths) => platform.createStoreService(paths),
       promotionPort: platform.promotionService.port,
       reportViolation: (invariant, detail) => this.checker.addViolation(invariant, detail),
--- a/packages/soak/src/vm.ts
+++ b/packages/soak/src/vm.ts
@@ -37,6 +37,8 @@
   readonly host: string;
   /** True when the VM may pass work on to other VMs. */
   readonly hasLinks: boolean;
+  /** Time that bytes need between the VM and its callers. */
+  readonly callerDelayMs: Millis;
   /** Path of the bundled program. */
   readonly program: string;
   readonly directory: string;
@@ -115,6 +117,7 @@
       this.promotionProxy.start(),
       this.callerProxy.start(),
     ]);
+    this.callerProxy.delay(this.options.callerDelayMs);
     this.ports = await findFreePorts(3);
     const { directory, name } = this.options;
     await writeFile(join(directory, `${name}.json`), JSON.stringify(this.createSettings()));
