Let a mutant of the soak find the proxy where the caller keeps it now

The mutant "closes connections in use" quotes a line that names the proxy; the split of the caller's connection had moved it, so the mutant did not compile into a fault. It names the proxy where the caller keeps it; the check is the same, and the spec passes alone.

--- a/packages/soak/test/soak.spec.ts
+++ b/packages/soak/test/soak.spec.ts
@@ -130,7 +130,7 @@
     mutant: {
       file: 'platform/src/caller.ts',
       from: 'isQuiescent: () => this.isQuiescent(),',
-      to: 'isQuiescent: () => { if (this.isRunning && proxy.isDraining()) this.socket.destroy(); return false; },',
+      to: 'isQuiescent: () => { if (this.isRunning && this.options.proxy.isDraining()) this.socket.destroy(); return false; },',
     },
     faults: STOP_FAULTS,
     invariant: 'a graceful shutdown interrupts no request',
