--- a/packages/soak/src/answerchecker.ts
+++ b/packages/soak/src/answerchecker.ts
@@ -31,11 +31,11 @@
 const ANSWER_LIMIT_MS: Millis = LONGEST_TIMEOUT_MS + ANSWER_MARGIN_MS;
 
 /**
- * A VM gives its callers a second to close after it has asked them to. Requests that arrive later
- * aren't judged if the soak's process stood still for a good part of the time before.
+ * A VM gives its callers 2.5 s to close after it has asked them to. Requests that arrive later
+ * aren't judged if the soak's process stood still for a good part of that time.
  */
-const CLOSE_WINDOW_MS: Millis = 2_000;
-const MAX_JUDGED_STALL_MS: Millis = 400;
+const CLOSE_WINDOW_MS: Millis = 3_000;
+const MAX_JUDGED_STALL_MS: Millis = 1_500;
 
 const ANSWERED = 'every request that is read is answered';
 const REFUSED = 'every request behind a refused CONNECT is answered';
