--- a/packages/soak/src/stallwatch.ts
+++ b/packages/soak/src/stallwatch.ts
@@ -19,7 +19,7 @@
 
   private timer: NodeJS.Timeout | undefined;
 
-  private tickedAt: Millis = 0;
+  private tickedAt: Millis = performance.now();
 
   start(): void {
     this.tickedAt = performance.now();
