Show a read that misses the session's own commit

Cause: a session remembers one log position, whichever group's log it is one of, so that a commit at another group replaces it.

--- a/review/lib-2/group.mjs
+++ b/review/lib-2/group.mjs
@@ -151,6 +151,11 @@
     return { error: 'MALFORMED' };
   }
 
+  /** Who is connected, and the values that are set. */
+  describe() {
+    return { who: this.who, values: Object.fromEntries(this.values) };
+  }
+
   get state() {
     if (!this.open) return 'I';
     return this.hasFailed ? 'E' : 'T';
@@ -190,7 +195,7 @@
     }
     if (isWrite && !this.open && !instance.isPrimary) return { error: 'READONLY' };
     await instance.takeSlot();
-    instance.group.options.onRun?.({ instance, id, text: `${word} ${rest}`, who: this.who });
+    instance.group.options.onRun?.({ instance, id, text: `${word} ${rest}`, ...this.describe() });
     const [item, data] = splitWords(argument, 1);
     if (!isWrite) return { rows: instance.group.options.read(instance, item, id) };
     if (this.open) this.open.writes.push({ item, data });
@@ -212,7 +217,7 @@
       return { error: 'READONLY' };
     }
     await instance.takeSlot();
-    instance.group.options.onRun?.({ instance, id, text: 'COMMIT', who: this.who });
+    instance.group.options.onRun?.({ instance, id, text: 'COMMIT', ...this.describe() });
     const writes = open.writes.map((one) => ({ ...one, id }));
     const isDone = writes.length === 0 || (await instance.group.commit(instance, writes));
     this.end();
