--- a/review/lib-2/group.mjs
+++ b/review/lib-2/group.mjs
@@ -286,6 +286,12 @@
     this.sessions.forEach(({ socket }) => socket.destroy());
   }
 
+  /** Reports that it is about to leave. */
+  leave() {
+    this.isLeaving = true;
+    this.report();
+  }
+
   report() {
     this.sequence += 1;
     this.group.store.put('servers', this.id, {
--- a/review/lib-2/vm.mjs
+++ b/review/lib-2/vm.mjs
@@ -100,6 +100,7 @@
       stdio: ['ignore', 'pipe', 'pipe'],
     });
     this.child = child;
+    this.startedAt = Date.now();
     this.log = [];
     const keep = (chunk) => {
       this.log.push(...chunk.toString().split('\n'));
