--- a/review/lib-2/group.mjs
+++ b/review/lib-2/group.mjs
@@ -292,6 +292,14 @@
     this.report();
   }
 
+  /** Receives nothing for some time. */
+  setDeaf(durationMs) {
+    this.isDeaf = true;
+    setTimeout(() => {
+      this.isDeaf = false;
+    }, durationMs);
+  }
+
   report() {
     this.sequence += 1;
     this.group.store.put('servers', this.id, {
