End transactions of a stopping process where their next statement arrives

Cause: the decision was a poll's alone. drainCaller aborts a transaction only while its caller has been silent for 60 ms, and Proxy.stop only closed callers that were idle at that moment; nothing ended what ran or arrived later.

Change: ShutdownSchedule holds the times of a planned stop. Sessions ask it before a statement is passed on: after half of the time the next statement of a transaction is aborted, BEGIN is refused, and a statement or COMMIT starts only if its timeout ends before the last 0.5 s. Proxy.stop ends what runs, each request with an answer, and later ones are refused. A home asks the same schedule for the transactions of other VMs, which it had served until its links were cut. A connection is closed behind any answer after the stop; requests sent ahead are refused whole.

proxy.spec.ts, "starts no group of a configuration that arrives afterwards": a session of a stopped proxy is now refused before it looks for its group, with another reason. The spec expects that reason, and in place of the one that told of the missing group it asks the proxy for the group; it fails if the directory starts groups after the stop.

--- a/packages/engine/src/attempt.ts
+++ b/packages/engine/src/attempt.ts
@@ -5,6 +5,7 @@
 import { NotRunError } from './errors.js';
 import type { Lease } from './lease.js';
 import type { OperationPermit } from './operationquota.js';
+import { SHUTTING_DOWN } from './shutdown.js';
 import type { SessionContext } from './context.js';
 import type { Failure, Reply, Verdict } from './statement.js';
 import { wait } from './timing.js';
@@ -98,10 +99,11 @@
     }
   }
 
-  /** Finds out whether the caller has left, or lost its key, while the work waited. */
+  /** Finds out whether the caller has left or lost its key, or the process ends, while the work waited. */
   private findLoss(): Failure | undefined {
     const { context, route, organisation } = this;
     if (context.isClosed) return { verdict: 'aborted', reason: 'the caller has left' };
+    if (context.options.shutdown.isOver()) return { verdict: 'overloaded', reason: SHUTTING_DOWN };
     return context.options.identity.checkAgain(route, organisation);
   }
 
--- a/packages/engine/src/commitconfirmation.ts
+++ b/packages/engine/src/commitconfirmation.ts
@@ -104,6 +104,13 @@
     });
   }
 
+  /** Ends the waits: nothing proves the commits in time. */
+  stop(): void {
+    clearTimeout(this.timer);
+    const now = this.options.clock.readNow();
+    this.waiting.forEach((one) => this.end(one, this.gate.decide(one.commit, now)));
+  }
+
   /** Notes that a request sent at `readAt` has found no claim open, but this settled one. */
   handleSettledRecord(claim: string, readAt: Millis): void {
     this.gate.handleSettledRecord(claim, readAt, this.options.clock.readNow());
--- a/packages/engine/src/context.ts
+++ b/packages/engine/src/context.ts
@@ -6,6 +6,7 @@
 import type { Metrics } from './metrics.js';
 import type { OperationQuota } from './operationquota.js';
 import { findAccess, type PreparedStatement } from './setup.js';
+import type { ShutdownSchedule } from './shutdown.js';
 import type { DataStatement, Failure, Reply, TransactionState } from './statement.js';
 import type { SessionCommit } from './view.js';
 
@@ -25,6 +26,7 @@
   readonly findGroup: (name: string) => GroupAccess | undefined;
   readonly retries: RetryBudgets;
   readonly quota: OperationQuota;
+  readonly shutdown: ShutdownSchedule;
 }
 
 /** Bytes of the values and prepared statements of a session, which each connection needs. */
--- a/packages/engine/src/directory.ts
+++ b/packages/engine/src/directory.ts
@@ -78,10 +78,10 @@
     return { total: forwarded.length, reachable: reachable.length };
   }
 
-  /** Stops the groups; none is started any more. */
-  stop(): void {
+  /** Ends the groups before the process does; none is started any more. */
+  end(): void {
     this.isStopped = true;
-    this.local.forEach((group) => group.stop());
+    this.local.forEach((group) => group.end());
   }
 
   /** True once the homes are known, or the wait for them has lasted long enough. */
--- a/packages/engine/src/forwarding.ts
+++ b/packages/engine/src/forwarding.ts
@@ -5,6 +5,7 @@
 import type { GroupService } from './group.js';
 import type { Log } from './log.js';
 import type { Metrics } from './metrics.js';
+import type { ShutdownSchedule } from './shutdown.js';
 
 /** Whether a VM can serve the work that other VMs pass on to it. */
 export interface HomeStatus {
@@ -22,6 +23,7 @@
   readonly ageClock: Clock;
   readonly log: Log;
   readonly metrics: Metrics;
+  readonly shutdown: ShutdownSchedule;
   /** What this VM can prove of the configuration; undefined when it can prove nothing. */
   readonly readProof: () => ProofAge | undefined;
   /** Receives the proofs of other VMs. */
--- a/packages/engine/src/group.ts
+++ b/packages/engine/src/group.ts
@@ -214,11 +214,18 @@
     return this.listMembers().filter(({ probe }) => probe.isAnswering()).length;
   }
 
+  /** Refuses work that waits and new work; what runs may end. */
   stop(): void {
     this.listMembers().forEach((member) => this.members.remove(member));
     this.dispatcher.stop();
   }
 
+  /** Stops, and ends the waits for the proof of a commit, since the process is about to end. */
+  end(): void {
+    this.stop();
+    this.confirmation.stop();
+  }
+
   private handleStart(...started: Parameters<DispatcherOptions['onStart']>): void {
     const [request, instance] = started;
     const member = this.members.find(instance);
--- a/packages/engine/src/index.ts
+++ b/packages/engine/src/index.ts
@@ -49,6 +49,7 @@
 export { ObjectWatcher } from './watcher.js';
 export type { ObjectWatcherOptions } from './watcher.js';
 export { GroupService } from './group.js';
+export { ShutdownSchedule, SHUTTING_DOWN } from './shutdown.js';
 export { Dispatcher } from './dispatcher.js';
 export type { AdmittedWork, Refusal, WorkRequest } from './dispatcher.js';
 export { WorkEvidence } from './workevidence.js';
--- a/packages/engine/src/proxy.ts
+++ b/packages/engine/src/proxy.ts
@@ -13,6 +13,7 @@
 import type { Placement } from './placement.js';
 import type { OperationQuota } from './operationquota.js';
 import { Session } from './session.js';
+import { SHUTTING_DOWN, type ShutdownSchedule } from './shutdown.js';
 import { wait } from './timing.js';
 
 const TICK_MS: Millis = 25;
@@ -28,8 +29,6 @@
 };
 /** Time until the load balancer notices that this VM isn't ready and sends no new callers. */
 const BALANCER_DELAY_MS: Millis = 2_300;
-/** Time reserved before the platform kills the process, so that the last answers are sent. */
-const EXIT_MARGIN_MS: Millis = 500;
 /** A VM that doesn't reach most instances for this long reports that it isn't ready. */
 const ISOLATION_LIMIT_MS: Millis = 150;
 const DRAIN_POLL_MS: Millis = 20;
@@ -55,6 +54,7 @@
   readonly verifier: ConfigurationVerifier;
   /** Absent when this VM serves every group itself. */
   readonly forwarding: Forwarding | undefined;
+  readonly shutdown: ShutdownSchedule;
   /** True while the registry of instances is reachable. */
   readonly isRegistryReachable: () => boolean;
 }
@@ -73,8 +73,6 @@
 
   private sessionTimer: NodeJS.Timeout | undefined;
 
-  private draining = false;
-
   private isRosterChanged = false;
 
   private readonly isolation: IsolationMonitor;
@@ -102,12 +100,12 @@
 
   /** True when the load balancer may send new callers to this VM. */
   isReady(): boolean {
-    if (this.draining || !this.options.configuration.read()) return false;
+    if (this.isDraining() || !this.options.configuration.read()) return false;
     return !this.isolation.hasLasted(ISOLATION_LIMIT_MS);
   }
 
   isDraining(): boolean {
-    return this.draining;
+    return this.options.shutdown.hasStarted();
   }
 
   findGroup(name: string): GroupAccess | undefined {
@@ -121,16 +119,17 @@
 
   /** Whether this VM can serve work that other VMs pass on to it. */
   readHomeStatus(): HomeStatus {
-    return { isIsolated: this.isolation.isHomeIsolated, isDraining: this.draining };
+    return { isIsolated: this.isolation.isHomeIsolated, isDraining: this.isDraining() };
   }
 
   /** Creates the session of a caller; `key` is what the caller gave to identify itself. */
   createSession(database: string, key: string): Session {
-    const { clock, log, metrics, configuration, quota } = this.options;
+    const { clock, log, metrics, configuration, quota, shutdown } = this.options;
     const caller = this.nameCaller(key);
     const identity = this.identify(key);
     return new Session({
       ...{ database, caller, identity, clock, log, metrics, configuration, quota },
+      shutdown,
       findGroup: (name) => this.findGroup(name),
       retries: this.retries,
     });
@@ -154,45 +153,53 @@
 
   /**
    * Shuts the proxy down gracefully within `graceMs`: reports not ready at once, answers requests
-   * in flight, closes sessions when they become idle, and aborts transactions that are still open
-   * after half of the time.
+   * in flight, and closes sessions when they become idle. What the sessions still run is their
+   * decision, by the same schedule.
    */
   async drain(graceMs: Millis): Promise<void> {
-    const { clock, log } = this.options;
-    this.draining = true;
-    const startedAt = clock.readNow();
+    const { log, shutdown } = this.options;
+    shutdown.start(graceMs);
     log.info('draining', { callers: this.callers.size, graceMs });
     for (;;) {
-      const elapsed = clock.readNow() - startedAt;
-      this.callers.forEach((caller) => this.drainCaller(caller, elapsed, graceMs));
+      this.callers.forEach((caller) => this.drainCaller(caller));
       const held = this.options.forwarding?.countLeases() ?? 0;
-      const isDone = this.callers.size + held === 0 && elapsed >= BALANCER_DELAY_MS;
-      if (isDone || elapsed >= graceMs - EXIT_MARGIN_MS) break;
+      const isDone = this.callers.size + held === 0 && this.hasBalancerNoticed();
+      if (isDone || shutdown.isOver()) break;
       await wait(DRAIN_POLL_MS);
     }
     this.stop();
   }
 
+  /** Ends what runs, each request with an answer; sessions run nothing more. */
   stop(): void {
+    this.options.shutdown.stop();
     clearTimeout(this.tickTimer);
     clearInterval(this.sessionTimer);
     this.options.fleet.stop();
-    this.callers.forEach((caller) => caller.close('stop'));
+    this.callers.forEach((caller) => {
+      caller.session.stop();
+      caller.close('stop');
+    });
     this.options.forwarding?.stop();
-    this.options.groups.stop();
+    this.options.groups.end();
     this.options.log.info('stopped', { callers: this.callers.size });
   }
 
   /**
-   * Closes an idle caller once the load balancer sends no new ones, and aborts a transaction that
-   * is open after half of the time. The protocol adapter closes sessions in use right after an
-   * answer, when no request can be in flight.
+   * Closes an idle caller once the load balancer sends no new ones, and aborts a transaction whose
+   * time to end is over. A caller that doesn't pause is met by its session and by the protocol
+   * adapter, which closes the connection right after an answer, when no request can be in flight.
    */
-  private drainCaller(caller: CallerHandle, elapsed: Millis, graceMs: Millis): void {
+  private drainCaller(caller: CallerHandle): void {
     if (!caller.isQuiescent()) return;
     if (!caller.session.isIdle()) {
-      if (elapsed >= graceMs / 2) caller.session.abort('the proxy is shutting down');
-    } else if (elapsed >= BALANCER_DELAY_MS) caller.close('drain');
+      if (this.options.shutdown.areTransactionsOver()) caller.session.abort(SHUTTING_DOWN);
+    } else if (this.hasBalancerNoticed()) caller.close('drain');
+  }
+
+  /** True once the load balancer sends no new callers to a VM that shuts down. */
+  private hasBalancerNoticed(): boolean {
+    return this.options.shutdown.measureElapsed() >= BALANCER_DELAY_MS;
   }
 
   /** The name that a caller gave, or one of this VM's own where that is a secret key. */
--- a/packages/engine/src/session.ts
+++ b/packages/engine/src/session.ts
@@ -2,12 +2,14 @@
 import { match } from 'ts-pattern';
 import type { DatabaseRoute } from './configuration.js';
 import { createLocalReply, SessionContext, type SessionOptions } from './context.js';
+import { SHUTTING_DOWN } from './shutdown.js';
 import { SingleStatementRunner } from './single.js';
 import type {
   CallerRequest,
   DataStatement,
   Failure,
   Reply,
+  Statement,
   TransactionState,
 } from './statement.js';
 import { Transaction } from './transaction.js';
@@ -18,6 +20,9 @@
 
   private transaction: Transaction | undefined;
 
+  /** The statement outside a transaction that is running. */
+  private single: SingleStatementRunner | undefined;
+
   constructor(options: SessionOptions) {
     this.context = new SessionContext(options);
   }
@@ -71,6 +76,12 @@
     this.transaction?.abort(reason);
   }
 
+  /** Ends the running request with an answer, and the open transaction, before the process does. */
+  stop(): void {
+    this.transaction?.abort(SHUTTING_DOWN);
+    this.single?.end();
+  }
+
   /** Ends the session after the caller has disconnected. */
   close(): void {
     this.context.isClosed = true;
@@ -81,6 +92,8 @@
   private async runStatement(request: CallerRequest): Promise<Reply> {
     const { statement } = request;
     const { transaction, context } = this;
+    if (context.options.shutdown.isOver()) return this.refuseRequest(SHUTTING_DOWN);
+    if (transaction) this.endBeforeShutdown(transaction, statement);
     const refusal = transaction ? this.refuseLostKey(transaction) : undefined;
     if (refusal) return refusal;
     if (transaction?.isFailed() && statement.kind !== 'rollback' && statement.kind !== 'commit') {
@@ -132,7 +145,9 @@
     }
     const route = this.findRoute();
     if (!route) return this.refuseUnknown();
-    const authorization = this.context.options.identity.authorize(route);
+    const { identity, shutdown } = this.context.options;
+    if (shutdown.areTransactionsOver()) return this.refuseShutdown();
+    const authorization = identity.authorize(route);
     if (authorization.kind === 'refused') return this.refuseCaller(authorization.failure);
     const { organisation } = authorization;
     this.transaction = new Transaction(this.context, route, isReadOnly, organisation);
@@ -155,6 +170,21 @@
     return this.confirm();
   }
 
+  /**
+   * Aborts the transaction of a process that shuts down, unless this statement ends it in time. Here
+   * the answer is still true that nothing has run, however short the caller's pauses are.
+   */
+  private endBeforeShutdown(transaction: Transaction, { kind }: Statement): void {
+    const { shutdown } = this.context.options;
+    const { timeoutMs } = transaction.route;
+    if (!shutdown.mayContinueTransaction(kind, timeoutMs)) transaction.abort(SHUTTING_DOWN);
+  }
+
+  /** Refuses work that might not end before the process does. */
+  private refuseShutdown(): Reply {
+    return this.refuse({ verdict: 'overloaded', reason: SHUTTING_DOWN });
+  }
+
   /** Ends the transaction of a caller whose organisation has lost the key. */
   private refuseLostKey(transaction: Transaction): Reply | undefined {
     const failure = this.findKeyFailure(transaction);
@@ -193,9 +223,16 @@
     if (this.transaction) return this.transaction.run(id, statement);
     const route = this.findRoute();
     if (!route) return this.refuseUnknown();
-    const authorization = this.context.options.identity.authorize(route);
+    const { identity, shutdown } = this.context.options;
+    if (!shutdown.mayStart(route.timeoutMs)) return this.refuseShutdown();
+    const authorization = identity.authorize(route);
     if (authorization.kind === 'refused') return this.refuseCaller(authorization.failure);
     const { organisation } = authorization;
-    return new SingleStatementRunner(this.context, route, id, statement, organisation).run();
+    this.single = new SingleStatementRunner(this.context, route, id, statement, organisation);
+    try {
+      return await this.single.run();
+    } finally {
+      this.single = undefined;
+    }
   }
 }
--- a/packages/engine/src/single.ts
+++ b/packages/engine/src/single.ts
@@ -22,6 +22,9 @@
 
   private readonly isWrite: boolean;
 
+  /** The connection of the attempt in progress. */
+  private lease: Lease | undefined;
+
   constructor(
     private readonly context: SessionContext,
     private readonly route: DatabaseRoute,
@@ -38,6 +41,7 @@
       const lease = await this.attempts.admit();
       if (!isLease(lease)) return createLocalReply('idle', lease);
       const outcome = await this.runOn(lease);
+      this.lease = undefined;
       if (outcome.kind === 'answered') return outcome.reply;
       const { failure } = outcome;
       const isRetried =
@@ -48,7 +52,13 @@
     }
   }
 
+  /** Ends the attempt in progress; a statement that was sent may have run. */
+  end(): void {
+    this.lease?.connection.close();
+  }
+
   private async runOn(lease: Lease): Promise<Outcome> {
+    this.lease = lease;
     if (!lease.connection.isUsable()) {
       lease.release();
       return { kind: 'retryable', failure: NOT_SENT };
--- a/packages/engine/src/transaction.ts
+++ b/packages/engine/src/transaction.ts
@@ -22,6 +22,9 @@
 export class Transaction {
   private lease: Lease | undefined;
 
+  /** The connection on which the transaction is being opened. */
+  private opening: Lease | undefined;
+
   private failure: Failure | undefined;
 
   /** True once the caller has been told that the transaction has failed. */
@@ -55,6 +58,7 @@
   /** Rolls back without waiting for the instance's reply. */
   abort(reason: string): void {
     this.failure ??= { verdict: 'aborted', reason };
+    this.opening?.connection.close();
     const { lease } = this;
     this.lease = undefined;
     if (!lease) return;
@@ -173,9 +177,11 @@
     for (;;) {
       const lease = await attempts.admit();
       if (!isLease(lease)) return lease;
+      this.opening = lease;
       const failure = await this.openOn(lease, attempts);
+      this.opening = undefined;
       // Aborted meanwhile, as when the caller has left or lost its key.
-      if (!failure && this.failure) {
+      if (this.failure) {
         lease.connection.close();
         lease.release();
         return this.failure;
--- a/packages/engine/src/wiring.ts
+++ b/packages/engine/src/wiring.ts
@@ -13,6 +13,7 @@
 import { Placement } from './placement.js';
 import { Proxy } from './proxy.js';
 import type { ProxyParts } from './proxyparts.js';
+import { ShutdownSchedule } from './shutdown.js';
 import {
   ConfigurationSource,
   createInstanceSource,
@@ -32,6 +33,7 @@
   /** Clock that includes suspensions of the VM. */
   readonly ageClock: Clock;
   readonly suspicion: Suspicion;
+  readonly shutdown: ShutdownSchedule;
 }
 
 /** Parts that others call back before they are created. */
@@ -52,8 +54,10 @@
 function createSharedServices({
   zoneBytesPerSecond = DEFAULT_ZONE_BYTES_PER_SECOND,
 }: ProxyParts): SharedServices {
+  const clock = new SystemClock();
   return {
-    clock: new SystemClock(),
+    clock,
+    shutdown: new ShutdownSchedule(clock),
     ageClock: new SuspendAwareClock(),
     suspicion: new Suspicion(),
     zoneBudget: zoneBytesPerSecond > 0 ? new ZoneBudget(zoneBytesPerSecond) : undefined,
@@ -91,9 +95,9 @@
 function createForwarding(foundation: Foundation): Forwarding | undefined {
   const { parts, shared, fleet, placement, verifier, late } = foundation;
   const { vm, zone, log, metrics } = parts;
-  const { clock, ageClock } = shared;
+  const { clock, ageClock, shutdown } = shared;
   return parts.createForwarding?.({
-    ...{ vm, zone, clock, ageClock, log, metrics },
+    ...{ vm, zone, clock, ageClock, log, metrics, shutdown },
     readProof: () => verifier.readProof(),
     handleProof: (proof) => verifier.handleProof(proof),
     findLocalGroup: (name) => late.groups?.findLocal(name),
@@ -107,7 +111,7 @@
 
 /** Creates the counts against rate limits; undefined where the VMs can't lend each other permits. */
 function createFleetQuota(
-  { parts, shared, fleet, configuration, late }: Foundation,
+  { parts, shared, fleet, configuration }: Foundation,
   forwarding: Forwarding | undefined,
 ): FleetQuota | undefined {
   const { vm, log, metrics, quotaRule: rule } = parts;
@@ -116,7 +120,7 @@
   return new FleetQuota({
     ...{ vm, fleet, configuration, forwarding, clock, ageClock, log, metrics, rule },
     random: Math.random,
-    isDraining: () => late.proxy?.isDraining() ?? false,
+    isDraining: () => shared.shutdown.hasStarted(),
   });
 }
 
@@ -168,6 +172,7 @@
   late.groups = groups;
   const proxy = new Proxy({
     ...{ clock, log, metrics, configuration, fleet, placement, groups, forwarding, verifier },
+    shutdown: shared.shutdown,
     quota: fleetQuota ?? new UnlimitedQuota(),
     isRegistryReachable: () => instances.watcher.isReachable(),
   });
--- a/packages/engine/test/changetrial.ts
+++ b/packages/engine/test/changetrial.ts
@@ -40,6 +40,7 @@
 
 /** A request that waits for its reply. */
 interface OpenRequest {
+  readonly session: Session;
   readonly description: string;
   readonly startedAt: Millis;
 }
@@ -49,6 +50,8 @@
   readonly running: RunningProxy;
   readonly sessions: readonly Session[];
   isServing: boolean;
+  /** True once the platform has killed the process after its grace time. */
+  isKilled: boolean;
 }
 
 /** A seeded source of numbers from 0 up to 1. */
@@ -145,11 +148,16 @@
   private startVm(vm: string): void {
     const running = this.fleet.create(vm, 'z');
     running.start().catch(this.handleRejection);
-    const sessions = Array.from({ length: SESSIONS_PER_VM }, () => this.startSession(running));
-    this.vms.set(vm, { running, sessions, isServing: true });
+    const sessions: Session[] = [];
+    const started = { running, sessions, isServing: true, isKilled: false };
+    for (let index = 0; index < SESSIONS_PER_VM; index += 1) {
+      sessions.push(this.startSession(started));
+    }
+    this.vms.set(vm, started);
   }
 
-  private startSession(running: RunningProxy): Session {
+  private startSession(vm: Vm): Session {
+    const { running } = vm;
     const group = this.choose(GROUPS);
     const database = nameDatabase(group, this.random() < 0.5);
     const session = running.proxy.createSession(database, this.choose(KEYS));
@@ -158,7 +166,7 @@
       isQuiescent: () => false,
       close: () => undefined,
     });
-    this.call(session, running, database).catch(this.handleRejection);
+    this.call(session, vm, database).catch(this.handleRejection);
     return session;
   }
 
@@ -210,6 +218,10 @@
         .drain(GRACE_MS)
         .then(() => vm.running.stopWatchers())
         .catch(this.handleRejection);
+      setTimeout(() => {
+        vm.isKilled = true;
+        this.checkKilled(vm.sessions);
+      }, GRACE_MS);
       return;
     }
     vm.running.proxy.stop();
@@ -217,10 +229,18 @@
     this.startVm(name);
   }
 
+  /** Checks what a process still works on at the end of its grace time; the kill cuts it off. */
+  private checkKilled(sessions: readonly Session[]): void {
+    this.open.forEach(({ session, description }) => {
+      if (sessions.includes(session)) this.violations.push(`${description}: cut by the kill`);
+    });
+  }
+
   /** Sends requests one after the other, as a caller does. */
-  private async call(session: Session, running: RunningProxy, database: string): Promise<void> {
+  private async call(session: Session, vm: Vm, database: string): Promise<void> {
+    const { running } = vm;
     let transactionLimit: Millis | undefined;
-    while (!this.isEnding) {
+    while (!this.isEnding && !vm.isKilled) {
       await wait(this.random() * MAX_PAUSE_MS);
       const { timeoutMs = 0 } = running.configuration.findRoute(database) ?? {};
       const isOpen = !session.isIdle();
@@ -242,7 +262,7 @@
     const { id, statement } = request;
     const startedAt = this.time.now;
     const description = `${statement.kind} ${id}, sent at ${Math.round(startedAt)} ms`;
-    const one = { description, startedAt };
+    const one = { session, description, startedAt };
     this.open.add(one);
     try {
       const reply = await session.run(request);
--- a/packages/engine/test/everyreply.spec.ts
+++ b/packages/engine/test/everyreply.spec.ts
@@ -1,6 +1,6 @@
 import { expect } from 'earl';
 import * as fc from 'fast-check';
-import { steps } from './changes.js';
+import { type Step, steps } from './changes.js';
 import { ChangeTrial } from './changetrial.js';
 
 /** Limit of real time; long runs by hand need it. */
@@ -8,6 +8,12 @@
 const SEED = 20_261_206;
 /** By hand, REPLY_RUNS and REPLY_SEED give others. */
 const RUNS = 8;
+/** A VM stops while its callers, which never pause for long, have work at a failing instance. */
+const STOPPED_VM: readonly Step[] = [
+  { afterMs: 313, change: { kind: 'instance', id: 'g-1', mode: 'fail' } },
+  { afterMs: 395, change: { kind: 'drain', vm: 'vm-2' } },
+];
+const STOPPED_VM_DRAWS = 17;
 
 describe('a request beside changes of the configuration, the homes and the lenders', () => {
   // A request that had been read whole got neither an answer nor a refusal.
@@ -24,7 +30,8 @@
       successes += trial.successes;
       expect(violations).toEqual([]);
     });
-    await fc.assert(property, { seed, numRuns, endOnFailure: true });
+    const examples: [number, readonly Step[]][] = [[STOPPED_VM_DRAWS, STOPPED_VM]];
+    await fc.assert(property, { seed, numRuns, examples, endOnFailure: true });
     // Most trials are of no use where nearly everything is refused.
     expect(successes * 4 > replies).toEqual(true);
   });
--- a/packages/engine/test/fixture.ts
+++ b/packages/engine/test/fixture.ts
@@ -4,6 +4,7 @@
   createProxy,
   Metrics,
   OddEntryReporter,
+  type Proxy,
   type ServiceConfiguration,
   type Session,
   SystemClock,
@@ -26,7 +27,10 @@
   readonly replica: FakeInstance;
   /** A second replica, if the fixture was created with one. */
   readonly other: FakeInstance;
+  readonly proxy: Proxy;
   createSession(database: string): Session;
+  /** Creates the session of a caller that never pauses for long enough to count as idle. */
+  createBusySession(database: string): Session;
   stop(): void;
 }
 
@@ -67,7 +71,13 @@
   await wait(250);
   return {
     ...{ store, promotions, leader, replica, other },
+    proxy: running.proxy,
     createSession: (database) => running.proxy.createSession(database, 'caller'),
+    createBusySession: (database) => {
+      const session = running.proxy.createSession(database, 'caller');
+      running.proxy.addCaller({ session, isQuiescent: () => false, close: () => undefined });
+      return session;
+    },
     stop: () => {
       running.stopWatchers();
       running.proxy.stop();
--- a/packages/engine/test/organisations.spec.ts
+++ b/packages/engine/test/organisations.spec.ts
@@ -9,6 +9,7 @@
   Metrics,
   OrganisationIndex,
   Session,
+  ShutdownSchedule,
   SystemClock,
   UnlimitedQuota,
 } from '../src/index.js';
@@ -128,6 +129,7 @@
       findGroup: () => group,
       retries: new RetryBudgets({ total: NO_RETRIES, organisation: NO_RETRIES }),
       quota: new UnlimitedQuota(),
+      shutdown: new ShutdownSchedule(new SystemClock()),
     });
     return { configuration, released, session };
   };
--- a/packages/engine/test/proxy.spec.ts
+++ b/packages/engine/test/proxy.spec.ts
@@ -1,6 +1,6 @@
 import type { PromotionRecord } from '@shallotpick/core';
 import { expect } from 'earl';
-import { PROMOTIONS_KIND, VMS_KIND, wait } from '../src/index.js';
+import { PROMOTIONS_KIND, SHUTTING_DOWN, VMS_KIND, wait } from '../src/index.js';
 import { createFixture, type Fixture } from './fixture.js';
 import { createConfiguration } from './store.js';
 
@@ -63,6 +63,7 @@
     await wait(WATCH_MS);
     const statement = { kind: 'write', text: 'w' } as const;
     const reply = await Promise.race([session.run({ id: '1', statement }), wait(MAX_REPLY_MS)]);
-    expect(reply?.failure).toEqual({ verdict: 'overloaded', reason: 'the group is not known' });
+    expect(reply?.failure).toEqual({ verdict: 'overloaded', reason: SHUTTING_DOWN });
+    expect(fixture.proxy.findGroup('h') === undefined).toEqual(true);
   });
 });
--- a/packages/forwarding/src/home.ts
+++ b/packages/forwarding/src/home.ts
@@ -11,6 +11,7 @@
   NotRunError,
   type Reply,
   runObserved,
+  SHUTTING_DOWN,
   WriteTracker,
 } from '@shallotpick/engine';
 import { match } from 'ts-pattern';
@@ -48,6 +49,9 @@
   /** Absent until the work has been admitted. */
   readonly lease: Lease | undefined;
   readonly writes: WriteTracker;
+  readonly isTransaction: boolean;
+  /** How long an operation of this work may take. */
+  readonly timeoutMs: Millis;
   /** Operations that have no reply yet. */
   readonly running: Set<RunMessage>;
 }
@@ -218,6 +222,8 @@
       group,
       lease: undefined,
       writes: new WriteTracker(),
+      isTransaction: admit.request.isTransaction === true,
+      timeoutMs: admit.request.remainingMs,
       running: new Set(),
     };
     this.held.set(lease, held);
@@ -274,6 +280,11 @@
       this.sendReply(id, createRefusal('the connection broke before', 'idle'));
       return;
     }
+    if (held.running.size === 0 && this.mustEndBeforeShutdown(held, message)) {
+      this.end(id, true);
+      this.sendReply(id, createRefusal(SHUTTING_DOWN, 'idle'));
+      return;
+    }
     const { memory } = this.socket.watch;
     if (!memory.startMessage(bytes)) {
       this.guard.report('large request');
@@ -293,6 +304,15 @@
       });
   }
 
+  /** True for an operation of a transaction that would not end before this process does. */
+  private mustEndBeforeShutdown(
+    { isTransaction, timeoutMs }: HeldLease,
+    { operation }: RunMessage,
+  ): boolean {
+    const { shutdown } = this.host;
+    return isTransaction && !shutdown.mayContinueTransaction(operation.kind, timeoutMs);
+  }
+
   private async run(
     { lease: id, id: requestId, operation, after, session = EMPTY_SESSION }: RunMessage,
     held: HeldLease,
--- a/packages/forwarding/test/fleet.ts
+++ b/packages/forwarding/test/fleet.ts
@@ -9,6 +9,7 @@
   OddEntryReporter,
   type ServiceConfiguration,
   type Session,
+  ShutdownSchedule,
   type Statement,
   SystemClock,
   type VmAddress,
@@ -129,6 +130,7 @@
   log.on('data', ({ message }: { readonly message: string }) => errors.push(message));
   const host: ForwardingHost = {
     ...{ vm: 'test', zone: 'z', clock: new SystemClock(), log, metrics: new Metrics() },
+    shutdown: new ShutdownSchedule(new SystemClock()),
     ...{ ageClock: new SystemClock(), readProof: () => undefined, handleProof: () => undefined },
     findLocalGroup: () => undefined,
     readStatus: () => ({ isIsolated: false, isDraining: false }),
--- a/packages/forwarding/test/forwarding.spec.ts
+++ b/packages/forwarding/test/forwarding.spec.ts
@@ -16,6 +16,8 @@
 
 /** Longer than a home sends no work to a leader that may lose commits. */
 const DOUBT_MS = 400;
+/** Shorter than a caller must pause to count as idle. */
+const PAUSE_MS = 10;
 
 const describeReply = ({ rows, failure }: Reply): unknown => failure?.verdict ?? [...rows];
 
@@ -176,6 +178,27 @@
     await Promise.all(drains);
   }).timeout(20_000);
 
+  // A home served the transactions of callers that never paused until its links were cut.
+  it('ends at a draining home after half of the time, and promises only what is true', async () => {
+    const session = entry.openSession('fresh');
+    await run(session, BEGIN);
+    await run(session, WRITE);
+    let isDrained = false;
+    const drains = Promise.all(homes.map((home) => home.drain())).then(() => {
+      isDrained = true;
+    });
+    let outcome: unknown;
+    do {
+      await wait(PAUSE_MS);
+      outcome = await run(session, WRITE);
+    } while (Array.isArray(outcome) && !isDrained);
+    expect([outcome, isDrained]).toEqual(['overloaded', false]);
+    expect(fleet.leader.received.some((text) => text.startsWith(`r${nextId} `))).toEqual(false);
+    expect(await run(session, COMMIT)).toEqual('aborted');
+    await drains;
+    expect(fleet.leader.committed).toEqual([]);
+  }).timeout(20_000);
+
   // An error of a listening socket, such as a lack of file descriptors, ended the process.
   it('is served although the VM cannot accept links itself', async () => {
     const taken = homes[0]?.port ?? 0;
