--- a/packages/soak/src/caller.ts
+++ b/packages/soak/src/caller.ts
@@ -94,6 +94,11 @@
     return this.session.run(text);
   }
 
+  /** Notes the value of the variable `note` that the VM has acknowledged. */
+  protected rememberNote(note: string): void {
+    if (this.session) this.session.note = note;
+  }
+
   /** Ends the session without a word, as some callers do. */
   protected leave(): never {
     this.session?.close();
--- a/packages/soak/src/callersession.ts
+++ b/packages/soak/src/callersession.ts
@@ -34,6 +34,9 @@
 export class CallerSession {
   private readonly connection: LineConnection;
 
+  /** The acknowledged value of the variable `note`; undefined before one is set. */
+  note: string | undefined;
+
   private isClosedHere = false;
 
   private isRefused = false;
@@ -85,7 +88,8 @@
     // A session that was closed between two requests interrupts none.
     if (!this.isUsable()) throw new ConnectionError('the session is closed');
     const id = randomBytes(ID_BYTES).toString('hex');
-    checker.recordSentStatement(id, { caller, text, tag, organisation, sentAt: readNow() });
+    const { note } = this;
+    checker.recordSentStatement(id, { caller, text, tag, note, organisation, sentAt: readNow() });
     const limitMs = REPLY_TIMEOUT_MS * (this.connection.countPending() + 1);
     return this.exchange(this.createRequest(id, text), `QUERY ${id} ${text}`, limitMs);
   }
--- a/packages/soak/src/invariantchecker.ts
+++ b/packages/soak/src/invariantchecker.ts
@@ -63,6 +63,8 @@
   readonly text: string;
   /** Value of the session variable `tag`. */
   readonly tag: string;
+  /** Value of the session variable `note`, which its caller changes inside transactions. */
+  readonly note: string | undefined;
   /** The organisation whose key the caller gave. */
   readonly organisation: SoakOrganisation | undefined;
   readonly sentAt: Millis;
@@ -236,10 +238,14 @@
         `${sent.text} became ${text ?? rest}`,
       );
     }
-    const tag = values.get('tag');
-    if (operation.kind !== 'commit' && tag !== sent.tag) {
-      this.addViolation('statements run with the values of their session', `${sent.tag}: ${tag}`);
-    }
+    if (operation.kind !== 'commit') this.checkValues(sent, values);
+  }
+
+  private checkValues({ tag, note }: SentStatement, values: ReadonlyMap<string, string>): void {
+    const found = [values.get('tag'), values.get('note')];
+    if (found[0] === tag && found[1] === note) return;
+    const detail = `${tag} ${note}: ${found.join(' ')}`;
+    this.addViolation('statements run with the values of their session', detail);
   }
 
   override handleCommit({ entry, offset }: Commit): void {
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -19,6 +19,7 @@
 import { SoakOrganisations } from './organisations.js';
 import { PipeliningCaller } from './pipeliningcaller.js';
 import { choosePromotionRules } from './platformrules.js';
+import { RestlessCaller } from './restlesscaller.js';
 import { StallWatch } from './stallwatch.js';
 import { createSubRandom } from './subrandom.js';
 import { TransactionCaller } from './transactioncaller.js';
@@ -40,6 +41,8 @@
 const MAX_BYTE = 253;
 const BYTE_BITS = 8;
 
+/** Callers that never pause, as a share of the usual ones. */
+const RESTLESS_SHARE = 0.25;
 /** Callers of other kinds in a run with changes, as shares of the usual ones. */
 const PIPELINING_SHARE = 0.25;
 const VISITING_SHARE = 0.1;
@@ -107,7 +110,7 @@
 
   private callers: readonly SoakCaller[] = [];
 
-  /** Callers that pipeline requests or visit databases; recovery isn't judged by them. */
+  /** Callers that never pause, pipeline requests or visit databases; recovery isn't judged by them. */
   private otherCallers: readonly SoakCaller[] = [];
 
   private ready: readonly SoakVm[] = [];
@@ -232,8 +235,13 @@
     const create = (count: number, createOne: (options: SoakCallerOptions) => SoakCaller) =>
       Array.from({ length: count }, (_, index) => createOne(this.createCallerOptions(index)));
     this.callers = create(callers, (options) => new TransactionCaller(options));
+    this.otherCallers = create(
+      Math.ceil(callers * RESTLESS_SHARE),
+      (options) => new RestlessCaller({ ...options, name: `restless-${options.name}` }),
+    );
     if (!changes) return;
     this.otherCallers = [
+      ...this.otherCallers,
       ...create(
         Math.ceil(callers * PIPELINING_SHARE),
         (options) => new PipeliningCaller({ ...options, name: `pipelining-${options.name}` }),
--- a/packages/soak/src/transactioncaller.ts
+++ b/packages/soak/src/transactioncaller.ts
@@ -54,13 +54,13 @@
     else await this.commit(writes);
   }
 
-  private async commit(writes: readonly ItemWrite[]): Promise<void> {
+  protected async commit(writes: readonly ItemWrite[]): Promise<void> {
     this.options.checker.recordCommitRequest(writes);
     const { failure } = await this.send('COMMIT');
     this.recordOutcome(writes, failure);
   }
 
-  private async rollBack(): Promise<void> {
+  protected async rollBack(): Promise<void> {
     await this.send('ROLLBACK');
   }
 }
--- a/packages/soak/test/soak.spec.ts
+++ b/packages/soak/test/soak.spec.ts
@@ -142,6 +142,15 @@
     faults: STOP_FAULTS,
     invariant: 'a graceful shutdown interrupts no request',
   },
+  'serves callers that never pause until it is killed': {
+    mutant: {
+      file: 'platform/src/main.ts',
+      from: 'await proxy.drain(settings.graceMs);',
+      to: 'await proxy.drain(10 * settings.graceMs);',
+    },
+    faults: STOP_FAULTS,
+    invariant: 'a process exits within its grace period',
+  },
 };
 
 /** Keys are taken away while no VM, or none in touch with a certain one, reaches the store. */
