--- a/packages/engine/src/proxy.ts
+++ b/packages/engine/src/proxy.ts
@@ -108,6 +108,16 @@
     return this.options.shutdown.hasStarted();
   }
 
+  /**
+   * Why callers are asked to close their connections between two operations, so that they come back
+   * at another VM; undefined while they aren't. The load balancer sends no new ones by then.
+   */
+  findCloseReason(): IdleCloseReason | undefined {
+    if (this.isDraining()) return 'drain';
+    const isCut = this.isolation.hasLasted(ISOLATION_LIMIT_MS + BALANCER_DELAY_MS);
+    return isCut ? 'isolation' : undefined;
+  }
+
   findGroup(name: string): GroupAccess | undefined {
     return this.options.groups.find(name);
   }
@@ -263,8 +273,7 @@
 
   private handleSessionTick(): void {
     const now = this.options.clock.readNow();
-    // The load balancer now sends reconnecting callers to a VM that reaches the instances.
-    if (this.isolation.hasLasted(ISOLATION_LIMIT_MS + BALANCER_DELAY_MS)) {
+    if (this.findCloseReason() === 'isolation') {
       this.callers.forEach((caller) => {
         if (caller.isQuiescent() && caller.session.isIdle()) caller.close('isolation');
       });
