Close callers of a draining daemon behind their answer

Callers saw: nothing wrong; a caller that paused for less than 10 ms was served until the limit of the drain (30 s by default), which held the daemon up, and was then refused.

Change: a connection that drains is closed as soon as it is idle, which is looked at behind each answer. The poll remains for callers that pause.

Failed before: "is refused behind an answer when the daemon drains, however short its pauses are" (without the look behind the answer).

--- a/packages/daemon/src/caller.ts
+++ b/packages/daemon/src/caller.ts
@@ -83,6 +83,9 @@
   /** Refuses the caller behind the requests that were read before; nothing more is read. */
   private fault: Omit<ErrorFields, 'severity'> | undefined;
 
+  /** True once the connection is closed as soon as it is idle. */
+  private draining = false;
+
   /** True once no further request is run. */
   private stopping = false;
 
@@ -141,6 +144,12 @@
     setTimeout(() => this.socket.destroy(), REFUSE_TIMEOUT_MS).unref();
   }
 
+  /** Closes the connection as soon as it is idle, however short that is. */
+  drain(): void {
+    this.draining = true;
+    if (this.isIdle()) this.refuseStopped();
+  }
+
   /** Ends the running request with an answer, and the connection behind it. */
   stop(): void {
     if (this.stopping) return;
@@ -310,6 +319,7 @@
     }
     if (!request) {
       this.update();
+      if (this.draining) this.drain();
       return;
     }
     const bytes = this.countBytes(request.frames);
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -139,7 +139,7 @@
     this.dependencies.callerServer.close();
     const deadline = clock.readNow() + settings.drainLimitMs;
     while (clock.readNow() < deadline) {
-      this.closeIdleCallers();
+      this.callers.forEach((caller) => caller.drain());
       if (this.callers.size === 0) break;
       await new Promise((resolve) => {
         setTimeout(resolve, DRAIN_POLL_MS);
@@ -163,14 +163,6 @@
     this.dependencies.log.info('daemon stopped');
   }
 
-  private closeIdleCallers(): void {
-    this.callers.forEach((caller) => {
-      if (caller.isIdle()) {
-        caller.refuse({ code: SQLSTATE.shuttingDown, message: 'the proxy is shutting down' });
-      }
-    });
-  }
-
   private async listen(server: Server, port: number): Promise<void> {
     await new Promise<void>((resolve, reject) => {
       server.once('error', reject);
