Keep the position of a session's commit by group

Cause: SessionContext.lastCommit was one position a session, whichever log it belonged to, and was required of the log at hand. The PostgreSQL side kept positions by group.

Change: SessionPositions holds a session's commit by group on both sides. A position beyond the log that a leader proves, inside a plain BEGIN, belongs to a log that is no more and is replaced; a leader that refuses a read as lagging is asked so.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -147,7 +147,7 @@
 export { formatNoteSchema } from './configuration/schema.js';
 export { ALL_HOME_VMS, HomeTable, HOMES_PER_ZONE } from './membership/home.js';
 export type { HomeTableOptions, PlacedGroup } from './membership/home.js';
-export { SessionPositions } from './routing/sessionpositions.js';
+export { type SessionCommit, SessionPositions } from './routing/sessionpositions.js';
 export { createRetryDelay, RetryBudget, RetryBudgets } from './admission/retry.js';
 export type {
   RetryBudgetOptions,
--- a/packages/daemon/src/context.ts
+++ b/packages/daemon/src/context.ts
@@ -175,7 +175,7 @@
     const verdict = await this.group?.waitForMajority(instance, term);
     return match(verdict)
       .with({ kind: 'acknowledged' }, ({ position }) => {
-        this.positions.update(this.groupName, position);
+        this.positions.handleCommit(this.groupName, position, this.options.clock.readNow());
         const token = this.positions.formatToken(this.groupName) ?? '';
         this.options.caller.send(encodeParameterStatus(TOKEN_PARAMETER, token));
         return undefined;
--- a/packages/engine/src/attempt.ts
+++ b/packages/engine/src/attempt.ts
@@ -36,6 +36,9 @@
 
   private readonly excluded = new Set<string>();
 
+  /** True when only a leader that proves to lead is sure to hold what the session has committed. */
+  private mustReadAtLeader: boolean;
+
   constructor(
     private readonly context: SessionContext,
     private readonly route: DatabaseRoute,
@@ -47,6 +50,7 @@
     const now = context.readNow();
     this.deadline = now + route.timeoutMs;
     this.objective = now + route.targetLatencyMs;
+    this.mustReadAtLeader = route.readsOwnWrites && !context.positions.isComplete(route.group);
     context.options.retries.addRequest(organisation);
   }
 
@@ -109,14 +113,15 @@
 
   private createRequest(deadline: Millis): WorkRequest {
     const { context, route, requestId, kind, organisation, objective, excluded } = this;
-    const { isTransaction } = this;
+    const { isTransaction, mustReadAtLeader } = this;
+    const { contract, readsOwnWrites } = route;
     return {
       ...{ requestId, kind, isTransaction, organisation, objective, deadline, excluded },
-      contract: route.contract,
+      contract: mustReadAtLeader ? { ...contract, maxAgeMs: 0 } : contract,
       caller: organisation ?? context.options.caller,
       database: route.database,
       priority: route.priority,
-      lastCommit: route.readsOwnWrites ? context.lastCommit : undefined,
+      lastCommit: readsOwnWrites ? context.positions.findCommit(route.group) : undefined,
     };
   }
 
@@ -134,6 +139,8 @@
   /** Prepares a retry when the verdict guarantees that the work has not run; false otherwise. */
   async prepareRetryIfNotRun(lease: Lease, { verdict }: Failure): Promise<boolean> {
     if (verdict === 'readOnly') lease.handleDemotion();
+    // The position is of a log that is no more, unless this instance no longer leads.
+    if (verdict === 'lagging' && lease.isLeader) this.mustReadAtLeader = true;
     if (!NOT_RUN.has(verdict)) return false;
     return this.prepareRetry(lease, verdict);
   }
--- a/packages/engine/src/context.ts
+++ b/packages/engine/src/context.ts
@@ -1,4 +1,10 @@
-import type { Clock, LogPosition, Millis, RetryBudgets } from '@shallotpick/core';
+import {
+  type Clock,
+  type LogPosition,
+  type Millis,
+  type RetryBudgets,
+  SessionPositions,
+} from '@shallotpick/core';
 import type { ConfigurationHolder } from './configuration.js';
 import type { GroupAccess } from './access.js';
 import type { CallerIdentity } from './identity.js';
@@ -8,7 +14,6 @@
 import { findAccess, type PreparedStatement } from './setup.js';
 import type { ShutdownSchedule } from './shutdown.js';
 import type { DataStatement, Failure, Reply, TransactionState } from './statement.js';
-import type { SessionCommit } from './view.js';
 
 /** Properties and services of a session. */
 export interface SessionOptions {
@@ -42,8 +47,8 @@
 
   readonly statements = new Map<string, PreparedStatement>();
 
-  /** The session's last acknowledged commit. */
-  lastCommit: SessionCommit | undefined;
+  /** What the session's reads must include. */
+  readonly positions = new SessionPositions();
 
   isClosed = false;
 
@@ -89,9 +94,15 @@
     return this.options.clock.readNow();
   }
 
-  /** Records the session's last commit, which its later reads must include. */
-  handleCommit(position: LogPosition | undefined): void {
-    if (position) this.lastCommit = { position, acknowledgedAt: this.readNow() };
+  /** Records the session's commit in a group, which its later reads there must include. */
+  handleCommit(group: string, position: LogPosition | undefined): void {
+    if (position) this.positions.handleCommit(group, position, this.readNow());
+  }
+
+  /** Notes the reply to a BEGIN that has proved that its instance leads the group. */
+  handleLeadership(group: string, { failure, position }: Reply): void {
+    if (failure || !position) return;
+    this.positions.handleLeaderPosition(group, position, this.readNow());
   }
 
   /** True when the statement writes; undefined when its prepared name is unknown. */
--- a/packages/engine/src/dispatcher.ts
+++ b/packages/engine/src/dispatcher.ts
@@ -10,13 +10,13 @@
   type RefusalCause,
   type Route,
   type RouteRequest,
+  type SessionCommit,
   type SlotQueue,
   SlotTable,
   type Work,
   WorkQueue,
 } from '@shallotpick/core';
 import { createStoppedError, NotRunError } from './errors.js';
-import type { SessionCommit } from './view.js';
 import { WorkMeter } from './workmeter.js';
 
 /** Bounds the queue of a group whose routes have one rank. */
@@ -40,7 +40,7 @@
   readonly objective: Millis;
   readonly deadline: Millis;
   readonly priority: number;
-  /** The session's last commit when the work must include it. */
+  /** The session's last commit in the group, when the work must include it. */
   readonly lastCommit: SessionCommit | undefined;
   /** Instances that have refused this work. */
   readonly excluded: ReadonlySet<string>;
--- a/packages/engine/src/single.ts
+++ b/packages/engine/src/single.ts
@@ -77,7 +77,7 @@
       lease.release();
       if (!reply.failure) {
         await lease.confirmCommit(reply.position, attempts.readRemaining());
-        context.handleCommit(reply.position);
+        context.handleCommit(this.route.group, reply.position);
       }
       return this.createOutcome(reply);
     } catch (error) {
@@ -123,6 +123,7 @@
       connection.setUp(context, statement);
       const begin = { operation: { kind: 'begin', isReadOnly: false } } as const;
       const opened = await runCommand(connection, begin, attempts.computeReplyTimeout(lease));
+      context.handleLeadership(this.route.group, opened);
       if (opened.failure) {
         lease.release();
         return { kind: 'refused', failure: opened.failure };
--- a/packages/engine/src/transaction.ts
+++ b/packages/engine/src/transaction.ts
@@ -125,7 +125,7 @@
         const remaining = Math.max(1, this.route.timeoutMs - elapsed);
         await lease.confirmCommit(reply.position, remaining);
       }
-      this.context.handleCommit(reply.position);
+      this.context.handleCommit(this.route.group, reply.position);
       return { ...reply, state: 'idle' };
     } catch (error) {
       if (!(error instanceof ConnectionError)) throw error;
@@ -202,7 +202,9 @@
       // Only a plain BEGIN proves leadership.
       const operation = { kind: 'begin', isReadOnly: after !== undefined } as const;
       const limit = attempts.computeReplyTimeout(lease);
-      return (await runCommand(connection, { operation, after }, limit)).failure;
+      const opened = await runCommand(connection, { operation, after }, limit);
+      if (!operation.isReadOnly) this.context.handleLeadership(this.route.group, opened);
+      return opened.failure;
     } catch (error) {
       if (!(error instanceof ConnectionError)) throw error;
       return { verdict: 'overloaded', reason: error.message };
--- a/packages/engine/src/view.ts
+++ b/packages/engine/src/view.ts
@@ -4,15 +4,10 @@
   type LogPosition,
   type Millis,
   RoutingView,
+  type SessionCommit,
 } from '@shallotpick/core';
 import type { Member } from './member.js';
 
-/** A commit that a session must see, and when it was acknowledged. */
-export interface SessionCommit {
-  readonly position: LogPosition;
-  readonly acknowledgedAt: Millis;
-}
-
 /** Replicas usually have received and applied a commit after this time. */
 const APPLY_MS: Millis = 60;
 
--- a/packages/engine/test/fixture.ts
+++ b/packages/engine/test/fixture.ts
@@ -34,8 +34,14 @@
   stop(): void;
 }
 
-/** Creates a proxy with a leader and a replica, or two, and waits for the first probes. */
-export async function createFixture(hasOther = false): Promise<Fixture> {
+/**
+ * Creates a proxy with a leader and a replica, or two, and waits for the first probes. `further`
+ * instances are reached once a test registers them.
+ */
+export async function createFixture(
+  hasOther = false,
+  further: readonly FakeInstance[] = [],
+): Promise<Fixture> {
   const leader = new FakeInstance('leader');
   const replica = new FakeInstance('replica');
   const other = new FakeInstance('other');
@@ -61,7 +67,7 @@
     },
     oddEntries: new OddEntryReporter({ clock: new SystemClock(), log, metrics }),
     promotions,
-    connector: new FakeConnector(new Map(instances.map((one) => [one.id, one]))),
+    connector: new FakeConnector(new Map([...instances, ...further].map((one) => [one.id, one]))),
     configurationKind: 'configurations',
     instancesKind: 'instances',
     decodeConfiguration: ({ spec }) => spec as ServiceConfiguration,
--- a/packages/engine/test/store.ts
+++ b/packages/engine/test/store.ts
@@ -107,15 +107,16 @@
   };
 }
 
-/** Registers instances of the group `g` in the store. */
+/** Registers instances of a group in the store. */
 export function registerInstances(
   store: FakeStore,
   instances: readonly { readonly id: string; readonly isLeader: boolean }[],
   connectionLimit: number,
+  group = 'g',
 ): void {
   instances.forEach(({ id, isLeader }) =>
     store.put('instances', id, {
-      ...{ id, group: 'g', zone: 'z', host: id, port: 1, slots: 2, connectionLimit },
+      ...{ id, group, zone: 'z', host: id, port: 1, slots: 2, connectionLimit },
       ...{ leaving: false, role: isLeader ? 'primary' : 'replica', startedAt: 1 },
     } satisfies RegisteredInstance),
   );
