Move databases between groups in the model and in the soak

Model (everyreply.spec.ts): a group has two replicas, one of which may receive nothing; the databases of the two groups are exchanged; each read must show what its session has committed in the group that served it. Its promotion records are settled, so that a commit counts that one replica lacks, and a COMMIT on a replica no longer adds to that replica's log.

--- a/packages/emulator/src/instancesession.ts
+++ b/packages/emulator/src/instancesession.ts
@@ -249,7 +249,7 @@
   private reportStatement({ id, operation }: Command): void {
     const { values, instance, caller } = this;
     instance.group.observer.handleStatement({
-      ...{ id, instance: instance.id, caller, values, operation },
+      ...{ id, group: instance.group.name, instance: instance.id, caller, values, operation },
     });
   }
 
--- a/packages/emulator/src/observer.ts
+++ b/packages/emulator/src/observer.ts
@@ -6,6 +6,7 @@
 export interface ExecutedStatement {
   /** Request id set by the caller; undefined for statements that a proxy issues itself. */
   readonly id: string | undefined;
+  readonly group: string;
   readonly instance: string;
   /** Who has opened the connection, as the instance was told. */
   readonly caller: string;
--- a/packages/engine/test/changes.ts
+++ b/packages/engine/test/changes.ts
@@ -20,6 +20,11 @@
 
 type GroupName = (typeof GROUPS)[number];
 
+/** The ids of a group's instances, or of all; the first one of a group leads. */
+export function listInstances(groups: readonly GroupName[] = GROUPS): readonly string[] {
+  return groups.flatMap((name) => [`${name}-0`, `${name}-1`, `${name}-2`]);
+}
+
 /** Names a database of a group, for fresh or for aged reads. */
 export function nameDatabase(group: GroupName, isAged: boolean): string {
   return `${group}-${isAged ? 'aged' : 'fresh'}`;
@@ -28,6 +33,8 @@
 /** Properties of one version of the configuration. */
 export interface Settings {
   readonly groups: readonly GroupName[];
+  /** True when the databases of the groups are exchanged. */
+  readonly isExchanged: boolean;
   readonly hasAged: boolean;
   readonly timeoutMs: Millis;
   readonly priorities: readonly [number, number];
@@ -44,6 +51,7 @@
   | { readonly kind: 'instance'; readonly id: string; readonly mode: CallMode }
   | { readonly kind: 'breakConnections' | 'restartInstance' | 'leave'; readonly id: string }
   | { readonly kind: 'store' | 'links'; readonly mode: CallMode }
+  | { readonly kind: 'hearing'; readonly id: string; readonly isDeaf: boolean }
   | { readonly kind: 'drain' | 'restartVm'; readonly vm: string };
 
 /** A change and the time since the one before. */
@@ -55,10 +63,12 @@
 export const FIRST_SETTINGS: Settings = {
   ...{ groups: GROUPS, hasAged: true, timeoutMs: 600, priorities: [1, 1], connectionLimit: 30 },
   ...{ transactionIdleMs: 300, keys: ['north', 'south'], rateLimit: undefined },
+  isExchanged: false,
 };
 
 const settings: fc.Arbitrary<Settings> = fc.record({
   groups: fc.constantFrom<readonly GroupName[]>(GROUPS, GROUPS, ['g'], ['h']),
+  isExchanged: fc.boolean(),
   hasAged: fc.boolean(),
   timeoutMs: fc.constantFrom(100, 300, 600, 1_500),
   priorities: fc.constantFrom<readonly [number, number]>([1, 1], [0, 1], [2, 1]),
@@ -71,7 +81,7 @@
     { ratePerSecond: 500, burst: 50 },
   ),
 });
-const instance = fc.constantFrom(...GROUPS.flatMap((name) => [`${name}-0`, `${name}-1`]));
+const instance = fc.constantFrom(...listInstances());
 const mode = fc.constantFrom<CallMode>('answer', 'answer', 'delay', 'fail', 'hang');
 const vm = fc.constantFrom(...VMS);
 
@@ -92,6 +102,14 @@
     weight: 2,
     arbitrary: fc.record({ kind: fc.constantFrom('store' as const, 'links'), mode }),
   },
+  {
+    weight: 3,
+    arbitrary: fc.record({
+      kind: fc.constant('hearing' as const),
+      id: fc.constantFrom(...GROUPS.map((name) => `${name}-1`)),
+      isDeaf: fc.boolean(),
+    }),
+  },
   {
     weight: 2,
     arbitrary: fc.record({ kind: fc.constantFrom('drain' as const, 'restartVm'), vm }),
@@ -106,16 +124,18 @@
 
 /** Creates a version of the configuration. */
 export function createConfiguration(version: number, next: Settings): ServiceConfiguration {
-  const { groups, hasAged, timeoutMs, priorities, keys, rateLimit } = next;
+  const { groups, isExchanged, hasAged, timeoutMs, priorities, keys, rateLimit } = next;
   const { connectionLimit, transactionIdleMs } = next;
   const routes = groups.flatMap((group) =>
     [false, true].flatMap((isAged): DatabaseRoute[] => {
       if (isAged && !hasAged) return [];
       const contract = isAged ? { ...DEFAULT_CONTRACT, maxAgeMs: 2_000 } : DEFAULT_CONTRACT;
       const priority = priorities[isAged ? 1 : 0];
+      const [exchanged = group] = isExchanged ? groups.filter((other) => other !== group) : [];
       return [
         {
-          ...{ database: nameDatabase(group, isAged), group, contract, priority, timeoutMs },
+          ...{ database: nameDatabase(group, isAged), group: exchanged },
+          ...{ contract, priority, timeoutMs },
           ...{ readsOwnWrites: true, targetLatencyMs: 100 },
         },
       ];
--- a/packages/engine/test/changetrial.ts
+++ b/packages/engine/test/changetrial.ts
@@ -1,4 +1,4 @@
-import type { Millis } from '@shallotpick/core';
+import { formatPosition, hasPosition, type LogPosition, type Millis } from '@shallotpick/core';
 import {
   type CallerRequest,
   type Reply,
@@ -14,6 +14,7 @@
   FIRST_SETTINGS,
   GROUPS,
   KEYS,
+  listInstances,
   nameDatabase,
   type Step,
   VMS,
@@ -23,6 +24,8 @@
 import { VirtualTime } from './virtualtime.js';
 
 const SESSIONS_PER_VM = 8;
+/** Where the logs of the groups end at the start. */
+const FIRST_OFFSETS = [1_000, 10] as const;
 /** Longest pause of a caller between two requests. */
 const MAX_PAUSE_MS: Millis = 30;
 const START_MS: Millis = 1_000;
@@ -86,6 +89,9 @@
 
   private readonly promised: string[] = [];
 
+  /** The end of each session's last commit in each group. */
+  private readonly committed = new Map<Session, Map<string, LogPosition>>();
+
   private version = 0;
 
   private startedAt = 1;
@@ -101,12 +107,13 @@
   constructor(seed: number) {
     this.random = createRandom(seed);
     this.time = new VirtualTime(this.random);
-    GROUPS.forEach((group) => {
-      const leader = new FakeInstance(`${group}-0`);
-      const replica = new FakeInstance(`${group}-1`);
-      leader.isLeader = true;
-      leader.replicas = [replica];
-      [leader, replica].forEach((one) => this.instances.set(one.id, one));
+    GROUPS.forEach((group, index) => {
+      const members = listInstances([group]).map((id) => new FakeInstance(id));
+      const [leader, ...replicas] = members;
+      Object.assign(leader!, { isLeader: true, replicas });
+      // The logs of two groups have different positions.
+      const position = { term: 1, offset: FIRST_OFFSETS[index]! };
+      members.forEach((one) => this.instances.set(one.id, Object.assign(one, { position })));
     });
     this.fleet = new VirtualFleet(this.instances);
   }
@@ -191,6 +198,9 @@
         this.instances.get(change.id)?.breakConnections();
         this.register(change.id, false);
         return;
+      case 'hearing':
+        Object.assign(this.instances.get(change.id)!, { isDeaf: change.isDeaf });
+        return;
       case 'leave':
         this.register(change.id, true);
         return;
@@ -267,6 +277,7 @@
     try {
       const reply = await session.run(request);
       this.checkReply(request, reply, description, this.time.now - startedAt - limitMs);
+      this.checkPosition(session, request, reply, description);
       return reply;
     } catch (error) {
       this.violations.push(`${description}: threw ${String(error)}`);
@@ -291,6 +302,25 @@
     this.violations.push(`${description}: ${Math.round(lateMs)} ms too late (${outcome})`);
   }
 
+  /** Checks that a read shows what its session has committed in the group that served it. */
+  private checkPosition(
+    session: Session,
+    { statement: { kind } }: CallerRequest,
+    { digest, position, state }: Reply,
+    description: string,
+  ): void {
+    const group = digest?.match(/^digest of (\w+)-/)?.[1];
+    if (group === undefined || !position) return;
+    const known = this.committed.get(session) ?? new Map<string, LogPosition>();
+    this.committed.set(session, known);
+    if (kind === 'commit' || (kind === 'write' && state === 'idle')) known.set(group, position);
+    const required = known.get(group);
+    if (kind !== 'read' || !required || hasPosition(position, required)) return;
+    this.violations.push(
+      `${description}: read at ${formatPosition(position)} of ${digest}, committed ${formatPosition(required)}, ${state}`,
+    );
+  }
+
   private checkEnd(): void {
     this.open.forEach(({ description }) => this.violations.push(`${description}: no reply`));
     const committed = new Set([...this.instances.values()].flatMap((one) => one.committed));
--- a/packages/engine/test/everyreply.spec.ts
+++ b/packages/engine/test/everyreply.spec.ts
@@ -1,6 +1,6 @@
 import { expect } from 'earl';
 import * as fc from 'fast-check';
-import { type Step, steps } from './changes.js';
+import { FIRST_SETTINGS, type Step, steps } from './changes.js';
 import { ChangeTrial } from './changetrial.js';
 
 /** Limit of real time; long runs by hand need it. */
@@ -14,6 +14,16 @@
   { afterMs: 395, change: { kind: 'drain', vm: 'vm-2' } },
 ];
 const STOPPED_VM_DRAWS = 17;
+/** The databases of two groups are exchanged, and back, while a replica receives nothing. */
+const MOVED_DATABASES: readonly Step[] = [
+  { afterMs: 3_000, change: { kind: 'hearing', id: 'g-1', isDeaf: true } },
+  {
+    afterMs: 400,
+    change: { kind: 'configure', settings: { ...FIRST_SETTINGS, isExchanged: true } },
+  },
+  { afterMs: 400, change: { kind: 'configure', settings: FIRST_SETTINGS } },
+];
+const MOVED_DATABASES_DRAWS = [1, 2, 3, 4];
 
 describe('a request beside changes of the configuration, the homes and the lenders', () => {
   // A request that had been read whole got neither an answer nor a refusal.
@@ -30,7 +40,10 @@
       successes += trial.successes;
       expect(violations).toEqual([]);
     });
-    const examples: [number, readonly Step[]][] = [[STOPPED_VM_DRAWS, STOPPED_VM]];
+    const examples: [number, readonly Step[]][] = [
+      [STOPPED_VM_DRAWS, STOPPED_VM],
+      ...MOVED_DATABASES_DRAWS.map((draws): [number, readonly Step[]] => [draws, MOVED_DATABASES]),
+    ];
     await fc.assert(property, { seed, numRuns, examples, endOnFailure: true });
     // Most trials are of no use where nearly everything is refused.
     expect(successes * 4 > replies).toEqual(true);
--- a/packages/engine/test/fake.ts
+++ b/packages/engine/test/fake.ts
@@ -23,6 +23,9 @@
 
   position = { term: 1, offset: 100 };
 
+  /** True while it receives nothing, although its leader sends. */
+  isDeaf = false;
+
   /** Term up to which it receives nothing; 0 while it receives. */
   heldTerm = 0;
 
@@ -48,11 +51,12 @@
 
   constructor(readonly id: string) {}
 
-  /** Appends a commit to the log, and to those of the replicas that receive. */
+  /** Appends a commit to the leader's log, and to those of the replicas that receive. */
   commit(): void {
+    if (!this.isLeader) return;
     this.position = { ...this.position, offset: this.position.offset + 1 };
     this.replicas
-      .filter(({ heldTerm }) => heldTerm === 0)
+      .filter(({ heldTerm, isDeaf }) => heldTerm === 0 && !isDeaf)
       .forEach((replica) => Object.assign(replica, { position: this.position }));
   }
 
--- a/packages/engine/test/virtualfleet.ts
+++ b/packages/engine/test/virtualfleet.ts
@@ -161,9 +161,12 @@
   /** Creates the proxy of a VM; a former one of the same name is no longer reached. */
   create(vm: string, zone: string): RunningProxy {
     const metrics = new Metrics();
+    const promotions = new FakePromotions();
+    // The record of a group is settled, which proves commits that one replica lacks.
+    promotions.answer = 'accepted';
     return createProxy({
       ...{ vm, zone, drainMs: 7_000, stableWindowMs: 4_000, configurationApplyMs: 3_000 },
-      ...{ store: this.store, promotions: new FakePromotions(), connector: this.connector },
+      ...{ store: this.store, promotions, connector: this.connector },
       ...{ log: LOG, metrics, revocationMs: 3_000 },
       quotaRule: { windowMs: 2_000, excess: 0.25, slack: 20 },
       oddEntries: new OddEntryReporter({ clock: new SystemClock(), log: LOG, metrics }),
--- a/packages/soak/src/caller.ts
+++ b/packages/soak/src/caller.ts
@@ -1,9 +1,9 @@
 import type { Random } from '@shallotpick/bench';
 import type { Millis } from '@shallotpick/core';
 import type { ItemWrite } from '@shallotpick/emulator';
-import { ConnectionError, type DatabaseRoute, type Reply, wait } from '@shallotpick/engine';
+import { ConnectionError, type DatabaseRoute, wait } from '@shallotpick/engine';
 import type { AnswerChecker } from './answerchecker.js';
-import { CallerSession } from './callersession.js';
+import { CallerSession, type SessionReply } from './callersession.js';
 import type { InvariantChecker } from './invariantchecker.js';
 import type { SoakOrganisation } from './organisations.js';
 import type { SoakVm } from './vm.js';
@@ -89,7 +89,7 @@
     if (failure) throw new ConnectionError(failure.reason);
   }
 
-  protected async send(text: string): Promise<Reply> {
+  protected async send(text: string): Promise<SessionReply> {
     if (!this.session) throw new ConnectionError('the session is closed');
     return this.session.run(text);
   }
@@ -122,11 +122,11 @@
     const { tag } = this;
     const item = this.chooseItem();
     const visibleBefore = (startedAt ?? readNow()) - route.contract.maxAgeMs;
-    const { failure, rows } = await this.send(this.formatStatement('READ', item));
+    const { failure, rows, id } = await this.send(this.formatStatement('READ', item));
     this.count(failure === undefined);
     if (failure) return false;
     checker.checkRow(rows[0], {
-      ...{ group: this.group, item, visibleBefore },
+      ...{ group: this.findGroup(id), item, visibleBefore },
       session: route.readsOwnWrites ? tag : undefined,
     });
     return true;
@@ -136,15 +136,19 @@
     const write = this.createWrite();
     this.options.checker.recordCommitRequest([write]);
     const text = this.formatStatement('WRITE', `${write.item} ${write.data}`);
-    const { failure } = await this.send(text);
-    this.recordOutcome([write], failure);
+    this.recordOutcome([write], await this.send(text));
   }
 
-  protected recordOutcome(writes: readonly ItemWrite[], failure: Reply['failure']): void {
+  protected recordOutcome(writes: readonly ItemWrite[], { failure, id }: SessionReply): void {
     const { checker } = this.options;
     this.count(failure === undefined);
     if (failure) checker.recordRefusal(writes, failure.verdict);
-    else checker.recordAcknowledgement(this.group, this.tag, writes);
+    else checker.recordAcknowledgement(this.findGroup(id), this.tag, writes);
+  }
+
+  /** The group that a request ran in; the operator may move databases. */
+  private findGroup(id: string): string {
+    return this.options.checker.findGroup(id) ?? this.group;
   }
 
   protected count(isSuccess: boolean): void {
--- a/packages/soak/src/callersession.ts
+++ b/packages/soak/src/callersession.ts
@@ -14,6 +14,11 @@
 /** Begins the reason of a failure that the VM has sent. */
 const ERROR_CODE = /^[A-Z]+ /;
 
+/** A reply with the id of its request. */
+export interface SessionReply extends Reply {
+  readonly id: string;
+}
+
 /** The caller and the VM of a session. */
 export interface CallerSessionOptions {
   readonly vm: SoakVm;
@@ -83,7 +88,7 @@
    *
    * @throws ConnectionError when the session ends before the answer.
    */
-  async run(text: string): Promise<Reply> {
+  async run(text: string): Promise<SessionReply> {
     const { checker, caller, tag, organisation, readNow } = this.options;
     // A session that was closed between two requests interrupts none.
     if (!this.isUsable()) throw new ConnectionError('the session is closed');
@@ -91,7 +96,9 @@
     const { note } = this;
     checker.recordSentStatement(id, { caller, text, tag, note, organisation, sentAt: readNow() });
     const limitMs = REPLY_TIMEOUT_MS * (this.connection.countPending() + 1);
-    return this.exchange(this.createRequest(id, text), `QUERY ${id} ${text}`, limitMs);
+    const request = this.createRequest(id, text);
+    const reply = await this.exchange(request, `QUERY ${id} ${text}`, limitMs);
+    return { ...reply, id };
   }
 
   private createRequest(id: string | undefined, text: string): SentRequest {
--- a/packages/soak/src/changefaults.ts
+++ b/packages/soak/src/changefaults.ts
@@ -21,14 +21,19 @@
   'lapseInChanges',
 ] as const;
 
+/** Kinds in which the operator moves databases that callers use between groups. */
+export const MOVE_KINDS = ['moveDatabases'] as const;
+
 /** A kind of fault of the operator. */
-export type ChangeFaultKind = (typeof CHANGE_KINDS)[number];
+export type ChangeFaultKind = (typeof CHANGE_KINDS)[number] | (typeof MOVE_KINDS)[number];
 
 /** A series of changes lasts longer than other faults. */
 export const CHANGE_FACTOR = 2;
 /** Time from one version of the configuration to the next. */
 const MIN_INTERVAL_MS: Millis = 300;
 const MAX_INTERVAL_MS: Millis = 1_500;
+/** Databases are moved and moved back while reads need not show what was committed meanwhile. */
+const MAX_MOVE_INTERVAL_MS: Millis = 500;
 /** A proof of the configuration lapses within this time. */
 const MIN_LAPSE_MS: Millis = 3_500;
 /** Limit of the time between the signals to two VMs. */
@@ -48,11 +53,12 @@
   { operator, durationMs }: ChangeContext,
   parts: readonly ChangedPart[],
   random: Random,
+  maxIntervalMs = MAX_INTERVAL_MS,
 ): Promise<void> {
   const endsAt = performance.now() + durationMs;
   while (performance.now() < endsAt) {
     operator.change(parts[random.nextInt(parts.length)]!, random);
-    await wait(MIN_INTERVAL_MS + random.nextInt(MAX_INTERVAL_MS - MIN_INTERVAL_MS));
+    await wait(MIN_INTERVAL_MS + random.nextInt(maxIntervalMs - MIN_INTERVAL_MS));
   }
   operator.restore(parts);
 }
@@ -97,6 +103,9 @@
     .with('changeGroups', () => writeChanges(context, ['groups'], random))
     .with('changeRates', () => writeChanges(context, ['rates'], random))
     .with('changeEverything', () => writeChanges(context, CHANGED_PARTS, random))
+    .with('moveDatabases', () =>
+      writeChanges(context, ['groupsOfRoutes'], random, MAX_MOVE_INTERVAL_MS),
+    )
     .with('stopInChanges', () => stopInChanges(context, random))
     .with('lapseInChanges', () => lapseInChanges(context, random))
     .exhaustive();
--- a/packages/soak/src/faultinjector.ts
+++ b/packages/soak/src/faultinjector.ts
@@ -1,6 +1,6 @@
 import type { EmulatedPlatform } from '@shallotpick/emulator';
 import { match, P } from 'ts-pattern';
-import { CHANGE_KINDS, injectChangeFault } from './changefaults.js';
+import { CHANGE_KINDS, injectChangeFault, MOVE_KINDS } from './changefaults.js';
 import type { SoakFault } from './faultschedule.js';
 import { GROUP_KINDS, injectGroupFault } from './groupfaults.js';
 import { injectKeyFault, KEY_KINDS } from './keyfaults.js';
@@ -45,7 +45,7 @@
       .with(P.union(...VM_KINDS), (one) => injectVmFault(one, vms, vm, durationMs))
       .with(P.union(...STORE_KINDS), (one) => injectStoreFault(one, platform, group, details))
       .with(P.union(...KEY_KINDS), () => injectKeyFault(this.organisations, details))
-      .with(P.union(...CHANGE_KINDS), (one) =>
+      .with(P.union(...CHANGE_KINDS, ...MOVE_KINDS), (one) =>
         injectChangeFault(one, { operator, vms, vm, ...details }),
       )
       .with(P.union(...GROUP_KINDS), (one) => injectGroupFault(one, platform, group, details))
--- a/packages/soak/src/faultkinds.ts
+++ b/packages/soak/src/faultkinds.ts
@@ -1,4 +1,4 @@
-import { CHANGE_KINDS, type ChangeFaultKind } from './changefaults.js';
+import { CHANGE_KINDS, type ChangeFaultKind, MOVE_KINDS } from './changefaults.js';
 import { GROUP_KINDS, type GroupFaultKind } from './groupfaults.js';
 import { KEY_KINDS, type KeyFaultKind } from './keyfaults.js';
 import { OUTAGE_KINDS, type OutageFaultKind } from './outagefaults.js';
@@ -46,7 +46,7 @@
 /** How often the kinds of a selection are listed. */
 const WEIGHTS = {
   ...{ restorations: 12, restarts: 4, oddEntries: 12, outages: 3, partitions: 5 },
-  ...{ keys: 8, changes: 8, signals: 16 },
+  ...{ keys: 8, changes: 8, signals: 16, moves: 24 },
 };
 
 /** Kinds that a run draws beside the usual ones. */
@@ -65,6 +65,8 @@
   readonly partitions?: boolean | undefined;
   /** True when the operator also writes configurations in series, beside more signals. */
   readonly changes?: boolean | undefined;
+  /** True when the operator also moves databases that callers use between groups. */
+  readonly moves?: boolean | undefined;
 }
 
 function listChangeKinds(): readonly SoakFaultKind[] {
@@ -83,6 +85,7 @@
   outages,
   partitions,
   changes,
+  moves,
   organisations = 0,
 }: FaultSelection): readonly SoakFaultKind[] {
   return [
@@ -95,6 +98,7 @@
       ? Array<typeof PARTITION_KINDS>(WEIGHTS.partitions).fill(PARTITION_KINDS).flat()
       : []),
     ...(changes ? listChangeKinds() : []),
+    ...(moves ? Array<typeof MOVE_KINDS>(WEIGHTS.moves).fill(MOVE_KINDS).flat() : []),
     ...(outages ? Array<typeof OUTAGE_KINDS>(WEIGHTS.outages).fill(OUTAGE_KINDS).flat() : []),
   ];
 }
--- a/packages/soak/src/faultschedule.ts
+++ b/packages/soak/src/faultschedule.ts
@@ -1,6 +1,6 @@
 import type { Random } from '@shallotpick/bench';
 import type { Millis } from '@shallotpick/core';
-import { CHANGE_FACTOR, CHANGE_KINDS } from './changefaults.js';
+import { CHANGE_FACTOR, CHANGE_KINDS, MOVE_KINDS } from './changefaults.js';
 import { type FaultSelection, listKinds, type SoakFaultKind } from './faultkinds.js';
 import { KEY_KINDS } from './keyfaults.js';
 import { LONG_OUTAGE_FACTOR, LONG_OUTAGE_KINDS } from './outagefaults.js';
@@ -24,7 +24,7 @@
 
 function findDurationFactor(kind: SoakFaultKind): number {
   if (KEY_KINDS.some((one) => one === kind)) return KEY_FACTOR;
-  if (CHANGE_KINDS.some((one) => one === kind)) return CHANGE_FACTOR;
+  if ([...CHANGE_KINDS, ...MOVE_KINDS].some((one) => one === kind)) return CHANGE_FACTOR;
   if (kind === 'cutInstanceFromStore') return STORE_CUT_FACTOR;
   if (PARTITION_KINDS.some((one) => one === kind)) return PARTITION_FACTOR;
   return LONG_OUTAGE_KINDS.has(kind) ? LONG_OUTAGE_FACTOR : 1;
--- a/packages/soak/src/invariantchecker.ts
+++ b/packages/soak/src/invariantchecker.ts
@@ -88,8 +88,8 @@
 
   private readonly sentStatements = new Map<string, SentStatement>();
 
-  /** Ids of the requests that an instance has executed. */
-  private readonly executedRequests = new Set<string>();
+  /** The groups of the instances that have executed requests, by the ids of these. */
+  private readonly executedRequests = new Map<string, string>();
 
   /** Data of the writes that callers asked to commit. */
   private readonly requested = new Set<string>();
@@ -178,6 +178,11 @@
     return this.executedRequests.has(id);
   }
 
+  /** Returns the group where an instance has executed the request; undefined when none has. */
+  findGroup(id: string): string | undefined {
+    return this.executedRequests.get(id);
+  }
+
   /** Checks that a row is of the item that was read and no staler than allowed. */
   checkRow(row: string | undefined, expected: ReadExpectation): void {
     this.counts.answered += 1;
@@ -219,9 +224,10 @@
     }
   }
 
-  override handleStatement({ id, instance, caller, values, operation }: ExecutedStatement): void {
+  override handleStatement(statement: ExecutedStatement): void {
+    const { id, group, instance, caller, values, operation } = statement;
     const sent = id === undefined ? undefined : this.sentStatements.get(id);
-    if (id !== undefined) this.executedRequests.add(id);
+    if (id !== undefined) this.executedRequests.set(id, group);
     if (!sent) {
       this.addViolation(
         'instances run only statements that callers sent',
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -27,6 +27,8 @@
       instances: { type: 'string', default: '3' },
       /** Writes configurations in series, beside callers that pipeline requests. */
       changes: { type: 'boolean', default: false },
+      /** Moves databases that callers use between groups. */
+      moves: { type: 'boolean', default: false },
       /** Number of organisations, whose keys come and go. */
       organisations: { type: 'string', default: '0' },
       /** Lets another writer leave entries that can't be used. */
@@ -47,6 +49,7 @@
       outages: values.outages,
       partitions: values.partitions,
       changes: values.changes,
+      moves: values.moves,
       instances: Number(values.instances),
       organisations: Number(values.organisations),
       oddEntries: values['odd-entries'],
--- a/packages/soak/src/operator.ts
+++ b/packages/soak/src/operator.ts
@@ -15,8 +15,8 @@
   'rates',
 ] as const;
 
-/** A part of the configuration that the operator changes. */
-export type ChangedPart = (typeof CHANGED_PARTS)[number];
+/** A part of the configuration that the operator changes; `groupsOfRoutes` is drawn on its own. */
+export type ChangedPart = (typeof CHANGED_PARTS)[number] | 'groupsOfRoutes';
 
 const ROUTE_TIMEOUT_MS: Millis = 1_000;
 /** Range of the timeouts that changes give to routes. */
@@ -68,6 +68,9 @@
 
   private readonly limits = new Map<string, number>();
 
+  /** The groups that databases were moved to. */
+  private readonly movedTo = new Map<string, string>();
+
   private absentGroup: string | undefined;
 
   constructor(private readonly options: SoakOperatorOptions) {
@@ -85,13 +88,13 @@
   write(versionStep = 1): void {
     const { groups, connections, organisations, publish } = this.options;
     const present = groups.filter((name) => name !== this.absentGroup);
-    const routes = (this.changedRoutes ?? this.routes).filter(({ group }) =>
-      present.includes(group),
-    );
+    const routes = (this.changedRoutes ?? this.routes)
+      .map((route) => this.changeRoute(route))
+      .filter(({ group }) => present.includes(group));
     this.version += versionStep;
     publish({
       version: this.version,
-      routes: routes.map((route) => this.changeRoute(route)),
+      routes,
       groups: present.map((name): GroupSettings => ({
         ...{ name, connectionLimit: this.limits.get(name) ?? connections, synchronousReplicas: 1 },
       })),
@@ -108,6 +111,7 @@
       .with('routes', () => this.drawRoutes(random))
       .with('limits', () => this.drawLimits(random))
       .with('groups', () => this.drawAbsentGroup(random))
+      .with('groupsOfRoutes', () => this.drawMoves(random))
       .with('rates', () => this.options.organisations.drawRateLimits(random, MAX_RATE_PER_SECOND))
       .exhaustive();
     this.write(1 + random.nextInt(MAX_VERSION_STEP));
@@ -124,6 +128,7 @@
         .with('routes', () => {
           this.changedRoutes = undefined;
         })
+        .with('groupsOfRoutes', () => this.movedTo.clear())
         .with('groups', () => {
           this.absentGroup = undefined;
         })
@@ -136,6 +141,7 @@
     const { database } = route;
     return {
       ...route,
+      group: this.movedTo.get(database) ?? route.group,
       timeoutMs: this.timeouts.get(database) ?? route.timeoutMs,
       priority: this.priorities.get(database) ?? route.priority,
     };
@@ -168,6 +174,14 @@
     this.changedRoutes = [...present, ...added];
   }
 
+  /** Draws the group of each database; some stay where they are. */
+  private drawMoves(random: Random): void {
+    const { groups } = this.options;
+    this.routes.forEach(({ database }) => {
+      this.movedTo.set(database, groups[random.nextInt(groups.length)]!);
+    });
+  }
+
   /** Lowers the limits; where few connections are left, other VMs become homes of the group. */
   private drawLimits(random: Random): void {
     const { groups, connections } = this.options;
--- a/packages/soak/src/transactioncaller.ts
+++ b/packages/soak/src/transactioncaller.ts
@@ -56,8 +56,7 @@
 
   protected async commit(writes: readonly ItemWrite[]): Promise<void> {
     this.options.checker.recordCommitRequest(writes);
-    const { failure } = await this.send('COMMIT');
-    this.recordOutcome(writes, failure);
+    this.recordOutcome(writes, await this.send('COMMIT'));
   }
 
   protected async rollBack(): Promise<void> {
