Prepare the connection for every operation of a session, COMMIT included

Cause: each place that sent an operation prepared the connection itself; Transaction.sendCommit and, for the COMMIT of another VM, EntryLink.run didn't.

Change: sendInSession is the one way of a session's operation to an instance. A table over all of them says how each relies on the values. A COMMIT is sent once the values in front of it are acknowledged, so that a refused value or a broken connection is told as not run; ROLLBACK relies on none. A passed-on COMMIT carries values where they have changed; one without keeps those of the connection, as older builds send it.

soak.spec.ts: the mutant "runs a passed-on write twice" quotes the renamed call.

--- a/packages/engine/src/connection.ts
+++ b/packages/engine/src/connection.ts
@@ -1,14 +1,8 @@
 import type { ConnectionTrace, FenceReport, Millis, RegisteredInstance } from '@shallotpick/core';
+import { ConnectionError } from './errors.js';
 import type { PooledConnection } from './pool.js';
 import { applySetup, type SessionState, toOperation } from './setup.js';
-import type {
-  Command,
-  DataStatement,
-  Operation,
-  Reply,
-  Statement,
-  TransactionState,
-} from './statement.js';
+import type { Command, Operation, Reply, SessionOperation, TransactionState } from './statement.js';
 
 /** A connection with more prepared statements isn't reused, which bounds its memory. */
 const MAX_STATEMENTS = 500;
@@ -63,21 +57,25 @@
   abstract close(): void;
 
   /**
-   * Sends the set-up commands for the session without waiting, so that they share a packet with the
-   * next command. When one fails, the connection's state is unknown and it is closed.
+   * Sends the set-up commands for the session at once, so that they share a packet with the next
+   * command. When one fails, the connection's state is unknown and it is closed.
+   *
+   * @throws ConnectionError when one of them isn't acknowledged
    */
-  setUp(state: SessionState, next: Statement): void {
-    applySetup(this, state, next).forEach((operation) => {
-      this.run({ operation }).then(
-        ({ failure }) => failure && this.close(),
-        () => this.close(),
-      );
-    });
+  async setUp(state: SessionState, next: SessionOperation): Promise<void> {
+    const replies = applySetup(this, state, next).map((operation) => this.run({ operation }));
+    try {
+      const failed = (await Promise.all(replies)).find(({ failure }) => failure);
+      if (failed) throw new ConnectionError(`a value was refused: ${failed.failure?.reason}`);
+    } catch (error) {
+      this.close();
+      throw error;
+    }
   }
 
   /** The operation that runs a statement of the session on this connection. */
-  toOperation(state: SessionState, statement: DataStatement): Operation {
-    return toOperation(this, state, statement);
+  toOperation(state: SessionState, operation: SessionOperation): Operation {
+    return toOperation(this, state, operation);
   }
 
   isClean(): boolean {
--- a/packages/engine/src/errors.ts
+++ b/packages/engine/src/errors.ts
@@ -6,6 +6,9 @@
 /** A connection to an instance couldn't be opened, failed, or timed out. */
 export const ConnectionError = EngineError.subclass('ConnectionError');
 
+/** The connection failed before the operation was sent, which has not run. */
+export const NotSentError = ConnectionError.subclass('NotSentError');
+
 /** The instance refused a connection because its connection limit is reached. */
 export const ConnectionLimitError = ConnectionError.subclass('ConnectionLimitError');
 
--- a/packages/engine/src/index.ts
+++ b/packages/engine/src/index.ts
@@ -23,6 +23,7 @@
   EngineError,
   HistoryGoneError,
   NotRunError,
+  NotSentError,
   StoreError,
   UnconfirmedCommitError,
   WrongInstanceError,
@@ -75,7 +76,7 @@
 export { Proxy } from './proxy.js';
 export type { CallerHandle } from './proxy.js';
 export type { PreparedStatement, SessionState } from './setup.js';
-export { runObserved } from './run.js';
+export { sendInSession } from './run.js';
 export { Session } from './session.js';
 export type {
   Access,
@@ -84,7 +85,10 @@
   DataStatement,
   Failure,
   Operation,
+  ProxyCommand,
   Reply,
+  SessionCommand,
+  SessionOperation,
   Statement,
   TransactionState,
   Verdict,
--- a/packages/engine/src/setup.ts
+++ b/packages/engine/src/setup.ts
@@ -1,6 +1,6 @@
 import { createHash } from 'node:crypto';
 import type { InstanceConnection } from './connection.js';
-import type { Access, DataStatement, Operation, Statement } from './statement.js';
+import type { Access, DataStatement, Operation, SessionOperation } from './statement.js';
 
 /** Longer texts are remembered by their hash, so that connections hold little between sessions. */
 const MAX_REMEMBERED_LENGTH = 256;
@@ -48,10 +48,10 @@
 export function applySetup(
   connection: InstanceConnection,
   state: SessionState,
-  next: Statement,
+  next: SessionOperation,
 ): readonly Operation[] {
   const operations: Operation[] = [];
-  const isFull = connection.statements.size >= MAX_STATEMENTS;
+  const isFull = next.kind === 'execute' && connection.statements.size >= MAX_STATEMENTS;
   if (isFull || hasForeignVariable(connection, state)) {
     operations.push({ kind: 'reset' });
     connection.variables.clear();
@@ -77,7 +77,7 @@
 export function toOperation(
   connection: InstanceConnection,
   state: SessionState,
-  statement: DataStatement,
+  statement: SessionOperation,
 ): Operation {
   if (statement.kind !== 'execute') return statement;
   const prepared = state.statements.get(statement.name);
--- a/packages/engine/src/single.ts
+++ b/packages/engine/src/single.ts
@@ -2,7 +2,7 @@
 import type { DatabaseRoute } from './configuration.js';
 import { ConnectionError } from './errors.js';
 import type { Lease } from './lease.js';
-import { rollBack, runCommand, runStatement } from './run.js';
+import { rollBack, runInSession } from './run.js';
 import { createLocalReply, type SessionContext } from './context.js';
 import type { DataStatement, Failure, Reply } from './statement.js';
 
@@ -72,7 +72,8 @@
     const startedAt = context.readNow();
     try {
       const remaining = attempts.readRemaining();
-      const reply = await runStatement(lease.connection, context, statement, { id }, remaining);
+      const command = { id, operation: statement };
+      const reply = await runInSession(lease.connection, context, command, remaining);
       attempts.handleReply(lease, reply, startedAt);
       lease.release();
       if (!reply.failure) {
@@ -96,9 +97,9 @@
     const { attempts, context, statement, id } = this;
     const startedAt = context.readNow();
     try {
-      const command = { id, after: lease.after };
+      const command = { id, operation: statement, after: lease.after };
       const limit = attempts.computeReplyTimeout(lease);
-      const reply = await runStatement(lease.connection, context, statement, command, limit);
+      const reply = await runInSession(lease.connection, context, command, limit);
       attempts.handleReply(lease, reply, startedAt);
       lease.release();
       return this.createOutcome(reply);
@@ -120,16 +121,16 @@
     const { connection } = lease;
     const startedAt = context.readNow();
     try {
-      connection.setUp(context, statement);
       const begin = { operation: { kind: 'begin', isReadOnly: false } } as const;
-      const opened = await runCommand(connection, begin, attempts.computeReplyTimeout(lease));
+      const beginLimit = attempts.computeReplyTimeout(lease);
+      const opened = await runInSession(connection, context, begin, beginLimit);
       context.handleLeadership(this.route.group, opened);
       if (opened.failure) {
         lease.release();
         return { kind: 'refused', failure: opened.failure };
       }
       const limit = attempts.computeReplyTimeout(lease);
-      const running = runStatement(connection, context, statement, { id }, limit);
+      const running = runInSession(connection, context, { id, operation: statement }, limit);
       const end = rollBack(connection, limit);
       const reply = await running;
       attempts.handleReply(lease, reply, startedAt);
--- a/packages/engine/src/statement.ts
+++ b/packages/engine/src/statement.ts
@@ -45,6 +45,25 @@
   | { readonly kind: 'reset' | 'status' | 'resume' }
   | { readonly kind: 'pause' | 'stepDown'; readonly term: number };
 
+/** The operations of a session's statements and transactions. */
+export type SessionOperation = Extract<
+  Operation,
+  { readonly kind: 'begin' | 'commit' | 'rollback' | DataStatement['kind'] }
+>;
+
+/** An operation of a session, with the session's names of prepared statements. */
+export interface SessionCommand extends Command {
+  readonly operation: SessionOperation;
+}
+
+/** A command that the proxy gives in its own name. */
+export interface ProxyCommand extends Command {
+  readonly operation: Exclude<
+    Operation,
+    { readonly kind: 'begin' | 'commit' | DataStatement['kind'] }
+  >;
+}
+
 /** Outside a transaction, in a transaction, or in a transaction that has failed. */
 export type TransactionState = 'idle' | 'open' | 'failed';
 
--- a/packages/engine/src/transaction.ts
+++ b/packages/engine/src/transaction.ts
@@ -1,9 +1,9 @@
 import type { Millis } from '@shallotpick/core';
 import { Attempts, isLease } from './attempt.js';
 import type { DatabaseRoute } from './configuration.js';
-import { ConnectionError } from './errors.js';
+import { ConnectionError, NotSentError } from './errors.js';
 import type { Lease } from './lease.js';
-import { rollBack, runCommand, runStatement } from './run.js';
+import { rollBack, runInSession } from './run.js';
 import { createLocalReply, type SessionContext } from './context.js';
 import type { DataStatement, Failure, Reply } from './statement.js';
 import { wait } from './timing.js';
@@ -32,6 +32,9 @@
 
   private isRunning = false;
 
+  /** True while a COMMIT that may have been sent has no reply. */
+  private mayHaveCommitted = false;
+
   private readonly writes = new WriteTracker();
 
   private usedAt: Millis;
@@ -72,7 +75,8 @@
     const reply = await this.runWithLease(id, async (lease) => {
       const limit = this.route.timeoutMs * REPLY_TIMEOUT_FRACTION;
       const startedAt = this.context.readNow();
-      const ran = await runStatement(lease.connection, this.context, statement, { id }, limit);
+      const command = { id, operation: statement };
+      const ran = await runInSession(lease.connection, this.context, command, limit);
       lease.recordLatency(this.context.readNow() - startedAt);
       return ran;
     });
@@ -88,11 +92,9 @@
       this.abort(failure.reason);
       return createLocalReply('idle', { ...failure, verdict: 'aborted' });
     }
-    let isSent = false;
     const sentAt = this.context.readNow();
     const reply = await this.runWithLease(id, (lease) => {
-      if (!lease.connection.isUsable()) throw new ConnectionError('it broke before COMMIT');
-      isSent = true;
+      if (!lease.connection.isUsable()) throw new NotSentError('it broke before COMMIT');
       return this.sendCommit(id, lease);
     });
     const { lease } = this;
@@ -104,7 +106,7 @@
     const failure = reply.failure ?? { verdict: 'aborted', reason: 'the connection is gone' };
     this.abort(failure.reason);
     // A COMMIT without a reply may have taken effect.
-    const isUnknown = isSent && failure.verdict === 'aborted';
+    const isUnknown = this.mayHaveCommitted && failure.verdict === 'aborted';
     return createLocalReply(
       'idle',
       isUnknown ? { ...failure, verdict: 'unknownOutcome' } : failure,
@@ -137,14 +139,24 @@
     const deadline = this.context.readNow() + this.route.timeoutMs;
     for (;;) {
       const remaining = Math.max(1, deadline - this.context.readNow());
-      const command = { id, operation: { kind: 'commit' } } as const;
-      const reply = await runCommand(lease.connection, command, remaining);
+      const reply = await this.sendCommitOnce(id, lease, remaining);
       const isRefused = reply.failure?.verdict === 'overloaded' && reply.state === 'open';
       if (!isRefused || remaining <= COMMIT_RETRY_MS) return reply;
       await wait(COMMIT_RETRY_MS);
     }
   }
 
+  private async sendCommitOnce(id: string, lease: Lease, timeoutMs: Millis): Promise<Reply> {
+    const command = { id, operation: { kind: 'commit' } } as const;
+    this.mayHaveCommitted = true;
+    try {
+      return await runInSession(lease.connection, this.context, command, timeoutMs);
+    } catch (error) {
+      this.mayHaveCommitted = !(error instanceof NotSentError);
+      throw error;
+    }
+  }
+
   private async runWithLease(id: string, run: (lease: Lease) => Promise<Reply>): Promise<Reply> {
     if (this.failure) return createLocalReply('failed', this.failure);
     this.isRunning = true;
@@ -198,11 +210,10 @@
   private async openOn(lease: Lease, attempts: Attempts): Promise<Failure | undefined> {
     const { connection, after } = lease;
     try {
-      connection.setUp(this.context, { kind: 'commit' });
       // Only a plain BEGIN proves leadership.
       const operation = { kind: 'begin', isReadOnly: after !== undefined } as const;
       const limit = attempts.computeReplyTimeout(lease);
-      const opened = await runCommand(connection, { operation, after }, limit);
+      const opened = await runInSession(connection, this.context, { operation, after }, limit);
       if (!operation.isReadOnly) this.context.handleLeadership(this.route.group, opened);
       return opened.failure;
     } catch (error) {
--- a/packages/forwarding/src/home.ts
+++ b/packages/forwarding/src/home.ts
@@ -2,15 +2,17 @@
 import type { Millis } from '@shallotpick/core';
 import {
   type ClientGuard,
-  type Command,
   findAccess,
   type ForwardingHost,
   type GroupService,
   type HomeStatus,
   type Lease,
   NotRunError,
+  NotSentError,
   type Reply,
-  runObserved,
+  sendInSession,
+  type SessionCommand,
+  type SessionState,
   SHUTTING_DOWN,
   WriteTracker,
 } from '@shallotpick/engine';
@@ -58,6 +60,13 @@
 
 const EMPTY_SESSION: ForwardedSession = { variables: [] };
 
+/** Reads the session's state that came with an operation; undefined when its values stay. */
+function readSessionState({ session, operation }: RunMessage): SessionState | undefined {
+  // None come with a COMMIT that changes no value, and none with one of an older build.
+  if (!session && operation.kind === 'commit') return undefined;
+  return toSessionState(session ?? EMPTY_SESSION);
+}
+
 /** What the owner of an entry's link is told. */
 export interface EntryLinkObserver {
   /** The peer is known to be this VM. */
@@ -294,10 +303,7 @@
     }
     held.running.add(message);
     this.run(message, held, held.lease)
-      .catch((error: unknown) => {
-        this.end(message.lease, true);
-        this.send({ type: 'broken', lease: message.lease, reason: String(error) });
-      })
+      .catch((error: unknown) => this.endFailed(id, error))
       .finally(() => {
         held.running.delete(message);
         memory.finishMessage(bytes);
@@ -313,26 +319,25 @@
     return isTransaction && !shutdown.mayContinueTransaction(operation.kind, timeoutMs);
   }
 
-  private async run(
-    { lease: id, id: requestId, operation, after, session = EMPTY_SESSION }: RunMessage,
-    held: HeldLease,
-    lease: Lease,
-  ): Promise<void> {
-    const { connection } = lease;
-    const state = toSessionState(session);
+  /** Ends a lease whose operation got no reply, and tells whether it may have run. */
+  private endFailed(id: number, error: unknown): void {
+    this.end(id, true);
+    if (error instanceof NotSentError) this.sendReply(id, createRefusal(error.message, 'idle'));
+    else this.send({ type: 'broken', lease: id, reason: String(error) });
+  }
+
+  private async run(message: RunMessage, held: HeldLease, lease: Lease): Promise<void> {
+    const { lease: id, operation } = message;
+    const state = readSessionState(message);
     const isData = 'text' in operation || operation.kind === 'execute';
-    // Nothing is prepared for the end of a transaction; its values stay.
-    if (operation.kind !== 'commit' && operation.kind !== 'rollback') {
-      connection.setUp(state, isData ? operation : { kind: 'commit' });
-    }
     const command = {
-      ...(requestId === undefined ? {} : { id: requestId }),
-      operation: isData ? connection.toOperation(state, operation) : operation,
-      ...(after ? { after } : {}),
+      ...(message.id === undefined ? {} : { id: message.id }),
+      operation,
+      ...(message.after ? { after: message.after } : {}),
     };
-    const reply = await this.runOnInstance(id, lease, command, isData);
+    const reply = await this.runOnInstance(id, lease, state, command);
     if (reply.failure?.verdict === 'readOnly') lease.handleDemotion();
-    const isWrite = isData && findAccess(state, operation) === 'write';
+    const isWrite = isData && state && findAccess(state, operation) === 'write';
     const isCommit = operation.kind === 'commit';
     if (isWrite ? held.writes.handleWrite(reply) : isCommit && held.writes.handleCommit(reply)) {
       // The work has ended; its connection serves others while the commit is proved.
@@ -347,13 +352,15 @@
   private async runOnInstance(
     id: number,
     lease: Lease,
-    command: Command,
-    isData: boolean,
+    state: SessionState | undefined,
+    command: SessionCommand,
   ): Promise<Reply> {
     const { clock } = this.host;
+    const { kind } = command.operation;
+    const isData = kind === 'read' || kind === 'write' || kind === 'execute';
     const startedAt = clock.readNow();
     try {
-      const reply = await runObserved(lease.connection, command);
+      const reply = await sendInSession(lease.connection, state, command);
       const tookMs = clock.readNow() - startedAt;
       if (isData) {
         lease.recordLatency(tookMs);
--- a/packages/forwarding/src/remote.ts
+++ b/packages/forwarding/src/remote.ts
@@ -3,13 +3,12 @@
   type Command,
   ConnectionError,
   createLeaseUse,
-  type DataStatement,
   InstanceConnection,
   type Lease,
   type Operation,
   type Reply,
+  type SessionOperation,
   type SessionState,
-  type Statement,
   type TransactionState,
 } from '@shallotpick/engine';
 import {
@@ -36,6 +35,9 @@
 
   private session: ForwardedSession | undefined;
 
+  /** The values that were sent last. */
+  private sentVariables: ForwardedSession['variables'] | undefined;
+
   private isOpen = true;
 
   constructor(
@@ -45,8 +47,12 @@
     super();
   }
 
-  /** Attaches the session's values to the next operation; the home applies them. */
-  override setUp({ variables, statements }: SessionState, next: Statement): void {
+  /** Attaches the session's values to the next operation; the home applies them, and answers for both. */
+  override async setUp(
+    { variables, statements }: SessionState,
+    next: SessionOperation,
+  ): Promise<void> {
+    if (next.kind === 'commit' && this.hasSent(variables)) return;
     const prepared = next.kind === 'execute' ? statements.get(next.name) : undefined;
     this.session = {
       variables: [...variables],
@@ -57,8 +63,8 @@
   }
 
   /** The home replaces the name of a prepared statement. */
-  override toOperation(_: SessionState, statement: DataStatement): Operation {
-    return statement;
+  override toOperation(_: SessionState, operation: SessionOperation): Operation {
+    return operation;
   }
 
   override async run({ id, operation, after }: Command): Promise<Reply> {
@@ -68,6 +74,7 @@
     }
     const { session } = this;
     this.session = undefined;
+    if (session) this.sentVariables = session.variables;
     return new Promise((resolve, reject) => {
       try {
         this.send({
@@ -86,6 +93,13 @@
     });
   }
 
+  /** True when the home has got these values, and none have been set since. */
+  private hasSent(variables: SessionState['variables']): boolean {
+    const sent = this.sentVariables;
+    const isSame = sent?.length === variables.size;
+    return isSame && sent.every(([name, value]) => variables.get(name) === value);
+  }
+
   override countPending(): number {
     return this.pending.length;
   }
--- a/packages/forwarding/test/oddrequests.spec.ts
+++ b/packages/forwarding/test/oddrequests.spec.ts
@@ -83,7 +83,7 @@
     super(new FakeInstance('i'));
   }
 
-  override setUp(): void {
+  override async setUp(): Promise<void> {
     // Nothing is prepared.
   }
 
@@ -140,7 +140,7 @@
           variables: new Map(odd.session.variables),
           statements: new Map([[prepared.name, prepared]]),
         };
-        lease.connection.setUp(state, odd.operation);
+        await lease.connection.setUp(state, odd.operation);
         const found = await lease.connection.run({
           id: fields.requestId,
           operation: odd.operation,
--- a/packages/soak/src/invariantchecker.ts
+++ b/packages/soak/src/invariantchecker.ts
@@ -244,7 +244,7 @@
         `${sent.text} became ${text ?? rest}`,
       );
     }
-    if (operation.kind !== 'commit') this.checkValues(sent, values);
+    this.checkValues(sent, values);
   }
 
   private checkValues({ tag, note }: SentStatement, values: ReadonlyMap<string, string>): void {
--- a/packages/soak/test/soak.spec.ts
+++ b/packages/soak/test/soak.spec.ts
@@ -49,6 +49,11 @@
     faults: [],
     invariant: 'statements run with the values of their session',
   },
+  'runs COMMIT with the values from before': {
+    mutant: { file: 'engine/src/run.ts', from: "commit: 'confirmed'", to: "commit: 'none'" },
+    faults: [],
+    invariant: 'statements run with the values of their session',
+  },
   'reports a write without a response as not committed': {
     mutant: {
       file: 'engine/src/single.ts',
@@ -96,8 +101,8 @@
   'runs a passed-on write twice': {
     mutant: {
       file: 'forwarding/src/home.ts',
-      from: 'const reply = await runObserved(lease.connection, command);',
-      to: 'await runObserved(lease.connection, command); const reply = await runObserved(lease.connection, command);',
+      from: 'const reply = await sendInSession(lease.connection, state, command);',
+      to: 'await sendInSession(lease.connection, state, command); const reply = await sendInSession(lease.connection, state, command);',
     },
     faults: [],
     invariant: 'a write is committed at most once',
