Hand on no answer of a statement behind a refused value

Callers would see: a statement whose answer came in one packet with the refusal of a value in front of it was told as a success, although it had run with another value.

Cause: the connection was closed when the value's refusal was handled, which is after a statement's answer in the same packet has been accepted.

Change: sendInSession waits for the values behind the answer as well. They were answered before it, so that this takes no time. The statement counts as lost: a read is repeated elsewhere, a write has an unknown outcome.

Failed before: "fails when the value is refused, since it has run with another one" (platform/test/connection.spec.ts).

--- a/packages/engine/src/run.ts
+++ b/packages/engine/src/run.ts
@@ -83,16 +83,16 @@
   state: SessionState | undefined,
   command: SessionCommand,
 ): Promise<Reply> {
-  if (!state) return runObserved(connection, command);
   const preparation = PREPARATIONS[command.operation.kind];
-  if (preparation !== 'none') {
-    const setUp = connection.setUp(state, command.operation);
-    if (preparation === 'confirmed') await confirmSetUp(connection, setUp);
-    // The connection is closed when it fails, and the operation with it.
-    else setUp.catch(() => undefined);
-  }
+  if (!state || preparation === 'none') return runObserved(connection, command);
+  const setUp = connection.setUp(state, command.operation);
+  setUp.catch(() => undefined);
+  if (preparation === 'confirmed') await confirmSetUp(connection, setUp);
   const operation = connection.toOperation(state, command.operation);
-  return runObserved(connection, { ...command, operation });
+  const reply = await runObserved(connection, { ...command, operation });
+  // Behind a value that was refused the operation has run with another one.
+  await setUp;
+  return reply;
 }
 
 /**
