Split held leases from a home's link, and find a session's route once

BEGIN and single statements looked up and authorised their route in the same lines; findPermittedRoute serves both. Specs of the sessions, organisations and links pass.

--- a/packages/engine/src/session.ts
+++ b/packages/engine/src/session.ts
@@ -14,6 +14,15 @@
 } from './statement.js';
 import { Transaction } from './transaction.js';
 
+/** The route of new work, or the reply that refuses it. */
+type PermittedRoute =
+  | {
+      readonly kind: 'permitted';
+      readonly route: DatabaseRoute;
+      readonly organisation: string | undefined;
+    }
+  | { readonly kind: 'refused'; readonly reply: Reply };
+
 /** A caller's session: its variables, prepared statements, last commit and transaction. */
 export class Session {
   private readonly context: SessionContext;
@@ -134,22 +143,27 @@
     return createLocalReply(this.readState(), failure);
   }
 
-  private findRoute(): DatabaseRoute | undefined {
-    const { configuration, database } = this.context.options;
-    return configuration.findRoute(database);
+  /** Finds the route for new work of this caller; `mayStart` tells whether it would end in time. */
+  private findPermittedRoute(mayStart: (route: DatabaseRoute) => boolean): PermittedRoute {
+    const { configuration, database, identity } = this.context.options;
+    const route = configuration.findRoute(database);
+    if (!route) return { kind: 'refused', reply: this.refuseUnknown() };
+    if (!mayStart(route)) return { kind: 'refused', reply: this.refuseShutdown() };
+    const authorization = identity.authorize(route);
+    if (authorization.kind === 'allowed') {
+      return { kind: 'permitted', route, organisation: authorization.organisation };
+    }
+    return { kind: 'refused', reply: this.refuseCaller(authorization.failure) };
   }
 
   private begin(isReadOnly: boolean): Reply {
     if (this.transaction) {
       return this.refuse({ verdict: 'malformed', reason: 'a transaction is open' });
     }
-    const route = this.findRoute();
-    if (!route) return this.refuseUnknown();
-    const { identity, shutdown } = this.context.options;
-    if (shutdown.areTransactionsOver()) return this.refuseShutdown();
-    const authorization = identity.authorize(route);
-    if (authorization.kind === 'refused') return this.refuseCaller(authorization.failure);
-    const { organisation } = authorization;
+    const { shutdown } = this.context.options;
+    const found = this.findPermittedRoute(() => !shutdown.areTransactionsOver());
+    if (found.kind === 'refused') return found.reply;
+    const { route, organisation } = found;
     this.transaction = new Transaction(this.context, route, isReadOnly, organisation);
     return this.confirm();
   }
@@ -221,13 +235,10 @@
       return this.refuse({ verdict: 'unknownStatement', reason });
     }
     if (this.transaction) return this.transaction.run(id, statement);
-    const route = this.findRoute();
-    if (!route) return this.refuseUnknown();
-    const { identity, shutdown } = this.context.options;
-    if (!shutdown.mayStart(route.timeoutMs)) return this.refuseShutdown();
-    const authorization = identity.authorize(route);
-    if (authorization.kind === 'refused') return this.refuseCaller(authorization.failure);
-    const { organisation } = authorization;
+    const { shutdown } = this.context.options;
+    const found = this.findPermittedRoute(({ timeoutMs }) => shutdown.mayStart(timeoutMs));
+    if (found.kind === 'refused') return found.reply;
+    const { route, organisation } = found;
     this.single = new SingleStatementRunner(this.context, route, id, statement, organisation);
     try {
       return await this.single.run();
--- a/packages/forwarding/src/home.ts
+++ b/packages/forwarding/src/home.ts
@@ -4,7 +4,6 @@
   type ClientGuard,
   findAccess,
   type ForwardingHost,
-  type GroupService,
   type HomeStatus,
   type Lease,
   NotRunError,
@@ -14,19 +13,25 @@
   type SessionCommand,
   type SessionState,
   SHUTTING_DOWN,
-  WriteTracker,
 } from '@shallotpick/engine';
 import { match } from 'ts-pattern';
 import { LinkProtocolError } from './errors.js';
+import {
+  type AdmitMessage,
+  createHeldLease,
+  type HeldLease,
+  mustEndBeforeShutdown,
+  readSessionState,
+  type RunMessage,
+} from './heldlease.js';
 import {
   decodeEntryMessage,
   type EntryMessage,
-  type ForwardedSession,
   type HomeMessage,
   LINK_FEATURES,
   LINK_VERSION,
 } from './message.js';
-import { createRefusal, createReplyMessage, toSessionState } from './reply.js';
+import { createRefusal, createReplyMessage } from './reply.js';
 import { PeerActivity, SilenceMeter } from './silence.js';
 import { type MessageHandler, MessageSocket } from './socket.js';
 import { toWorkRequest } from './workrequest.js';
@@ -41,31 +46,7 @@
  */
 const DEAD_PEER_MS: Millis = 4_000;
 
-type AdmitMessage = EntryMessage & { readonly type: 'admit' };
 type PermitsMessage = EntryMessage & { readonly type: 'permits' };
-type RunMessage = EntryMessage & { readonly type: 'run' };
-
-/** A lease that another VM holds, or waits for. */
-interface HeldLease {
-  readonly group: GroupService;
-  /** Absent until the work has been admitted. */
-  readonly lease: Lease | undefined;
-  readonly writes: WriteTracker;
-  readonly isTransaction: boolean;
-  /** How long an operation of this work may take. */
-  readonly timeoutMs: Millis;
-  /** Operations that have no reply yet. */
-  readonly running: Set<RunMessage>;
-}
-
-const EMPTY_SESSION: ForwardedSession = { variables: [] };
-
-/** Reads the session's state that came with an operation; undefined when its values stay. */
-function readSessionState({ session, operation }: RunMessage): SessionState | undefined {
-  // None come with a COMMIT that changes no value, and none with one of an older build.
-  if (!session && operation.kind === 'commit') return undefined;
-  return toSessionState(session ?? EMPTY_SESSION);
-}
 
 /** What the owner of an entry's link is told. */
 export interface EntryLinkObserver {
@@ -227,14 +208,7 @@
       this.send({ type: 'refused', lease, reason, mayTryOther: true });
       return;
     }
-    const held: HeldLease = {
-      group,
-      lease: undefined,
-      writes: new WriteTracker(),
-      isTransaction: admit.request.isTransaction === true,
-      timeoutMs: admit.request.remainingMs,
-      running: new Set(),
-    };
+    const held = createHeldLease(group, admit);
     this.held.set(lease, held);
     this.admit(admit, held)
       .catch((error: unknown) => {
@@ -289,7 +263,7 @@
       this.sendReply(id, createRefusal('the connection broke before', 'idle'));
       return;
     }
-    if (held.running.size === 0 && this.mustEndBeforeShutdown(held, message)) {
+    if (held.running.size === 0 && mustEndBeforeShutdown(held, message, this.host.shutdown)) {
       this.end(id, true);
       this.sendReply(id, createRefusal(SHUTTING_DOWN, 'idle'));
       return;
@@ -310,15 +284,6 @@
       });
   }
 
-  /** True for an operation of a transaction that would not end before this process does. */
-  private mustEndBeforeShutdown(
-    { isTransaction, timeoutMs }: HeldLease,
-    { operation }: RunMessage,
-  ): boolean {
-    const { shutdown } = this.host;
-    return isTransaction && !shutdown.mayContinueTransaction(operation.kind, timeoutMs);
-  }
-
   /** Ends a lease whose operation got no reply, and tells whether it may have run. */
   private endFailed(id: number, error: unknown): void {
     this.end(id, true);
