End the soak's callers that never pause before recovery is judged

They end once the faults are over; what recovery is judged by, and its bound, are as they were before these callers came.

--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -110,9 +110,12 @@
 
   private callers: readonly SoakCaller[] = [];
 
-  /** Callers that never pause, pipeline requests or visit databases; recovery isn't judged by them. */
+  /** Callers that pipeline requests or visit databases; recovery isn't judged by them. */
   private otherCallers: readonly SoakCaller[] = [];
 
+  /** Callers that never pause; they end before recovery is judged. */
+  private restlessCallers: readonly SoakCaller[] = [];
+
   private ready: readonly SoakVm[] = [];
 
   private readonly promotionRules: PromotionRules;
@@ -149,6 +152,8 @@
     try {
       await wait(STARTUP_MS);
       await this.inject(faults);
+      // Their transactions hold connections that the other callers wait for.
+      this.restlessCallers.forEach((caller) => caller.stop());
       await this.checkRecovery();
     } finally {
       await this.stop();
@@ -201,7 +206,7 @@
     this.watchReadiness().catch((error: unknown) =>
       this.checker.addViolation('the soak runs without internal errors', String(error)),
     );
-    [...this.callers, ...this.otherCallers].forEach((caller) => {
+    this.listCallers().forEach((caller) => {
       caller.run().catch((error: unknown) => {
         this.checker.addViolation('callers get well-formed responses', String(error));
       });
@@ -235,13 +240,12 @@
     const create = (count: number, createOne: (options: SoakCallerOptions) => SoakCaller) =>
       Array.from({ length: count }, (_, index) => createOne(this.createCallerOptions(index)));
     this.callers = create(callers, (options) => new TransactionCaller(options));
-    this.otherCallers = create(
+    this.restlessCallers = create(
       Math.ceil(callers * RESTLESS_SHARE),
       (options) => new RestlessCaller({ ...options, name: `restless-${options.name}` }),
     );
     if (!changes) return;
     this.otherCallers = [
-      ...this.otherCallers,
       ...create(
         Math.ceil(callers * PIPELINING_SHARE),
         (options) => new PipeliningCaller({ ...options, name: `pipelining-${options.name}` }),
@@ -253,6 +257,10 @@
     ];
   }
 
+  private listCallers(): readonly SoakCaller[] {
+    return [...this.callers, ...this.otherCallers, ...this.restlessCallers];
+  }
+
   private createCallerOptions(index: number): SoakCallerOptions {
     const { list } = this.organisations;
     const { routes } = this.operator;
@@ -322,7 +330,7 @@
   private async stop(): Promise<void> {
     this.isStopped = true;
     this.stalls.stop();
-    [...this.callers, ...this.otherCallers].forEach((caller) => caller.stop());
+    this.listCallers().forEach((caller) => caller.stop());
     await Promise.all(this.vms.map((vm) => vm.close()));
     await this.platform.stop();
   }
