Quote the line that a mutant of the soak replaces where it stands now

The spec "detects a program that reports a passed-on write without a response as not run" failed in a run of the soak's specs on: the line that its mutant replaces had moved into EntryLink.endFailed, and buildProgram refuses a text that it doesn't find. The mutant does the same as before, and is found (one run, with the other mutant of that list).

--- a/packages/soak/test/soak.spec.ts
+++ b/packages/soak/test/soak.spec.ts
@@ -110,8 +110,8 @@
   'reports a passed-on write without a response as not run': {
     mutant: {
       file: 'forwarding/src/home.ts',
-      from: "this.send({ type: 'broken', lease: message.lease, reason: String(error) });",
-      to: "this.sendReply(message.lease, { rows: [], digest: undefined, failure: { verdict: 'tooManyConnections', reason: '' }, state: 'idle', position: undefined });",
+      from: "else this.send({ type: 'broken', lease: id, reason: String(error) });",
+      to: "else this.sendReply(id, { rows: [], digest: undefined, failure: { verdict: 'tooManyConnections', reason: '' }, state: 'idle', position: undefined });",
     },
     faults: createFaults('resetLeader', ...RESET_TIMES_MS),
     invariant: 'a refused write is not committed',
