--- a/packages/forwarding/src/heldlease.ts
+++ b/packages/forwarding/src/heldlease.ts
@@ -1,7 +1,9 @@
 import type { Millis } from '@shallotpick/core';
 import {
+  type DataStatement,
   type GroupService,
   type Lease,
+  type SessionOperation,
   type SessionState,
   type ShutdownSchedule,
   WriteTracker,
@@ -38,6 +40,11 @@
   };
 }
 
+/** True for an operation that reads or writes data, and neither opens nor ends a transaction. */
+export function isDataOperation(operation: SessionOperation): operation is DataStatement {
+  return 'text' in operation || operation.kind === 'execute';
+}
+
 /** True for an operation of a transaction that would not end before this process does. */
 export function mustEndBeforeShutdown(
   { isTransaction, timeoutMs }: HeldLease,
--- a/packages/forwarding/src/home.ts
+++ b/packages/forwarding/src/home.ts
@@ -20,6 +20,7 @@
   type AdmitMessage,
   createHeldLease,
   type HeldLease,
+  isDataOperation,
   mustEndBeforeShutdown,
   readSessionState,
   type RunMessage,
@@ -299,7 +300,6 @@
   private async run(message: RunMessage, held: HeldLease, lease: Lease): Promise<Reply> {
     const { lease: id, operation } = message;
     const state = readSessionState(message);
-    const isData = 'text' in operation || operation.kind === 'execute';
     const command = {
       ...(message.id === undefined ? {} : { id: message.id }),
       operation,
@@ -307,6 +307,7 @@
     };
     const reply = await this.runOnInstance(id, lease, state, command);
     if (reply.failure?.verdict === 'readOnly') lease.handleDemotion();
+    const isData = isDataOperation(operation);
     const isWrite = isData && state && findAccess(state, operation) === 'write';
     const isCommit = operation.kind === 'commit';
     if (isWrite ? held.writes.handleWrite(reply) : isCommit && held.writes.handleCommit(reply)) {
@@ -326,8 +327,7 @@
     command: SessionCommand,
   ): Promise<Reply> {
     const { clock } = this.host;
-    const { kind } = command.operation;
-    const isData = kind === 'read' || kind === 'write' || kind === 'execute';
+    const isData = isDataOperation(command.operation);
     const startedAt = clock.readNow();
     try {
       const reply = await sendInSession(lease.connection, state, command);
