--- a/packages/engine/src/attempt.ts
+++ b/packages/engine/src/attempt.ts
@@ -3,6 +3,7 @@
 import type { DatabaseRoute } from './configuration.js';
 import type { WorkRequest } from './dispatcher.js';
 import { NotRunError } from './errors.js';
+import type { AuthorizedRoute } from './identity.js';
 import type { Lease } from './lease.js';
 import type { OperationPermit } from './operationquota.js';
 import { SHUTTING_DOWN } from './shutdown.js';
@@ -36,17 +37,23 @@
 
   private readonly excluded = new Set<string>();
 
+  private readonly route: DatabaseRoute;
+
+  private readonly organisation: string | undefined;
+
   /** True when only a leader that proves to lead is sure to hold what the session has committed. */
   private mustReadAtLeader: boolean;
 
   constructor(
     private readonly context: SessionContext,
-    private readonly route: DatabaseRoute,
+    private readonly authorized: AuthorizedRoute,
     private readonly requestId: string,
     private readonly kind: 'read' | 'write',
-    private readonly organisation: string | undefined,
     private readonly isTransaction = false,
   ) {
+    const { route, organisation } = authorized;
+    this.route = route;
+    this.organisation = organisation;
     const now = context.readNow();
     this.deadline = now + route.timeoutMs;
     this.objective = now + route.targetLatencyMs;
@@ -105,10 +112,10 @@
 
   /** Finds out whether the caller has left or lost its key, or the process ends, while the work waited. */
   private findLoss(): Failure | undefined {
-    const { context, route, organisation } = this;
+    const { context } = this;
     if (context.isClosed) return { verdict: 'aborted', reason: 'the caller has left' };
     if (context.options.shutdown.isOver()) return { verdict: 'overloaded', reason: SHUTTING_DOWN };
-    return context.options.identity.checkAgain(route, organisation);
+    return context.options.identity.checkAgain(this.authorized);
   }
 
   private createRequest(deadline: Millis): WorkRequest {
@@ -121,6 +128,7 @@
       caller: organisation ?? context.options.caller,
       database: route.database,
       priority: route.priority,
+      version: this.authorized.version,
       lastCommit: readsOwnWrites ? context.positions.findCommit(route.group) : undefined,
     };
   }
--- a/packages/engine/src/configurationverifier.ts
+++ b/packages/engine/src/configurationverifier.ts
@@ -27,6 +27,13 @@
   readonly ageMs: Millis;
 }
 
+/** The version in force and the age of its proof, for the log. */
+export interface ProofDescription {
+  readonly version: number | undefined;
+  /** Undefined before the first proof. */
+  readonly provedMsAgo: Millis | undefined;
+}
+
 /** Services of a configuration verifier. */
 export interface ConfigurationVerifierOptions {
   /** How long a proof holds; undefined when nothing that a version takes away is urgent. */
@@ -103,6 +110,12 @@
     return version === undefined || !Number.isFinite(ageMs) ? undefined : { version, ageMs };
   }
 
+  describeProof(): ProofDescription {
+    const version = this.options.configuration.read()?.version;
+    const ageMs = this.lease.readAge(this.readNow());
+    return { version, provedMsAgo: Number.isFinite(ageMs) ? Math.round(ageMs) : undefined };
+  }
+
   handleTick(): void {
     if (this.isNeeded()) this.checkKeys();
     else this.checkVersion();
--- a/packages/engine/src/context.ts
+++ b/packages/engine/src/context.ts
@@ -6,6 +6,7 @@
   SessionPositions,
 } from '@shallotpick/core';
 import type { ConfigurationHolder } from './configuration.js';
+import type { ProofDescription } from './configurationverifier.js';
 import type { GroupAccess } from './access.js';
 import type { CallerIdentity } from './identity.js';
 import type { Log } from './log.js';
@@ -28,6 +29,8 @@
   readonly log: Log;
   readonly metrics: Metrics;
   readonly configuration: ConfigurationHolder;
+  /** The version in force and its proof, for the log. */
+  readonly describeProof: () => ProofDescription;
   readonly findGroup: (name: string) => GroupAccess | undefined;
   readonly retries: RetryBudgets;
   readonly quota: OperationQuota;
--- a/packages/engine/src/dispatcher.ts
+++ b/packages/engine/src/dispatcher.ts
@@ -34,6 +34,8 @@
   readonly isTransaction?: boolean | undefined;
   /** Organisation in whose name the work runs; undefined for callers without a key. */
   readonly organisation: string | undefined;
+  /** Version of the configuration by which it was accepted; an older build of a VM tells none. */
+  readonly version?: number | undefined;
   /** Database that the caller named; work on one database has similar cost. */
   readonly database: string;
   /** Time by which the caller hopes for the answer to its whole operation. */
--- a/packages/engine/src/identity.ts
+++ b/packages/engine/src/identity.ts
@@ -1,6 +1,15 @@
 import type { ConfigurationHolder, DatabaseRoute } from './configuration.js';
 import type { Failure } from './statement.js';
 
+/** A route that a caller may use, and in whose name its work runs. */
+export interface AuthorizedRoute {
+  readonly route: DatabaseRoute;
+  /** Undefined when the caller needs no key. */
+  readonly organisation: string | undefined;
+  /** Version of the configuration that holds the route. */
+  readonly version: number;
+}
+
 /** Whether a caller may use a database, and in whose name its work runs. */
 export type Authorization =
   | {
@@ -50,7 +59,7 @@
   }
 
   /** Returns the failure that ends work which was authorized before in an organisation's name. */
-  checkAgain(route: DatabaseRoute, organisation: string | undefined): Failure | undefined {
+  checkAgain({ route, organisation }: AuthorizedRoute): Failure | undefined {
     const authorization = this.authorize(route);
     if (authorization.kind === 'refused') return authorization.failure;
     const { organisation: holder } = authorization;
--- a/packages/engine/src/index.ts
+++ b/packages/engine/src/index.ts
@@ -40,7 +40,7 @@
 export { compareDrafts } from './configurationchange.js';
 export type { ConfigurationEffect } from './configurationchange.js';
 export { ConfigurationVerifier } from './configurationverifier.js';
-export type { ProofAge } from './configurationverifier.js';
+export type { ProofAge, ProofDescription } from './configurationverifier.js';
 export { CallerIdentity } from './identity.js';
 export type { Authorization } from './identity.js';
 export { OperationQuota, UnlimitedQuota } from './operationquota.js';
--- a/packages/engine/src/proxy.ts
+++ b/packages/engine/src/proxy.ts
@@ -1,7 +1,7 @@
 import { type Clock, InstanceRoster, type Millis, RetryBudgets } from '@shallotpick/core';
 import type { IdleCloseReason } from './closereporter.js';
 import type { ConfigurationHolder, ServiceConfiguration } from './configuration.js';
-import type { ConfigurationVerifier } from './configurationverifier.js';
+import type { ConfigurationVerifier, ProofDescription } from './configurationverifier.js';
 import type { GroupAccess } from './access.js';
 import type { GroupDirectory } from './directory.js';
 import type { Fleet } from './fleet.js';
@@ -139,12 +139,18 @@
     const identity = this.identify(key);
     return new Session({
       ...{ database, caller, identity, clock, log, metrics, configuration, quota },
+      describeProof: () => this.describeProof(),
       shutdown,
       findGroup: (name) => this.findGroup(name),
       retries: this.retries,
     });
   }
 
+  /** The version of the configuration in force and its proof, for the log. */
+  describeProof(): ProofDescription {
+    return this.options.verifier.describeProof();
+  }
+
   /** Identifies a caller by the key that it gave. */
   identify(key: string): CallerIdentity {
     const { configuration, verifier } = this.options;
@@ -221,10 +227,8 @@
   }
 
   private handleConfiguration(next: ServiceConfiguration): void {
-    const { log, metrics, groups } = this.options;
-    const { version, routes } = next;
-    log.info('configuration in force', { version, routes: routes.size });
-    metrics.configurationVersion.set(version);
+    const { metrics, groups } = this.options;
+    metrics.configurationVersion.set(next.version);
     groups.updateConfiguration(next);
     this.isRosterChanged = true;
   }
--- a/packages/engine/src/session.ts
+++ b/packages/engine/src/session.ts
@@ -1,6 +1,7 @@
 import type { Millis } from '@shallotpick/core';
 import { match } from 'ts-pattern';
 import type { DatabaseRoute } from './configuration.js';
+import type { AuthorizedRoute } from './identity.js';
 import { createLocalReply, SessionContext, type SessionOptions } from './context.js';
 import { SHUTTING_DOWN } from './shutdown.js';
 import { SingleStatementRunner } from './single.js';
@@ -16,11 +17,7 @@
 
 /** The route of new work, or the reply that refuses it. */
 type PermittedRoute =
-  | {
-      readonly kind: 'permitted';
-      readonly route: DatabaseRoute;
-      readonly organisation: string | undefined;
-    }
+  | { readonly kind: 'permitted'; readonly authorized: AuthorizedRoute }
   | { readonly kind: 'refused'; readonly reply: Reply };
 
 /** A caller's session: its variables, prepared statements, last commit and transaction. */
@@ -51,8 +48,8 @@
     if (reply.failure) {
       const { verdict, reason } = reply.failure;
       metrics.failures.inc({ verdict });
-      const version = this.context.options.configuration.read()?.version;
-      const details = { request: request.id, database, kind: request.statement.kind, version };
+      const proof = this.context.options.describeProof();
+      const details = { request: request.id, database, kind: request.statement.kind, ...proof };
       log.info('request failed', { ...details, verdict, reason, tookMs: Math.round(tookMs) });
     }
     return reply;
@@ -146,12 +143,15 @@
   /** Finds the route for new work of this caller; `mayStart` tells whether it would end in time. */
   private findPermittedRoute(mayStart: (route: DatabaseRoute) => boolean): PermittedRoute {
     const { configuration, database, identity } = this.context.options;
-    const route = configuration.findRoute(database);
-    if (!route) return { kind: 'refused', reply: this.refuseUnknown() };
+    const inForce = configuration.read();
+    const route = inForce?.routes.get(database);
+    if (!inForce || !route) return { kind: 'refused', reply: this.refuseUnknown() };
     if (!mayStart(route)) return { kind: 'refused', reply: this.refuseShutdown() };
     const authorization = identity.authorize(route);
     if (authorization.kind === 'allowed') {
-      return { kind: 'permitted', route, organisation: authorization.organisation };
+      const { organisation } = authorization;
+      const { version } = inForce;
+      return { kind: 'permitted', authorized: { route, organisation, version } };
     }
     return { kind: 'refused', reply: this.refuseCaller(authorization.failure) };
   }
@@ -163,8 +163,7 @@
     const { shutdown } = this.context.options;
     const found = this.findPermittedRoute(() => !shutdown.areTransactionsOver());
     if (found.kind === 'refused') return found.reply;
-    const { route, organisation } = found;
-    this.transaction = new Transaction(this.context, route, isReadOnly, organisation);
+    this.transaction = new Transaction(this.context, found.authorized, isReadOnly);
     return this.confirm();
   }
 
@@ -190,7 +189,7 @@
    */
   private endBeforeShutdown(transaction: Transaction, { kind }: Statement): void {
     const { shutdown } = this.context.options;
-    const { timeoutMs } = transaction.route;
+    const { timeoutMs } = transaction.authorized.route;
     if (!shutdown.mayContinueTransaction(kind, timeoutMs)) transaction.abort(SHUTTING_DOWN);
   }
 
@@ -208,8 +207,8 @@
     return this.refuseCaller(failure);
   }
 
-  private findKeyFailure({ route, organisation }: Transaction): Failure | undefined {
-    return this.context.options.identity.checkAgain(route, organisation);
+  private findKeyFailure({ authorized }: Transaction): Failure | undefined {
+    return this.context.options.identity.checkAgain(authorized);
   }
 
   /** Refuses a request for the caller's key. */
@@ -238,8 +237,7 @@
     const { shutdown } = this.context.options;
     const found = this.findPermittedRoute(({ timeoutMs }) => shutdown.mayStart(timeoutMs));
     if (found.kind === 'refused') return found.reply;
-    const { route, organisation } = found;
-    this.single = new SingleStatementRunner(this.context, route, id, statement, organisation);
+    this.single = new SingleStatementRunner(this.context, found.authorized, id, statement);
     try {
       return await this.single.run();
     } finally {
--- a/packages/engine/src/single.ts
+++ b/packages/engine/src/single.ts
@@ -1,6 +1,6 @@
 import { Attempts, isLease } from './attempt.js';
-import type { DatabaseRoute } from './configuration.js';
 import { ConnectionError } from './errors.js';
+import type { AuthorizedRoute } from './identity.js';
 import type { Lease } from './lease.js';
 import { rollBack, runInSession } from './run.js';
 import { createLocalReply, type SessionContext } from './context.js';
@@ -27,13 +27,12 @@
 
   constructor(
     private readonly context: SessionContext,
-    private readonly route: DatabaseRoute,
+    private readonly authorized: AuthorizedRoute,
     private readonly id: string,
     private readonly statement: DataStatement,
-    organisation: string | undefined,
   ) {
     this.isWrite = context.isWrite(statement) === true;
-    this.attempts = new Attempts(context, route, id, this.isWrite ? 'write' : 'read', organisation);
+    this.attempts = new Attempts(context, authorized, id, this.isWrite ? 'write' : 'read');
   }
 
   async run(): Promise<Reply> {
@@ -78,7 +77,7 @@
       lease.release();
       if (!reply.failure) {
         await lease.confirmCommit(reply.position, attempts.readRemaining());
-        context.handleCommit(this.route.group, reply.position);
+        context.handleCommit(this.authorized.route.group, reply.position);
       }
       return this.createOutcome(reply);
     } catch (error) {
@@ -124,7 +123,7 @@
       const begin = { operation: { kind: 'begin', isReadOnly: false } } as const;
       const beginLimit = attempts.computeReplyTimeout(lease);
       const opened = await runInSession(connection, context, begin, beginLimit);
-      context.handleLeadership(this.route.group, opened);
+      context.handleLeadership(this.authorized.route.group, opened);
       if (opened.failure) {
         lease.release();
         return { kind: 'refused', failure: opened.failure };
--- a/packages/engine/src/sources.ts
+++ b/packages/engine/src/sources.ts
@@ -1,5 +1,5 @@
 import type { Clock, Millis } from '@shallotpick/core';
-import type { ConfigurationHolder } from './configuration.js';
+import type { ConfigurationHolder, ServiceConfiguration } from './configuration.js';
 import { ConfigurationVerifier } from './configurationverifier.js';
 import type { GroupDirectory } from './directory.js';
 import type { EraAwareStore } from './era.js';
@@ -9,7 +9,7 @@
 import type { ProxyParts } from './proxyparts.js';
 import type { StoredObject } from './store.js';
 import { PROMOTIONS_KIND } from './takeover.js';
-import { ObjectWatcher, type ObjectWatcherOptions } from './watcher.js';
+import { ObjectWatcher, type ObjectWatcherOptions, type StoreAnswer } from './watcher.js';
 
 /** Fraction of the time allowed for applying a change that one watch call may take. */
 const WATCH_FRACTION = 0.6;
@@ -66,6 +66,11 @@
   });
 }
 
+/** The answer that brought a version of the configuration. */
+interface ConfigurationOrigin extends Omit<StoreAnswer, 'call'> {
+  readonly call: StoreAnswer['call'] | 'read';
+}
+
 /** The source of the operator's configuration, which every VM watches. */
 export class ConfigurationSource {
   readonly watcher: ObjectWatcher;
@@ -89,26 +94,44 @@
       clock: ageClock,
       isNeeded: () => true,
       findWatchTime: () => (placement.isAnyHome() ? watchMs : ENTRY_WATCH_MS),
-      onListing: (objects) => objects.forEach((object) => this.handleObject(object)),
-      onChange: (object, isDeleted) => {
-        if (!isDeleted) this.handleObject(object);
+      onListing: (objects, answer) =>
+        objects.forEach((object) => this.handleObject(object, answer)),
+      onChange: (object, isDeleted, answer) => {
+        if (!isDeleted) this.handleObject(object, answer);
       },
       onAnswer: (askedAt) => this.verifier.handleAnswer(askedAt),
     });
   }
 
   private async read(): Promise<void> {
-    const { parts, store } = this.options;
-    const { objects, isPartial } = await store.list(parts.configurationKind);
-    objects.forEach((object) => this.handleObject(object));
+    const { parts, store, ageClock } = this.options;
+    const askedAt = ageClock.readNow();
+    const { objects, era, isPartial } = await store.list(parts.configurationKind);
+    const origin: ConfigurationOrigin = { call: 'read', era, askedAt };
+    objects.forEach((object) => this.handleObject(object, origin));
     if (isPartial) throw new StoreError('the list of configurations is partial');
   }
 
-  private handleObject(object: StoredObject): void {
+  private handleObject(object: StoredObject, origin: ConfigurationOrigin): void {
     const { parts, configuration } = this.options;
     const decoded = parts.decodeConfiguration(object);
     this.verifier.handleStoredVersion(decoded?.version);
-    if (decoded) configuration.update(decoded);
+    if (!decoded) return;
+    const before = configuration.read()?.version;
+    if (configuration.update(decoded)) this.reportInForce(decoded, before, object, origin);
+  }
+
+  private reportInForce(
+    { version, routes }: ServiceConfiguration,
+    before: number | undefined,
+    { revision }: StoredObject,
+    { call, era, askedAt }: ConfigurationOrigin,
+  ): void {
+    const { parts, ageClock } = this.options;
+    const askedMsAgo = Math.round(ageClock.readNow() - askedAt);
+    parts.log.info('configuration in force', {
+      ...{ version, before, routes: routes.size, call, askedMsAgo, revision, era },
+    });
   }
 }
 
@@ -163,11 +186,11 @@
   return createWatcher(options, {
     kind: PROMOTIONS_KIND,
     findWatchTime: () => PROMOTIONS_WATCH_MS,
-    onListing: (objects, era, isPartial) => {
+    onListing: (objects, { era }, isPartial) => {
       objects.forEach((object) => handleRecord(object, era));
       if (!isPartial) handleMissing(objects, era);
     },
-    onChange: (object, isDeleted, era) => {
+    onChange: (object, isDeleted, { era }) => {
       if (!isDeleted) handleRecord(object, era);
     },
     onAnswer: (askedAt) =>
--- a/packages/engine/src/transaction.ts
+++ b/packages/engine/src/transaction.ts
@@ -1,7 +1,7 @@
 import type { Millis } from '@shallotpick/core';
 import { Attempts, isLease } from './attempt.js';
-import type { DatabaseRoute } from './configuration.js';
 import { ConnectionError, NotSentError } from './errors.js';
+import type { AuthorizedRoute } from './identity.js';
 import type { Lease } from './lease.js';
 import { rollBack, runInSession } from './run.js';
 import { createLocalReply, type SessionContext } from './context.js';
@@ -41,9 +41,8 @@
 
   constructor(
     private readonly context: SessionContext,
-    readonly route: DatabaseRoute,
+    readonly authorized: AuthorizedRoute,
     private readonly isReadOnly: boolean,
-    readonly organisation: string | undefined,
   ) {
     this.usedAt = context.readNow();
   }
@@ -73,7 +72,7 @@
 
   async run(id: string, statement: DataStatement): Promise<Reply> {
     const reply = await this.runWithLease(id, async (lease) => {
-      const limit = this.route.timeoutMs * REPLY_TIMEOUT_FRACTION;
+      const limit = this.authorized.route.timeoutMs * REPLY_TIMEOUT_FRACTION;
       const startedAt = this.context.readNow();
       const command = { id, operation: statement };
       const ran = await runInSession(lease.connection, this.context, command, limit);
@@ -124,10 +123,10 @@
     try {
       if (this.writes.handleCommit(reply)) {
         const elapsed = this.context.readNow() - sentAt;
-        const remaining = Math.max(1, this.route.timeoutMs - elapsed);
+        const remaining = Math.max(1, this.authorized.route.timeoutMs - elapsed);
         await lease.confirmCommit(reply.position, remaining);
       }
-      this.context.handleCommit(this.route.group, reply.position);
+      this.context.handleCommit(this.authorized.route.group, reply.position);
       return { ...reply, state: 'idle' };
     } catch (error) {
       if (!(error instanceof ConnectionError)) throw error;
@@ -136,7 +135,7 @@
   }
 
   private async sendCommit(id: string, lease: Lease): Promise<Reply> {
-    const deadline = this.context.readNow() + this.route.timeoutMs;
+    const deadline = this.context.readNow() + this.authorized.route.timeoutMs;
     for (;;) {
       const remaining = Math.max(1, deadline - this.context.readNow());
       const reply = await this.sendCommitOnce(id, lease, remaining);
@@ -182,10 +181,10 @@
 
   /** Opens the transaction on an instance; returns the failure when that isn't possible. */
   private async open(id: string): Promise<Failure | undefined> {
-    const { context, route, isReadOnly, organisation } = this;
-    const mayBeOld = isReadOnly && route.contract.maxAgeMs > 0;
+    const { context, authorized, isReadOnly } = this;
+    const mayBeOld = isReadOnly && authorized.route.contract.maxAgeMs > 0;
     const kind = mayBeOld ? 'read' : 'write';
-    const attempts = new Attempts(context, route, id, kind, organisation, true);
+    const attempts = new Attempts(context, authorized, id, kind, true);
     for (;;) {
       const lease = await attempts.admit();
       if (!isLease(lease)) return lease;
@@ -214,7 +213,7 @@
       const operation = { kind: 'begin', isReadOnly: after !== undefined } as const;
       const limit = attempts.computeReplyTimeout(lease);
       const opened = await runInSession(connection, this.context, { operation, after }, limit);
-      if (!operation.isReadOnly) this.context.handleLeadership(this.route.group, opened);
+      if (!operation.isReadOnly) this.context.handleLeadership(this.authorized.route.group, opened);
       return opened.failure;
     } catch (error) {
       if (!(error instanceof ConnectionError)) throw error;
--- a/packages/engine/src/watcher.ts
+++ b/packages/engine/src/watcher.ts
@@ -12,6 +12,14 @@
 /** Interval of checks whether the objects are needed. */
 const NEED_POLL_MS: Millis = 50;
 
+/** The answer of the store that brought objects. */
+export interface StoreAnswer {
+  readonly call: 'list' | 'watch';
+  readonly era: number;
+  /** When its call was sent. */
+  readonly askedAt: Millis;
+}
+
 /** The watched kind, its callbacks and services. */
 export interface ObjectWatcherOptions {
   readonly kind: string;
@@ -26,9 +34,13 @@
   /** Number of VMs that watch the kind. */
   readonly countWatchers?: () => number;
   /** Receives the objects of each listing; absence tells nothing when it `isPartial`. */
-  readonly onListing: (objects: readonly StoredObject[], era: number, isPartial: boolean) => void;
+  readonly onListing: (
+    objects: readonly StoredObject[],
+    answer: StoreAnswer,
+    isPartial: boolean,
+  ) => void;
   /** Receives one change; for a deletion, `object.spec` is the last content. */
-  readonly onChange: (object: StoredObject, isDeleted: boolean, era: number) => void;
+  readonly onChange: (object: StoredObject, isDeleted: boolean, answer: StoreAnswer) => void;
   /**
    * Called when all changes up to an answer have been passed on; `askedAt` is when its request was
    * sent, so that none from before then is missing. Not called after a partial listing.
@@ -84,8 +96,8 @@
       try {
         await this.waitUntilNeeded();
         const askedAt = this.options.clock.readNow();
-        if (this.position === undefined) await this.list();
-        else await this.watch(this.position);
+        if (this.position === undefined) await this.list(askedAt);
+        else await this.watch(this.position, askedAt);
         this.handleAnswer();
         if (this.partialListings === 0) this.options.onAnswer?.(askedAt);
       } catch (error) {
@@ -104,12 +116,12 @@
     }
   }
 
-  private async list(): Promise<void> {
+  private async list(askedAt: Millis): Promise<void> {
     const { store, kind, onListing } = this.options;
     const listing = await store.list(kind);
     const { objects, revision, era, isPartial = false } = listing;
     this.reportPartial(listing);
-    onListing(objects, era, isPartial);
+    onListing(objects, { call: 'list', era, askedAt }, isPartial);
     this.position = { era, revision };
   }
 
@@ -124,10 +136,11 @@
     if (!isPartial && failures > 0) log.info('list read to its end again', { kind, failures });
   }
 
-  private async watch(from: StoreVersion): Promise<void> {
+  private async watch(from: StoreVersion, askedAt: Millis): Promise<void> {
     const { store, kind, findWatchTime, onChange } = this.options;
     const { changes, revision: next, era } = await store.watch(kind, from, findWatchTime());
-    changes.forEach(({ object, isDeleted }) => onChange(object, isDeleted, era));
+    const answer: StoreAnswer = { call: 'watch', era, askedAt };
+    changes.forEach(({ object, isDeleted }) => onChange(object, isDeleted, answer));
     // What a partial listing lacks may be readable by now.
     this.position = this.partialListings > 0 ? undefined : { era, revision: next };
     if (changes.length > 0) await wait(this.computePause());
--- a/packages/engine/src/workrouter.ts
+++ b/packages/engine/src/workrouter.ts
@@ -142,13 +142,13 @@
   /** Logs a routing decision with its reason and the age of the newest leader position. */
   logRoute(request: WorkRequest, instance: string, reason: string, waitedMs: Millis): void {
     const { group, log, metrics, ageClock, samples } = this.options;
-    const { requestId, kind, contract, priority } = request;
+    const { requestId, kind, contract, priority, version } = request;
     metrics.queueWait.observe({ priority, outcome: 'started' }, waitedMs / 1_000);
     metrics.statements.inc({ target: reason.startsWith('replica') ? 'replica' : 'leader' });
     const { after } = this.findPositions(request);
     const newest = samples.readLatest();
     log.info('route', {
-      ...{ request: requestId, group, kind, maxAgeMs: contract.maxAgeMs },
+      ...{ request: requestId, group, kind, maxAgeMs: contract.maxAgeMs, version },
       ...{ instance, reason, waitedMs: Math.round(waitedMs) },
       ...(after ? { after: formatPosition(after) } : {}),
       ...(newest ? { leaderSeenMsAgo: Math.round(ageClock.readNow() - newest.takenAt) } : {}),
--- a/packages/engine/test/attempt.spec.ts
+++ b/packages/engine/test/attempt.spec.ts
@@ -20,6 +20,7 @@
 const MANY_GROUPS = 40;
 const CONFIGURATION = createConfiguration(20, { timeoutMs: 600, transactionIdleMs: 300 });
 const ROUTE = CONFIGURATION.routes.get('aged')!;
+const AUTHORIZED = { route: ROUTE, organisation: undefined, version: CONFIGURATION.version };
 const RETRIES = { ratio: 1, capacity: 1 };
 
 describe('Attempts', () => {
@@ -40,6 +41,7 @@
     context = new SessionContext({
       ...{ configuration, clock, database: 'aged', caller: 'caller' },
       identity: new CallerIdentity('a', configuration, () => true),
+      describeProof: () => ({ version: configuration.read()?.version, provedMsAgo: 0 }),
       log: createEngineLog('error', 'vm'),
       metrics: new Metrics(),
       findGroup: () => group,
@@ -50,7 +52,7 @@
   });
 
   const requestRead = async (): Promise<WorkRequest | undefined> => {
-    await new Attempts(context, ROUTE, 'r', 'read', undefined).admit();
+    await new Attempts(context, AUTHORIZED, 'r', 'read').admit();
     return requests.at(-1);
   };
 
--- a/packages/engine/test/organisations.spec.ts
+++ b/packages/engine/test/organisations.spec.ts
@@ -123,6 +123,7 @@
     const session = new Session({
       ...{ configuration, database: ROUTE?.database ?? '', caller: 'caller-1' },
       identity: new CallerIdentity('a', configuration, () => true),
+      describeProof: () => ({ version: configuration.read()?.version, provedMsAgo: 0 }),
       clock: new SystemClock(),
       log: createEngineLog('error', 'vm'),
       metrics: new Metrics(),
--- a/packages/engine/test/watcher.spec.ts
+++ b/packages/engine/test/watcher.spec.ts
@@ -94,7 +94,7 @@
     let answers = 0;
     const watcher = createWatcher(store, {
       findWatchTime: () => 20,
-      onListing: (objects, era, isPartial) => listings.push(isPartial && objects.length === 1),
+      onListing: (objects, _, isPartial) => listings.push(isPartial && objects.length === 1),
       onAnswer: () => {
         answers += 1;
       },
--- a/packages/forwarding/src/message.ts
+++ b/packages/forwarding/src/message.ts
@@ -48,6 +48,8 @@
   /** Organisation in whose name the work runs; instances are told. Only homes that know the field get it. */
   organisation: z.string().optional(),
   database: z.string().optional(),
+  /** Version of the configuration by which the VM has accepted the work. */
+  version: count.optional(),
   /** Time left until the caller hopes for the answer to its whole operation. */
   objectiveMs: z.number().optional(),
   /** The session's last commit, and how long ago it was acknowledged. */
--- a/packages/forwarding/src/workrequest.ts
+++ b/packages/forwarding/src/workrequest.ts
@@ -5,11 +5,12 @@
 /** Converts a request for a link; times are told as spans, since clocks of two VMs differ. */
 export function toForwardedRequest(request: WorkRequest, now: Millis): ForwardedRequest {
   const { requestId, kind, caller, priority, database, organisation, isTransaction } = request;
-  const { contract, deadline, objective, lastCommit, excluded } = request;
+  const { contract, deadline, objective, lastCommit, excluded, version } = request;
   return {
     ...{ requestId, kind, caller, priority, database },
     ...(organisation === undefined ? {} : { organisation }),
     ...(isTransaction ? { isTransaction } : {}),
+    ...(version === undefined ? {} : { version }),
     objectiveMs: objective - now,
     maxAgeMs: contract.maxAgeMs,
     remainingMs: deadline - now,
@@ -23,9 +24,9 @@
 /** Converts a request that came over a link. */
 export function toWorkRequest(request: ForwardedRequest, now: Millis): WorkRequest {
   const { requestId, kind, caller, priority, lastCommit, excluded, organisation } = request;
-  const { database = '', objectiveMs = request.remainingMs, isTransaction } = request;
+  const { database = '', objectiveMs = request.remainingMs, isTransaction, version } = request;
   return {
-    ...{ requestId, kind, caller, priority, organisation, database, isTransaction },
+    ...{ requestId, kind, caller, priority, organisation, database, isTransaction, version },
     objective: now + objectiveMs,
     contract: { ...DEFAULT_CONTRACT, maxAgeMs: request.maxAgeMs },
     deadline: now + request.remainingMs,
