Refuse by the configuration only while it is proved to be the newest

Callers were answered NODB or NOAUTH by whatever version a VM had, however long ago it was known to be the newest: only the right to run keyed work rested on a proof. A VM that the store turns away, or whose reads fail while it stalls, denied databases and keys that had been added, and callers don't come back from that.

A statement whose database is gone is refused as overloaded while the proof is being read.

--- a/packages/engine/src/configurationverifier.ts
+++ b/packages/engine/src/configurationverifier.ts
@@ -7,6 +7,7 @@
 import type { ConfigurationHolder } from './configuration.js';
 import type { Log } from './log.js';
 import type { Metrics } from './metrics.js';
+import { waitAtMost } from './timing.js';
 
 /** A VM without the duty to read asks the store itself once half of its lease is over. */
 const REFRESH_FRACTION = 0.5;
@@ -45,6 +46,8 @@
   readonly metrics: Metrics;
   /** This VM's rank among those of its zone that read the configuration for the others. */
   readonly findRank: () => number;
+  /** How long a proof is ground enough to refuse a caller by the version in force. */
+  readonly refusalProofMs: Millis;
   /** Without keys, the configuration is read after this long without a proof. */
   readonly maxProofAgeMs: Millis;
   /** Reads the configuration from the store; the answer is passed on as usual. */
@@ -70,6 +73,12 @@
   /** A later version that another VM has proved, and when this VM was first told of it. */
   private later: { readonly version: number; readonly toldAt: Millis } | undefined;
 
+  /** The latest version that another VM has proved. */
+  private told: ConfigurationProof | undefined;
+
+  /** Callers that wait for a proof. */
+  private readonly waiting = new Set<() => void>();
+
   constructor(private readonly options: ConfigurationVerifierOptions) {
     this.lease = new ConfigurationLease(options.leaseMs ?? Number.POSITIVE_INFINITY);
   }
@@ -79,6 +88,29 @@
     return this.options.leaseMs === undefined || this.lease.isValid(this.readNow());
   }
 
+  /**
+   * True when callers may be refused by the version in force: it was proved a short while ago, and
+   * no later one is known. Otherwise the configuration is read.
+   */
+  requestProof(): boolean {
+    if (this.mayRefuse()) return true;
+    this.refresh(RETRY_MS);
+    return false;
+  }
+
+  /** Waits for a proof by which callers may be refused; false when there is none in time. */
+  async prove(limitMs: Millis): Promise<boolean> {
+    if (this.requestProof()) return true;
+    let handleProved = (): void => undefined;
+    const proved = new Promise<void>((resolve) => {
+      handleProved = resolve;
+    });
+    this.waiting.add(handleProved);
+    await waitAtMost(proved, limitMs).catch(() => undefined);
+    this.waiting.delete(handleProved);
+    return this.mayRefuse();
+  }
+
   /** Notes the version that the store holds; undefined for one that can't be decoded. */
   handleStoredVersion(version: number | undefined): void {
     this.storedVersion = version;
@@ -91,6 +123,7 @@
     if (inForce === undefined || this.storedVersion === undefined) return;
     if (this.storedVersion >= inForce) {
       this.lease.handleProof({ version: this.storedVersion, provedAt: sentAt }, inForce);
+      this.answerWaiting();
     }
   }
 
@@ -98,7 +131,11 @@
   handleProof(proof: ConfigurationProof): void {
     const inForce = this.options.configuration.read()?.version;
     if (inForce === undefined) return;
-    if (this.lease.handleProof(proof, inForce)) return;
+    if (this.lease.handleProof(proof, inForce)) {
+      this.answerWaiting();
+      return;
+    }
+    if (proof.version >= (this.told?.version ?? 0)) this.told = proof;
     if (this.isNeeded()) this.refresh(RETRY_MS);
     else this.later ??= { version: proof.version, toldAt: this.readNow() };
   }
@@ -117,10 +154,25 @@
   }
 
   handleTick(): void {
+    if (this.waiting.size > 0) this.requestProof();
     if (this.isNeeded()) this.checkKeys();
     else this.checkVersion();
   }
 
+  private mayRefuse(): boolean {
+    const inForce = this.options.configuration.read()?.version;
+    if (inForce === undefined) return false;
+    const now = this.readNow();
+    const { refusalProofMs } = this.options;
+    const { version = 0, provedAt = 0 } = this.told ?? {};
+    const isBehind = version > inForce && now - provedAt < refusalProofMs;
+    return !isBehind && this.lease.readAge(now) < refusalProofMs;
+  }
+
+  private answerWaiting(): void {
+    if (this.mayRefuse()) this.waiting.forEach((handleProved) => handleProved());
+  }
+
   /** Reads the configuration when neither the store nor another VM proves the one in force. */
   private checkVersion(): void {
     const inForce = this.options.configuration.read()?.version;
--- a/packages/engine/src/context.ts
+++ b/packages/engine/src/context.ts
@@ -31,6 +31,8 @@
   readonly configuration: ConfigurationHolder;
   /** The version in force and its proof, for the log. */
   readonly describeProof: () => ProofDescription;
+  /** True when callers may be refused by the version in force; otherwise its proof is requested. */
+  readonly requestProof: () => boolean;
   readonly findGroup: (name: string) => GroupAccess | undefined;
   readonly retries: RetryBudgets;
   readonly quota: OperationQuota;
--- a/packages/engine/src/identity.ts
+++ b/packages/engine/src/identity.ts
@@ -24,6 +24,11 @@
   verdict: 'overloaded',
   reason: 'the keys in force are not known at present',
 };
+/** What a caller is told in place of a refusal that a later version of the configuration may lift. */
+export const UNPROVED_REFUSAL: Failure = {
+  verdict: 'overloaded',
+  reason: 'the configuration in force is not known at present',
+};
 const MOVED_KEY: Failure = {
   verdict: 'overloaded',
   reason: 'the key has moved to another organisation',
--- a/packages/engine/src/index.ts
+++ b/packages/engine/src/index.ts
@@ -41,7 +41,7 @@
 export type { ConfigurationEffect } from './configurationchange.js';
 export { ConfigurationVerifier } from './configurationverifier.js';
 export type { ProofAge, ProofDescription } from './configurationverifier.js';
-export { CallerIdentity } from './identity.js';
+export { CallerIdentity, UNPROVED_REFUSAL } from './identity.js';
 export type { Authorization } from './identity.js';
 export { OperationQuota, UnlimitedQuota } from './operationquota.js';
 export type { OperationPermit } from './operationquota.js';
--- a/packages/engine/src/proxy.ts
+++ b/packages/engine/src/proxy.ts
@@ -140,6 +140,7 @@
     return new Session({
       ...{ database, caller, identity, clock, log, metrics, configuration, quota },
       describeProof: () => this.describeProof(),
+      requestProof: () => this.options.verifier.requestProof(),
       shutdown,
       findGroup: (name) => this.findGroup(name),
       retries: this.retries,
@@ -151,6 +152,11 @@
     return this.options.verifier.describeProof();
   }
 
+  /** Waits for a proof by which callers may be refused; false when there is none in time. */
+  async proveConfiguration(limitMs: Millis): Promise<boolean> {
+    return this.options.verifier.prove(limitMs);
+  }
+
   /** Identifies a caller by the key that it gave. */
   identify(key: string): CallerIdentity {
     const { configuration, verifier } = this.options;
--- a/packages/engine/src/session.ts
+++ b/packages/engine/src/session.ts
@@ -1,7 +1,7 @@
 import type { Millis } from '@shallotpick/core';
 import { match } from 'ts-pattern';
 import type { DatabaseRoute } from './configuration.js';
-import type { AuthorizedRoute } from './identity.js';
+import { type AuthorizedRoute, UNPROVED_REFUSAL } from './identity.js';
 import { createLocalReply, SessionContext, type SessionOptions } from './context.js';
 import { SHUTTING_DOWN } from './shutdown.js';
 import { SingleStatementRunner } from './single.js';
@@ -224,7 +224,8 @@
   }
 
   private refuseUnknown(): Reply {
-    const { database } = this.context.options;
+    const { database, requestProof } = this.context.options;
+    if (!requestProof()) return this.refuse(UNPROVED_REFUSAL);
     return this.refuse({ verdict: 'unknownDatabase', reason: `no route for "${database}"` });
   }
 
--- a/packages/engine/src/sources.ts
+++ b/packages/engine/src/sources.ts
@@ -14,10 +14,10 @@
 /** Fraction of the time allowed for applying a change that one watch call may take. */
 const WATCH_FRACTION = 0.6;
 /**
- * A key is given up this long before the time limit for its revocation, which covers the way of a
- * request from its caller.
+ * A proof is given up this long before the time limit for a new version or for a revocation, which
+ * covers the way of a request from its caller.
  */
-const REVOCATION_MARGIN_MS: Millis = 500;
+const PROOF_MARGIN_MS: Millis = 500;
 /**
  * A VM that is no home is told of a new configuration by homes, too, so that a lost watch call of its
  * own does not delay the configuration.
@@ -82,9 +82,11 @@
     const { parts, ageClock, placement, configuration } = options;
     const { log, metrics, zone, revocationMs } = parts;
     const watchMs = (parts.configurationApplyMs + parts.stableWindowMs) * WATCH_FRACTION;
+    const urgentMs = Math.min(parts.configurationApplyMs, revocationMs ?? Infinity);
     this.verifier = new ConfigurationVerifier({
       ...{ configuration, ageClock, log, metrics },
-      leaseMs: revocationMs === undefined ? undefined : revocationMs - REVOCATION_MARGIN_MS,
+      leaseMs: revocationMs === undefined ? undefined : revocationMs - PROOF_MARGIN_MS,
+      refusalProofMs: urgentMs - PROOF_MARGIN_MS,
       findRank: () => placement.findReaderRank(zone),
       maxProofAgeMs: 2 * watchMs + WATCH_ANSWER_MS,
       readConfiguration: async () => this.read(),
--- a/packages/engine/test/attempt.spec.ts
+++ b/packages/engine/test/attempt.spec.ts
@@ -41,6 +41,7 @@
     context = new SessionContext({
       ...{ configuration, clock, database: 'aged', caller: 'caller' },
       identity: new CallerIdentity('a', configuration, () => true),
+      requestProof: () => true,
       describeProof: () => ({ version: configuration.read()?.version, provedMsAgo: 0 }),
       log: createEngineLog('error', 'vm'),
       metrics: new Metrics(),
--- a/packages/engine/test/configurationverifier.spec.ts
+++ b/packages/engine/test/configurationverifier.spec.ts
@@ -12,10 +12,11 @@
 
 const LEASE_MS = 4_000;
 const MAX_PROOF_AGE_MS = 10_000;
+const REFUSAL_PROOF_MS = 2_500;
 const BASE = createConfiguration(6, { timeoutMs: 100, transactionIdleMs: 100 });
 const organisations = new OrganisationIndex([{ name: 'north', keys: ['a'], rateLimit: undefined }]);
 
-function createVerifier(rank = 0, hasLease = true) {
+function createVerifier(rank = 0, hasLease = true, readError?: Error) {
   const clock = new ManualClock();
   const configuration = new ConfigurationHolder();
   const reads: number[] = [];
@@ -23,6 +24,7 @@
     ...{
       leaseMs: hasLease ? LEASE_MS : undefined,
       maxProofAgeMs: MAX_PROOF_AGE_MS,
+      refusalProofMs: REFUSAL_PROOF_MS,
       configuration,
       ageClock: clock,
       metrics: new Metrics(),
@@ -31,6 +33,7 @@
     findRank: () => rank,
     readConfiguration: async () => {
       reads.push(clock.readNow());
+      if (readError) throw readError;
     },
   });
   const put = (version: number): void => {
@@ -104,6 +107,47 @@
     expect(verifier.readProof()).toEqual({ version: 3, ageMs: 700 });
   });
 
+  // "No route" and "unknown key" came from whatever version the VM had, however old.
+  describe('as the ground of a refusal', () => {
+    it('holds for as long as a version may take to be in force', async () => {
+      const { clock, verifier, reads, put } = createVerifier(0, false);
+      put(3);
+      const before = verifier.requestProof();
+      await wait(0);
+      verifier.handleAnswer(clock.readNow());
+      clock.advance(REFUSAL_PROOF_MS - 1);
+      const within = verifier.requestProof();
+      const asked = reads.length;
+      clock.advance(1);
+      expect([before, within, verifier.requestProof()]).toEqual([false, true, false]);
+      expect([asked, reads.length]).toEqual([1, 2]);
+    });
+
+    it('is read from the store for a caller that waits', async () => {
+      const { clock, verifier, reads, put } = createVerifier(0, false);
+      put(3);
+      verifier.handleAnswer(clock.readNow());
+      clock.advance(REFUSAL_PROOF_MS);
+      expect([await verifier.prove(1_000), reads.length]).toEqual([true, 1]);
+    });
+
+    it('ends when another VM has proved a later version', () => {
+      const { clock, verifier, put } = createVerifier();
+      put(3);
+      verifier.handleAnswer(clock.readNow());
+      verifier.handleProof({ version: 4, provedAt: clock.readNow() });
+      const before = verifier.requestProof();
+      put(4);
+      expect([before, verifier.requestProof()]).toEqual([false, true]);
+    });
+
+    it('is given up when the store does not answer in time', async () => {
+      const { verifier, put } = createVerifier(0, false, new Error('the store is cut off'));
+      put(3);
+      expect(await verifier.prove(20)).toEqual(false);
+    });
+  });
+
   describe('without keys', () => {
     const tick = ({ clock, verifier }: ReturnType<typeof createVerifier>, gap: number): void => {
       clock.advance(gap);
--- a/packages/engine/test/organisations.spec.ts
+++ b/packages/engine/test/organisations.spec.ts
@@ -107,6 +107,12 @@
 });
 
 describe('a session of an organisation', () => {
+  let isProved = true;
+
+  beforeEach(() => {
+    isProved = true;
+  });
+
   const createSession = (onAdmit: (configuration: ConfigurationHolder) => void) => {
     const configuration = new ConfigurationHolder();
     const released: string[] = [];
@@ -124,6 +130,7 @@
       ...{ configuration, database: ROUTE?.database ?? '', caller: 'caller-1' },
       identity: new CallerIdentity('a', configuration, () => true),
       describeProof: () => ({ version: configuration.read()?.version, provedMsAgo: 0 }),
+      requestProof: () => isProved,
       clock: new SystemClock(),
       log: createEngineLog('error', 'vm'),
       metrics: new Metrics(),
@@ -147,6 +154,18 @@
     expect([failure?.verdict, released]).toEqual(['unauthenticated', ['lease']]);
   });
 
+  // A VM that was behind denied a database that had been added again.
+  it('is not told by an unproved version that its database is gone', async () => {
+    const { configuration, session } = createSession(() => undefined);
+    configuration.update({ ...BASE, version: 1, routes: new Map() });
+    const read = async () =>
+      (await session.run({ id: '1', statement: { kind: 'read', text: 'READ a' } })).failure;
+    const proved = await read();
+    isProved = false;
+    const verdicts = [proved?.verdict, (await read())?.verdict];
+    expect(verdicts).toEqual(['unknownDatabase', 'overloaded']);
+  });
+
   // An open transaction went on in the name of an organisation that no longer had the key.
   it('ends its transaction when the key moves to another organisation', async () => {
     const { configuration, session } = createSession(() => undefined);
