Take a transaction's route at its first statement

BEGIN is answered by the proxy, and the route was taken then. A caller that rested after it for longer than a change may take had its first statement run by the group of a version long replaced, or with a route that had been dropped; the limit for idle transactions counts only from the first connection.

Until a transaction is opened on an instance, each of its statements that may open it takes the route in force, or ends it with the refusal. An opened one keeps its route to the end.

--- a/packages/engine/src/session.ts
+++ b/packages/engine/src/session.ts
@@ -20,6 +20,14 @@
   | { readonly kind: 'permitted'; readonly authorized: AuthorizedRoute }
   | { readonly kind: 'refused'; readonly reply: Reply };
 
+/** The statements with which a transaction is opened on an instance. */
+const OPENING_KINDS: ReadonlySet<Statement['kind']> = new Set([
+  'read',
+  'write',
+  'execute',
+  'commit',
+]);
+
 /** A caller's session: its variables, prepared statements, last commit and transaction. */
 export class Session {
   private readonly context: SessionContext;
@@ -100,7 +108,7 @@
     const { transaction, context } = this;
     if (context.options.shutdown.isOver()) return this.refuseRequest(SHUTTING_DOWN);
     if (transaction) this.endBeforeShutdown(transaction, statement);
-    const refusal = transaction ? this.refuseLostKey(transaction) : undefined;
+    const refusal = transaction && this.refuseTransaction(transaction, statement);
     if (refusal) return refusal;
     if (transaction?.isFailed() && statement.kind !== 'rollback' && statement.kind !== 'commit') {
       return this.refuse({ verdict: 'malformed', reason: 'the transaction has failed' });
@@ -198,6 +206,21 @@
     return this.refuse({ verdict: 'overloaded', reason: SHUTTING_DOWN });
   }
 
+  /** Refuses a statement of a transaction that the configuration no longer allows, and ends it. */
+  private refuseTransaction(transaction: Transaction, { kind }: Statement): Reply | undefined {
+    const refusal = this.refuseLostKey(transaction);
+    if (refusal || !transaction.isUnopened() || !OPENING_KINDS.has(kind)) return refusal;
+    // The caller may have rested since BEGIN, for longer than a change of a route may take.
+    const found = this.findPermittedRoute(() => true);
+    if (found.kind === 'permitted') {
+      transaction.updateRoute(found.authorized);
+      return undefined;
+    }
+    transaction.abort('the configuration no longer allows it');
+    this.transaction = undefined;
+    return { ...found.reply, state: this.readState() };
+  }
+
   /** Ends the transaction of a caller whose organisation has lost the key. */
   private refuseLostKey(transaction: Transaction): Reply | undefined {
     const failure = this.findKeyFailure(transaction);
--- a/packages/engine/src/transaction.ts
+++ b/packages/engine/src/transaction.ts
@@ -41,16 +41,31 @@
 
   constructor(
     private readonly context: SessionContext,
-    readonly authorized: AuthorizedRoute,
+    private currentRoute: AuthorizedRoute,
     private readonly isReadOnly: boolean,
   ) {
     this.usedAt = context.readNow();
   }
 
+  /** Its route, which no longer changes once it has been opened on an instance. */
+  get authorized(): AuthorizedRoute {
+    return this.currentRoute;
+  }
+
   isFailed(): boolean {
     return this.isReported;
   }
 
+  /** True while it may still be opened on an instance of any route. */
+  isUnopened(): boolean {
+    return !this.lease && !this.opening && !this.failure;
+  }
+
+  /** Changes the route of a transaction that is unopened. */
+  updateRoute(next: AuthorizedRoute): void {
+    this.currentRoute = next;
+  }
+
   /** Rolls back after the caller has been idle for `limit`. */
   handleTick(now: Millis, limit: Millis): void {
     if (!this.lease || this.isRunning || now - this.usedAt < limit) return;
--- a/packages/engine/test/movedroute.spec.ts
+++ b/packages/engine/test/movedroute.spec.ts
@@ -94,6 +94,36 @@
     expect([...results].every((result) => String(result).startsWith('digest'))).toEqual(true);
   });
 
+  // A transaction whose caller rested after BEGIN ran at the group of a version long replaced.
+  it('begins its transaction where the database is at the first statement', async () => {
+    await run({ kind: 'begin', isReadOnly: false });
+    await move('h');
+    expect((await run(WRITE)).digest).toEqual('digest of leader of h');
+    const { failure, state } = await run({ kind: 'commit' });
+    expect([failure, state]).toEqual([undefined, 'idle']);
+    expect(fixture.leader.received).toEqual([]);
+  });
+
+  it('ends its transaction where it began', async () => {
+    await run({ kind: 'begin', isReadOnly: false });
+    await run(WRITE);
+    await move('h');
+    expect((await run(WRITE)).digest).toEqual('digest of leader');
+    expect((await run({ kind: 'commit' })).failure).toEqual(undefined);
+    expect(otherLeader.received).toEqual([]);
+  });
+
+  it('begins no transaction once its database is gone', async () => {
+    await run({ kind: 'begin', isReadOnly: false });
+    version += 1;
+    const gone = { ...createVersion(version, 'g'), routes: new Map() };
+    fixture.store.put('configurations', 'main', gone);
+    await wait(APPLY_MS);
+    const { failure, state } = await run(READ);
+    expect([failure?.verdict, state]).toEqual(['unknownDatabase', 'idle']);
+    expect(fixture.leader.received).toEqual([]);
+  });
+
   // A group whose instances are all new refused the session's reads until its log was as long.
   it('reads at a group whose former log is no more', async () => {
     expect((await run(WRITE)).failure).toEqual(undefined);
