Rest the proof of the configuration on having seen it

Any answer of the store renewed the proof of the version that had been seen last: a list without the configuration, a watch that had dropped a change whose name could not be read, one behind the deletion. Such a proof is handed to other VMs, and keyed work and refusals rest on it. A list with an object of another name behind the configuration took the proof away instead.

A proof now names the version that its answer showed: a listing that holds the object, or watches that have gone on from one without a gap. Changes that can't be read make the kind be listed again. A watch that ended without changes is gone over by the next one, from the answer before it, so that a change that the store withheld until the watch had ended is found.

Whether the platform's store ever answers so is not shown.

--- a/packages/engine/src/configurationverifier.ts
+++ b/packages/engine/src/configurationverifier.ts
@@ -50,8 +50,8 @@
   readonly refusalProofMs: Millis;
   /** Without keys, the configuration is read after this long without a proof. */
   readonly maxProofAgeMs: Millis;
-  /** Reads the configuration from the store; the answer is passed on as usual. */
-  readonly readConfiguration: () => Promise<void>;
+  /** Reads the configuration from the store; returns the version that the store holds. */
+  readonly readConfiguration: () => Promise<number | undefined>;
 }
 
 /**
@@ -61,9 +61,6 @@
 export class ConfigurationVerifier {
   private readonly lease: ConfigurationLease;
 
-  /** Version that the store held last; undefined when it could not be decoded. */
-  private storedVersion: number | undefined;
-
   private isReading = false;
 
   private mayReadAt: Millis = Number.NEGATIVE_INFINITY;
@@ -111,20 +108,17 @@
     return this.mayRefuse();
   }
 
-  /** Notes the version that the store holds; undefined for one that can't be decoded. */
-  handleStoredVersion(version: number | undefined): void {
-    this.storedVersion = version;
-  }
-
-  /** Notes that the store has answered with all changes up to `sentAt`, when it was asked. */
-  handleAnswer(sentAt: Millis): void {
+  /**
+   * Notes the version that the store has shown to hold, asked at `sentAt`; undefined when it has
+   * shown none that can be decoded. False when that proves nothing of the version in force.
+   */
+  handleAnswer(version: number | undefined, sentAt: Millis): boolean {
     const inForce = this.options.configuration.read()?.version;
     // A store restored from an older copy proves nothing of a version that it has lost.
-    if (inForce === undefined || this.storedVersion === undefined) return;
-    if (this.storedVersion >= inForce) {
-      this.lease.handleProof({ version: this.storedVersion, provedAt: sentAt }, inForce);
-      this.answerWaiting();
-    }
+    if (inForce === undefined || version === undefined || version < inForce) return false;
+    const isProved = this.lease.handleProof({ version, provedAt: sentAt }, inForce);
+    this.answerWaiting();
+    return isProved;
   }
 
   /** Notes the proof of another VM. */
@@ -217,11 +211,13 @@
     const now = this.readNow();
     if (this.isReading || now < this.mayReadAt) return;
     this.isReading = true;
-    // Without keys a read may succeed and prove nothing, as of a store that has lost a version.
-    if (!this.isNeeded()) this.mayReadAt = now + retryMs;
     this.options
       .readConfiguration()
-      .then(() => this.handleAnswer(now))
+      .then((version) => {
+        // A read may succeed and prove nothing, as of a store that has lost a version.
+        const isProved = this.handleAnswer(version, now);
+        if (!isProved || !this.isNeeded()) this.mayReadAt = this.readNow() + retryMs;
+      })
       .catch((error: unknown) => {
         this.mayReadAt = this.readNow() + retryMs;
         this.options.log.debug('configuration not read', { error: String(error) });
--- a/packages/engine/src/proxyparts.ts
+++ b/packages/engine/src/proxyparts.ts
@@ -38,6 +38,8 @@
   readonly quotaRule?: QuotaRule | undefined;
   /** Store kind of the operator's configuration. */
   readonly configurationKind: string;
+  /** Name of the object of that kind which holds it. */
+  readonly configurationName: string;
   /** Store kind of the objects by which instances register. */
   readonly instancesKind: string;
   /** Decodes a configuration; undefined when the object isn't a usable one. */
--- a/packages/engine/src/sources.ts
+++ b/packages/engine/src/sources.ts
@@ -78,6 +78,12 @@
   /** Proves that no later version is in force. */
   readonly verifier: ConfigurationVerifier;
 
+  /**
+   * The version that the watcher's answers show: of the last one that held the object, from which
+   * the later ones have gone on without a gap. Undefined while they show none that can be decoded.
+   */
+  private shownVersion: number | undefined;
+
   constructor(private readonly options: SourceOptions) {
     const { parts, ageClock, placement, configuration } = options;
     const { log, metrics, zone, revocationMs } = parts;
@@ -96,31 +102,46 @@
       clock: ageClock,
       isNeeded: () => true,
       findWatchTime: () => (placement.isAnyHome() ? watchMs : ENTRY_WATCH_MS),
-      onListing: (objects, answer) =>
-        objects.forEach((object) => this.handleObject(object, answer)),
+      onListing: (objects, answer) => {
+        this.shownVersion = this.handleObjects(objects, answer);
+      },
       onChange: (object, isDeleted, answer) => {
-        if (!isDeleted) this.handleObject(object, answer);
+        if (object.name !== parts.configurationName) return;
+        this.shownVersion = isDeleted ? undefined : this.handleObject(object, answer);
       },
-      onAnswer: (askedAt) => this.verifier.handleAnswer(askedAt),
+      onAnswer: (askedAt) => this.verifier.handleAnswer(this.shownVersion, askedAt),
     });
   }
 
-  private async read(): Promise<void> {
+  /** Reads the configuration; returns the version that the store holds. */
+  private async read(): Promise<number | undefined> {
     const { parts, store, ageClock } = this.options;
     const askedAt = ageClock.readNow();
     const { objects, era, isPartial } = await store.list(parts.configurationKind);
     const origin: ConfigurationOrigin = { call: 'read', era, askedAt };
-    objects.forEach((object) => this.handleObject(object, origin));
+    const version = this.handleObjects(objects, origin);
     if (isPartial) throw new StoreError('the list of configurations is partial');
+    return version;
+  }
+
+  /** Takes over the configuration among the objects of its kind; returns the version that it has. */
+  private handleObjects(
+    objects: readonly StoredObject[],
+    origin: ConfigurationOrigin,
+  ): number | undefined {
+    const { configurationName } = this.options.parts;
+    const object = objects.find(({ name }) => name === configurationName);
+    return object && this.handleObject(object, origin);
   }
 
-  private handleObject(object: StoredObject, origin: ConfigurationOrigin): void {
+  /** Takes over the configuration; returns its version, or undefined when it can't be decoded. */
+  private handleObject(object: StoredObject, origin: ConfigurationOrigin): number | undefined {
     const { parts, configuration } = this.options;
     const decoded = parts.decodeConfiguration(object);
-    this.verifier.handleStoredVersion(decoded?.version);
-    if (!decoded) return;
+    if (!decoded) return undefined;
     const before = configuration.read()?.version;
     if (configuration.update(decoded)) this.reportInForce(decoded, before, object, origin);
+    return decoded.version;
   }
 
   private reportInForce(
--- a/packages/engine/src/store.ts
+++ b/packages/engine/src/store.ts
@@ -30,6 +30,8 @@
 /** The changes of a kind up to a version of the store. */
 export interface StoreChanges extends StoreVersion {
   readonly changes: readonly StoreChange[];
+  /** True when there were further changes, of objects whose names can't be read. */
+  readonly isPartial?: boolean;
 }
 
 /** Outcome of a write to the store. */
--- a/packages/engine/src/watcher.ts
+++ b/packages/engine/src/watcher.ts
@@ -9,6 +9,11 @@
 const MAX_WATCH_PAUSE_MS: Millis = 600;
 /** A change is returned to every watcher; with more of them each one pauses longer. */
 const UNPAUSED_WATCHERS = 12;
+/**
+ * A watch without changes that lasted no longer than this is gone over again by the next one. The
+ * store keeps its history for longer than two of them.
+ */
+const MAX_REPEATED_WATCH_MS: Millis = 9_500;
 /** Interval of checks whether the objects are needed. */
 const NEED_POLL_MS: Millis = 50;
 
@@ -43,7 +48,7 @@
   readonly onChange: (object: StoredObject, isDeleted: boolean, answer: StoreAnswer) => void;
   /**
    * Called when all changes up to an answer have been passed on; `askedAt` is when its request was
-   * sent, so that none from before then is missing. Not called after a partial listing.
+   * sent, so that none from before then is missing. Not called after a partial answer.
    */
   readonly onAnswer?: (askedAt: Millis) => void;
 }
@@ -55,6 +60,9 @@
   /** Version from which the next watch starts; undefined when the objects must be listed. */
   private position: StoreVersion | undefined;
 
+  /** Version of the store in the last answer. */
+  private answered: StoreVersion | undefined;
+
   /** Listings in a row that were partial. */
   private partialListings = 0;
 
@@ -96,10 +104,9 @@
       try {
         await this.waitUntilNeeded();
         const askedAt = this.options.clock.readNow();
-        if (this.position === undefined) await this.list(askedAt);
-        else await this.watch(this.position, askedAt);
+        const isWhole = await this.ask(askedAt);
         this.handleAnswer();
-        if (this.partialListings === 0) this.options.onAnswer?.(askedAt);
+        if (isWhole) this.options.onAnswer?.(askedAt);
       } catch (error) {
         await this.handleFailure(error);
       }
@@ -110,12 +117,19 @@
   private async waitUntilNeeded(): Promise<void> {
     const isNeeded = this.options.isNeeded ?? (() => true);
     while (!isNeeded() && !this.isStopped) {
-      this.position = undefined;
+      this.forgetPosition();
       this.answeredAt = undefined;
       await wait(NEED_POLL_MS);
     }
   }
 
+  /** Lists the objects or watches them; false when something that changed may be missing. */
+  private async ask(askedAt: Millis): Promise<boolean> {
+    if (this.position === undefined) await this.list(askedAt);
+    else await this.watch(this.position, askedAt);
+    return this.partialListings === 0 && this.answered !== undefined;
+  }
+
   private async list(askedAt: Millis): Promise<void> {
     const { store, kind, onListing } = this.options;
     const listing = await store.list(kind);
@@ -123,6 +137,7 @@
     this.reportPartial(listing);
     onListing(objects, { call: 'list', era, askedAt }, isPartial);
     this.position = { era, revision };
+    this.answered = this.position;
   }
 
   /** Logs the first of several partial listings, and the first whole one after them. */
@@ -137,15 +152,33 @@
   }
 
   private async watch(from: StoreVersion, askedAt: Millis): Promise<void> {
-    const { store, kind, findWatchTime, onChange } = this.options;
-    const { changes, revision: next, era } = await store.watch(kind, from, findWatchTime());
+    const { store, kind, findWatchTime, onChange, log } = this.options;
+    const watchMs = findWatchTime();
+    const watched = await store.watch(kind, from, watchMs);
+    const { changes, revision, era, isPartial = false } = watched;
     const answer: StoreAnswer = { call: 'watch', era, askedAt };
     changes.forEach(({ object, isDeleted }) => onChange(object, isDeleted, answer));
-    // What a partial listing lacks may be readable by now.
-    this.position = this.partialListings > 0 ? undefined : { era, revision: next };
+    if (isPartial) log.info('changes that can not be read, listing again', { kind });
+    // What a partial answer lacks may be readable by now.
+    if (isPartial || this.partialListings > 0) this.forgetPosition();
+    else this.advance({ era, revision }, changes.length === 0 && watchMs <= MAX_REPEATED_WATCH_MS);
     if (changes.length > 0) await wait(this.computePause());
   }
 
+  /**
+   * Chooses where the next watch starts. A watch without changes may have ended while the store
+   * withheld some, so the next one covers its time again: it starts at the answer before.
+   */
+  private advance(next: StoreVersion, isRepeated: boolean): void {
+    this.position = isRepeated ? this.answered : next;
+    this.answered = next;
+  }
+
+  private forgetPosition(): void {
+    this.position = undefined;
+    this.answered = undefined;
+  }
+
   private computePause(): Millis {
     const watchers = this.options.countWatchers?.() ?? 1;
     const factor = Math.max(1, watchers / UNPAUSED_WATCHERS);
@@ -163,7 +196,7 @@
   private async handleFailure(error: unknown): Promise<void> {
     const { clock, log, kind } = this.options;
     // Changes may have been missed, since the next call may reach another server of the store.
-    this.position = undefined;
+    this.forgetPosition();
     if (error instanceof HistoryGoneError) {
       log.info('watch revision no longer available, listing again', { kind });
       return;
--- a/packages/engine/test/configurationverifier.spec.ts
+++ b/packages/engine/test/configurationverifier.spec.ts
@@ -20,6 +20,7 @@
   const clock = new ManualClock();
   const configuration = new ConfigurationHolder();
   const reads: number[] = [];
+  let stored: number | undefined;
   const verifier = new ConfigurationVerifier({
     ...{
       leaseMs: hasLease ? LEASE_MS : undefined,
@@ -34,21 +35,24 @@
     readConfiguration: async () => {
       reads.push(clock.readNow());
       if (readError) throw readError;
+      return stored;
     },
   });
   const put = (version: number): void => {
-    verifier.handleStoredVersion(version);
+    stored = version;
     configuration.update({ ...BASE, version, organisations });
   };
-  return { clock, configuration, verifier, reads, put };
+  const handleAnswer = (version: number | undefined = stored) =>
+    verifier.handleAnswer(version, clock.readNow());
+  return { clock, configuration, verifier, reads, put, handleAnswer };
 }
 
 describe('ConfigurationVerifier', () => {
   it('holds the keys in force from an answer of the store until the lease ends', () => {
-    const { clock, verifier, put } = createVerifier();
+    const { clock, verifier, put, handleAnswer } = createVerifier();
     put(3);
     const before = verifier.areKeysInForce();
-    verifier.handleAnswer(clock.readNow());
+    handleAnswer();
     clock.advance(LEASE_MS - 1);
     const within = verifier.areKeysInForce();
     clock.advance(1);
@@ -57,10 +61,9 @@
 
   // A store restored from an older copy has lost the version that took a key away.
   it('takes no proof from a store that holds an older version', () => {
-    const { clock, verifier, put } = createVerifier();
+    const { verifier, put, handleAnswer } = createVerifier();
     put(3);
-    verifier.handleStoredVersion(2);
-    verifier.handleAnswer(clock.readNow());
+    handleAnswer(2);
     expect(verifier.areKeysInForce()).toEqual(false);
   });
 
@@ -68,8 +71,7 @@
   it('takes no proof from a version that cannot be decoded', () => {
     const { clock, verifier, put } = createVerifier();
     put(3);
-    verifier.handleStoredVersion(undefined);
-    verifier.handleAnswer(clock.readNow());
+    verifier.handleAnswer(undefined, clock.readNow());
     expect(verifier.areKeysInForce()).toEqual(false);
   });
 
@@ -85,9 +87,9 @@
   it('reads the later, the more VMs read for it', async () => {
     const ages: number[] = [];
     for (const rank of [0, 1, 2, 9]) {
-      const { clock, verifier, reads, put } = createVerifier(rank);
+      const { clock, verifier, reads, put, handleAnswer } = createVerifier(rank);
       put(3);
-      verifier.handleAnswer(clock.readNow());
+      handleAnswer();
       while (reads.length === 0) {
         clock.advance(100);
         verifier.handleTick();
@@ -99,10 +101,10 @@
   });
 
   it('tells others how old its proof is', () => {
-    const { clock, verifier, put } = createVerifier();
+    const { clock, verifier, put, handleAnswer } = createVerifier();
     put(3);
     expect(verifier.readProof()).toEqual(undefined);
-    verifier.handleAnswer(clock.readNow());
+    handleAnswer();
     clock.advance(700);
     expect(verifier.readProof()).toEqual({ version: 3, ageMs: 700 });
   });
@@ -110,11 +112,11 @@
   // "No route" and "unknown key" came from whatever version the VM had, however old.
   describe('as the ground of a refusal', () => {
     it('holds for as long as a version may take to be in force', async () => {
-      const { clock, verifier, reads, put } = createVerifier(0, false);
+      const { clock, verifier, reads, put, handleAnswer } = createVerifier(0, false);
       put(3);
       const before = verifier.requestProof();
       await wait(0);
-      verifier.handleAnswer(clock.readNow());
+      handleAnswer();
       clock.advance(REFUSAL_PROOF_MS - 1);
       const within = verifier.requestProof();
       const asked = reads.length;
@@ -124,17 +126,17 @@
     });
 
     it('is read from the store for a caller that waits', async () => {
-      const { clock, verifier, reads, put } = createVerifier(0, false);
+      const { clock, verifier, reads, put, handleAnswer } = createVerifier(0, false);
       put(3);
-      verifier.handleAnswer(clock.readNow());
+      handleAnswer();
       clock.advance(REFUSAL_PROOF_MS);
       expect([await verifier.prove(1_000), reads.length]).toEqual([true, 1]);
     });
 
     it('ends when another VM has proved a later version', () => {
-      const { clock, verifier, put } = createVerifier();
+      const { clock, verifier, put, handleAnswer } = createVerifier();
       put(3);
-      verifier.handleAnswer(clock.readNow());
+      handleAnswer();
       verifier.handleProof({ version: 4, provedAt: clock.readNow() });
       const before = verifier.requestProof();
       put(4);
@@ -158,7 +160,7 @@
     it('reads a version that another VM has proved and its own watch has not told', async () => {
       const one = createVerifier(0, false);
       one.put(3);
-      one.verifier.handleAnswer(one.clock.readNow());
+      one.handleAnswer();
       one.verifier.handleProof({ version: 4, provedAt: one.clock.readNow() });
       const before = one.reads.length;
       tick(one, 400);
@@ -169,7 +171,7 @@
     it('reads nothing that its own watch tells', () => {
       const one = createVerifier(0, false);
       one.put(3);
-      one.verifier.handleAnswer(one.clock.readNow());
+      one.handleAnswer();
       one.verifier.handleProof({ version: 4, provedAt: one.clock.readNow() });
       one.put(4);
       tick(one, 400);
@@ -188,7 +190,7 @@
     it('reads once when nothing has proved the version for long', async () => {
       const one = createVerifier(0, false);
       one.put(3);
-      one.verifier.handleAnswer(one.clock.readNow());
+      one.handleAnswer();
       tick(one, MAX_PROOF_AGE_MS - 1);
       const before = one.reads.length;
       for (let index = 0; index < 5; index++) {
--- a/packages/engine/test/fixture.ts
+++ b/packages/engine/test/fixture.ts
@@ -69,6 +69,7 @@
     promotions,
     connector: new FakeConnector(new Map([...instances, ...further].map((one) => [one.id, one]))),
     configurationKind: 'configurations',
+    configurationName: 'main',
     instancesKind: 'instances',
     decodeConfiguration: ({ spec }) => spec as ServiceConfiguration,
     decodeInstance: ({ spec }) => spec as RegisteredInstance,
--- a/packages/engine/test/virtualfleet.ts
+++ b/packages/engine/test/virtualfleet.ts
@@ -173,6 +173,7 @@
       link: { host: vm, port: LINK_PORT },
       createForwarding: (host) => this.link(host),
       configurationKind: 'configurations',
+      configurationName: 'main',
       instancesKind: 'instances',
       decodeConfiguration: ({ spec }: StoredObject) => spec as ServiceConfiguration,
       decodeInstance: ({ spec }: StoredObject) => spec as RegisteredInstance,
--- a/packages/forwarding/test/fleet.ts
+++ b/packages/forwarding/test/fleet.ts
@@ -95,6 +95,7 @@
     promotions: new FakePromotions(),
     connector: new FakeConnector(new Map(instances.map((one) => [one.id, one]))),
     configurationKind: 'configurations',
+    configurationName: 'main',
     instancesKind: 'instances',
     decodeConfiguration: ({ spec }) => spec as ServiceConfiguration,
     decodeInstance: ({ spec }) => spec as RegisteredInstance,
