Tell a home the version by which work was accepted elsewhere

A VM runs the work that another one has accepted by a later version, which its own callers don't see yet: an instance has seen the effect of that version at this VM, and its next caller is refused by the older one.

Both new specs failed before: nothing received the version.

--- a/packages/engine/src/configurationverifier.ts
+++ b/packages/engine/src/configurationverifier.ts
@@ -140,9 +140,15 @@
       this.answerWaiting();
       return;
     }
-    if (proof.version >= (this.told?.version ?? 0)) this.told = proof;
+    this.noteLater(proof);
     if (this.isNeeded()) this.refresh(RETRY_MS);
-    else this.later ??= { version: proof.version, toldAt: this.readNow() };
+  }
+
+  /** Notes the version by which another VM has accepted work that it passes on to this one. */
+  handleVersion(version: number): void {
+    const inForce = this.options.configuration.read()?.version;
+    if (inForce === undefined || version <= inForce) return;
+    this.noteLater({ version, provedAt: this.readNow() });
   }
 
   /** This VM's proof, for other VMs; undefined when it has none. */
@@ -160,8 +166,25 @@
 
   handleTick(): void {
     if (this.waiting.size > 0) this.requestProof();
+    this.checkLater();
     if (this.isNeeded()) this.checkKeys();
-    else this.checkVersion();
+    else this.checkAge();
+  }
+
+  /** Notes a later version, which this VM's own watch is about to tell. */
+  private noteLater(proof: ConfigurationProof): void {
+    const { version } = proof;
+    if (version >= (this.told?.version ?? 0)) this.told = proof;
+    this.later ??= { version, toldAt: this.readNow() };
+  }
+
+  /** Reads the configuration when this VM's own watch has not told a later version in time. */
+  private checkLater(): void {
+    const { later } = this;
+    if (!later || this.readNow() - later.toldAt < OWN_WATCH_MS) return;
+    this.later = undefined;
+    const inForce = this.options.configuration.read()?.version ?? later.version;
+    if (later.version > inForce) this.refresh(this.isNeeded() ? RETRY_MS : BEHIND_GAP_MS);
   }
 
   private answerWaiting(): void {
@@ -169,16 +192,9 @@
   }
 
   /** Reads the configuration when neither the store nor another VM proves the one in force. */
-  private checkVersion(): void {
-    const inForce = this.options.configuration.read()?.version;
-    if (inForce === undefined) return;
-    const now = this.readNow();
-    if (this.later && now - this.later.toldAt >= OWN_WATCH_MS) {
-      if (this.later.version > inForce) this.refresh(BEHIND_GAP_MS);
-      this.later = undefined;
-    }
+  private checkAge(): void {
     const { maxProofAgeMs } = this.options;
-    const ageMs = this.lease.readAge(now);
+    const ageMs = this.lease.readAge(this.readNow());
     // The answer that brought the first version is about to prove it.
     if (Number.isFinite(ageMs) && ageMs >= maxProofAgeMs) this.refresh(maxProofAgeMs);
   }
--- a/packages/engine/src/forwarding.ts
+++ b/packages/engine/src/forwarding.ts
@@ -28,6 +28,8 @@
   readonly readProof: () => ProofAge | undefined;
   /** Receives the proofs of other VMs. */
   readonly handleProof: (proof: ConfigurationProof) => void;
+  /** Receives the versions by which other VMs have accepted work that they pass on. */
+  readonly handleVersion: (version: number) => void;
   /** The service of a group that this VM is a home of. */
   readonly findLocalGroup: (name: string) => GroupService | undefined;
   readonly readStatus: () => HomeStatus;
--- a/packages/engine/src/wiring.ts
+++ b/packages/engine/src/wiring.ts
@@ -100,6 +100,7 @@
     ...{ vm, zone, clock, ageClock, log, metrics, shutdown },
     readProof: () => verifier.readProof(),
     handleProof: (proof) => verifier.handleProof(proof),
+    handleVersion: (version) => verifier.handleVersion(version),
     findLocalGroup: (name) => late.groups?.findLocal(name),
     readStatus: () => late.proxy?.readHomeStatus() ?? { isIsolated: true, isDraining: false },
     findHomes: (group) => placement.findHomes(group, zone),
--- a/packages/engine/test/configurationverifier.spec.ts
+++ b/packages/engine/test/configurationverifier.spec.ts
@@ -143,6 +143,21 @@
       expect([before, verifier.requestProof()]).toEqual([false, true]);
     });
 
+    // A home ran work that a later version allowed, and refused its own callers by the older one.
+    it('ends when another VM has passed on work that a later version allows', () => {
+      const { clock, verifier, reads, put, handleAnswer } = createVerifier();
+      put(3);
+      handleAnswer();
+      verifier.handleVersion(3);
+      const before = verifier.mayRefuse();
+      verifier.handleVersion(4);
+      const behind = verifier.mayRefuse();
+      clock.advance(400);
+      verifier.handleTick();
+      put(4);
+      expect([before, behind, verifier.mayRefuse(), reads.length]).toEqual([true, false, true, 1]);
+    });
+
     it('is given up when the store does not answer in time', async () => {
       const { verifier, put } = createVerifier(0, false, new Error('the store is cut off'));
       put(3);
--- a/packages/forwarding/src/home.ts
+++ b/packages/forwarding/src/home.ts
@@ -209,6 +209,8 @@
       this.send({ type: 'refused', lease, reason, mayTryOther: true });
       return;
     }
+    // Its own callers must not be handled by an older version than work that runs here.
+    if (admit.request.version !== undefined) this.host.handleVersion(admit.request.version);
     const held = createHeldLease(group, admit);
     this.held.set(lease, held);
     this.admit(admit, held)
--- a/packages/forwarding/test/fleet.ts
+++ b/packages/forwarding/test/fleet.ts
@@ -133,6 +133,7 @@
     ...{ vm: 'test', zone: 'z', clock: new SystemClock(), log, metrics: new Metrics() },
     shutdown: new ShutdownSchedule(new SystemClock()),
     ...{ ageClock: new SystemClock(), readProof: () => undefined, handleProof: () => undefined },
+    handleVersion: () => undefined,
     findLocalGroup: () => undefined,
     readStatus: () => ({ isIsolated: false, isDraining: false }),
     findHomes: () => homes,
--- a/packages/forwarding/test/linkpair.ts
+++ b/packages/forwarding/test/linkpair.ts
@@ -74,6 +74,9 @@
 
   readonly errors: readonly string[];
 
+  /** Versions of the configuration by which the work was accepted elsewhere. */
+  readonly versions: number[] = [];
+
   private readonly ticks: NodeJS.Timeout;
 
   constructor(readonly address: VmAddress & { readonly port: number }) {
@@ -81,6 +84,7 @@
       findVm: async (id) => ({ id, zone: 'z', host: HOST, port: undefined }),
       findLocalGroup: () => this.group as unknown as GroupService | undefined,
       readStatus: () => this.status,
+      handleVersion: (version) => this.versions.push(version),
     });
     this.forwarding = created.forwarding;
     this.errors = created.errors;
--- a/packages/forwarding/test/passedvalues.spec.ts
+++ b/packages/forwarding/test/passedvalues.spec.ts
@@ -41,6 +41,21 @@
   statements: new Map(),
 });
 
+describe('work that is passed on to a home', () => {
+  // A home ran work that a later version allowed, and refused its own callers by the older one.
+  it('tells the version of the configuration by which it was accepted', async () => {
+    const home = await startHome('home');
+    home.group = new FakeGroup(async () =>
+      createFakeLease(new FakeConnection(new FakeInstance('i'))),
+    );
+    const entry = new FakeEntry([home.address]);
+    await entry.forwarding.admit('g', createRequest(DEADLINE_MS, { version: 7 }));
+    expect(home.versions).toEqual([7]);
+    entry.stop();
+    home.stop();
+  });
+});
+
 describe('a COMMIT that is passed on to a home', () => {
   let home: FakeHome;
   let entry: FakeEntry;
