Pass the configuration on to VMs that the store turns away

A VM that the store turned away heard from the others that there was a later version and asked only the store for it.

A read that the store doesn't answer is followed by a request to a VM that has proved a later version, over a link that is open. Its answer holds the configuration whole and the age of its proof; the holder takes no older one. Digests stand in place of the keys, and every VM finds keys by their digests. PermitExchange became AnswerExchange, which serves both requests.

--- a/packages/engine/src/forwarding.ts
+++ b/packages/engine/src/forwarding.ts
@@ -1,5 +1,12 @@
-import type { Clock, ConfigurationProof, PermitAnswer, PermitRequest } from '@shallotpick/core';
+import type {
+  Clock,
+  ConfigurationProof,
+  Millis,
+  PermitAnswer,
+  PermitRequest,
+} from '@shallotpick/core';
 import type { GroupAccess } from './access.js';
+import type { ServiceConfiguration } from './configuration.js';
 import type { ProofAge } from './configurationverifier.js';
 import type { VmAddress } from './heartbeat.js';
 import type { GroupService } from './group.js';
@@ -14,6 +21,13 @@
   readonly isDraining: boolean;
 }
 
+/** A configuration that another VM has passed on. */
+export interface PassedOn {
+  readonly configuration: ServiceConfiguration;
+  /** When it was the newest, on the clock that includes suspensions; undefined if not proved. */
+  readonly provedAt: Millis | undefined;
+}
+
 /** What a forwarding service needs to know of its own VM and of the fleet. */
 export interface ForwardingHost {
   readonly vm: string;
@@ -30,6 +44,8 @@
   readonly handleProof: (proof: ConfigurationProof) => void;
   /** Receives the versions by which other VMs have accepted work that they pass on. */
   readonly handleVersion: (version: number) => void;
+  /** The configuration in force; undefined before the first one. */
+  readonly readConfiguration: () => ServiceConfiguration | undefined;
   /** The service of a group that this VM is a home of. */
   readonly findLocalGroup: (name: string) => GroupService | undefined;
   readonly readStatus: () => HomeStatus;
@@ -62,6 +78,14 @@
   /** Asks a VM for permits of operations; undefined when there is no answer. */
   abstract requestPermits(vm: VmAddress, request: PermitRequest): Promise<PermitAnswer | undefined>;
 
+  /**
+   * Asks a VM that has proved a later version than the known one for its configuration; undefined
+   * when there is none.
+   *
+   * @throws ConnectionError when it doesn't answer in time.
+   */
+  abstract requestConfiguration(known: number): Promise<PassedOn | undefined>;
+
   abstract handleTick(): void;
 }
 
--- a/packages/engine/src/identity.ts
+++ b/packages/engine/src/identity.ts
@@ -1,4 +1,5 @@
 import type { ConfigurationHolder, DatabaseRoute } from './configuration.js';
+import { computeKeyDigest } from './organisations.js';
 import type { Failure } from './statement.js';
 
 /** A route that a caller may use, and in whose name its work runs. */
@@ -36,12 +37,16 @@
 
 /** The identity of one caller: the key that it gave, which is checked again for each operation. */
 export class CallerIdentity {
+  private readonly keyDigest: string;
+
   constructor(
-    private readonly key: string,
+    key: string,
     private readonly configuration: ConfigurationHolder,
     /** False while a key may have been revoked without this VM's knowledge. */
     private readonly areKeysInForce: () => boolean,
-  ) {}
+  ) {
+    this.keyDigest = computeKeyDigest(key);
+  }
 
   /**
    * Returns the failure with which a new session is refused. Each of its operations is checked
@@ -49,8 +54,8 @@
    */
   checkConnect(route: DatabaseRoute): Failure | undefined {
     const organisations = this.configuration.read()?.organisations;
-    if (!organisations || route.isAnonymous || organisations.findByKey(this.key)) return undefined;
-    return UNKNOWN_KEY;
+    if (!organisations || route.isAnonymous) return undefined;
+    return organisations.findByDigest(this.keyDigest) ? undefined : UNKNOWN_KEY;
   }
 
   /** Decides whether an operation on the route may start. */
@@ -58,7 +63,7 @@
     const organisations = this.configuration.read()?.organisations;
     if (!organisations || route.isAnonymous) return { kind: 'allowed', organisation: undefined };
     if (!this.areKeysInForce()) return { kind: 'refused', failure: UNPROVED };
-    const organisation = organisations.findByKey(this.key);
+    const organisation = organisations.findByDigest(this.keyDigest);
     if (!organisation) return { kind: 'refused', failure: UNKNOWN_KEY };
     return { kind: 'allowed', organisation: organisation.name };
   }
--- a/packages/engine/src/index.ts
+++ b/packages/engine/src/index.ts
@@ -40,13 +40,14 @@
 export { compareDrafts } from './configurationchange.js';
 export type { ConfigurationEffect } from './configurationchange.js';
 export { ConfigurationVerifier } from './configurationverifier.js';
+export type { PassedOn } from './forwarding.js';
 export type { ProofAge, ProofDescription } from './configurationverifier.js';
 export { CallerIdentity, UNPROVED_REFUSAL } from './identity.js';
 export type { Authorization } from './identity.js';
 export { OperationQuota, UnlimitedQuota } from './operationquota.js';
 export type { OperationPermit } from './operationquota.js';
-export { OrganisationIndex } from './organisations.js';
-export type { KeyedOrganisation, Organisation } from './organisations.js';
+export { computeKeyDigest, OrganisationIndex } from './organisations.js';
+export type { DigestedOrganisation, KeyedOrganisation, Organisation } from './organisations.js';
 export { ObjectWatcher } from './watcher.js';
 export type { ObjectWatcherOptions } from './watcher.js';
 export { GroupService } from './group.js';
--- a/packages/engine/src/sources.ts
+++ b/packages/engine/src/sources.ts
@@ -4,6 +4,7 @@
 import type { GroupDirectory } from './directory.js';
 import type { EraAwareStore } from './era.js';
 import { StoreError } from './errors.js';
+import type { Forwarding } from './forwarding.js';
 import type { Placement } from './placement.js';
 import type { Proxy } from './proxy.js';
 import type { ProxyParts } from './proxyparts.js';
@@ -37,6 +38,7 @@
 export interface SourceReceivers {
   proxy?: Pick<Proxy, 'roster' | 'applyRoster'>;
   groups?: GroupDirectory;
+  forwarding?: Pick<Forwarding, 'requestConfiguration'>;
 }
 
 /** What the watchers of the store need. */
@@ -71,11 +73,16 @@
   });
 }
 
-/** The answer that brought a version of the configuration. */
-interface ConfigurationOrigin extends Omit<StoreAnswer, 'call'> {
+/** The answer of the store that brought the configuration. */
+interface StoreOrigin extends Omit<StoreAnswer, 'call'> {
   readonly call: StoreAnswer['call'] | 'read';
 }
 
+/** The answer that brought a version of the configuration, of the store or of another VM. */
+type ConfigurationOrigin =
+  | (StoreOrigin & { readonly revision: number })
+  | { readonly call: 'peer'; readonly askedAt: Millis };
+
 /** The source of the operator's configuration, which every VM watches. */
 export class ConfigurationSource {
   readonly watcher: ObjectWatcher;
@@ -119,47 +126,73 @@
     });
   }
 
-  /** Reads the configuration; returns the version that the store holds. */
+  /**
+   * Reads the configuration; returns the version that the store holds.
+   *
+   * @throws StoreError when the store doesn't answer; a later version is then asked of other VMs.
+   */
   private async read(): Promise<number | undefined> {
+    try {
+      return await this.readStore();
+    } catch (error) {
+      await this.requestFromVms().catch((failure: unknown) =>
+        this.options.parts.log.debug('configuration not passed on', { error: String(failure) }),
+      );
+      throw error;
+    }
+  }
+
+  /** Takes over the configuration of another VM that has proved a later version. */
+  private async requestFromVms(): Promise<void> {
+    const { configuration, receivers, ageClock } = this.options;
+    const before = configuration.read()?.version;
+    if (before === undefined) return;
+    const askedAt = ageClock.readNow();
+    const passed = await receivers.forwarding?.requestConfiguration(before);
+    if (!passed) return;
+    const { configuration: next, provedAt } = passed;
+    if (configuration.update(next)) this.reportInForce(next, before, { call: 'peer', askedAt });
+    if (provedAt !== undefined) this.verifier.handleProof({ version: next.version, provedAt });
+  }
+
+  private async readStore(): Promise<number | undefined> {
     const { parts, store, ageClock } = this.options;
     const askedAt = ageClock.readNow();
     const { objects, era, isPartial } = await store.list(parts.configurationKind);
-    const origin: ConfigurationOrigin = { call: 'read', era, askedAt };
+    const origin: StoreOrigin = { call: 'read', era, askedAt };
     const version = this.handleObjects(objects, origin);
     if (isPartial) throw new StoreError('the list of configurations is partial');
     return version;
   }
 
   /** Takes over the configuration among the objects of its kind; returns the version that it has. */
-  private handleObjects(
-    objects: readonly StoredObject[],
-    origin: ConfigurationOrigin,
-  ): number | undefined {
+  private handleObjects(objects: readonly StoredObject[], origin: StoreOrigin): number | undefined {
     const { configurationName } = this.options.parts;
     const object = objects.find(({ name }) => name === configurationName);
     return object && this.handleObject(object, origin);
   }
 
   /** Takes over the configuration; returns its version, or undefined when it can't be decoded. */
-  private handleObject(object: StoredObject, origin: ConfigurationOrigin): number | undefined {
+  private handleObject(object: StoredObject, origin: StoreOrigin): number | undefined {
     const { parts, configuration } = this.options;
     const decoded = parts.decodeConfiguration(object);
     if (!decoded) return undefined;
     const before = configuration.read()?.version;
-    if (configuration.update(decoded)) this.reportInForce(decoded, before, object, origin);
+    if (configuration.update(decoded)) {
+      this.reportInForce(decoded, before, { ...origin, revision: object.revision });
+    }
     return decoded.version;
   }
 
   private reportInForce(
     { version, routes }: ServiceConfiguration,
     before: number | undefined,
-    { revision }: StoredObject,
-    { call, era, askedAt }: ConfigurationOrigin,
+    { askedAt, ...origin }: ConfigurationOrigin,
   ): void {
     const { parts, ageClock } = this.options;
     const askedMsAgo = Math.round(ageClock.readNow() - askedAt);
     parts.log.info('configuration in force', {
-      ...{ version, before, routes: routes.size, call, askedMsAgo, revision, era },
+      ...{ version, before, routes: routes.size, askedMsAgo, ...origin },
     });
   }
 }
--- a/packages/engine/src/wiring.ts
+++ b/packages/engine/src/wiring.ts
@@ -100,6 +100,7 @@
     ...{ vm, zone, clock, ageClock, log, metrics, shutdown },
     readProof: () => verifier.readProof(),
     handleProof: (proof) => verifier.handleProof(proof),
+    readConfiguration: () => foundation.configuration.read(),
     handleVersion: (version) => verifier.handleVersion(version),
     findLocalGroup: (name) => late.groups?.findLocal(name),
     readStatus: () => late.proxy?.readHomeStatus() ?? { isIsolated: true, isDraining: false },
@@ -167,6 +168,7 @@
   const { verifier } = configurations;
   const foundation = { parts, store, shared, fleet, placement, configuration, verifier, late };
   const forwarding = createForwarding(foundation);
+  if (forwarding) late.forwarding = forwarding;
   const fleetQuota = createFleetQuota(foundation, forwarding);
   if (fleetQuota) late.fleetQuota = fleetQuota;
   const groups = createGroups(foundation, forwarding, instances.refresh);
--- a/packages/engine/test/configurationintime.spec.ts
+++ b/packages/engine/test/configurationintime.spec.ts
@@ -12,6 +12,11 @@
 /** Time for which the trial goes on after the last step. */
 const END_MS: Millis = 12_000;
 
+/** Pings between VMs, a call that the store refuses, and a retry. */
+const PASS_ON_MS: Millis = 1_500;
+const REFUSED_MS: Millis = 20_000;
+const VERSION_GAP_MS: Millis = 1_300;
+
 const KEYLESS: Bounds = { applyMs: 3_000, stableMs: 4_000, revocationMs: undefined };
 const KEYED: Bounds = { applyMs: 5_000, stableMs: 5_000, revocationMs: 5_000 };
 
@@ -156,6 +161,30 @@
     expect(found).toEqual([]);
   });
 
+  // It asked only the store, which refused it, for a version that the other VMs had.
+  it('is passed on to a VM that the store turns away', async () => {
+    for (const mode of ['refuse', 'silent'] as const) {
+      const time = new VirtualTime(createRandom(1));
+      const model = new ConfigurationModel(KEYED, 2, true);
+      const lapses: string[] = [];
+      await time.advance(START_MS);
+      model.setMode(0, mode);
+      for (let passedMs = 0; passedMs < REFUSED_MS; passedMs += LOOK_MS) {
+        if (passedMs % VERSION_GAP_MS === 0) model.put(2 + passedMs / VERSION_GAP_MS);
+        await time.advance(LOOK_MS);
+        const [{ configuration, source }] = model.vms as [(typeof model.vms)[number]];
+        const version = configuration.read()?.version ?? 0;
+        const isOld = version < model.findConfirmed(mode === 'refuse' ? PASS_ON_MS : 3_500);
+        if (isOld || !source.verifier.areKeysInForce()) {
+          lapses.push(`${mode}: ${version} after ${passedMs} ms`);
+        }
+      }
+      model.stop();
+      time.restore();
+      expect(lapses).toEqual([]);
+    }
+  });
+
   it('is in time on a site with keys, whose VMs have links', async function check() {
     this.timeout(120_000);
     await checkInTime(KEYED, true);
--- a/packages/engine/test/configurationmodel.ts
+++ b/packages/engine/test/configurationmodel.ts
@@ -6,6 +6,7 @@
   Metrics,
   ObjectStore,
   OrganisationIndex,
+  type PassedOn,
   type ServiceConfiguration,
   type StoreChanges,
   type StoredObject,
@@ -138,7 +139,11 @@
 
   readonly source: ConfigurationSource;
 
-  constructor(shared: SharedStore, { applyMs, stableMs, revocationMs }: Bounds, isHome: boolean) {
+  constructor(
+    shared: SharedStore,
+    { applyMs, stableMs, revocationMs }: Bounds,
+    receivers: SourceOptions['receivers'],
+  ) {
     this.path = new PathToStore(shared);
     const metrics = new Metrics();
     const clock = new SystemClock();
@@ -153,8 +158,8 @@
         },
       },
       store: new EraAwareStore({ store: this.path, log: LOG, metrics }),
-      ...{ clock, ageClock: clock, configuration, receivers: {} },
-      placement: { findReaderRank: () => 0, isAnyHome: () => isHome },
+      ...{ clock, ageClock: clock, configuration, receivers },
+      placement: { findReaderRank: () => 0, isAnyHome: () => true },
     } as unknown as SourceOptions);
     this.source.watcher.start();
   }
@@ -174,10 +179,12 @@
   constructor(
     readonly bounds: Bounds,
     count: number,
-    /** True when the VMs tell each other what they have proved. */
+    /** True when the VMs tell each other what they have proved, and pass versions on. */
     hasLinks: boolean,
   ) {
-    this.vms = Array.from({ length: count }, () => new ModelVm(this.shared, bounds, true));
+    const requestConfiguration = async (known: number) => this.passOn(known);
+    const receivers = hasLinks ? { forwarding: { requestConfiguration } } : {};
+    this.vms = Array.from({ length: count }, () => new ModelVm(this.shared, bounds, receivers));
     this.timers = [
       setInterval(() => this.vms.forEach(({ source }) => source.verifier.handleTick()), TICK_MS),
       setInterval(() => hasLinks && this.exchangeProofs(), PING_MS),
@@ -213,6 +220,15 @@
     this.vms.forEach(({ source }) => source.watcher.stop());
   }
 
+  private async passOn(known: number): Promise<PassedOn | undefined> {
+    const sentAt = performance.now();
+    await wait(LATENCY_MS);
+    const vm = this.vms.find(({ configuration }) => (configuration.read()?.version ?? 0) > known);
+    const configuration = vm?.configuration.read();
+    const proof = vm?.source.verifier.readProof();
+    return configuration && { configuration, provedAt: proof && sentAt - proof.ageMs };
+  }
+
   private exchangeProofs(): void {
     const now = performance.now();
     this.vms.forEach(({ source: { verifier: from } }) => {
--- a/packages/engine/test/virtualfleet.ts
+++ b/packages/engine/test/virtualfleet.ts
@@ -11,6 +11,7 @@
   Metrics,
   NotRunError,
   OddEntryReporter,
+  type PassedOn,
   type ServiceConfiguration,
   type StoredObject,
   SystemClock,
@@ -106,6 +107,14 @@
     return answer;
   }
 
+  override async requestConfiguration(known: number): Promise<PassedOn | undefined> {
+    await wait(1);
+    await applyMode(this.readMode(), () => new ConnectionError('the link is cut'));
+    const found = [...this.links.values()].map(({ host }) => host.readConfiguration());
+    const configuration = found.find((one) => one && one.version > known);
+    return configuration && { configuration, provedAt: undefined };
+  }
+
   override handleTick(): void {
     this.links.forEach(({ host }) => {
       const proof = host.vm === this.host.vm ? undefined : host.readProof();
--- a/packages/forwarding/src/forwarder.ts
+++ b/packages/forwarding/src/forwarder.ts
@@ -9,7 +9,9 @@
   type HomeStatus,
   type Lease,
   NotRunError,
+  type PassedOn,
   type VmAddress,
+  waitAtMost,
   type WorkRequest,
 } from '@shallotpick/engine';
 import { LinkAddressError } from './errors.js';
@@ -22,6 +24,7 @@
 const UNUSED_LINK_MS: Millis = 10_000;
 /** Delay before a link that failed is opened again. */
 const RECONNECT_MS: Millis = 300;
+const CONFIGURATION_TIMEOUT_MS: Millis = 1_000;
 
 function rankHomes(
   homes: readonly VmAddress[],
@@ -159,6 +162,13 @@
     return this.findLink(vm, this.host.clock.readNow())?.requestPermits(request);
   }
 
+  override async requestConfiguration(known: number): Promise<PassedOn | undefined> {
+    const now = this.host.clock.readNow();
+    const links = [...this.links.values()].filter((link) => link.isUsable(now));
+    const link = links.find(({ provedVersion }) => provedVersion > known);
+    return link && waitAtMost(link.requestConfiguration(), CONFIGURATION_TIMEOUT_MS);
+  }
+
   override handleTick(): void {
     const now = this.host.clock.readNow();
     const nearHomes = this.host.listNearHomes();
--- a/packages/forwarding/src/home.ts
+++ b/packages/forwarding/src/home.ts
@@ -15,6 +15,7 @@
   SHUTTING_DOWN,
 } from '@shallotpick/engine';
 import { match } from 'ts-pattern';
+import { toPassedConfiguration } from './configurationschema.js';
 import { LinkProtocolError } from './errors.js';
 import {
   type AdmitMessage,
@@ -142,6 +143,7 @@
       .with({ type: 'release' }, ({ lease }) => this.end(lease, false))
       .with({ type: 'close' }, ({ lease }) => this.end(lease, true))
       .with({ type: 'permits' }, (permits) => this.answerPermits(permits))
+      .with({ type: 'configuration' }, ({ number }) => this.answerConfiguration(number))
       .with({ type: 'ping' }, ({ number }) => this.sendStatus(this.host.readStatus(), number))
       .exhaustive();
   }
@@ -172,6 +174,23 @@
       .catch((error: unknown) => this.socket.close(String(error)));
   }
 
+  private answerConfiguration(number: number): void {
+    this.verified
+      ?.then((isVerified) => {
+        if (isVerified) this.send({ type: 'configured', number, ...this.describeConfiguration() });
+      })
+      .catch((error: unknown) => this.socket.close(String(error)));
+  }
+
+  /** The configuration in force with the age of its proof, if there are any. */
+  private describeConfiguration() {
+    const configuration = this.host.readConfiguration();
+    if (!configuration) return {};
+    const provedMsAgo = this.host.readProof()?.ageMs;
+    const passed = { configuration: toPassedConfiguration(configuration) };
+    return provedMsAgo === undefined ? passed : { ...passed, provedMsAgo };
+  }
+
   private handleHello(version: number, vm: string): void {
     if (version !== LINK_VERSION) {
       throw new LinkProtocolError(`version ${version} is not supported`);
--- a/packages/forwarding/src/link.ts
+++ b/packages/forwarding/src/link.ts
@@ -6,9 +6,18 @@
   PermitAnswer,
   PermitRequest,
 } from '@shallotpick/core';
-import type { ClientGuard, HomeStatus, Log, VmAddress, WorkRequest } from '@shallotpick/engine';
+import type {
+  ClientGuard,
+  HomeStatus,
+  Log,
+  PassedOn,
+  VmAddress,
+  WorkRequest,
+} from '@shallotpick/engine';
 import { match } from 'ts-pattern';
 import { type Admission, AdmissionExchange } from './admissionexchange.js';
+import { AnswerExchange } from './answerexchange.js';
+import { toServiceConfiguration } from './configurationschema.js';
 import { LinkAddressError } from './errors.js';
 import {
   decodeHomeMessage,
@@ -17,7 +26,6 @@
   type LINK_FEATURES,
   LINK_VERSION,
 } from './message.js';
-import { PermitExchange } from './permitexchange.js';
 import { createRemoteLease, RemoteConnection } from './remote.js';
 import { PeerActivity, SilenceMeter } from './silence.js';
 import { type MessageHandler, MessageSocket } from './socket.js';
@@ -39,6 +47,8 @@
 /** The part of a status that proves the configuration in force. */
 type ProofPart = Pick<HomeMessage & { readonly type: 'status' }, 'answers' | 'configuration'>;
 
+type ConfiguredMessage = HomeMessage & { readonly type: 'configured' };
+
 /** The home, and the services of a link to it. */
 export interface HomeLinkOptions {
   readonly vm: string;
@@ -71,7 +81,13 @@
 
   private readonly connections = new Map<number, RemoteConnection>();
 
-  private readonly permits = new PermitExchange((message) => this.send(message));
+  private readonly permits = new AnswerExchange<PermitRequest, PermitAnswer>((number, request) =>
+    this.send({ type: 'permits', number, request }),
+  );
+
+  private readonly configurations = new AnswerExchange<void, ConfiguredMessage>((number) =>
+    this.send({ type: 'configuration', number }),
+  );
 
   /** When the link last had work. */
   usedAt: Millis;
@@ -103,6 +119,9 @@
   /** Optional parts of the protocol that the home knows. */
   private features: ReadonlySet<string> = new Set();
 
+  /** Version of the configuration that the home has proved last; 0 before its first proof. */
+  provedVersion = 0;
+
   /** What the home has told last; undefined before its first status. */
   private status: HomeStatus | undefined;
 
@@ -157,6 +176,19 @@
     return this.permits.request(request);
   }
 
+  /** Asks the home for its configuration; undefined when it doesn't answer or passes none on. */
+  async requestConfiguration(): Promise<PassedOn | undefined> {
+    this.usedAt = this.options.clock.readNow();
+    if (this.isClosed || !this.supports('configurations')) return undefined;
+    const sentAt = this.options.ageClock.readNow();
+    const { configuration, provedMsAgo } = (await this.configurations.request()) ?? {};
+    if (!configuration) return undefined;
+    return {
+      configuration: toServiceConfiguration(configuration),
+      provedAt: provedMsAgo === undefined ? undefined : sentAt - provedMsAgo,
+    };
+  }
+
   handleTick(now: Millis): void {
     if (this.isClosed) return;
     if (this.admissions.count() + this.connections.size > 0) this.usedAt = now;
@@ -188,7 +220,8 @@
       .with({ type: 'broken' }, ({ lease, reason }) => {
         this.connections.get(lease)?.fail(reason);
       })
-      .with({ type: 'issued' }, (issued) => this.permits.handleIssued(issued))
+      .with({ type: 'issued' }, ({ number, answer }) => this.permits.settle(number, answer))
+      .with({ type: 'configured' }, (answer) => this.configurations.settle(answer.number, answer))
       .with({ type: 'status' }, ({ isIsolated, isDraining, features = [], ...proof }) => {
         this.features = new Set(features);
         this.handleStatus({ isIsolated, isDraining });
@@ -204,6 +237,7 @@
     this.connections.forEach((connection) => connection.fail(`link to a home: ${reason}`));
     this.connections.clear();
     this.permits.close();
+    this.configurations.close();
     this.options.onClose();
   }
 
@@ -254,6 +288,7 @@
     this.pingSentAt.delete(answers);
     if (!configuration) return;
     const { version, ageMs } = configuration;
+    this.provedVersion = version;
     this.options.onProof({ version, provedAt: sentAt - ageMs });
   }
 
--- a/packages/forwarding/src/message.ts
+++ b/packages/forwarding/src/message.ts
@@ -1,5 +1,6 @@
 import type { Operation } from '@shallotpick/engine';
 import * as z from 'zod';
+import { passedConfiguration } from './configurationschema.js';
 import { LinkProtocolError } from './errors.js';
 import { permitAnswer, permitRequest } from './permitschema.js';
 
@@ -10,7 +11,7 @@
  * Optional parts of the protocol that this build knows. VMs of two builds run side by side during a
  * rolling restart, and unknown fields are ignored.
  */
-export const LINK_FEATURES = ['organisations', 'permits'] as const;
+export const LINK_FEATURES = ['organisations', 'permits', 'configurations'] as const;
 
 /** Longest name of a VM that is accepted; it stands in log lines and in a path of the store. */
 const MAX_NAME_LENGTH = 1_000;
@@ -77,6 +78,8 @@
   z.object({ type: z.literal('close'), lease }),
   /** Asks for permits of operations, and acknowledges the lender. */
   z.object({ type: z.literal('permits'), number: count, request: permitRequest }),
+  /** Asks for the configuration in force at the home. */
+  z.object({ type: z.literal('configuration'), number: count }),
   /** `number` counts the pings of the link. */
   z.object({ type: z.literal('ping'), number: count.optional() }),
 ]);
@@ -128,6 +131,14 @@
   z.object({ type: z.literal('broken'), lease, reason: z.string() }),
   /** Answers the request for permits with the number. */
   z.object({ type: z.literal('issued'), number: count, answer: permitAnswer }),
+  /** Answers the request for the configuration with the number; without one when none is known. */
+  z.object({
+    type: z.literal('configured'),
+    number: count,
+    configuration: passedConfiguration.optional(),
+    /** Time since the home has proved it to be the newest. */
+    provedMsAgo: z.number().nonnegative().optional(),
+  }),
   z.object({
     ...{ type: z.literal('status'), isIsolated: z.boolean(), isDraining: z.boolean() },
     /** What the home can do beyond the first build that forwards; an older one names nothing. */
--- a/packages/forwarding/test/fleet.ts
+++ b/packages/forwarding/test/fleet.ts
@@ -134,6 +134,7 @@
     shutdown: new ShutdownSchedule(new SystemClock()),
     ...{ ageClock: new SystemClock(), readProof: () => undefined, handleProof: () => undefined },
     handleVersion: () => undefined,
+    readConfiguration: () => undefined,
     findLocalGroup: () => undefined,
     readStatus: () => ({ isIsolated: false, isDraining: false }),
     findHomes: () => homes,
--- a/packages/forwarding/test/linkpair.ts
+++ b/packages/forwarding/test/linkpair.ts
@@ -4,6 +4,7 @@
   type InstanceConnection,
   type Lease,
   NotRunError,
+  type ServiceConfiguration,
   SystemClock,
   type VmAddress,
   type WorkRequest,
@@ -74,6 +75,9 @@
 
   readonly errors: readonly string[];
 
+  /** The configuration in force, which it has proved. */
+  configuration: ServiceConfiguration | undefined;
+
   /** Versions of the configuration by which the work was accepted elsewhere. */
   readonly versions: number[] = [];
 
@@ -84,6 +88,8 @@
       findVm: async (id) => ({ id, zone: 'z', host: HOST, port: undefined }),
       findLocalGroup: () => this.group as unknown as GroupService | undefined,
       readStatus: () => this.status,
+      readConfiguration: () => this.configuration,
+      readProof: () => this.configuration && { version: this.configuration.version, ageMs: 700 },
       handleVersion: (version) => this.versions.push(version),
     });
     this.forwarding = created.forwarding;
