Split the source of the configuration from those of instances and records

The verifier's later version and waiting callers stand in modules of their own, and the time of a watch is computed in one place.

--- a/packages/engine/src/configurationverifier.ts
+++ b/packages/engine/src/configurationverifier.ts
@@ -5,9 +5,10 @@
   type Millis,
 } from '@shallotpick/core';
 import type { ConfigurationHolder } from './configuration.js';
+import { LaterVersion } from './laterversion.js';
 import type { Log } from './log.js';
 import type { Metrics } from './metrics.js';
-import { waitAtMost } from './timing.js';
+import { ProofWaiters } from './proofwaiters.js';
 
 /** A VM without the duty to read asks the store itself once half of its lease is over. */
 const REFRESH_FRACTION = 0.5;
@@ -16,8 +17,6 @@
 const FIRST_RANK_FRACTION = 0.25;
 /** Delay before the configuration is read again after a read has failed. */
 const RETRY_MS: Millis = 250;
-/** This VM's own watch tells of a new version within this time, unless a call was lost. */
-const OWN_WATCH_MS: Millis = 300;
 /** Gap between two reads for a version that only other VMs have. */
 const BEHIND_GAP_MS: Millis = 2_000;
 
@@ -67,14 +66,9 @@
 
   private wasInForce = false;
 
-  /** A later version that another VM has proved, and when this VM was first told of it. */
-  private later: { readonly version: number; readonly toldAt: Millis } | undefined;
+  private readonly later = new LaterVersion();
 
-  /** The latest version that another VM has proved. */
-  private told: ConfigurationProof | undefined;
-
-  /** Callers that wait for a proof. */
-  private readonly waiting = new Set<() => void>();
+  private readonly waiters = new ProofWaiters();
 
   constructor(private readonly options: ConfigurationVerifierOptions) {
     this.lease = new ConfigurationLease(options.leaseMs ?? Number.POSITIVE_INFINITY);
@@ -94,8 +88,7 @@
     if (inForce === undefined) return false;
     const now = this.readNow();
     const { refusalProofMs } = this.options;
-    const { version = 0, provedAt = 0 } = this.told ?? {};
-    const isBehind = version > inForce && now - provedAt < refusalProofMs;
+    const isBehind = this.later.isAbove(inForce, now, refusalProofMs);
     return !isBehind && this.lease.readAge(now) < refusalProofMs;
   }
 
@@ -108,14 +101,7 @@
 
   /** Waits for a proof by which callers may be refused; false when there is none in time. */
   async prove(limitMs: Millis): Promise<boolean> {
-    if (this.requestProof()) return true;
-    let handleProved = (): void => undefined;
-    const proved = new Promise<void>((resolve) => {
-      handleProved = resolve;
-    });
-    this.waiting.add(handleProved);
-    await waitAtMost(proved, limitMs).catch(() => undefined);
-    this.waiting.delete(handleProved);
+    if (!this.requestProof()) await this.waiters.wait(limitMs);
     return this.mayRefuse();
   }
 
@@ -140,7 +126,7 @@
       this.answerWaiting();
       return;
     }
-    this.noteLater(proof);
+    this.later.note(proof, this.readNow());
     if (this.isNeeded()) this.refresh(RETRY_MS);
   }
 
@@ -148,7 +134,8 @@
   handleVersion(version: number): void {
     const inForce = this.options.configuration.read()?.version;
     if (inForce === undefined || version <= inForce) return;
-    this.noteLater({ version, provedAt: this.readNow() });
+    const now = this.readNow();
+    this.later.note({ version, provedAt: now }, now);
   }
 
   /** This VM's proof, for other VMs; undefined when it has none. */
@@ -165,30 +152,21 @@
   }
 
   handleTick(): void {
-    if (this.waiting.size > 0) this.requestProof();
+    if (this.waiters.hasAny()) this.requestProof();
     this.checkLater();
     if (this.isNeeded()) this.checkKeys();
     else this.checkAge();
   }
 
-  /** Notes a later version, which this VM's own watch is about to tell. */
-  private noteLater(proof: ConfigurationProof): void {
-    const { version } = proof;
-    if (version >= (this.told?.version ?? 0)) this.told = proof;
-    this.later ??= { version, toldAt: this.readNow() };
-  }
-
-  /** Reads the configuration when this VM's own watch has not told a later version in time. */
+  /** Reads a later version that this VM's own watch has not told in time. */
   private checkLater(): void {
-    const { later } = this;
-    if (!later || this.readNow() - later.toldAt < OWN_WATCH_MS) return;
-    this.later = undefined;
-    const inForce = this.options.configuration.read()?.version ?? later.version;
-    if (later.version > inForce) this.refresh(this.isNeeded() ? RETRY_MS : BEHIND_GAP_MS);
+    const inForce = this.options.configuration.read()?.version;
+    if (inForce === undefined || !this.later.takeOverdue(inForce, this.readNow())) return;
+    this.refresh(this.isNeeded() ? RETRY_MS : BEHIND_GAP_MS);
   }
 
   private answerWaiting(): void {
-    if (this.mayRefuse()) this.waiting.forEach((handleProved) => handleProved());
+    if (this.mayRefuse()) this.waiters.answer();
   }
 
   /** Reads the configuration when neither the store nor another VM proves the one in force. */
--- a/packages/engine/src/wiring.ts
+++ b/packages/engine/src/wiring.ts
@@ -2,6 +2,7 @@
 import { type Clock, ZoneBudget } from '@shallotpick/core';
 import { SuspendAwareClock, SystemClock } from './clock.js';
 import { ConfigurationHolder } from './configuration.js';
+import { ConfigurationSource } from './configurationsource.js';
 import type { ConfigurationVerifier } from './configurationverifier.js';
 import { GroupDirectory } from './directory.js';
 import { EraAwareStore } from './era.js';
@@ -14,12 +15,8 @@
 import { Proxy } from './proxy.js';
 import type { ProxyParts } from './proxyparts.js';
 import { ShutdownSchedule } from './shutdown.js';
-import {
-  ConfigurationSource,
-  createInstanceSource,
-  createPromotionWatcher,
-  type SourceReceivers,
-} from './sources.js';
+import { createInstanceSource, createPromotionWatcher } from './sources.js';
+import type { SourceReceivers } from './sourcewatcher.js';
 import { Suspicion } from './suspicion.js';
 import { TakeoverDriver } from './takeover.js';
 
--- a/packages/engine/test/configurationmodel.ts
+++ b/packages/engine/test/configurationmodel.ts
@@ -18,7 +18,8 @@
   wait,
 } from '../src/index.js';
 import { EraAwareStore } from '../src/era.js';
-import { ConfigurationSource, type SourceOptions } from '../src/sources.js';
+import { ConfigurationSource } from '../src/configurationsource.js';
+import type { SourceOptions } from '../src/sourcewatcher.js';
 import { createConfiguration } from './store.js';
 
 const KIND = 'configurations';
