--- a/packages/engine/test/configurationintime.spec.ts
+++ b/packages/engine/test/configurationintime.spec.ts
@@ -1,12 +1,14 @@
 import type { Millis } from '@shallotpick/core';
 import { expect } from 'earl';
 import * as fc from 'fast-check';
+import type { ServiceConfiguration } from '../src/index.js';
 import { createRandom } from './changetrial.js';
 import { type Bounds, ConfigurationModel, type StoreMode } from './configurationmodel.js';
 import { VirtualTime } from './virtualtime.js';
 
 const SEED = 20_261_207;
 const RUNS = 60;
+const MUTANT_RUNS = 300;
 const START_MS: Millis = 1_000;
 const LOOK_MS: Millis = 50;
 /** Time for which the trial goes on after the last step. */
@@ -36,7 +38,7 @@
       fc.constant('compact' as const),
       fc.record({
         vm: fc.constantFrom(undefined, 0, 1),
-        mode: fc.constantFrom<StoreMode>('silent', 'silent', 'refuse', 'slow'),
+        mode: fc.constantFrom<StoreMode>('silent', 'silent', 'refuse', 'slow', 'late', 'late'),
       }),
     ),
     forMs: fc.integer({ min: 50, max: 7_000 }),
@@ -119,12 +121,13 @@
   hasLinks: boolean,
   draws: number,
   series: readonly Step[],
+  mutate: (model: ConfigurationModel) => void = () => undefined,
 ): Promise<readonly string[]> {
   const time = new VirtualTime(createRandom(draws));
   try {
-    return await new ConfigurationTrial(time, new ConfigurationModel(bounds, 2, hasLinks)).run(
-      series,
-    );
+    const model = new ConfigurationModel(bounds, 2, hasLinks);
+    mutate(model);
+    return await new ConfigurationTrial(time, model).run(series);
   } finally {
     time.restore();
   }
@@ -141,6 +144,37 @@
   });
 }
 
+/** Series in which an answer from before a version arrives after it, and no further one does. */
+function listLateSeries(): readonly (readonly Step[])[] {
+  return Array.from({ length: 125 }, (_, index): readonly Step[] => [
+    { afterMs: 100, change: { vm: undefined, mode: 'late' }, forMs: 12_000 },
+    { afterMs: 500 + 20 * index, change: 'version', forMs: 0 },
+    { afterMs: 640, change: { vm: undefined, mode: 'silent' }, forMs: 9_000 },
+  ]);
+}
+
+/** Runs the late series on a site with keys, whose VMs have no links. */
+async function findOldOfLate(
+  mutate?: (model: ConfigurationModel) => void,
+): Promise<readonly string[]> {
+  const found: string[] = [];
+  for (const series of listLateSeries()) {
+    found.push(...(await findOld(KEYED, false, 1, series, mutate)));
+  }
+  return found;
+}
+
+/** Returns true when some series of steps shows that the mutated VMs are wrong. */
+async function isDetected(mutate: (model: ConfigurationModel) => void): Promise<boolean> {
+  const property = fc.asyncProperty(fc.nat(1_000), steps, async (draws, series) => {
+    expect(await findOld(KEYED, true, draws, series, mutate)).toEqual([]);
+  });
+  const { failed } = await fc.check(property, {
+    ...{ seed: SEED, numRuns: MUTANT_RUNS, endOnFailure: true },
+  });
+  return failed;
+}
+
 // A VM whose call was lost at the wrong moment decided by a version that was too old.
 describe('the configuration in force, beside a store that is silent, slow or refuses', () => {
   it('is in time on a site without keys and links', async function check() {
@@ -161,6 +195,11 @@
     expect(found).toEqual([]);
   });
 
+  it('is in time when answers arrive late and then none does', async function sweep() {
+    this.timeout(120_000);
+    expect(await findOldOfLate()).toEqual([]);
+  });
+
   // It asked only the store, which refused it, for a version that the other VMs had.
   it('is passed on to a VM that the store turns away', async () => {
     for (const mode of ['refuse', 'silent'] as const) {
@@ -195,3 +234,40 @@
     await checkInTime(KEYED, false);
   });
 });
+
+// Guards against a trial that can't see what it checks.
+describe('the trial of the configuration in force', () => {
+  it('detects a lease that begins when its answer arrives', async function detect() {
+    this.timeout(120_000);
+    const renewLate = ({ vms }: ConfigurationModel): void =>
+      vms.forEach(({ source: { verifier } }) => {
+        const original = verifier.handleAnswer.bind(verifier);
+        const handleAnswer = (version: number | undefined): boolean =>
+          original(version, performance.now());
+        Object.assign(verifier, { handleAnswer });
+      });
+    expect((await findOldOfLate(renewLate)).length > 0).toEqual(true);
+  });
+
+  it('detects an older version that is taken', async function detect() {
+    this.timeout(120_000);
+    const takeAny = ({ vms }: ConfigurationModel): void =>
+      vms.forEach(({ configuration }) => {
+        const update = configuration.update.bind(configuration);
+        const takeOver = (next: ServiceConfiguration): boolean => {
+          const isNew = update(next);
+          Object.assign(configuration, { current: next });
+          return isNew;
+        };
+        Object.assign(configuration, { update: takeOver });
+      });
+    expect(await isDetected(takeAny)).toEqual(true);
+  });
+
+  it('detects a refusal without a proof', async function detect() {
+    this.timeout(120_000);
+    const refuseAlways = ({ vms }: ConfigurationModel): void =>
+      vms.forEach(({ source: { verifier } }) => Object.assign(verifier, { mayRefuse: () => true }));
+    expect(await isDetected(refuseAlways)).toEqual(true);
+  });
+});
--- a/packages/engine/test/configurationmodel.ts
+++ b/packages/engine/test/configurationmodel.ts
@@ -27,6 +27,8 @@
 /** Way of a call to the store and of its answer. */
 const LATENCY_MS: Millis = 2;
 const SLOW_LATENCY_MS: Millis = 240;
+/** Part of the time for which a client still waits that a late answer takes. */
+const LATE_FRACTION = 0.95;
 const WATCH_POLL_MS: Millis = 10;
 const TICK_MS: Millis = 50;
 const PING_MS: Millis = 500;
@@ -45,8 +47,11 @@
   readonly revocationMs: Millis | undefined;
 }
 
-/** How the store treats the calls of a VM: `silent` loses their answers, `refuse` answers 503. */
-export type StoreMode = 'answer' | 'silent' | 'refuse' | 'slow';
+/**
+ * How the store treats the calls of a VM: `silent` loses their answers, `refuse` answers 503, and
+ * with `late` an answer is of the past when it arrives.
+ */
+export type StoreMode = 'answer' | 'silent' | 'refuse' | 'slow' | 'late';
 
 /** The store as all VMs share it. */
 class SharedStore {
@@ -96,7 +101,7 @@
   override async list(): Promise<StoreListing> {
     await this.send(LIST_TIMEOUT_MS);
     const listing = { objects: [this.shared.read()], revision: this.shared.revision, era: 1 };
-    await this.send(LIST_TIMEOUT_MS);
+    await this.answer(LIST_TIMEOUT_MS);
     return listing;
   }
 
@@ -115,10 +120,15 @@
     const { revision } = this.shared;
     const object = this.shared.read();
     const changes = object.revision > from ? [{ object, isDeleted: false }] : [];
-    await this.send(WATCH_SLACK_MS);
+    await this.answer(WATCH_SLACK_MS);
     return { changes, revision, era: 1 };
   }
 
+  private async answer(timeoutMs: Millis): Promise<void> {
+    if (this.mode === 'late') await wait(LATE_FRACTION * timeoutMs);
+    await this.send(timeoutMs);
+  }
+
   /** One way of a call or of its answer. */
   private async send(timeoutMs: Millis): Promise<void> {
     await wait(this.mode === 'slow' ? SLOW_LATENCY_MS : LATENCY_MS);
