--- a/packages/engine/src/configurationsource.ts
+++ b/packages/engine/src/configurationsource.ts
@@ -148,6 +148,7 @@
   ): void {
     const { parts, ageClock } = this.options;
     const askedMsAgo = Math.round(ageClock.readNow() - askedAt);
+    parts.metrics.configurationsTaken.inc({ call: origin.call });
     parts.log.info('configuration in force', {
       ...{ version, before, routes: routes.size, askedMsAgo, ...origin },
     });
--- a/packages/engine/src/forwarding.ts
+++ b/packages/engine/src/forwarding.ts
@@ -22,7 +22,7 @@
 }
 
 /** A configuration that another VM has passed on. */
-export interface PassedOn {
+export interface ReceivedConfiguration {
   readonly configuration: ServiceConfiguration;
   /** When it was the newest, on the clock that includes suspensions; undefined if not proved. */
   readonly provedAt: Millis | undefined;
@@ -84,7 +84,7 @@
    *
    * @throws ConnectionError when it doesn't answer in time.
    */
-  abstract requestConfiguration(known: number): Promise<PassedOn | undefined>;
+  abstract requestConfiguration(known: number): Promise<ReceivedConfiguration | undefined>;
 
   abstract handleTick(): void;
 }
--- a/packages/engine/src/index.ts
+++ b/packages/engine/src/index.ts
@@ -40,7 +40,7 @@
 export { compareDrafts } from './configurationchange.js';
 export type { ConfigurationEffect } from './configurationchange.js';
 export { ConfigurationVerifier } from './configurationverifier.js';
-export type { PassedOn } from './forwarding.js';
+export type { ReceivedConfiguration } from './forwarding.js';
 export type { ProofAge, ProofDescription } from './configurationverifier.js';
 export { CallerIdentity, UNPROVED_REFUSAL } from './identity.js';
 export type { Authorization } from './identity.js';
--- a/packages/engine/src/metrics.ts
+++ b/packages/engine/src/metrics.ts
@@ -71,6 +71,14 @@
     registers: [this.registry],
   });
 
+  /** Versions of the configuration that came into force, by the `call` that brought them. */
+  readonly configurationsTaken = createCounter(
+    this.registry,
+    'configurations_taken_total',
+    'Versions of the configuration that came into force',
+    ['call'],
+  );
+
   /** Requests and sessions that were refused before any work, by `reason`. */
   readonly authorizationRefusals = createCounter(
     this.registry,
--- a/packages/engine/test/configurationmodel.ts
+++ b/packages/engine/test/configurationmodel.ts
@@ -6,7 +6,7 @@
   Metrics,
   ObjectStore,
   OrganisationIndex,
-  type PassedOn,
+  type ReceivedConfiguration,
   type ServiceConfiguration,
   type StoreChanges,
   type StoredObject,
@@ -231,7 +231,7 @@
     this.vms.forEach(({ source }) => source.watcher.stop());
   }
 
-  private async passOn(known: number): Promise<PassedOn | undefined> {
+  private async passOn(known: number): Promise<ReceivedConfiguration | undefined> {
     const sentAt = performance.now();
     await wait(LATENCY_MS);
     const vm = this.vms.find(({ configuration }) => (configuration.read()?.version ?? 0) > known);
--- a/packages/engine/test/virtualfleet.ts
+++ b/packages/engine/test/virtualfleet.ts
@@ -11,7 +11,7 @@
   Metrics,
   NotRunError,
   OddEntryReporter,
-  type PassedOn,
+  type ReceivedConfiguration,
   type ServiceConfiguration,
   type StoredObject,
   SystemClock,
@@ -107,7 +107,7 @@
     return answer;
   }
 
-  override async requestConfiguration(known: number): Promise<PassedOn | undefined> {
+  override async requestConfiguration(known: number): Promise<ReceivedConfiguration | undefined> {
     await wait(1);
     await applyMode(this.readMode(), () => new ConnectionError('the link is cut'));
     const found = [...this.links.values()].map(({ host }) => host.readConfiguration());
--- a/packages/forwarding/src/forwarder.ts
+++ b/packages/forwarding/src/forwarder.ts
@@ -9,7 +9,7 @@
   type HomeStatus,
   type Lease,
   NotRunError,
-  type PassedOn,
+  type ReceivedConfiguration,
   type VmAddress,
   waitAtMost,
   type WorkRequest,
@@ -162,7 +162,7 @@
     return this.findLink(vm, this.host.clock.readNow())?.requestPermits(request);
   }
 
-  override async requestConfiguration(known: number): Promise<PassedOn | undefined> {
+  override async requestConfiguration(known: number): Promise<ReceivedConfiguration | undefined> {
     const now = this.host.clock.readNow();
     const links = [...this.links.values()].filter((link) => link.isUsable(now));
     const link = links.find(({ provedVersion }) => provedVersion > known);
--- a/packages/forwarding/src/link.ts
+++ b/packages/forwarding/src/link.ts
@@ -10,7 +10,7 @@
   ClientGuard,
   HomeStatus,
   Log,
-  PassedOn,
+  ReceivedConfiguration,
   VmAddress,
   WorkRequest,
 } from '@shallotpick/engine';
@@ -177,7 +177,7 @@
   }
 
   /** Asks the home for its configuration; undefined when it doesn't answer or passes none on. */
-  async requestConfiguration(): Promise<PassedOn | undefined> {
+  async requestConfiguration(): Promise<ReceivedConfiguration | undefined> {
     this.usedAt = this.options.clock.readNow();
     if (this.isClosed || !this.supports('configurations')) return undefined;
     const sentAt = this.options.ageClock.readNow();
