Keep a link open beside a configuration that is too large for it

Found reading: the answer closed the link, with the work of all callers on it, when the digests of very many short keys went beyond a frame. The VM that asked is told that there is none, as before. The spec failed before: no configuration after the large one.

--- a/packages/forwarding/src/configurationschema.ts
+++ b/packages/forwarding/src/configurationschema.ts
@@ -1,8 +1,8 @@
 import { OrganisationIndex, type ServiceConfiguration } from '@shallotpick/engine';
 import * as z from 'zod';
 
-/** Bounds the entries of one message; the store's largest object has fewer. */
-const MAX_ENTRIES = 65_536;
+/** Bounds the entries of one message; a frame holds fewer. */
+const MAX_ENTRIES = 1_000_000;
 
 const count = z.number().int().nonnegative();
 const duration = z.number().nonnegative();
--- a/packages/forwarding/src/home.ts
+++ b/packages/forwarding/src/home.ts
@@ -177,18 +177,24 @@
   private answerConfiguration(number: number): void {
     this.verified
       ?.then((isVerified) => {
-        if (isVerified) this.send({ type: 'configured', number, ...this.describeConfiguration() });
+        if (isVerified) this.sendConfiguration(number);
       })
       .catch((error: unknown) => this.socket.close(String(error)));
   }
 
-  /** The configuration in force with the age of its proof, if there are any. */
-  private describeConfiguration() {
-    const configuration = this.host.readConfiguration();
-    if (!configuration) return {};
+  /** Sends the configuration in force with the age of its proof; none that a link doesn't take. */
+  private sendConfiguration(number: number): void {
+    const inForce = this.host.readConfiguration();
+    const configuration = inForce && toPassedConfiguration(inForce);
     const provedMsAgo = this.host.readProof()?.ageMs;
-    const passed = { configuration: toPassedConfiguration(configuration) };
-    return provedMsAgo === undefined ? passed : { ...passed, provedMsAgo };
+    const proof = provedMsAgo === undefined ? {} : { provedMsAgo };
+    try {
+      if (configuration) this.send({ type: 'configured', number, configuration, ...proof });
+      else this.send({ type: 'configured', number });
+    } catch (error) {
+      this.host.log.warn('configuration not passed on', { vm: this.peer, error: String(error) });
+      this.send({ type: 'configured', number });
+    }
   }
 
   private handleHello(version: number, vm: string): void {
--- a/packages/forwarding/test/passedconfiguration.spec.ts
+++ b/packages/forwarding/test/passedconfiguration.spec.ts
@@ -9,6 +9,8 @@
 /** Until a ping and its answer have passed. */
 const PING_MS = 700;
 const KEY = 'secret-of-north';
+/** More than the frames of a link hold. */
+const MANY_KEYS = 200_000;
 const RATE = { ratePerSecond: 5, burst: 2 };
 
 const CONFIGURATION: ServiceConfiguration = {
@@ -57,6 +59,17 @@
     expect(await entry.forwarding.requestConfiguration(7)).toEqual(undefined);
   });
 
+  // An answer that a link does not take closed it, with the work of all callers.
+  it('is kept back, beside the other work of the link, when it is too large', async () => {
+    const keys = Array.from({ length: MANY_KEYS }, (_, index) => String(index));
+    const organisations = new OrganisationIndex([{ name: 'north', keys, rateLimit: undefined }]);
+    home.configuration = { ...CONFIGURATION, organisations };
+    await wait(PING_MS);
+    expect(await entry.forwarding.requestConfiguration(6)).toEqual(undefined);
+    home.configuration = CONFIGURATION;
+    expect((await entry.forwarding.requestConfiguration(6))?.configuration.version).toEqual(7);
+  });
+
   // Keys leave a process in no message.
   it('tells no key', () => {
     const text = JSON.stringify(toPassedConfiguration(CONFIGURATION));
