--- a/review/lib-3/group.mjs
+++ b/review/lib-3/group.mjs
@@ -395,8 +395,9 @@
         one.log.push(...leader.log.slice(one.log.length));
         const count = one.log.length;
         setTimeout(() => {
-          if (one.isUp && !one.leads)
-            { one.appliedCount = Math.min(one.log.length, Math.max(one.appliedCount, count)); }
+          if (one.isUp && !one.leads) {
+            one.appliedCount = Math.min(one.log.length, Math.max(one.appliedCount, count));
+          }
         }, this.options.applyMs);
       }, this.options.receiveMs);
     });
--- a/review/lib-3/store.mjs
+++ b/review/lib-3/store.mjs
@@ -42,6 +42,9 @@
 
   waiting = new Set();
 
+  /** Sockets of the watches that wait. */
+  watching = new Set();
+
   /** How late answers to reads and writes are. */
   delayMs = 4;
 
@@ -61,6 +64,11 @@
     this.server.closeAllConnections();
   }
 
+  /** Cuts off the watches that wait. */
+  cutWatches() {
+    this.watching.forEach((socket) => socket.destroy());
+  }
+
   kind(kind) {
     if (!this.objects.has(kind)) this.objects.set(kind, new Map());
     return this.objects.get(kind);
@@ -119,10 +127,18 @@
     if (from !== null) return this.watch(kind, Number(from), url, response);
     const after = url.searchParams.get('after');
     const names = [...objects.keys()].sort().filter((one) => after === null || one > after);
-    const items = names.slice(0, 500).map((one) => objects.get(one));
+    const items = [];
+    let bytes = 0;
+    for (const one of names) {
+      const object = objects.get(one);
+      bytes += JSON.stringify(object).length;
+      // A page has about 500 objects or 1 MB at most.
+      if (items.length >= 500 || (items.length > 0 && bytes > 1_000_000)) break;
+      items.push(object);
+    }
     return answer(response, 200, {
       items,
-      more: names.length > 500,
+      more: names.length > items.length,
       store_revision: this.revision,
     });
   }
@@ -145,9 +161,11 @@
     };
     timer = setTimeout(finish, waitMs);
     this.waiting.add(check);
+    this.watching.add(response.socket);
     response.on('close', () => {
       clearTimeout(timer);
       this.waiting.delete(check);
+      this.watching.delete(response.socket);
     });
     check();
     return undefined;
