--- a/review/lib-3/deployment.mjs
+++ b/review/lib-3/deployment.mjs
@@ -44,6 +44,7 @@
   const store = new Store();
   const group = new Group(store, { name: 'db1', ...options }, (entry) => recorder.add(entry));
   const cloud = new CloudApi((_, id) => group.promote(id));
+  cloud.record = (entry) => recorder.add(entry);
   await store.start();
   await cloud.start();
   await group.start();
--- a/review/lib-3/group.mjs
+++ b/review/lib-3/group.mjs
@@ -327,7 +327,7 @@
     this.store = store;
     this.name = options.name;
     this.options = {
-      ...{ slots: 3, connections: 46, connectMs: 27, workMs: 5, receiveMs: 1, applyMs: 8 },
+      ...{ slots: 3, connections: 46, connectMs: 27, workMs: 5, receiveMs: () => 1, applyMs: 8 },
       ...{ promoteMs: 600, copies: 3, zones: ['zone-a', 'zone-b', 'zone-c'] },
       ...options,
     };
@@ -387,19 +387,20 @@
 
   /** Sends what replicas lack. */
   ship(leader) {
+    const { length } = leader.log;
     this.instances.forEach((one) => {
       if (one === leader || !one.isUp || one.heldTerm > 0 || one.isDeaf) return;
       setTimeout(() => {
         if (!one.isUp || one.heldTerm > 0 || one.isDeaf || !leader.leads || !leader.isUp) return;
         one.term = this.term;
-        one.log.push(...leader.log.slice(one.log.length));
+        one.log.push(...leader.log.slice(one.log.length, length));
         const count = one.log.length;
         setTimeout(() => {
           if (one.isUp && !one.leads) {
             one.appliedCount = Math.min(one.log.length, Math.max(one.appliedCount, count));
           }
         }, this.options.applyMs);
-      }, this.options.receiveMs);
+      }, this.options.receiveMs(one));
     });
   }
 
--- a/review/lib-3/store.mjs
+++ b/review/lib-3/store.mjs
@@ -48,6 +48,9 @@
   /** How late answers to reads and writes are. */
   delayMs = 4;
 
+  /** True for a write that is done and gets no answer. */
+  isAnswerLost = () => false;
+
   server = createServer((request, response) => {
     setTimeout(() => {
       this.handle(request, response).catch((error) => answer(response, 500, { error: `${error}` }));
@@ -188,7 +191,10 @@
       found.status = body?.status ?? {};
       return answer(response, 200, found);
     }
-    return answer(response, 200, this.put(kind, name, body?.spec ?? {}));
+    const object = this.put(kind, name, body?.spec ?? {});
+    // A connection on which a response is lost returns nothing further.
+    if (this.isAnswerLost({ kind, name, spec: object.spec })) return undefined;
+    return answer(response, 200, object);
   }
 }
 
@@ -196,7 +202,10 @@
 export class CloudApi {
   seen = new Map();
 
-  calls = [];
+  /** How late a call is carried out that gets no answer; 0 for one that is answered at once. */
+  findDelay = () => 0;
+
+  record = () => undefined;
 
   server = createServer((request, response) => {
     this.handle(request, response).catch((error) => answer(response, 500, { error: `${error}` }));
@@ -221,10 +230,18 @@
     const body = await readBody(request);
     const holder = request.headers['x-lease-holder'];
     const token = Number(request.headers['x-fencing-token']);
-    const isFenced = token < (this.seen.get(body.service) ?? 0);
-    if (!isFenced) this.seen.set(body.service, token);
-    const status = !isFenced && this.promote(body.service, body.id) ? 200 : 409;
-    this.calls.push({ at: Date.now(), holder, token, ...body, status });
-    answer(response, status, {});
+    const call = { holder, token, ...body };
+    const lateMs = this.findDelay(call);
+    if (lateMs > 0) setTimeout(() => this.carryOut(call), lateMs);
+    else answer(response, this.carryOut(call), {});
+  }
+
+  /** Checks the fence when the call is carried out; returns the status of the answer. */
+  carryOut({ holder, token, service, id }) {
+    const isFenced = token < (this.seen.get(service) ?? 0);
+    if (!isFenced) this.seen.set(service, token);
+    const status = !isFenced && this.promote(service, id) ? 200 : 409;
+    this.record({ kind: 'promotion call carried out', holder, token, service, id, status });
+    return status;
   }
 }
--- a/review/lib-3/vm.mjs
+++ b/review/lib-3/vm.mjs
@@ -129,6 +129,12 @@
     this.child?.kill(signal);
   }
 
+  /** Removes the machine for good, with SIGTERM. */
+  remove() {
+    this.asked = 'stay down';
+    this.child?.kill('SIGTERM');
+  }
+
   async isReady() {
     try {
       const signal = AbortSignal.timeout(500);
