--- a/review/lib-3/group.mjs
+++ b/review/lib-3/group.mjs
@@ -264,6 +264,12 @@
     }, 3 * HEARTBEAT_MS).unref();
   }
 
+  /** Forgets everything; the next start under this `id` knows nothing of before. */
+  forget() {
+    Object.assign(this, { log: [], appliedCount: 0, term: 1, heldTerm: 0, leads: false });
+    Object.assign(this, { born: Date.now(), sequence: 0 });
+  }
+
   beat() {
     this.sequence += 1;
     const { slots } = this.group.options;
@@ -409,7 +415,9 @@
     const instance = this.instances.find((one) => one.id === id && one.isUp);
     if (!instance) return false;
     if (instance === this.leader) return true;
-    setTimeout(() => this.apply(instance), this.options.promoteMs);
+    // The newest accepted order takes the place of an earlier one.
+    clearTimeout(this.promotion);
+    this.promotion = setTimeout(() => this.apply(instance), this.options.promoteMs);
     return true;
   }
 
@@ -429,7 +437,8 @@
       if ((wasLeader || one === instance) && one.isUp) one.beat();
     });
     instance.appliedCount = instance.log.length;
-    this.note({ kind: 'promoted', instance: instance.id, term: this.term });
+    const { length } = instance.log;
+    this.note({ kind: 'promoted', instance: instance.id, term: this.term, length });
     this.ship(instance);
   }
 }
