--- a/review/lib-3/group.mjs
+++ b/review/lib-3/group.mjs
@@ -372,6 +372,7 @@
 
   /** Acknowledges once a replica has received the entry; false when the lead is lost before. */
   async commit(leader, writes) {
+    if (!leader.isUp || !leader.leads) return false;
     const { term } = this;
     const entry = { term, writes };
     leader.log.push(entry);
