Settle a promotion record by a proof, never by time

Cause: "settled" tells that no order to promote can change the leader any more, and commits are handed on by it. The holder wrote it after 2.5 s in any case, while a call without an answer may be carried out for 12 s. The same statement rested on the orders of one process when another holder's or a former process's open record was taken over, and on the time from an order instead of from the answer to the newer one that outdates it.

Change: Settlement creates the only proof with which a record is written as settled: the platform has accepted an order under the claim's token, or only orders of this process can be in flight and none can be carried out any more. Without one the record stays open, and the holder orders the leader that stays at once under a new claim. A gauge and a log line tell of a record that stays open.

--- a/packages/bench/src/invariants.ts
+++ b/packages/bench/src/invariants.ts
@@ -150,6 +150,7 @@
   readonly restarts: boolean;
   readonly outages: boolean;
   readonly partitions: boolean;
+  readonly claims: boolean;
   readonly 'data-losses': boolean;
 }
 
@@ -161,6 +162,7 @@
   options: ScenarioOptions,
 ): readonly SeedReport[] {
   if (options.outages) return [checkTakeovers(seed, runs, 'outages')];
+  if (options.claims) return [checkTakeovers(seed, runs, 'claims')];
   if (options.partitions) return [checkTakeovers(seed, runs, 'partitions')];
   if (options.restarts) return [checkTakeovers(seed, runs, 'restarts')];
   const withDataLosses = options['data-losses'];
@@ -187,6 +189,8 @@
       outages: { type: 'boolean', default: false },
       /** Lets VMs differ in what they reach while instances start again; takeovers only. */
       partitions: { type: 'boolean', default: false },
+      /** Lets VMs learn of their claims late, and orders to promote take effect late; takeovers only. */
+      claims: { type: 'boolean', default: false },
       /** Lets instances lose their data and come back empty under their ids. */
       'data-losses': { type: 'boolean', default: false },
     },
--- a/packages/bench/src/takeover/armedfaults.ts
+++ b/packages/bench/src/takeover/armedfaults.ts
@@ -3,6 +3,7 @@
 import type { SyncGroup } from './group.js';
 import type { RestartFaults } from './restartfaults.js';
 import type { SyncInstance } from './syncinstance.js';
+import type { SimulatedVm } from './vm.js';
 
 /** A new leader crashes within this time after it took the lead. */
 const MAX_LEAD_MS = 500;
@@ -13,6 +14,9 @@
 /** A candidate that restarts before the order is back sooner than the call is carried out. */
 const MAX_DOWN_BEFORE_ORDER_MS = 3;
 
+/** A fault that waits for a claim ends by then. */
+const MAX_CLAIM_WAIT_MS = 8_000;
+
 /** A fault that waits for a change of the leader until `until`. */
 interface LeaderWatch {
   /** How many promotions had been carried out when the fault began. */
@@ -27,12 +31,22 @@
   readonly run: (candidate: SyncInstance) => void;
 }
 
+/** A fault that waits for a claim of the record until `until`. */
+interface ClaimWatch {
+  readonly until: number;
+  /** How many claims pass before it. */
+  readonly skipped: number;
+  readonly run: (vm: SimulatedVm) => void;
+}
+
 /** Faults that wait for an event of a takeover. */
 export class ArmedFaults {
   private leaderWatches: readonly LeaderWatch[] = [];
 
   private orderWatches: readonly OrderWatch[] = [];
 
+  private claimWatches: readonly ClaimWatch[] = [];
+
   constructor(
     private readonly group: SyncGroup,
     private readonly clock: VirtualClock,
@@ -82,6 +96,25 @@
     this.orderWatches = [...this.orderWatches, { until: this.clock.now + duration, run }];
   }
 
+  /** Lets a VM stand still while the answer to its claim is on its way, after `skipped` others. */
+  freezeClaimant(duration: number, skipped: number): void {
+    const run = (vm: SimulatedVm): void => {
+      Object.assign(vm, { isPaused: true });
+      this.clock.schedule(duration, () => vm.resume());
+    };
+    const until = this.clock.now + MAX_CLAIM_WAIT_MS;
+    this.claimWatches = [...this.claimWatches, { until, skipped, run }];
+  }
+
+  /** Runs the faults that wait for a claim; called before the store receives it. */
+  handleClaim(vm: SimulatedVm): void {
+    const waiting = this.claimWatches.filter(({ until }) => this.clock.now <= until);
+    this.claimWatches = waiting
+      .filter(({ skipped }) => skipped > 0)
+      .map((watch) => ({ ...watch, skipped: watch.skipped - 1 }));
+    waiting.filter(({ skipped }) => skipped === 0).forEach(({ run }) => run(vm));
+  }
+
   /** Runs the faults that wait for a new leader, once there is one. */
   handleStep(now: number): void {
     const { promotions } = this.group;
--- a/packages/bench/src/takeover/faultinjector.ts
+++ b/packages/bench/src/takeover/faultinjector.ts
@@ -20,6 +20,8 @@
 const STORE_CUT_FACTOR = 4;
 /** Faults of a leader and of a replica that share a kind are told apart by picks below and from. */
 const REPLICA_PICK = 3;
+/** A VM that stands still at a claim does so after fewer other claims than this. */
+const SKIPPED_CLAIMS = 3;
 
 /** What faults affect. */
 export interface FaultTargets {
@@ -70,6 +72,11 @@
     this.armed.handleOrder(instance);
   }
 
+  /** Lets the faults that wait for a claim see one that is about to be sent. */
+  handleClaim(vm: SimulatedVm): void {
+    this.armed.handleClaim(vm);
+  }
+
   /** Starts a fault. */
   inject({ kind, duration, pick }: TakeoverFault): void {
     const { restarts, leaving, outages, armed, vmFaults, platformFaults } = this;
@@ -115,6 +122,7 @@
         else if (leader) leaving.replace(leader, duration);
       })
       .with('staleLists', () => vmFaults.delayLists(pick, duration))
+      .with('freezeClaimant', () => armed.freezeClaimant(duration, pick % SKIPPED_CLAIMS))
       .with('pauseVm', () => vmFaults.pause(pick, duration))
       .with('killVm', () => vmFaults.kill(pick))
       .with('killAllVms', () => vmFaults.killAll())
@@ -124,6 +132,7 @@
       .with('loseStoreAnswers', () => platformFaults.set('losesAnswers', duration))
       .with('loseOrders', () => platformFaults.set('losesOrders', duration))
       .with('losePromotions', () => platformFaults.set('losesPromotions', duration))
+      .with('delayPromotions', () => platformFaults.set('delaysPromotions', duration))
       .exhaustive();
   }
 
--- a/packages/bench/src/takeover/group.ts
+++ b/packages/bench/src/takeover/group.ts
@@ -199,6 +199,17 @@
     this.pendingPromotions.forEach((order) => order.watch(now, this.instances, vms));
   }
 
+  /** Finds the instance of an accepted order that may still take effect. */
+  findPendingPromotion(): string | undefined {
+    return this.pendingPromotions.find((order) => this.canTakeEffect(order))?.instance.id;
+  }
+
+  /** True for an accepted order that changes the leader if its instance runs when it is due. */
+  private canTakeEffect({ instance, processNumber }: AcceptedOrder): boolean {
+    if (instance.isLeader) return false;
+    return instance.processNumber === processNumber || this.promotionRules.outlastsRestart;
+  }
+
   /** Ends the accepted orders that were given under a lower token. */
   private endEarlierOrders(token: number): void {
     this.pendingPromotions = this.pendingPromotions.filter((order) => order.token >= token);
@@ -242,10 +253,8 @@
   }
 
   private finishPromotion(pending: AcceptedOrder, now: number): void {
-    const { instance, processNumber } = pending;
-    if (!instance.isAlive || instance.isLeader) return;
-    const hasRestarted = instance.processNumber !== processNumber;
-    if (hasRestarted && !this.promotionRules.outlastsRestart) return;
+    const { instance } = pending;
+    if (!instance.isAlive || !this.canTakeEffect(pending)) return;
     this.term += 1;
     this.promotions += 1;
     const held = new Set(instance.log.map(({ id }) => id));
--- a/packages/bench/src/takeover/invariants.ts
+++ b/packages/bench/src/takeover/invariants.ts
@@ -7,6 +7,7 @@
   RESTART_RUN_SETTINGS,
 } from './runsettings.js';
 import {
+  claimArbitrary,
   outageArbitrary,
   partitionArbitrary,
   restartArbitrary,
@@ -37,6 +38,7 @@
   takeovers: { scenarios: takeoverArbitrary, settings: DEFAULT_RUN_SETTINGS },
   restorations: { scenarios: restorationArbitrary, settings: DEFAULT_RUN_SETTINGS },
   restarts: { scenarios: restartArbitrary, settings: RESTART_RUN_SETTINGS },
+  claims: { scenarios: claimArbitrary, settings: PARTITION_RUN_SETTINGS },
   partitions: { scenarios: partitionArbitrary, settings: PARTITION_RUN_SETTINGS },
   outages: { scenarios: outageArbitrary, settings: OUTAGE_RUN_SETTINGS },
 } as const;
--- a/packages/bench/src/takeover/platform.ts
+++ b/packages/bench/src/takeover/platform.ts
@@ -27,6 +27,12 @@
   readonly at: number;
 }
 
+/** A call to promote that the platform has not carried out yet. */
+interface CallInFlight {
+  readonly instance: string;
+  readonly token: number;
+}
+
 /** The record at some time, and the store's revision at its last change. */
 interface RecordCopy {
   readonly record: PromotionRecord | undefined;
@@ -51,6 +57,9 @@
 
   losesPromotions = false;
 
+  /** Every call to promote is carried out late, without an answer. */
+  delaysPromotions = false;
+
   violation: TakeoverViolation | undefined;
 
   private readonly history: RecordCopy[] = [];
@@ -59,6 +68,8 @@
 
   private readonly promotionOrders: PromotionOrder[] = [];
 
+  private readonly callsInFlight = new Set<CallInFlight>();
+
   constructor(
     private readonly clock: VirtualClock,
     private readonly random: Random,
@@ -76,6 +87,7 @@
       this.version += 1;
       this.record = record;
       this.history.push({ record, version: this.version, at: this.clock.now });
+      if (record.phase === 'settled') this.checkSettled(record);
       return true;
     };
     const isLost = this.losesAnswers && this.random.next() < LOSS_RATE;
@@ -121,8 +133,14 @@
     token: number,
     answer: (result: 'accepted' | 'refused' | 'unknown') => void,
   ): void {
-    const isLate = this.losesPromotions && this.random.next() < LOSS_RATE;
-    const apply = (): 'accepted' | 'refused' => this.applyPromotion(vm, instance, token);
+    const isLost = this.losesPromotions && this.random.next() < LOSS_RATE;
+    const isLate = isLost || this.delaysPromotions;
+    const call: CallInFlight = { instance, token };
+    this.callsInFlight.add(call);
+    const apply = (): 'accepted' | 'refused' => {
+      this.callsInFlight.delete(call);
+      return this.applyPromotion(vm, instance, token);
+    };
     if (isLate) {
       this.clock.schedule(2_000 + this.random.nextInt(MAX_LATE_MS - 2_000), apply);
       this.clock.schedule(400, () => answer('unknown'));
@@ -147,7 +165,7 @@
   }
 
   private applyPromotion(vm: string, instance: string, token: number): 'accepted' | 'refused' {
-    if (this.rules.checksFence && token < this.highestToken) return 'refused';
+    if (!this.isInForce(token)) return 'refused';
     this.checkPromotionOrder({ vm, token, at: this.clock.now });
     const isRunning = this.group.promote(instance, token, this.clock.now);
     if (isRunning || this.group.promotionRules.raisesFenceWhenStopped) {
@@ -179,10 +197,32 @@
 
   /** True while every call is carried out and answered at once. */
   isCalm(): boolean {
-    return !(this.isDown || this.losesAnswers || this.losesOrders || this.losesPromotions);
+    const { isDown, losesAnswers, losesOrders, losesPromotions, delaysPromotions } = this;
+    return !(isDown || losesAnswers || losesOrders || losesPromotions || delaysPromotions);
   }
 
   private report(detail: string, at: number): void {
     this.violation ??= { guarantee: 'one holder orders promotions', at, detail };
   }
+
+  /** Checks a record that was written as settled: no order may change the leader any more. */
+  private checkSettled({ holder, generation }: PromotionRecord): void {
+    const leader = this.group.findLeader()?.id;
+    const called = [...this.callsInFlight].find(
+      ({ instance, token }) => instance !== leader && this.isInForce(token),
+    );
+    const ordered = called?.instance ?? this.group.findPendingPromotion();
+    if (ordered === undefined) return;
+    const state = called ? 'may still be carried out' : 'has not taken effect';
+    this.violation ??= {
+      guarantee: 'no record is settled while an order may change the leader',
+      at: this.clock.now,
+      detail: `${holder} settled claim ${generation}; an order for ${ordered} ${state}`,
+    };
+  }
+
+  /** False for a token that is older than one which the platform has seen. */
+  private isInForce(token: number): boolean {
+    return !this.rules.checksFence || token >= this.highestToken;
+  }
 }
--- a/packages/bench/src/takeover/platformfaults.ts
+++ b/packages/bench/src/takeover/platformfaults.ts
@@ -4,7 +4,8 @@
 const RESTORE_STEP_MS = 200;
 
 /** A state of the platform that a fault sets for some time. */
-type PlatformState = 'isDown' | 'losesAnswers' | 'losesOrders' | 'losesPromotions';
+type PlatformState =
+  'isDown' | 'losesAnswers' | 'losesOrders' | 'losesPromotions' | 'delaysPromotions';
 
 /** Faults of the platform's store, and of the calls and orders that it carries. */
 export class PlatformFaults {
--- a/packages/bench/src/takeover/scenario.ts
+++ b/packages/bench/src/takeover/scenario.ts
@@ -7,6 +7,12 @@
 /** Sizes of the groups of runs with outages. */
 const MIN_INSTANCES = 3;
 const MAX_INSTANCES = 5;
+/** Most VMs of the runs with late claims. */
+const MAX_CLAIM_VMS = 3;
+/** About the time in which a leader returns, and its holder learns of a late claim. */
+const CLAIM_MOMENT_MS = 3_000;
+/** Longest absence of the leader in these runs. */
+const MAX_ABSENCE_MS = 4_000;
 
 /** Kinds that stand twice are drawn twice as often. */
 const FAULT_KINDS = [
@@ -116,11 +122,39 @@
   'deafReplica',
 ] as const;
 
+/** Faults that take the leader away for a time, in runs with late claims and late orders. */
+const LEADER_KINDS = [
+  'crashLeader',
+  'crashLeader',
+  'cutLeaderFromVms',
+  'markLeaderLeaving',
+] as const;
+
+/** Faults beside these: of the VM that claims, of the store and of the instances. */
+const CLAIM_KINDS = [
+  'freezeClaimant',
+  'freezeClaimant',
+  'freezeClaimant',
+  'delayStore',
+  'loseStoreAnswers',
+  'pauseVm',
+  'killVm',
+  'killVm',
+  'cutVmFromStore',
+  'storeDown',
+  'loseOrders',
+  'losePromotions',
+  'crashLeader',
+  'crashReplica',
+  'delayPromotions',
+] as const;
+
 /** Name of a fault. */
 export type TakeoverFaultKind =
   | (typeof OUTAGE_KINDS)[number]
   | (typeof RESTORATION_KINDS)[number]
-  | (typeof PARTITION_KINDS)[number];
+  | (typeof PARTITION_KINDS)[number]
+  | (typeof CLAIM_KINDS)[number];
 
 /** One fault of a run; `pick` chooses what it affects. */
 export interface TakeoverFault {
@@ -136,6 +170,8 @@
   readonly faults: readonly TakeoverFault[];
   /** How many instances the group has; three unless given. */
   readonly instances?: number;
+  /** How many VMs run; three unless given. */
+  readonly vms?: number;
 }
 
 /** A fault whose time is relative to the moment of its run, or to the start. */
@@ -199,6 +235,31 @@
 /** The same with VMs that differ in what they reach. */
 export const partitionArbitrary = createScenarioArbitrary(PARTITION_KINDS, 6);
 
+/**
+ * Scenarios in which the leader is away for a time, the first orders to promote are carried out late,
+ * and what the holder learns is late as well; few VMs could act on its open record.
+ */
+export const claimArbitrary: fc.Arbitrary<TakeoverScenario> = fc
+  .record({
+    seed: fc.integer(),
+    vms: fc.integer({ min: 1, max: MAX_CLAIM_VMS }),
+    moment: fc.integer({ min: MIN_FAULT_AT_MS, max: FAULT_WINDOW_MS - CLAIM_MOMENT_MS }),
+    absence: createFaultArbitrary(LEADER_KINDS, MAX_ABSENCE_MS),
+    delayMs: fc.integer({ min: MIN_FAULT_AT_MS, max: MAX_FAULT_MS }),
+    others: fc.array(createFaultArbitrary(CLAIM_KINDS, MAX_FAULT_MS), { maxLength: 4 }),
+  })
+  .map(({ seed, vms, moment, absence, delayMs, others }) => ({
+    ...{ seed, vms },
+    faults: [
+      { ...absence, at: moment },
+      { kind: 'delayPromotions', at: moment, duration: delayMs, pick: 0 },
+      ...others.map(({ offset, ...rest }) => ({
+        ...rest,
+        at: moment + (offset % CLAIM_MOMENT_MS),
+      })),
+    ],
+  }));
+
 /** The same in groups of several sizes, with longer faults, and several instances or all VMs failing. */
 export const outageArbitrary: fc.Arbitrary<TakeoverScenario> = fc
   .tuple(
--- a/packages/bench/src/takeover/simulation.ts
+++ b/packages/bench/src/takeover/simulation.ts
@@ -1,7 +1,9 @@
 import {
   CommitGate,
   PromotionGate,
+  type PromotionOrders,
   PromotionRecordView,
+  Settlement,
   SuccessorSelector,
 } from '@shallotpick/core';
 import { createRandom, type Random } from '../random.js';
@@ -15,7 +17,7 @@
 import { SimulatedVm, VM_TICK_MS } from './vm.js';
 
 const STEP_MS = 10;
-const VMS = 3;
+const DEFAULT_VMS = 3;
 const DEFAULT_INSTANCES = 3;
 /** The VMs have watched the group for this long when the faults begin. */
 const WARM_UP_MS = 11_000;
@@ -26,6 +28,7 @@
   readonly createView: () => PromotionRecordView;
   readonly createGate: (selector: SuccessorSelector) => PromotionGate;
   readonly createCommitGate: () => CommitGate;
+  readonly createSettlement: (promotions: PromotionOrders) => Settlement;
 }
 
 /** The components that the product uses. */
@@ -36,6 +39,7 @@
   createView: () => new PromotionRecordView(),
   createGate: (selector) => new PromotionGate(selector),
   createCommitGate: () => new CommitGate(),
+  createSettlement: (promotions) => new Settlement(promotions),
 };
 
 /** Simulates a group with a synchronous replica, three VMs and faults in virtual time. */
@@ -68,7 +72,7 @@
     this.group = new SyncGroup(ids, this.random, promotionRules);
     this.platform = new SimulatedPlatform(this.clock, this.random, this.group, rules);
     this.vms = Array.from(
-      { length: VMS },
+      { length: scenario.vms ?? DEFAULT_VMS },
       (_, rank) =>
         new SimulatedVm({
           ...{ id: `vm-${rank}`, rank, ...rules },
@@ -76,6 +80,7 @@
           showsCrashes: settings.showsCrashes,
           createAttempt: () => this.createAttempt(),
           notifyOrder: (instance) => this.faults.handleOrder(instance),
+          notifyClaim: (vm) => this.faults.handleClaim(vm),
         }),
     );
     const { group, clock, random, platform, vms } = this;
--- a/packages/bench/src/takeover/vm.ts
+++ b/packages/bench/src/takeover/vm.ts
@@ -5,8 +5,10 @@
   type ConnectionTrace,
   type InstanceView,
   type PromotionGate,
+  type PromotionOrders,
   type PromotionRecord,
   type PromotionRecordView,
+  type Settlement,
   type StoreVersion,
   type SuccessorSelector,
   type TakeoverAction,
@@ -45,10 +47,13 @@
   readonly createAttempt: () => string;
   /** Called with the instance that an order to promote names, before the platform receives it. */
   readonly notifyOrder: (instance: string) => void;
+  /** Called when this VM claims the record, before the store receives it. */
+  readonly notifyClaim: (vm: SimulatedVm) => void;
   readonly createSelector: () => SuccessorSelector;
   readonly createView: () => PromotionRecordView;
   readonly createGate: (selector: SuccessorSelector) => PromotionGate;
   readonly createCommitGate: () => CommitGate;
+  readonly createSettlement: (promotions: PromotionOrders) => Settlement;
 }
 
 /** Simulates a VM with a TakeoverCoordinator, which learns of the group by probes and the store. */
@@ -205,13 +210,15 @@
   }
 
   private createCoordinator(): TakeoverCoordinator {
-    const { id: vm, rank, createAttempt, createSelector, createView, createGate } = this.options;
+    const { id: vm, rank, createAttempt, createView, createGate } = this.options;
+    const { createSelector, createSettlement } = this.options;
     const selector = createSelector();
     const coordinator = new TakeoverCoordinator(
       { group: 'group', vm, createAttempt },
       selector,
       createView(),
       createGate(selector),
+      createSettlement,
     );
     coordinator.updateRank(rank);
     return coordinator;
@@ -299,6 +306,7 @@
       .with({ kind: 'write' }, ({ record, expectedVersion }) => {
         if (this.isCutFromStore) return;
         const sentAt = this.options.clock.now;
+        if (record.phase === 'open') this.options.notifyClaim(this);
         platform.write(record, expectedVersion, (outcome, version) =>
           this.answerLate(() => {
             if (outcome === 'written') this.handleRecord(record, version, sentAt);
--- a/packages/bench/test/mutants/takeover.ts
+++ b/packages/bench/test/mutants/takeover.ts
@@ -14,6 +14,12 @@
   StartBlindSelector,
 } from './incarnation.js';
 import { CountingTokenView, EraBlindView, RevisionTokenView } from './recordview.js';
+import {
+  ClaimingSettlement,
+  OwnOrdersSettlement,
+  type SettlementConstructor,
+  TimedSettlement,
+} from './settlement.js';
 import { LeavingSelector, StaleReportSelector, UncheckedHandoverSelector } from './selector.js';
 
 /** The reports of the fenced instances, most advanced first. */
@@ -61,6 +67,11 @@
   createSelector: () => new Selector(),
 });
 
+const withSettlement = (Constructor: SettlementConstructor): TakeoverRules => ({
+  ...DEFAULT_TAKEOVER_RULES,
+  createSettlement: (promotions) => new Constructor(promotions),
+});
+
 /** Takeover rules with one deliberate fault each, by a description of the fault. */
 export const TAKEOVER_MUTANTS: Readonly<Record<string, TakeoverRules>> = {
   'promotes the first instance that answers': withSelector(FirstAnswerSelector),
@@ -104,3 +115,10 @@
   'hands on whatever the leader acknowledges': withCommitGate(TrustingCommitGate),
   'counts a replica whose order to stop may be gone': withCommitGate(AnyHolderCommitGate),
 };
+
+/** The same, for runs with claims that are learnt late and orders that are carried out late. */
+export const CLAIM_MUTANTS: Readonly<Record<string, TakeoverRules>> = {
+  'settles a record after some time': withSettlement(TimedSettlement),
+  'settles a record on its claim alone': withSettlement(ClaimingSettlement),
+  'settles a record without regard to orders of others': withSettlement(OwnOrdersSettlement),
+};
--- a/packages/bench/test/takeoverfaults.spec.ts
+++ b/packages/bench/test/takeoverfaults.spec.ts
@@ -52,6 +52,7 @@
           ...DEFAULT_TAKEOVER_RULES,
           createAttempt: () => 'attempt',
           notifyOrder: () => undefined,
+          notifyClaim: () => undefined,
         }),
     );
     const { vms } = this;
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -188,6 +188,9 @@
 export type { AcknowledgedCommit, CommitVerdict, InstanceAnswer } from './takeover/commitgate.js';
 export { ProcessContinuity } from './takeover/processcontinuity.js';
 export type { ConnectionTrace } from './takeover/processcontinuity.js';
+export { PromotionOrders } from './takeover/promotionorders.js';
+export { Settlement } from './takeover/settlement.js';
+export type { Claim, SettlementProof } from './takeover/settlement.js';
 export { TakeoverCoordinator } from './takeover/takeover.js';
 export type { TakeoverOptions } from './takeover/takeover.js';
 export type {
--- a/packages/core/src/takeover/attemptcontext.ts
+++ b/packages/core/src/takeover/attemptcontext.ts
@@ -3,6 +3,7 @@
 import type { OrderTimer } from './ordertimer.js';
 import type { PromotionGate, PromotionGrant } from './promotiongate.js';
 import type { PromotionOrders } from './promotionorders.js';
+import type { Settlement } from './settlement.js';
 import type { SuccessorSelector } from './successor.js';
 import type { StepOf, TakeoverActions } from './takeoverstep.js';
 import type { TakeoverPlan } from './takeovertypes.js';
@@ -13,6 +14,7 @@
   readonly gate: PromotionGate;
   readonly orders: FencingOrders;
   readonly promotions: PromotionOrders;
+  readonly settlement: Settlement;
   readonly completeness: GroupCompleteness;
   readonly timer: OrderTimer;
 }
@@ -27,6 +29,7 @@
   | { readonly kind: 'claim'; readonly plan: TakeoverPlan }
   /** Claims it anew to replace an order for an instance that has lost its log, on the same reports. */
   | { readonly kind: 'replaceOrder' }
+  /** Ends the attempt: settles the record, or makes sure first that no older order is in flight. */
   | { readonly kind: 'settle' }
   /** Abandons the attempt and reads the record again. */
   | { readonly kind: 'restart' };
--- a/packages/core/src/takeover/fencingstep.ts
+++ b/packages/core/src/takeover/fencingstep.ts
@@ -149,7 +149,7 @@
     if (leaving || !isRegistered || report?.role === 'replica') return undefined;
     const pending = promotions.listInFlight(now);
     if (pending.some(({ grant }) => !gate.isValid(grant))) return undefined;
-    if (report) return pending.length > 0 ? { kind: 'claim', plan: 'raise' } : { kind: 'settle' };
+    if (report) return { kind: 'settle' };
     return this.hasOrdered ? undefined : this.askStatus(id, now);
   }
 
--- a/packages/core/src/takeover/promotingstep.ts
+++ b/packages/core/src/takeover/promotingstep.ts
@@ -23,12 +23,12 @@
     instances: readonly InstanceView[],
     now: Millis,
   ): AttemptDecision {
-    const { gate, promotions } = this.context;
+    const { gate, settlement } = this.context;
     const elapsed = now - step.sentAt;
     // The platform promotes an id, whatever its log holds by now.
     if (!gate.isValid(step.grant)) return { kind: 'replaceOrder' };
     if (step.answer === 'accepted' && this.isLeading(step, instances, elapsed)) {
-      if (this.hasPromoted(step)) promotions.settle();
+      if (this.hasPromoted(step)) settlement.handlePromoted();
       return { kind: 'settle' };
     }
     if (step.answer === 'refused') return { kind: 'restart' };
--- a/packages/core/src/takeover/promotionorders.ts
+++ b/packages/core/src/takeover/promotionorders.ts
@@ -10,7 +10,7 @@
   readonly sentAt: Millis;
   /** True once the platform has accepted it: no newer token outdates it then. */
   readonly isAccepted: boolean;
-  /** Until when it may take effect. */
+  /** Until when it may take effect: it may be carried out late, and takes effect later still. */
   readonly until: Millis;
 }
 
@@ -51,8 +51,9 @@
     this.token = token;
     this.mayOrderAt = now + LEASE_MS + LEASE_MARGIN_MS;
     this.isSuperseded = false;
-    const sent = { token, grant, sentAt: now, isAccepted: false, until: now + LATE_CALL_MS };
-    this.inFlight = [...this.inFlight.filter(({ until }) => now < until), sent];
+    const until = now + LATE_CALL_MS + PROMOTION_TIMEOUT_MS;
+    const sent = { token, grant, sentAt: now, isAccepted: false, until };
+    this.inFlight = [...this.listInFlight(now), sent];
   }
 
   handleAnswer(token: number, answer: PromotionAnswer, now: Millis): void {
@@ -62,8 +63,8 @@
     if (answer === 'accepted') this.acceptOrder(token, now);
   }
 
-  /** Forgets the orders that can't take effect any more, since a newer one has. */
-  settle(): void {
+  /** Removes all orders: none can take effect any more. */
+  removeAll(): void {
     this.inFlight = [];
   }
 
@@ -83,7 +84,7 @@
 
   /**
    * An accepted order takes effect soon or not at all. It outdates those with older tokens that the
-   * platform has not seen yet; one that got no answer may have been accepted when it was sent.
+   * platform has not seen yet; one that got no answer may have been accepted just before.
    */
   private acceptOrder(token: number, now: Millis): void {
     this.inFlight = this.inFlight.map((order) => {
@@ -91,7 +92,7 @@
         return { ...order, isAccepted: true, until: now + PROMOTION_TIMEOUT_MS };
       }
       if (order.token > token || order.isAccepted) return order;
-      return { ...order, until: Math.min(order.until, order.sentAt + PROMOTION_TIMEOUT_MS) };
+      return { ...order, until: Math.min(order.until, now + PROMOTION_TIMEOUT_MS) };
     });
   }
 }
--- a/packages/core/src/takeover/recordview.ts
+++ b/packages/core/src/takeover/recordview.ts
@@ -98,6 +98,11 @@
     return this.record?.phase === 'open' && now - this.seenAt < ATTEMPT_TIMEOUT_MS;
   }
 
+  /** True for an open record whose attempt has taken longer than others wait for it. */
+  isAbandoned(now: Millis): boolean {
+    return this.record?.phase === 'open' && !this.isAttemptOpen(now);
+  }
+
   /**
    * Fencing token of a claim that was written at `version`. The store gives each revision of an era
    * to one write, so tokens are unique and rise, also across eras.
--- a/packages/core/src/takeover/takeover.ts
+++ b/packages/core/src/takeover/takeover.ts
@@ -11,6 +11,7 @@
 import { PromotingStep } from './promotingstep.js';
 import { formatSettledClaim, hasSameMembers, PromotionRecordView } from './recordview.js';
 import { compareStoreVersions, type StoreVersion } from '../configuration/storeversion.js';
+import { type Claim, Settlement, type SettlementProof } from './settlement.js';
 import { SuccessorSelector } from './successor.js';
 import { findRequiredPlan } from './requiredplan.js';
 import type {
@@ -28,6 +29,7 @@
   RECORD_TTL_MS,
   MAX_RECORD_MEMBERS,
   MEMBERS_INTERVAL_MS,
+  RAISE_RETRY_MS,
   RANK_STAGGER_MS,
   READ_INTERVAL_MS,
   WATCHING,
@@ -43,15 +45,6 @@
   readonly createAttempt: () => string;
 }
 
-/** A claim of the record that this VM has made. */
-interface Claim {
-  readonly record: PromotionRecord;
-  /** Fencing token of the orders that rest on it. */
-  readonly token: number;
-  /** When this VM learnt that it had been written. */
-  readonly at: Millis;
-}
-
 /**
  * Replaces the leader of a group whose commits are acknowledged by one synchronous replica. An
  * acknowledged commit is on the leader and on at least one replica, so a candidate is safe when
@@ -72,6 +65,8 @@
 
   private readonly promotions = new PromotionOrders();
 
+  private readonly settlement: Settlement;
+
   private readonly completeness = new GroupCompleteness();
 
   private readonly fencing: FencingStep;
@@ -85,10 +80,14 @@
     private readonly selector: SuccessorSelector = new SuccessorSelector(),
     private readonly view: PromotionRecordView = new PromotionRecordView(),
     private readonly gate: PromotionGate = new PromotionGate(selector),
+    createSettlement: (promotions: PromotionOrders) => Settlement = (promotions) =>
+      new Settlement(promotions),
   ) {
     const { timer, promotions, completeness } = this;
     this.orders = new FencingOrders(selector, timer);
-    const context = { selector, gate, orders: this.orders, promotions, completeness, timer };
+    this.settlement = createSettlement(promotions);
+    const { orders, settlement } = this;
+    const context = { selector, gate, orders, promotions, settlement, completeness, timer };
     this.fencing = new FencingStep(context);
     this.promoting = new PromotingStep(context);
   }
@@ -116,6 +115,11 @@
     return this.view.listReplaced().some((one) => isSamePlace(instance, one));
   }
 
+  /** The group's record as this VM knows it. */
+  readRecord(): PromotionRecord | undefined {
+    return this.view.record;
+  }
+
   /** Identifies the settled claim of the group's record; undefined unless none is open. */
   findSettledClaim(): string | undefined {
     const record = this.view.readCurrent();
@@ -142,6 +146,7 @@
     const isOwn = record?.holder === this.options.vm;
     // A claim of another VM may be among the writes that the store has lost.
     if (isNewEra || (record && !isOwn)) this.promotions.markSuperseded();
+    if (this.findSettledClaim() !== undefined) this.promotions.removeAll();
     if (step.kind === 'watching') return [];
     if (step.kind === 'claiming') return this.handleClaimResult(step, isOwn, now);
     // Another VM's claim ends the attempt of this one. One of an earlier era, written late, has no
@@ -185,6 +190,7 @@
   handlePromotion(token: number, answer: PromotionAnswer, now: Millis): void {
     const { step } = this;
     this.promotions.handleAnswer(token, answer, now);
+    this.settlement.handleAnswer(token, answer, now);
     if (step.kind !== 'promoting' || token !== this.claimed?.token) return;
     this.step = { ...step, answer };
   }
@@ -260,12 +266,22 @@
     const required = findRequiredPlan(instances, this.selector, now);
     if (required || !findLeader(instances)) return required;
     const { view } = this;
-    const isAbandoned = view.record?.phase === 'open' && !view.isAttemptOpen(now);
+    const isAbandoned = this.isHolder() ? this.mayRaiseOwn(now) : view.isAbandoned(now);
     const isStuck = instances.some(({ id }) => (this.selector.findReport(id)?.heldTerm ?? 0) > 0);
     // Orders of a claim that the store has lost may still be in flight.
     return isAbandoned || isStuck || !view.isCurrent() ? 'raise' : undefined;
   }
 
+  /**
+   * True when this VM holds an open record that it could not settle. While its plan is not `raise`,
+   * other VMs take the leader for one that is being replaced.
+   */
+  private mayRaiseOwn(now: Millis): boolean {
+    const { record, seenAt } = this.view;
+    if (record?.phase !== 'open') return false;
+    return record.plan !== 'raise' || now - seenAt >= RAISE_RETRY_MS;
+  }
+
   private claim(plan: TakeoverPlan, now: Millis, isContinued = false): TakeoverActions {
     const { view } = this;
     if (now < view.findClaimableAt()) {
@@ -286,6 +302,7 @@
       ...this.describeMembers(),
     };
     const { version: expected } = view;
+    this.settlement.recordClaim(record.attempt, view.readCurrent());
     this.updateStep({ kind: 'claiming', plan, record, expected, sentAt: now, isContinued });
     this.timer.isDue('claim', now);
     return [{ kind: 'write', record, expectedVersion: view.version.revision }];
@@ -423,26 +440,33 @@
     return this.settle(now, instances, now);
   }
 
-  /** Resumes the stopped instances, then records that this claim has no order in flight. */
+  /** Resumes the stopped instances, then settles the record once there is a proof. */
   private settle(since: Millis, instances: readonly InstanceView[], now: Millis): TakeoverActions {
     this.orders.dropUnreachable(instances);
-    if (now - since < ATTEMPT_TIMEOUT_MS) {
-      if (this.orders.hasStopped()) return this.orders.resumeAll(now);
-      // The record stays open while an order for another instance may take effect.
-      if (this.promotions.mayPromoteOther(findLeader(instances)?.id, now)) return [];
-    }
+    const mayWait = now - since < ATTEMPT_TIMEOUT_MS;
+    if (mayWait && this.orders.hasStopped()) return this.orders.resumeAll(now);
+    const { claimed, view } = this;
+    // The store has lost a claim of an earlier era; its group gets a new one.
+    if (!claimed || claimed.record.era !== view.version.era) return this.endAttempt();
+    const leader = findLeader(instances);
+    const proof = this.settlement.findProof(claimed, leader?.id, now);
+    if (proof) return this.writeSettled(proof);
+    // The record stays open until the next takeover has ordered a promotion.
+    if (!leader) return this.endAttempt();
+    return this.settlement.isPending(claimed) ? [] : this.claim('raise', now);
+  }
+
+  private endAttempt(): TakeoverActions {
     this.orders.clear();
     this.selector.clearReports();
-    const { claimed, view } = this;
     this.updateStep(WATCHING);
     this.planSince = undefined;
-    // The store has lost a claim of an earlier era; its group gets a new one.
-    if (!claimed || claimed.record.era !== view.version.era) return [];
-    const attempt = this.options.createAttempt();
-    const settled: PromotionRecord = {
-      ...{ ...claimed.record, attempt, phase: 'settled', failedCandidate: undefined },
-      ...this.describeMembers(),
-    };
-    return [{ kind: 'write', record: settled, expectedVersion: view.version.revision }];
+    return [];
+  }
+
+  private writeSettled(proof: SettlementProof): TakeoverActions {
+    this.endAttempt();
+    const record = proof.createRecord(this.options.createAttempt(), this.describeMembers());
+    return [{ kind: 'write', record, expectedVersion: this.view.version.revision }];
   }
 }
--- a/packages/core/src/takeover/takeoverstep.ts
+++ b/packages/core/src/takeover/takeoverstep.ts
@@ -13,6 +13,8 @@
 export const RANK_STAGGER_MS: Millis = 300;
 /** Another VM's attempt is not interfered with for this long. */
 export const ATTEMPT_TIMEOUT_MS: Millis = 2_500;
+/** Gap between two raises of a holder whose order for the leader was refused. */
+export const RAISE_RETRY_MS: Millis = 1_000;
 /** A holder whose claim is older than this claims the record again before it promotes. */
 export const RECORD_TTL_MS: Millis = 1_500;
 /** A handover that has not ordered its promotion within this time becomes a takeover. */
--- a/packages/core/test/takeoverfixture.ts
+++ b/packages/core/test/takeoverfixture.ts
@@ -40,6 +40,9 @@
 
   revision = 1;
 
+  /** How late the store's answers to writes are learnt; no time passes for the VM meanwhile. */
+  writeDelayMs = 0;
+
   private attempts = 0;
 
   /** What each instance reported last, which it also answers to a status request. */
@@ -70,7 +73,7 @@
     this.now += elapsedMs;
     const actions = this.coordinator.handleTick(views, this.now);
     actions.forEach((action) => {
-      if (action.kind === 'write') this.write(action.record);
+      if (action.kind === 'write') this.answerWrite(action.record);
       if (action.kind === 'refresh') this.coordinator.handleRefreshed(action.attempt);
       const known = action.kind === 'status' && this.reported.get(action.instance);
       if (known) this.report(action.instance, known);
@@ -96,6 +99,11 @@
     this.coordinator.handleReport(id, 1, report);
   }
 
+  private answerWrite(record: PromotionRecord): void {
+    this.now += this.writeDelayMs;
+    this.write(record);
+  }
+
   /** Writes the record, which the coordinator then reads. */
   write(record: PromotionRecord): void {
     this.record = record;
--- a/packages/engine/src/metrics.ts
+++ b/packages/engine/src/metrics.ts
@@ -116,6 +116,14 @@
     'action',
   ]);
 
+  /** For how long the promotion record of a group has been open; 0 once it is settled. */
+  readonly openRecordAge = new Gauge({
+    name: 'shallotpick_promotion_record_open_seconds',
+    help: 'Time since the promotion record of a group was opened',
+    labelNames: ['group'],
+    registers: [this.registry],
+  });
+
   /** Acknowledged commits, by what proved them durable, or why they were not handed on. */
   readonly commits = createCounter(this.registry, 'commits_total', 'Acknowledged commits', [
     'verdict',
--- a/packages/engine/src/takeover.ts
+++ b/packages/engine/src/takeover.ts
@@ -14,6 +14,7 @@
 import type { Log } from './log.js';
 import type { Member } from './member.js';
 import type { Metrics } from './metrics.js';
+import { OpenRecordReporter } from './openrecordreporter.js';
 import type { Operation } from './statement.js';
 import { decodePromotionRecord } from './promotionrecord.js';
 import type { ObjectStore, PromotionService, StoredObject } from './store.js';
@@ -53,12 +54,15 @@
   /** Attempt for which the connections to the replaced leader were closed. */
   private closedFor: string | undefined;
 
+  private readonly openRecord: OpenRecordReporter;
+
   constructor(
     private readonly group: GroupService,
     private readonly options: TakeoverDriverOptions,
   ) {
-    const { vm, createAttempt } = options;
+    const { vm, createAttempt, log, metrics } = options;
     this.coordinator = new TakeoverCoordinator({ group: group.name, vm, createAttempt });
+    this.openRecord = new OpenRecordReporter(group.name, log, metrics);
   }
 
   isChangingLeader(now: Millis): boolean {
@@ -129,6 +133,7 @@
     const views = this.group.listMembers().map((member) => this.createView(member, ageNow));
     this.runActions(this.coordinator.handleTick(views, now));
     this.logAwaited(views);
+    this.openRecord.handleTick(this.coordinator.readRecord(), now);
   }
 
   /** Logs for which instances a takeover waits, once for each change. */
