--- a/packages/engine/src/heartbeat.ts
+++ b/packages/engine/src/heartbeat.ts
@@ -53,7 +53,8 @@
   return isIP(host) !== 0 || isUsableHost(host);
 }
 
-const heartbeatSchema = z
+/** Content of a VM's heartbeat object. */
+export const heartbeatSchema = z
   .object({
     beat: z.int().min(0).max(MAX_BEAT),
     startedAt: z.int().min(0).max(MAX_START_TIME),
--- a/packages/engine/src/index.ts
+++ b/packages/engine/src/index.ts
@@ -31,6 +31,8 @@
 export { FleetQuota } from './fleetquota.js';
 export type { FleetQuotaOptions } from './fleetquota.js';
 export { Fleet, VMS_KIND } from './fleet.js';
+export { heartbeatSchema } from './heartbeat.js';
+export { promotionRecordSchema } from './promotionrecord.js';
 export type { FleetOptions } from './fleet.js';
 export type { VmAddress } from './heartbeat.js';
 export { Forwarding } from './forwarding.js';
--- a/packages/engine/src/promotionrecord.ts
+++ b/packages/engine/src/promotionrecord.ts
@@ -9,7 +9,8 @@
 
 const incarnationSchema = z.object({ id: text, startedAt: z.number().int(), address: text });
 
-const recordSchema = z.object({
+/** Content of a group's promotion record. */
+export const promotionRecordSchema = z.object({
   group: text,
   // Builds without eras leave it out.
   era: count.default(0),
@@ -29,5 +30,5 @@
  * another writer left it. A claim then replaces it, on condition of its revision.
  */
 export function decodePromotionRecord(spec: unknown): PromotionRecord | undefined {
-  return recordSchema.safeParse(spec).data;
+  return promotionRecordSchema.safeParse(spec).data;
 }
