Leave a record that raises the token alone while its holder may wait

Callers would have seen: writes whose proof waits, for as long as the platform is slow.

Cause: a holder whose order is accepted may have to wait 2 s for older orders. Others take an open record over after 2.5 s, and then have to wait as long themselves; with a slow platform each VM would have ended the wait of the one before.

Change: a record that raises the token counts as abandoned after 4.5 s while the leader serves. One whose leader is lost is taken over after 2.5 s as before. Its spec failed before.

--- a/packages/core/src/takeover/recordview.ts
+++ b/packages/core/src/takeover/recordview.ts
@@ -5,7 +5,7 @@
   encodeStoreVersion,
   type StoreVersion,
 } from '../configuration/storeversion.js';
-import { ATTEMPT_TIMEOUT_MS } from './takeoverstep.js';
+import { ATTEMPT_TIMEOUT_MS, RAISE_TIMEOUT_MS } from './takeoverstep.js';
 import type { PromotionRecord } from './takeovertypes.js';
 
 /** True when both records name the same leader and members. */
@@ -98,9 +98,16 @@
     return this.record?.phase === 'open' && now - this.seenAt < ATTEMPT_TIMEOUT_MS;
   }
 
-  /** True for an open record whose attempt has taken longer than others wait for it. */
+  /**
+   * True for an open record whose attempt has taken longer than others wait for it. One that raises
+   * the token may have to wait for older orders once its own is accepted; with a leader that serves,
+   * others that began anew would only make that wait longer.
+   */
   isAbandoned(now: Millis): boolean {
-    return this.record?.phase === 'open' && !this.isAttemptOpen(now);
+    const { record, seenAt } = this;
+    if (record?.phase !== 'open') return false;
+    const timeoutMs = record.plan === 'raise' ? RAISE_TIMEOUT_MS : ATTEMPT_TIMEOUT_MS;
+    return now - seenAt >= timeoutMs;
   }
 
   /**
--- a/packages/core/src/takeover/takeoverstep.ts
+++ b/packages/core/src/takeover/takeoverstep.ts
@@ -25,6 +25,8 @@
 export const PROMOTION_TIMEOUT_MS: Millis = 2_000;
 /** Set by the platform: a superseded VM orders no further promotion of the group for this long. */
 export const LEASE_MS: Millis = 3_000;
+/** The order of another VM for the leader that stays, and its wait for older ones, are left alone. */
+export const RAISE_TIMEOUT_MS: Millis = ATTEMPT_TIMEOUT_MS + PROMOTION_TIMEOUT_MS;
 /** A call to the platform without an answer may be carried out this much later. */
 export const LATE_CALL_MS: Millis = 12_000;
 /** Margin for the network latency of an order. */
--- a/packages/core/test/settlement.spec.ts
+++ b/packages/core/test/settlement.spec.ts
@@ -150,6 +150,17 @@
     expect(driver.record.phase).toEqual('open');
   });
 
+  // Guards against VMs that take each other's record over without an end beside a slow platform: each
+  // has to wait for older orders once its own is accepted.
+  it('by the VM that raises the token, which others leave alone for as long as that may take', () => {
+    const driver = new Driver();
+    driver.write({ ...createForeign(driver), plan: 'raise' });
+    expect(passReturned(driver, PROMOTION_MS * 2, { answer: 'accepted' })).toEqual([]);
+    expect(driver.record.holder).toEqual('other');
+    passReturned(driver, PROMOTION_MS * 3, { answer: 'accepted' });
+    expect([driver.record.holder, driver.record.phase]).toEqual(['vm', 'settled']);
+  });
+
   // Guards against an open record that nobody works on: the leader was lost again meanwhile.
   it('by the next takeover when the leader is lost again', () => {
     const driver = createLateClaimant();
