Bound how many lists of the instances takeovers read at once

Cause: a takeover asks for a list every 500 ms until it has one, and each was read beside those that were still in progress. Each made the others later: 114 of 116 lists got no answer in time.

Change: SharedRun lets two lists run at once; whoever asks meanwhile shares the next one, which begins after the question.

--- a/packages/engine/src/sources.ts
+++ b/packages/engine/src/sources.ts
@@ -1,5 +1,6 @@
 import type { Millis } from '@shallotpick/core';
 import { createWatcher, computeWatchTime, type SourceOptions } from './sourcewatcher.js';
+import { SharedRun } from './sharedrun.js';
 import type { StoredObject } from './store.js';
 import { PROMOTIONS_KIND } from './takeover.js';
 import { MAX_WATCH_PAUSE_MS, type ObjectWatcher } from './watcher.js';
@@ -10,7 +11,7 @@
 /** The watcher of the registered instances. */
 export interface InstanceSource {
   readonly watcher: ObjectWatcher;
-  /** Lists the instances anew and applies what has changed. */
+  /** Lists the instances anew and applies what has changed; the list begins after the call. */
   refresh(): Promise<void>;
 }
 
@@ -37,12 +38,13 @@
       else receivers.proxy?.roster.remove(object.name, clock.readNow());
     },
   });
-  const refresh = async (): Promise<void> => {
+  // The takeovers of all groups ask for lists, and ask again while they have none.
+  const refreshes = new SharedRun(async () => {
     const { objects, isPartial = false } = await store.list(kind);
     handleListing(objects, isPartial);
     receivers.proxy?.applyRoster();
-  };
-  return { watcher, refresh };
+  });
+  return { watcher, refresh: async () => refreshes.run() };
 }
 
 /** Creates the watcher of the promotion records, which the takeovers of the local groups receive. */
