Share the specs' driver with an ordered promotion

Cause: three specs of takeovers built it line by line. Change: createPromoting in the fixture; assertions unchanged.

--- a/packages/core/test/promotiongate.spec.ts
+++ b/packages/core/test/promotiongate.spec.ts
@@ -3,6 +3,7 @@
 import {
   A,
   B,
+  createPromoting,
   createView,
   Driver,
   LEADER,
@@ -21,13 +22,8 @@
   createView(id, { startedAt, leads: false, position: { term: 1, offset: 0 } });
 
 /** A driver whose order to promote `a` has been accepted. */
-const createPromoting = (): Driver => {
-  const driver = new Driver();
-  driver.tickUntil('pause', LOST);
-  driver.report('a');
-  driver.report('b');
-  const action = driver.tickUntil('promote', LOST);
-  const token = action.kind === 'promote' ? action.token : 0;
+const createAccepted = (): Driver => {
+  const { driver, token } = createPromoting();
   driver.coordinator.handlePromotion(token, 'accepted', driver.now);
   return driver;
 };
@@ -47,7 +43,7 @@
   // A replica that had started again received more than the candidate. Another order followed, beside
   // which the first one may take effect, and the group had two changes of its leader, or a later one.
   it('keeps its order when another replica has received more since', () => {
-    const driver = createPromoting();
+    const driver = createAccepted();
     driver.report('b', { offset: 12, heldTerm: 0 });
     driver.tick(LOST);
     driver.report('b', { offset: 12 });
@@ -58,7 +54,7 @@
   // The order named a former leader whose id had started again twice: an empty log led.
   it('names no former leader whose id has started again', () => {
     [2, 3].forEach((starts) => {
-      const driver = createPromoting();
+      const driver = createAccepted();
       for (let start = 2; start <= starts; start++) driver.tick([createEmpty('l', start), A, B]);
       const b = createView('b', SILENT);
       const views = [createEmpty('l', starts), createEmpty('a', 2), b];
@@ -69,7 +65,7 @@
   // The candidate led unseen by this VM, acknowledged with another replica, and started again: the
   // former leader, which lacks those commits, was promoted.
   it('names no former leader while nothing is heard of the instances since the order', () => {
-    const driver = createPromoting();
+    const driver = createAccepted();
     const b = createView('b', SILENT);
     const dark = [LOST_LEADER, { ...createEmpty('a', 2), ...SILENT, position: undefined }, b];
     driver.tick([LOST_LEADER, createView('a', SILENT), b]);
@@ -79,7 +75,7 @@
   // A candidate that was down after its order came back without its log just before it led, although
   // another replica held as much.
   it('names an equal log as soon as the candidate refuses connections', () => {
-    const driver = createPromoting();
+    const driver = createAccepted();
     const down = createView('a', { health: 'refusing', leads: false, since: driver.now + 50 });
     const views = [LOST_LEADER, down, B];
     expect(collectPromotions(driver, views, 2)).toEqual([]);
@@ -91,7 +87,7 @@
 
   // Guards against two changes of the leader because one connection broke.
   it('keeps its order when a connection to the candidate fails once', () => {
-    const driver = createPromoting();
+    const driver = createAccepted();
     const failed = createView('a', { health: 'refusing', leads: false, since: driver.now + 50 });
     driver.tick([LOST_LEADER, failed, B], 100);
     const back = createView('a', { since: driver.now + 50 });
@@ -101,7 +97,7 @@
   // The others had stopped before the order, not after its candidate has led: a replica that lacks
   // what it acknowledged would pass for an equal log.
   it('names no equal log once the candidate has led', () => {
-    const driver = createPromoting();
+    const driver = createAccepted();
     const position = { term: 2, offset: 12 };
     const leading = createView('a', { leads: true, position });
     driver.tick([LOST_LEADER, leading, B]);
--- a/packages/core/test/settlement.spec.ts
+++ b/packages/core/test/settlement.spec.ts
@@ -1,6 +1,6 @@
 import { expect } from 'earl';
 import type { PromotionAnswer, PromotionRecord } from '../src/index.js';
-import { Driver, listKinds, LOST, RETURNED } from './takeoverfixture.js';
+import { createPromoting, Driver, listKinds, LOST, RETURNED } from './takeoverfixture.js';
 
 /** A claim that is learnt this late rests on outdated information. */
 const LATE_CLAIM_MS = 1_000;
@@ -43,12 +43,7 @@
 
 /** A driver whose order for `a` has got no answer, and that is about to claim again. */
 function createUnanswered(): Driver {
-  const driver = new Driver();
-  driver.tickUntil('pause', LOST);
-  driver.report('a');
-  driver.report('b');
-  const action = driver.tickUntil('promote', LOST);
-  const token = action.kind === 'promote' ? action.token : 0;
+  const { driver, token } = createPromoting();
   driver.coordinator.handlePromotion(token, 'unknown', driver.now);
   return driver;
 }
--- a/packages/core/test/takeover.spec.ts
+++ b/packages/core/test/takeover.spec.ts
@@ -2,6 +2,7 @@
 import {
   A,
   B,
+  createPromoting,
   createView,
   Driver,
   LEADER,
@@ -18,16 +19,6 @@
 /** Longer than an accepted order needs to take effect. */
 const PROMOTION_MS = 2_000;
 
-/** A driver whose takeover has been ordered for `a`. */
-const createPromoting = (): { readonly driver: Driver; readonly token: number } => {
-  const driver = new Driver();
-  driver.tickUntil('pause', LOST);
-  driver.report('a');
-  driver.report('b');
-  const action = driver.tickUntil('promote', LOST);
-  return { driver, token: action.kind === 'promote' ? action.token : 0 };
-};
-
 describe('TakeoverCoordinator', () => {
   // The holder gave its attempt up when the leader answered again, after other VMs had made that
   // leader step down because of the attempt, and the group had no leader.
--- a/packages/core/test/takeoverfixture.ts
+++ b/packages/core/test/takeoverfixture.ts
@@ -117,3 +117,13 @@
   actions.map((action) =>
     'instance' in action ? `${action.kind} ${action.instance}` : action.kind,
   );
+
+/** A driver whose takeover has been ordered for `a`, and the token of the order. */
+export const createPromoting = (): { readonly driver: Driver; readonly token: number } => {
+  const driver = new Driver();
+  driver.tickUntil('pause', LOST);
+  driver.report('a');
+  driver.report('b');
+  const action = driver.tickUntil('promote', LOST);
+  return { driver, token: action.kind === 'promote' ? action.token : 0 };
+};
